--- /dev/null
+++ b/cmd/kumquat/main.go
@@ -0,0 +1,12 @@
+// Command kumquat is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/kumquatstack/kumquatstack/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/version/placer/placer.go
@@ -0,0 +1,154 @@
+// Package placer chooses workers for tasks. Its functions are pure: they work
+// on immutable snapshots and take the present time as an argument.
+package placer
+
+import "time"
+
+// Resources are amounts of processor, memory and accelerators.
+type Resources struct {
+	MilliCores   int64
+	MemoryBytes  int64
+	Accelerators int64
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(other Resources) Resources {
+	return Resources{
+		MilliCores:   r.MilliCores + other.MilliCores,
+		MemoryBytes:  r.MemoryBytes + other.MemoryBytes,
+		Accelerators: r.Accelerators + other.Accelerators,
+	}
+}
+
+// Minus returns the difference, which may be negative.
+func (r Resources) Minus(other Resources) Resources {
+	return Resources{
+		MilliCores:   r.MilliCores - other.MilliCores,
+		MemoryBytes:  r.MemoryBytes - other.MemoryBytes,
+		Accelerators: r.Accelerators - other.Accelerators,
+	}
+}
+
+// Max returns the larger amount of each kind.
+func (r Resources) Max(other Resources) Resources {
+	return Resources{
+		MilliCores:   max(r.MilliCores, other.MilliCores),
+		MemoryBytes:  max(r.MemoryBytes, other.MemoryBytes),
+		Accelerators: max(r.Accelerators, other.Accelerators),
+	}
+}
+
+// Fits reports whether the amounts fit into the capacity.
+func (r Resources) Fits(capacity Resources) bool {
+	return r.MilliCores <= capacity.MilliCores &&
+		r.MemoryBytes <= capacity.MemoryBytes &&
+		r.Accelerators <= capacity.Accelerators
+}
+
+// A Resident is a task bound to a worker.
+type Resident struct {
+	Task            string
+	Team            string
+	Class           string
+	LatencyCritical bool
+	Urgent          bool
+	// Size is the larger of declared and learned use.
+	Size Resources
+	// Throttle is the percentage of processors that is withheld.
+	Throttle int
+	// Progress is the time since the last checkpoint, lost by an eviction.
+	Progress time.Duration
+	// Pinned residents are never evicted: they are stopping or have been
+	// evicted too often.
+	Pinned bool
+}
+
+// A Worker is one machine of a snapshot.
+type Worker struct {
+	Name        string
+	Rack        string
+	DataCentre  string
+	Capacity    Resources
+	Residents   []Resident
+	Quarantined bool
+	Leaving     bool
+}
+
+// Free returns the capacity that no resident is committed to.
+func (w *Worker) Free() Resources {
+	free := w.Capacity
+	for i := range w.Residents {
+		free = free.Minus(w.Residents[i].Size)
+	}
+	return free
+}
+
+// A Task is a task that needs a worker.
+type Task struct {
+	ID              string
+	Intent          string
+	Team            string
+	Class           string
+	Size            Resources
+	LatencyCritical bool
+	Urgent          bool
+	// Spread keeps tasks of the same intent apart over racks.
+	Spread bool
+	// Avoid lists workers on which the task has failed.
+	Avoid []string
+	// Submitted orders tasks of equal rank.
+	Submitted time.Time
+	// Deadline is the time by which the task should finish; zero if none.
+	Deadline time.Time
+}
+
+// A Quota is a team's limit and use.
+type Quota struct {
+	Limit  Resources
+	Used   Resources
+	Weight int
+}
+
+// A Snapshot is the state that a decision is made on. It is never modified.
+type Snapshot struct {
+	Workers []Worker
+	Quotas  map[string]Quota
+	// Slowdown estimates, for a service class and a batch class on one worker,
+	// by how many percent the batch task slows the service.
+	Slowdown func(service, batch string) int
+}
+
+// A Displacement is a resident that has to make room.
+type Displacement struct {
+	Task   string
+	Worker string
+	// Throttle is the new percentage to withhold; zero means eviction.
+	Throttle int
+}
+
+// A Choice binds a task to a worker.
+type Choice struct {
+	Task          string
+	Worker        string
+	Why           string
+	Displacements []Displacement
+}
+
+// A Rejection tells why a task was not placed.
+type Rejection struct {
+	Task   string
+	Reason string
+	// Permanent rejections hold however many tasks finish.
+	Permanent bool
+}
+
+// A Decision is the outcome of placing a set of tasks.
+type Decision struct {
+	Choices    []Choice
+	Rejections []Rejection
+}
+
+// A Policy places tasks on the workers of a snapshot.
+type Policy interface {
+	Place(snapshot *Snapshot, tasks []Task, now time.Time) Decision
+}
