Parse declarations and intents strictly

Operators need to know which line of a document is wrong before anything of it takes effect. A decoder walks the document beside the Go type and reports every unknown key, wrong type and wrong unit; the validator's rules and cross-checks follow. All problems of a document are reported together, each with its line, key and the accepted values.

--- /dev/null
+++ b/internal/errs/document.go
@@ -0,0 +1,47 @@
+package errs
+
+import (
+	"fmt"
+	"strings"
+)
+
+// A DocumentProblem is one fault in a YAML document.
+type DocumentProblem struct {
+	// Line is the line of the fault, counted from 1; zero if it has none.
+	Line int `json:"line"`
+	// Key is the path of the key, for example "upstreams[0].maxDuration".
+	Key string `json:"key"`
+	// Message tells what is wrong.
+	Message string `json:"message"`
+	// Accepted tells which values are accepted; it may be empty.
+	Accepted string `json:"accepted,omitempty"`
+}
+
+// A DocumentError reports all faults found in a YAML document. Nothing of such
+// a document takes effect.
+type DocumentError struct {
+	Name     string            `json:"name"`
+	Problems []DocumentProblem `json:"problems"`
+}
+
+// Error implements error. Each problem is one line.
+func (e *DocumentError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, problem := range e.Problems {
+		lines = append(lines, e.Name+problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String returns the problem as ":line: key: message (accepted: values)".
+func (p DocumentProblem) String() string {
+	text := fmt.Sprintf(":%d: ", p.Line)
+	if p.Key != "" {
+		text += p.Key + ": "
+	}
+	text += p.Message
+	if p.Accepted != "" {
+		text += " (accepted: " + p.Accepted + ")"
+	}
+	return text
+}
--- a/internal/version/declarer/declarations.go
+++ b/internal/version/declarer/declarations.go
@@ -2,7 +2,10 @@
 // document that is kept under version control and applied as a whole.
 package declarer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Declarations is the whole operators' document. It is immutable once parsed.
 type Declarations struct {
@@ -69,11 +72,24 @@
 
 // Resources are amounts of processor, memory and accelerators.
 type Resources struct {
-	Cores        float64 `yaml:"cores" validate:"min=0"`
-	MemoryGB     float64 `yaml:"memoryGB" validate:"min=0"`
-	Accelerators int     `yaml:"accelerators" validate:"min=0"`
+	Cores float64 `yaml:"cores" validate:"min=0,max=1000000"`
+	// MemoryGB is in units of 10⁹ bytes.
+	MemoryGB     float64 `yaml:"memoryGB" validate:"min=0,max=10000000"`
+	Accelerators int     `yaml:"accelerators" validate:"min=0,max=1000000"`
 }
 
+// Units of resources.
+const (
+	milliCoresPerCore = 1000
+	bytesPerGB        = 1e9
+)
+
+// MilliCores returns the processors in thousandths of a core, rounded up.
+func (r Resources) MilliCores() int64 { return int64(math.Ceil(r.Cores * milliCoresPerCore)) }
+
+// MemoryBytes returns the memory in bytes, rounded up.
+func (r Resources) MemoryBytes() int64 { return int64(math.Ceil(r.MemoryGB * bytesPerGB)) }
+
 // A Class groups tasks that disturb each other alike.
 type Class struct {
 	Name string `yaml:"name" validate:"required,hostname_rfc1123"`
--- /dev/null
+++ b/internal/version/declarer/intent.go
@@ -0,0 +1,144 @@
+package declarer
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/decoder"
+)
+
+// A Kind tells what an intent asks for.
+type Kind string
+
+// Kinds of intents.
+const (
+	// KindRunNow is urgent work that starts within seconds.
+	KindRunNow Kind = "runNow"
+	// KindRunBy is background work that has to finish by a deadline.
+	KindRunBy Kind = "runBy"
+	// KindKeepRunning is a monitor that runs until it is cancelled.
+	KindKeepRunning Kind = "keepRunning"
+)
+
+// An Intent is an operator's statement of work to be done. It is immutable
+// once parsed.
+type Intent struct {
+	Name  string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
+	Team  string `yaml:"team" validate:"required"`
+	Class string `yaml:"class" validate:"required"`
+	Kind  Kind   `yaml:"kind" validate:"required,oneof=runNow runBy keepRunning"`
+	// Count is the number of tasks.
+	Count int `yaml:"count" validate:"min=1,max=20000"`
+	// Resources are needed by each task.
+	Resources Resources `yaml:"resources"`
+	// Deadline is the time by which all tasks should have finished.
+	Deadline time.Time `yaml:"deadline"`
+	// Within is the time from planning to the deadline; it excludes Deadline.
+	Within time.Duration `yaml:"within" validate:"min=0,max=8760h"`
+	// ExpectedRun is the expected run time of one task, running alone.
+	ExpectedRun time.Duration `yaml:"expectedRun" validate:"min=0,max=8760h"`
+	// DataCentres are those the tasks may run in; none means all.
+	DataCentres []string `yaml:"dataCentres" validate:"unique,dive,hostname_rfc1123"`
+}
+
+// ParseIntent decodes and checks an intent document. The name is that of the
+// file and stands in errors. Every error is a *errs.DocumentError.
+func ParseIntent(name string, document []byte) (*Intent, error) {
+	intent := &Intent{Count: 1}
+	if err := decoder.Decode(name, document, intent, checkIntent); err != nil {
+		return nil, err
+	}
+	return intent, nil
+}
+
+// DeadlineAt returns the deadline of an intent that is planned at a time, or
+// the zero time if it has none.
+func (i *Intent) DeadlineAt(now time.Time) time.Time {
+	if i.Within > 0 {
+		return now.Add(i.Within)
+	}
+	return i.Deadline
+}
+
+// checkIntent compares the kind with what it needs.
+func checkIntent(i *Intent, report decoder.Report) {
+	if i.Resources.Cores == 0 {
+		report("resources.cores", "a task needs a share of a processor", "more than 0")
+	}
+	if i.Resources.MemoryGB == 0 {
+		report("resources.memoryGB", "a task needs memory", "more than 0")
+	}
+	if i.Within > 0 && !i.Deadline.IsZero() {
+		report("within", "deadline is given too", "one of deadline and within")
+	}
+	hasDeadline := i.Within > 0 || !i.Deadline.IsZero()
+	switch i.Kind {
+	case KindRunBy:
+		if !hasDeadline {
+			report("deadline", "kind runBy needs a deadline", "deadline: 2026-12-04T20:00:00-05:00, or within: 6h")
+		}
+	case KindKeepRunning:
+		if hasDeadline {
+			report("kind", "kind keepRunning has no deadline", "leave deadline and within out")
+		}
+		if i.ExpectedRun > 0 {
+			report("expectedRun", "kind keepRunning runs until it is cancelled", "leave expectedRun out")
+		}
+	}
+	if i.Kind != KindKeepRunning && i.ExpectedRun == 0 {
+		report("expectedRun", "is missing", "a duration such as 20m")
+	}
+}
+
+// CheckIntent compares an intent with the declarations in force. It reports
+// undeclared teams, classes and data centres as a *errs.DocumentError.
+func (d *Declarations) CheckIntent(name string, document []byte) (intent *Intent, err error) {
+	intent = &Intent{Count: 1}
+	err = decoder.Decode(name, document, intent, checkIntent, d.checkReferences)
+	if err != nil {
+		return nil, err
+	}
+	return intent, nil
+}
+
+func (d *Declarations) checkReferences(i *Intent, report decoder.Report) {
+	if _, ok := d.Team(i.Team); !ok && i.Team != "" {
+		report("team", fmt.Sprintf("%q is not a declared team", i.Team), listOr(namesOf(d.Teams, func(t Team) string { return t.Name }), "declare one under teams"))
+	}
+	if _, ok := d.Class(i.Class); !ok && i.Class != "" {
+		report("class", fmt.Sprintf("%q is not a declared class", i.Class), listOr(namesOf(d.Classes, func(c Class) string { return c.Name }), "declare one under classes"))
+	}
+	for n, dc := range i.DataCentres {
+		if d.RegionOf(dc) == "" {
+			report(fmt.Sprintf("dataCentres[%d]", n), fmt.Sprintf("%q is not a declared data centre", dc), strings.Join(d.DataCentreNames(), ", "))
+		}
+	}
+}
+
+// DataCentreNames returns the names of all declared data centres.
+func (d *Declarations) DataCentreNames() []string {
+	var names []string
+	for _, region := range d.Regions {
+		for _, dc := range region.DataCentres {
+			names = append(names, dc.Name)
+		}
+	}
+	return names
+}
+
+func namesOf[T any](list []T, name func(T) string) []string {
+	names := make([]string, 0, len(list))
+	for _, entry := range list {
+		names = append(names, name(entry))
+	}
+	return names
+}
+
+// listOr joins names, or returns advice if there are none.
+func listOr(names []string, advice string) string {
+	if len(names) == 0 {
+		return advice
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/internal/version/declarer/parse.go
@@ -0,0 +1,155 @@
+package declarer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/decoder"
+)
+
+// Defaults of values that a document leaves out.
+const (
+	defaultSlotsPerRunner       = 8
+	defaultConnectionsPerRunner = 64
+	defaultMaxDuration          = 30 * time.Second
+	defaultQueueLength          = 1000
+	defaultRetryPercent         = 10
+	defaultMaxBodyBytes         = 1 << 20
+	defaultMissCost             = 1
+	defaultWeight               = 1
+	defaultLease                = 10 * time.Second
+	defaultEvictionsPerMinute   = 60
+)
+
+func defaultBatch() Batch {
+	return Batch{Lease: defaultLease, EvictionsPerMinute: defaultEvictionsPerMinute}
+}
+
+// Parse decodes and checks a declarations document. The name is that of the
+// file and stands in errors. Every error is a *errs.DocumentError.
+func Parse(name string, document []byte) (*Declarations, error) {
+	declared := &Declarations{Batch: defaultBatch()}
+	if err := decoder.Decode(name, document, declared, checkDataCentres, checkRoutes, checkUpstreams, checkClasses); err != nil {
+		return nil, err
+	}
+	return declared, nil
+}
+
+// UnmarshalYAML fills in defaults.
+func (u *Upstream) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Upstream
+	value := plain{
+		SlotsPerRunner:       defaultSlotsPerRunner,
+		ConnectionsPerRunner: defaultConnectionsPerRunner,
+		MaxDuration:          defaultMaxDuration,
+		QueueLength:          defaultQueueLength,
+		RetryPercent:         defaultRetryPercent,
+		MaxBodyBytes:         defaultMaxBodyBytes,
+	}
+	err := unmarshal(&value)
+	*u = Upstream(value)
+	return err
+}
+
+// UnmarshalYAML fills in defaults.
+func (r *Route) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Route
+	value := plain{MissCost: defaultMissCost}
+	err := unmarshal(&value)
+	*r = Route(value)
+	return err
+}
+
+// UnmarshalYAML fills in defaults.
+func (t *Team) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Team
+	value := plain{Weight: defaultWeight}
+	err := unmarshal(&value)
+	*t = Team(value)
+	return err
+}
+
+// UnmarshalYAML fills in defaults.
+func (b *Batch) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Batch
+	value := plain(defaultBatch())
+	err := unmarshal(&value)
+	*b = Batch(value)
+	return err
+}
+
+// checkDataCentres requires that a data centre is declared in one region only.
+func checkDataCentres(d *Declarations, report decoder.Report) {
+	regions := map[string]string{}
+	for i, region := range d.Regions {
+		for j, dc := range region.DataCentres {
+			first, repeated := regions[dc.Name]
+			if repeated && first != region.Name {
+				key := fmt.Sprintf("regions[%d].dataCentres[%d].name", i, j)
+				report(key, fmt.Sprintf("%q is already in region %q", dc.Name, first), "a name that is used once")
+			}
+			regions[dc.Name] = region.Name
+		}
+	}
+}
+
+// checkRoutes requires that routes lead to declared upstreams.
+func checkRoutes(d *Declarations, report decoder.Report) {
+	names := namesOf(d.Upstreams, func(u Upstream) string { return u.Name })
+	for i, route := range d.Routes {
+		if _, ok := d.Upstream(route.Upstream); ok || route.Upstream == "" {
+			continue
+		}
+		report(fmt.Sprintf("routes[%d].upstream", i), fmt.Sprintf("%q is not a declared upstream", route.Upstream), listOr(names, "declare one under upstreams"))
+	}
+}
+
+// checkUpstreams requires a connection for each slot.
+func checkUpstreams(d *Declarations, report decoder.Report) {
+	for i, upstream := range d.Upstreams {
+		if upstream.ConnectionsPerRunner < upstream.SlotsPerRunner {
+			report(fmt.Sprintf("upstreams[%d].connectionsPerRunner", i),
+				fmt.Sprintf("%d connections can't carry %d slots", upstream.ConnectionsPerRunner, upstream.SlotsPerRunner),
+				fmt.Sprintf("%d or more", upstream.SlotsPerRunner))
+		}
+	}
+}
+
+// checkClasses requires that only services have a target.
+func checkClasses(d *Declarations, report decoder.Report) {
+	for i, class := range d.Classes {
+		if class.Target > 0 && !class.LatencyCritical {
+			report(fmt.Sprintf("classes[%d].target", i), "a batch class has no response time", "leave target out or set latencyCritical: true")
+		}
+	}
+}
+
+// Upstream returns a declared upstream by name.
+func (d *Declarations) Upstream(name string) (Upstream, bool) {
+	for _, upstream := range d.Upstreams {
+		if upstream.Name == name {
+			return upstream, true
+		}
+	}
+	return Upstream{}, false
+}
+
+// Team returns a declared team by name.
+func (d *Declarations) Team(name string) (Team, bool) {
+	for _, team := range d.Teams {
+		if team.Name == name {
+			return team, true
+		}
+	}
+	return Team{}, false
+}
+
+// Class returns a declared class by name.
+func (d *Declarations) Class(name string) (Class, bool) {
+	for _, class := range d.Classes {
+		if class.Name == name {
+			return class, true
+		}
+	}
+	return Class{}, false
+}
--- /dev/null
+++ b/internal/version/decoder/decoder.go
@@ -0,0 +1,188 @@
+// Package decoder decodes YAML documents strictly: unknown and repeated keys,
+// wrong types, wrong units and impossible values are all reported with their
+// line and key, and nothing of a faulty document is returned.
+package decoder
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// MaxDocumentBytes bounds a document: the store holds values up to a megabyte.
+const MaxDocumentBytes = 900_000
+
+// maxNesting bounds the depth of lists and mappings.
+const maxNesting = 100
+
+// A Report takes one fault that a cross-check found.
+type Report func(key, message, accepted string)
+
+// A Check compares parts of a decoded document with each other.
+type Check[T any] func(value *T, report Report)
+
+// Decode decodes one document into value, which holds the defaults. The name
+// is that of the file and stands in errors. Every error is a
+// *errs.DocumentError.
+func Decode[T any](name string, document []byte, value *T, checks ...Check[T]) error {
+	faults := &faults{name: name}
+	root := parse(document, faults)
+	if root == nil {
+		return faults.err()
+	}
+	walk := &walker{faults: faults, lines: map[string]int{}}
+	walk.node(root, reflect.TypeFor[T](), "")
+	if faults.any() {
+		return faults.err()
+	}
+	if err := yaml.NodeToValue(root, value, yaml.Strict()); err != nil {
+		faults.addYAML(err)
+		return faults.err()
+	}
+	locate := &locator{lines: walk.lines, faults: faults}
+	validateStruct(value, locate)
+	for _, check := range checks {
+		check(value, locate.report)
+	}
+	return faults.err()
+}
+
+// parse returns the root node, or nil after reporting why there is none.
+func parse(document []byte, faults *faults) ast.Node {
+	if len(document) > MaxDocumentBytes {
+		faults.add(0, "", fmt.Sprintf("document has %d bytes", len(document)), fmt.Sprintf("up to %d bytes", MaxDocumentBytes))
+		return nil
+	}
+	if nesting(document) > maxNesting {
+		faults.add(0, "", "too many nested brackets", fmt.Sprintf("up to %d", maxNesting))
+		return nil
+	}
+	file, err := parser.ParseBytes(document, 0)
+	if err != nil {
+		faults.addYAML(err)
+		return nil
+	}
+	var bodies []ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body != nil && doc.Body.Type() != ast.CommentType {
+			bodies = append(bodies, doc.Body)
+		}
+	}
+	switch len(bodies) {
+	case 0:
+		faults.add(1, "", "document is empty", "one YAML mapping")
+		return nil
+	case 1:
+		return bodies[0]
+	default:
+		faults.add(line(bodies[1]), "", "a second document begins", "one YAML document")
+		return nil
+	}
+}
+
+// nesting returns the greatest depth of brackets in flow style, ignoring
+// quotes, which overstates it at worst.
+func nesting(document []byte) int {
+	depth, deepest := 0, 0
+	for _, c := range document {
+		switch c {
+		case '[', '{':
+			depth++
+		case ']', '}':
+			depth--
+		}
+		deepest = max(deepest, depth)
+	}
+	return deepest
+}
+
+// faults collects problems.
+type faults struct {
+	name     string
+	problems []errs.DocumentProblem
+}
+
+func (f *faults) any() bool { return len(f.problems) > 0 }
+
+func (f *faults) add(line int, key, message, accepted string) {
+	f.problems = append(f.problems, errs.DocumentProblem{Line: line, Key: key, Message: message, Accepted: accepted})
+}
+
+// addYAML adds an error of the YAML library.
+func (f *faults) addYAML(err error) {
+	var located yaml.Error
+	if !errors.As(err, &located) || located.GetToken() == nil {
+		f.add(0, "", err.Error(), "")
+		return
+	}
+	f.add(located.GetToken().Position.Line, "", located.GetMessage(), "")
+}
+
+// err returns the problems by line as an error, or nil if there are none.
+func (f *faults) err() error {
+	if !f.any() {
+		return nil
+	}
+	slices.SortStableFunc(f.problems, func(a, b errs.DocumentProblem) int { return cmp.Compare(a.Line, b.Line) })
+	return &errs.DocumentError{Name: f.name, Problems: f.problems}
+}
+
+// A locator finds the line of a key or of its nearest parent.
+type locator struct {
+	lines  map[string]int
+	faults *faults
+}
+
+func (l *locator) report(key, message, accepted string) {
+	l.faults.add(l.line(key), key, message, accepted)
+}
+
+func (l *locator) line(key string) int {
+	for key != "" {
+		if line, ok := l.lines[key]; ok {
+			return line
+		}
+		key = key[:max(0, strings.LastIndexAny(key, ".["))]
+	}
+	return l.lines[""]
+}
+
+// validateStruct applies the validate tags.
+func validateStruct(value any, locate *locator) {
+	err := newValidator().Struct(value)
+	var invalid validator.ValidationErrors
+	if !errors.As(err, &invalid) {
+		return
+	}
+	for _, fault := range invalid {
+		key := withoutRoot(fault.Namespace())
+		tag := fieldTag(reflect.TypeOf(value).Elem(), withoutRoot(fault.StructNamespace()))
+		if fault.Tag() == "unique" {
+			reportDuplicate(fault, key, locate)
+			continue
+		}
+		locate.report(key, message(fault), accepted(tag, fault.Type()))
+	}
+}
+
+func newValidator() *validator.Validate {
+	validate := validator.New(validator.WithRequiredStructEnabled())
+	validate.RegisterTagNameFunc(func(field reflect.StructField) string { return keyOf(field) })
+	return validate
+}
+
+// withoutRoot drops the type's name from a validator's namespace.
+func withoutRoot(namespace string) string {
+	_, key, _ := strings.Cut(namespace, ".")
+	return key
+}
--- /dev/null
+++ b/internal/version/decoder/describe.go
@@ -0,0 +1,126 @@
+package decoder
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// describedRules holds the accepted values of rules without a parameter.
+var describedRules = map[string]string{
+	"hostname_rfc1123": "letters, digits, hyphens and dots",
+	"hostname_port":    "host:port",
+	"ip":               "an IP number",
+	"url":              "a URL",
+	"file":             "an existing file",
+}
+
+// fieldTag returns the validate tag of the field that a namespace of Go names
+// leads to, for example "Upstreams[0].MaxDuration".
+func fieldTag(kind reflect.Type, namespace string) string {
+	tag := ""
+	for _, part := range strings.Split(namespace, ".") {
+		name, index, _ := strings.Cut(part, "[")
+		for kind.Kind() == reflect.Pointer {
+			kind = kind.Elem()
+		}
+		field, ok := kind.FieldByName(name)
+		if !ok {
+			return ""
+		}
+		kind, tag = field.Type, field.Tag.Get("validate")
+		if index != "" {
+			kind = kind.Elem()
+			_, tag, _ = strings.Cut(tag, "dive")
+		}
+	}
+	before, _, _ := strings.Cut(tag, "dive")
+	return strings.Trim(before, ",")
+}
+
+// message tells what is wrong with a value.
+func message(fault validator.FieldError) string {
+	if strings.HasPrefix(fault.Tag(), "required") {
+		return "is missing"
+	}
+	if fault.Kind() == reflect.Slice {
+		return fmt.Sprintf("has %d entries", reflect.ValueOf(fault.Value()).Len())
+	}
+	if fault.Kind() == reflect.String {
+		return fmt.Sprintf("%q is not accepted", fault.Value())
+	}
+	return fmt.Sprintf("%v is out of range", fault.Value())
+}
+
+// accepted describes the values that a validate tag accepts.
+func accepted(tag string, kind reflect.Type) string {
+	low, high := "", ""
+	var words []string
+	for _, rule := range strings.Split(tag, ",") {
+		name, param, _ := strings.Cut(rule, "=")
+		switch name {
+		case "min", "gte":
+			low = param
+		case "max", "lte":
+			high = param
+		case "oneof":
+			words = append(words, "one of "+strings.ReplaceAll(param, " ", ", "))
+		case "startswith":
+			words = append(words, "text that starts with "+param)
+		default:
+			if text, ok := describedRules[name]; ok {
+				words = append(words, text)
+			}
+		}
+	}
+	if text := acceptedRange(low, high); text != "" {
+		words = append(words, text+unitOf(kind))
+	}
+	return strings.Join(words, ", ")
+}
+
+func acceptedRange(low, high string) string {
+	switch {
+	case low != "" && high != "":
+		return low + " to " + high
+	case low != "":
+		return low + " or more"
+	case high != "":
+		return "up to " + high
+	default:
+		return ""
+	}
+}
+
+func unitOf(kind reflect.Type) string {
+	switch kind.Kind() {
+	case reflect.Slice:
+		return " entries"
+	case reflect.String:
+		return " characters"
+	default:
+		return ""
+	}
+}
+
+// reportDuplicate reports the entries of a list that repeat an earlier entry's
+// field, for example its name.
+func reportDuplicate(fault validator.FieldError, key string, locate *locator) {
+	list := reflect.ValueOf(fault.Value())
+	seen := map[any]int{}
+	for i := range list.Len() {
+		entry, child := list.Index(i), fmt.Sprintf("%s[%d]", key, i)
+		if fault.Param() != "" {
+			field, _ := entry.Type().FieldByName(fault.Param())
+			entry, child = entry.FieldByName(fault.Param()), join(child, keyOf(field))
+		}
+		first, repeated := seen[entry.Interface()]
+		if !repeated {
+			seen[entry.Interface()] = i
+			continue
+		}
+		locate.report(child, fmt.Sprintf("%q is already used by %s[%d]", fmt.Sprint(entry.Interface()), key, first), "a value that is used once")
+	}
+}
--- /dev/null
+++ b/internal/version/decoder/walker.go
@@ -0,0 +1,203 @@
+package decoder
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Accepted forms of scalars.
+const (
+	acceptedDuration = `a number with a unit of ns, us, ms, s, m or h, such as "250ms"`
+	acceptedTime     = "a time such as 2026-12-04T20:00:00-05:00"
+)
+
+// A walker compares a document's nodes with the Go type they are decoded into.
+type walker struct {
+	faults *faults
+	// lines holds the line of every key.
+	lines map[string]int
+}
+
+func line(node ast.Node) int {
+	if node == nil || node.GetToken() == nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
+
+func (w *walker) node(node ast.Node, kind reflect.Type, key string) {
+	if _, ok := w.lines[key]; !ok {
+		w.lines[key] = line(node)
+	}
+	for kind.Kind() == reflect.Pointer {
+		kind = kind.Elem()
+	}
+	switch node.Type() {
+	case ast.AnchorType, ast.AliasType, ast.TagType, ast.MergeKeyType:
+		w.fault(node, key, "anchors, aliases, tags and merge keys are not supported", "the value written out")
+		return
+	case ast.NullType:
+		w.fault(node, key, "has no value", "a value, or leave the key out")
+		return
+	}
+	switch {
+	case kind == reflect.TypeFor[time.Duration]():
+		w.duration(node, key)
+	case kind == reflect.TypeFor[time.Time]():
+		w.time(node, key)
+	case kind.Kind() == reflect.Struct:
+		w.mapping(node, kind, key)
+	case kind.Kind() == reflect.Slice:
+		w.list(node, kind, key)
+	default:
+		w.scalar(node, kind, key)
+	}
+}
+
+func (w *walker) fault(node ast.Node, key, message, accepted string) {
+	w.faults.add(line(node), key, message, accepted)
+}
+
+// pairs returns the key-value pairs of a mapping.
+func pairs(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch mapping := node.(type) {
+	case *ast.MappingNode:
+		return mapping.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{mapping}, true
+	default:
+		return nil, false
+	}
+}
+
+func (w *walker) mapping(node ast.Node, kind reflect.Type, key string) {
+	values, ok := pairs(node)
+	if !ok {
+		w.fault(node, key, "is not a mapping", "keys "+strings.Join(keysOf(kind), ", "))
+		return
+	}
+	for _, pair := range values {
+		name := pair.Key.String()
+		child := join(key, name)
+		field, ok := fieldOf(kind, name)
+		if !ok {
+			w.fault(pair.Key, child, "unknown key", strings.Join(keysOf(kind), ", "))
+			continue
+		}
+		w.lines[child] = line(pair.Key)
+		w.node(pair.Value, field.Type, child)
+	}
+}
+
+func (w *walker) list(node ast.Node, kind reflect.Type, key string) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		w.fault(node, key, "is not a list", "a list")
+		return
+	}
+	for i, value := range sequence.Values {
+		w.node(value, kind.Elem(), fmt.Sprintf("%s[%d]", key, i))
+	}
+}
+
+func (w *walker) duration(node ast.Node, key string) {
+	text, ok := node.(*ast.StringNode)
+	if !ok {
+		w.fault(node, key, fmt.Sprintf("%s has no unit of time", node), acceptedDuration)
+		return
+	}
+	if _, err := time.ParseDuration(text.Value); err != nil {
+		message := strings.TrimPrefix(err.Error(), "time: ")
+		w.fault(node, key, message, acceptedDuration)
+	}
+}
+
+func (w *walker) time(node ast.Node, key string) {
+	text, ok := node.(*ast.StringNode)
+	if !ok {
+		w.fault(node, key, fmt.Sprintf("%s is not a time", node), acceptedTime)
+		return
+	}
+	if _, err := time.Parse(time.RFC3339, text.Value); err != nil {
+		w.fault(node, key, fmt.Sprintf("%q is not a time", text.Value), acceptedTime)
+	}
+}
+
+func (w *walker) scalar(node ast.Node, kind reflect.Type, key string) {
+	accepted, ok := "", true
+	switch kind.Kind() {
+	case reflect.String:
+		accepted = "text"
+		ok = slices.Contains([]ast.NodeType{ast.StringType, ast.LiteralType}, node.Type())
+	case reflect.Bool:
+		accepted = "true or false"
+		ok = node.Type() == ast.BoolType
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		accepted = "a whole number"
+		ok = node.Type() == ast.IntegerType && fitsInt(node, kind)
+	case reflect.Float64:
+		accepted = "a number"
+		ok = isFinite(node)
+	}
+	if !ok {
+		w.fault(node, key, fmt.Sprintf("%s is not accepted here", node), accepted)
+	}
+}
+
+func fitsInt(node ast.Node, kind reflect.Type) bool {
+	_, err := strconv.ParseInt(strings.ReplaceAll(node.GetToken().Value, "_", ""), 0, kind.Bits())
+	return err == nil
+}
+
+func isFinite(node ast.Node) bool {
+	switch number := node.(type) {
+	case *ast.IntegerNode:
+		return true
+	case *ast.FloatNode:
+		return !math.IsInf(number.Value, 0) && !math.IsNaN(number.Value)
+	default:
+		return false
+	}
+}
+
+func join(parent, name string) string {
+	if parent == "" {
+		return name
+	}
+	return parent + "." + name
+}
+
+// keyOf returns the YAML key of a field, or "" if it has none.
+func keyOf(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+func keysOf(kind reflect.Type) []string {
+	var keys []string
+	for i := range kind.NumField() {
+		if key := keyOf(kind.Field(i)); key != "" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func fieldOf(kind reflect.Type, key string) (reflect.StructField, bool) {
+	for i := range kind.NumField() {
+		if field := kind.Field(i); keyOf(field) == key && key != "" {
+			return field, true
+		}
+	}
+	return reflect.StructField{}, false
+}
