--- a/internal/version/placer/placer.go
+++ b/internal/version/placer/placer.go
@@ -4,6 +4,9 @@
 
 import "time"
 
+// fullPercent is the whole of a percentage.
+const fullPercent = 100
+
 // Resources are amounts of processor, memory and accelerators.
 type Resources struct {
 	MilliCores   int64
@@ -48,6 +51,7 @@
 // A Resident is a task bound to a worker.
 type Resident struct {
 	Task            string
+	Intent          string
 	Team            string
 	Class           string
 	LatencyCritical bool
@@ -74,11 +78,28 @@
 	Leaving     bool
 }
 
+// Committed returns what the resident may use under its throttle.
+func (r *Resident) Committed() Resources {
+	committed := r.Size
+	committed.MilliCores = committed.MilliCores * int64(fullPercent-r.Throttle) / fullPercent
+	return committed
+}
+
+// freedBy returns what a displacement of the resident frees.
+func (r *Resident) freedBy(displacement Displacement) Resources {
+	if displacement.Throttle == 0 {
+		return r.Committed()
+	}
+	throttled := *r
+	throttled.Throttle = displacement.Throttle
+	return r.Committed().Minus(throttled.Committed())
+}
+
 // Free returns the capacity that no resident is committed to.
 func (w *Worker) Free() Resources {
 	free := w.Capacity
 	for i := range w.Residents {
-		free = free.Minus(w.Residents[i].Size)
+		free = free.Minus(w.Residents[i].Committed())
 	}
 	return free
 }
