Add an in-process store with faults

Unit tests need a store whose answers can be lost, whose outages can be set and whose leases follow a settable clock. A swap that names a lapsed lease is refused with ErrNotFound, which the interface now states.

--- a/internal/connection/storer/store.go
+++ b/internal/connection/storer/store.go
@@ -59,7 +59,8 @@
 	Get(ctx context.Context, key string) (Entry, error)
 	// List reads all keys with a prefix.
 	List(ctx context.Context, prefix string) (Listing, error)
-	// CompareAndSwap writes one key and returns its new revision.
+	// CompareAndSwap writes one key and returns its new revision. It returns
+	// errs.ErrNotFound, without effect, if the swap names a lapsed lease.
 	CompareAndSwap(ctx context.Context, swap Swap) (Revision, error)
 	// Delete removes one key on condition of its revision.
 	Delete(ctx context.Context, key string, expected Revision) error
--- /dev/null
+++ b/internal/standin/keyvalue/fake.go
@@ -0,0 +1,250 @@
+package keyvalue
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// watchPoll is how often a waiting watch of the fake looks for lapsed leases.
+const watchPoll = 20 * time.Millisecond
+
+var (
+	errOutage      = errors.New("outage")
+	errAnswerLost  = errors.New("answer lost")
+	errRequestLost = errors.New("request lost")
+)
+
+// A Fake is a storer.Store within the process, with the faults of the service.
+type Fake struct {
+	table *Table
+	box   *box
+	clock atomic.Pointer[func() time.Time]
+}
+
+var _ storer.Store = (*Fake)(nil)
+
+// NewFake returns an empty store without faults.
+func NewFake() *Fake {
+	fake := &Fake{table: NewTable(), box: newBox()}
+	fake.SetClock(time.Now)
+	return fake
+}
+
+// SetClock replaces the clock by which leases lapse.
+func (f *Fake) SetClock(clock func() time.Time) { f.clock.Store(&clock) }
+
+// SetFaults replaces the faults.
+func (f *Fake) SetFaults(faults Faults) { f.box.set(f.now(), faults, f.table) }
+
+// Faults returns the faults in force.
+func (f *Fake) Faults() Faults {
+	faults, _ := f.box.get()
+	return faults
+}
+
+// Counts returns the calls seen.
+func (f *Fake) Counts() Counts { return f.box.snapshot() }
+
+// Table returns the state, which stays readable during an outage.
+func (f *Fake) Table() *Table { return f.table }
+
+// Get implements storer.Store.
+func (f *Fake) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := f.read(ctx, "get"); err != nil {
+		return storer.Entry{}, err
+	}
+	entry, _, ok := f.table.Get(f.now(), key)
+	if !ok {
+		return storer.Entry{}, errs.ErrNotFound
+	}
+	return entry, nil
+}
+
+// List implements storer.Store.
+func (f *Fake) List(ctx context.Context, prefix string) (storer.Listing, error) {
+	if err := f.read(ctx, "list"); err != nil {
+		return storer.Listing{}, err
+	}
+	return f.table.Range(f.now(), prefix, storer.PrefixEnd(prefix)), nil
+}
+
+// CompareAndSwap implements storer.Store.
+func (f *Fake) CompareAndSwap(ctx context.Context, swap storer.Swap) (revision storer.Revision, err error) {
+	err = f.write(ctx, "compare-and-swap", func(now time.Time) error {
+		outcome := f.table.Apply(now, Transaction{
+			Conditions: []Condition{{Key: swap.Key, Target: TargetModified, Equals: int64(swap.Expected)}},
+			Puts:       []Put{{Key: swap.Key, Value: swap.Value, Lease: swap.Lease}},
+		})
+		if outcome.MissingLease {
+			return errs.ErrNotFound
+		}
+		if !outcome.Applied {
+			return errs.ErrConflict
+		}
+		revision = outcome.Revision
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return revision, nil
+}
+
+// Delete implements storer.Store.
+func (f *Fake) Delete(ctx context.Context, key string, expected storer.Revision) error {
+	return f.write(ctx, "delete", func(now time.Time) error {
+		outcome := f.table.Apply(now, Transaction{
+			Conditions: []Condition{{Key: key, Target: TargetModified, Equals: int64(expected)}},
+			Removals:   []Removal{{From: key}},
+		})
+		if !outcome.Applied {
+			return errs.ErrConflict
+		}
+		return nil
+	})
+}
+
+// DeleteRange implements storer.Store.
+func (f *Fake) DeleteRange(ctx context.Context, from, to string) error {
+	return f.write(ctx, "delete range", func(now time.Time) error {
+		f.table.Apply(now, Transaction{Removals: []Removal{{From: from, To: to}}})
+		return nil
+	})
+}
+
+// Grant implements storer.Store.
+func (f *Fake) Grant(ctx context.Context, ttl time.Duration) (id storer.LeaseID, err error) {
+	err = f.write(ctx, "grant", func(now time.Time) error {
+		id = f.table.Grant(now, ttl)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// KeepAlive implements storer.Store.
+func (f *Fake) KeepAlive(ctx context.Context, id storer.LeaseID) (ttl time.Duration, err error) {
+	f.box.count(func(c *Counts) { c.KeepAlives++ })
+	err = f.write(ctx, "keep-alive", func(now time.Time) error {
+		found, ok := f.table.KeepAlive(now, id)
+		if !ok {
+			return errs.ErrNotFound
+		}
+		ttl = found
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return ttl, nil
+}
+
+// Revoke implements storer.Store.
+func (f *Fake) Revoke(ctx context.Context, id storer.LeaseID) error {
+	return f.write(ctx, "revoke", func(now time.Time) error {
+		if !f.table.Revoke(now, id) {
+			return errs.ErrNotFound
+		}
+		return nil
+	})
+}
+
+// Watch implements storer.Store.
+func (f *Fake) Watch(ctx context.Context, prefix string, after storer.Revision, deliver func([]storer.Event)) error {
+	if err := f.enter(ctx, "watch"); err != nil {
+		return err
+	}
+	f.box.count(func(c *Counts) { c.Watches++; c.WatchesWaiting++ })
+	defer f.box.count(func(c *Counts) { c.WatchesWaiting-- })
+	poll := time.NewTicker(watchPoll)
+	defer poll.Stop()
+	for {
+		faults, faultsChanged := f.box.get()
+		if faults.Outage {
+			return &errs.StoreUnavailableError{Op: "watch", Cause: errOutage}
+		}
+		events, reached, changed, ok := f.table.Since(f.now(), prefix, storer.PrefixEnd(prefix), after)
+		if !ok {
+			return errs.ErrNotFound
+		}
+		after = max(after, reached)
+		if len(events) > 0 {
+			deliver(events)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return &errs.StoreUnavailableError{Op: "watch", Cause: ctx.Err()}
+		case <-faultsChanged:
+		case <-changed:
+		case <-poll.C:
+		}
+	}
+}
+
+// read admits a read.
+func (f *Fake) read(ctx context.Context, op string) error {
+	if err := f.enter(ctx, op); err != nil {
+		return err
+	}
+	f.box.count(func(c *Counts) { c.Reads++ })
+	return nil
+}
+
+// write admits a write, applies it, and loses what the faults say.
+func (f *Fake) write(ctx context.Context, op string, apply func(now time.Time) error) error {
+	if err := f.enter(ctx, op); err != nil {
+		return err
+	}
+	switch f.box.draw() {
+	case fateRequestLost:
+		return &errs.UnknownOutcomeError{Op: op, Cause: errRequestLost}
+	case fateAnswerLost:
+		_ = apply(f.now())
+		return &errs.UnknownOutcomeError{Op: op, Cause: errAnswerLost}
+	default:
+		return apply(f.now())
+	}
+}
+
+// enter waits out the delay and fails in an outage.
+func (f *Fake) enter(ctx context.Context, op string) error {
+	faults, _ := f.box.get()
+	if faults.DelayMillis > 0 {
+		wait(ctx, time.Duration(faults.DelayMillis)*time.Millisecond)
+	}
+	for faults, changed := f.box.get(); faults.Outage && faults.Hang && ctx.Err() == nil; faults, changed = f.box.get() {
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	if ctx.Err() != nil {
+		return &errs.StoreUnavailableError{Op: op, Cause: ctx.Err()}
+	}
+	if faults, _ := f.box.get(); faults.Outage {
+		f.box.count(func(c *Counts) { c.Refused++ })
+		return &errs.StoreUnavailableError{Op: op, Cause: errOutage}
+	}
+	return nil
+}
+
+// now returns the present time of the fake.
+func (f *Fake) now() time.Time { return (*f.clock.Load())() }
+
+// wait sleeps until the delay has passed or the context ends.
+func wait(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
