--- a/internal/version/decoder/describe.go
+++ b/internal/version/decoder/describe.go
@@ -13,7 +13,7 @@
 	"hostname_rfc1123": "letters, digits, hyphens and dots",
 	"hostname_port":    "host:port",
 	"ip":               "an IP number",
-	"url":              "a URL",
+	"http_url":         "a URL such as http://10.1.0.2:2379",
 	"file":             "an existing file",
 }
 
