--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,4 @@
 
 generate:
 	buf generate
+	go generate ./...
--- /dev/null
+++ b/internal/cataloguer/generate/main.go
@@ -0,0 +1,23 @@
+// Command generate writes the catalogues of events and metrics.
+package main
+
+import (
+	"log"
+	"os"
+	"path/filepath"
+
+	"github.com/kumquatstack/kumquatstack/internal/cataloguer"
+)
+
+func main() {
+	root := os.Args[1]
+	files, err := cataloguer.Files(root)
+	if err != nil {
+		log.Fatal(err)
+	}
+	for path, content := range files {
+		if err := os.WriteFile(filepath.Join(root, path), []byte(content), 0o644); err != nil {
+			log.Fatal(err)
+		}
+	}
+}
