--- /dev/null
+++ b/internal/connection/commander/messages.go
@@ -0,0 +1,61 @@
+package commander
+
+import "time"
+
+// Paths of the agent's HTTP protocol. All but PathUsage take a POST with a
+// JSON body.
+const (
+	PathStart      = "/v1/start"
+	PathRenew      = "/v1/renew"
+	PathCheckpoint = "/v1/checkpoint"
+	PathThrottle   = "/v1/throttle"
+	PathStop       = "/v1/stop"
+	PathForget     = "/v1/forget"
+	PathReport     = "/v1/report"
+	PathUsage      = "/v1/usage"
+)
+
+// A RenewRequest is the body of PathRenew.
+type RenewRequest struct {
+	Fence Fence         `json:"fence"`
+	IDs   []RunID       `json:"ids"`
+	Lease time.Duration `json:"lease"` // nanoseconds
+}
+
+// A RenewResponse lists the runs that the worker doesn't run.
+type RenewResponse struct {
+	NotRunning []RunID `json:"notRunning"`
+}
+
+// A RunRequest is the body of PathCheckpoint, PathThrottle and PathStop.
+type RunRequest struct {
+	Fence   Fence `json:"fence"`
+	ID      RunID `json:"id"`
+	Percent int   `json:"percent,omitempty"`
+}
+
+// A CheckpointResponse names the saved checkpoint.
+type CheckpointResponse struct {
+	Checkpoint string `json:"checkpoint"`
+}
+
+// A ForgetRequest is the body of PathForget.
+type ForgetRequest struct {
+	Fence Fence   `json:"fence"`
+	IDs   []RunID `json:"ids"`
+}
+
+// A ReportRequest is the body of PathReport.
+type ReportRequest struct {
+	Fence Fence `json:"fence"`
+}
+
+// A UsageResponse lists lagging measurements.
+type UsageResponse struct {
+	Usages []Usage `json:"usages"`
+}
+
+// A Problem is the body of an answer that isn't 200.
+type Problem struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/internal/standin/worker/fake.go
@@ -0,0 +1,227 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+)
+
+// ErrAnswerLost reports a call that took effect but whose answer was lost.
+var ErrAnswerLost = errors.New("answer lost")
+
+var (
+	errUnreachable = errors.New("worker unreachable")
+	errCheckpoint  = errors.New("checkpoint failed")
+)
+
+// Faults are what a test makes a worker do wrong.
+type Faults struct {
+	// DelayMillis is added before each call takes effect, in milliseconds.
+	DelayMillis int64 `json:"delayMillis"`
+	// Unreachable makes all calls fail without effect.
+	Unreachable bool `json:"unreachable"`
+	// Hang makes calls of an unreachable worker wait.
+	Hang bool `json:"hang"`
+	// LoseAnswers is the number of next commands that take effect but whose
+	// answers are lost.
+	LoseAnswers int `json:"loseAnswers"`
+	// FailAll makes every run fail right after its start.
+	FailAll bool `json:"failAll"`
+	// FailClasses are the classes whose runs fail right after their start.
+	FailClasses []string `json:"failClasses"`
+	// FailCheckpoints makes checkpoints fail, HangCheckpoints makes them wait.
+	FailCheckpoints bool `json:"failCheckpoints"`
+	HangCheckpoints bool `json:"hangCheckpoints"`
+}
+
+// A Fake is a commander.Agent within the process.
+type Fake struct {
+	*Worker
+	clock   atomic.Pointer[func() time.Time]
+	mu      sync.Mutex
+	faults  Faults
+	changed chan struct{}
+}
+
+var _ commander.Agent = (*Fake)(nil)
+
+// NewFake returns an empty worker without faults.
+func NewFake(options Options) *Fake {
+	fake := &Fake{Worker: New(options), changed: make(chan struct{})}
+	fake.SetClock(time.Now)
+	return fake
+}
+
+// SetClock replaces the clock by which runs proceed and leases lapse.
+func (f *Fake) SetClock(clock func() time.Time) { f.clock.Store(&clock) }
+
+// SetFaults replaces the faults.
+func (f *Fake) SetFaults(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Faults returns the faults in force.
+func (f *Fake) Faults() Faults {
+	faults, _ := f.get()
+	return faults
+}
+
+// Now returns the present time of the fake.
+func (f *Fake) Now() time.Time { return (*f.clock.Load())() }
+
+// Start implements commander.Agent.
+func (f *Fake) Start(ctx context.Context, start commander.Start) error {
+	return f.command(ctx, func(now time.Time) error {
+		if err := f.Worker.Start(now, start); err != nil {
+			return err
+		}
+		faults := f.Faults()
+		if faults.FailAll {
+			f.Fail(now, start.ID, "the worker fails everything")
+		}
+		if slices.Contains(faults.FailClasses, start.Class) {
+			f.Fail(now, start.ID, "the class fails everywhere")
+		}
+		return nil
+	})
+}
+
+// Renew implements commander.Agent.
+func (f *Fake) Renew(ctx context.Context, fence commander.Fence, ids []commander.RunID, lease time.Duration) (missing []commander.RunID, err error) {
+	err = f.command(ctx, func(now time.Time) (err error) {
+		missing, err = f.Worker.Renew(now, commander.RenewRequest{Fence: fence, IDs: ids, Lease: lease})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return missing, nil
+}
+
+// Checkpoint implements commander.Agent.
+func (f *Fake) Checkpoint(ctx context.Context, fence commander.Fence, id commander.RunID) (name string, err error) {
+	err = f.command(ctx, func(now time.Time) (err error) {
+		if err := f.await(ctx, func(faults Faults) bool { return faults.HangCheckpoints }); err != nil {
+			return err
+		}
+		if f.Faults().FailCheckpoints {
+			return errCheckpoint
+		}
+		name, err = f.Worker.Checkpoint(now, fence, id)
+		return err
+	})
+	if err != nil {
+		return "", err
+	}
+	return name, nil
+}
+
+// Throttle implements commander.Agent.
+func (f *Fake) Throttle(ctx context.Context, fence commander.Fence, id commander.RunID, percent int) error {
+	return f.command(ctx, func(now time.Time) error {
+		return f.Worker.Throttle(now, fence, id, percent)
+	})
+}
+
+// Stop implements commander.Agent.
+func (f *Fake) Stop(ctx context.Context, fence commander.Fence, id commander.RunID) error {
+	return f.command(ctx, func(now time.Time) error {
+		return f.Worker.Stop(now, fence, id)
+	})
+}
+
+// Forget implements commander.Agent.
+func (f *Fake) Forget(ctx context.Context, fence commander.Fence, ids []commander.RunID) error {
+	return f.command(ctx, func(now time.Time) error {
+		return f.Worker.Forget(now, commander.ForgetRequest{Fence: fence, IDs: ids})
+	})
+}
+
+// Report implements commander.Agent.
+func (f *Fake) Report(ctx context.Context, fence commander.Fence) (commander.Report, error) {
+	if err := f.enter(ctx); err != nil {
+		return commander.Report{}, err
+	}
+	return f.Worker.Report(f.Now(), fence)
+}
+
+// Usage implements commander.Agent.
+func (f *Fake) Usage(ctx context.Context) ([]commander.Usage, error) {
+	if err := f.enter(ctx); err != nil {
+		return nil, err
+	}
+	return f.Worker.Usage(f.Now()), nil
+}
+
+// command admits a command, applies it, and may lose its answer.
+func (f *Fake) command(ctx context.Context, apply func(now time.Time) error) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	err := apply(f.Now())
+	if f.loses() {
+		return ErrAnswerLost
+	}
+	return err
+}
+
+// enter waits out the delay and fails while the worker is unreachable.
+func (f *Fake) enter(ctx context.Context) error {
+	if delay := f.Faults().DelayMillis; delay > 0 {
+		timer := time.NewTimer(time.Duration(delay) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	if err := f.await(ctx, func(faults Faults) bool { return faults.Unreachable && faults.Hang }); err != nil {
+		return err
+	}
+	if f.Faults().Unreachable {
+		return errUnreachable
+	}
+	return ctx.Err()
+}
+
+// await waits while the faults say so.
+func (f *Fake) await(ctx context.Context, waiting func(Faults) bool) error {
+	for {
+		faults, changed := f.get()
+		if !waiting(faults) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// loses reports whether the answer of this command is lost.
+func (f *Fake) loses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.LoseAnswers == 0 {
+		return false
+	}
+	f.faults.LoseAnswers--
+	return true
+}
+
+// get returns the faults and a channel that is closed when they change.
+func (f *Fake) get() (Faults, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults, f.changed
+}
