--- /dev/null
+++ b/internal/system/dryrun.go
@@ -0,0 +1,23 @@
+package system
+
+import "fmt"
+
+// A DryRunSystem is a System that reports what it would write to files.
+type DryRunSystem struct {
+	System
+}
+
+var _ System = (*DryRunSystem)(nil)
+
+// NewDryRunSystem returns a system that reads through another and writes no
+// files.
+func NewDryRunSystem(inner System) *DryRunSystem { return &DryRunSystem{System: inner} }
+
+// WriteFile implements System.
+func (s *DryRunSystem) WriteFile(name string, data []byte) error {
+	if name == Stream {
+		return s.System.WriteFile(name, data)
+	}
+	_, err := fmt.Fprintf(s.Stderr(), "would write %d bytes to %s\n", len(data), name)
+	return err
+}
