--- /dev/null
+++ b/internal/process/journaler/snapshot.go
@@ -0,0 +1,185 @@
+package journaler
+
+import (
+	"context"
+	"errors"
+	"hash/crc32"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// maxFences bounds the entries kept for owners that may still wake up.
+const maxFences = 256
+
+// Snapshot replaces the entries up to a position by records. The records must
+// hold the effect of all those entries and of nothing that isn't durable: take
+// the position and the records while no Append is between its commit and its
+// effect on the caller's state. It returns errs.ErrFenced if a later owner has
+// fenced this one; after other errors the earlier snapshot stays in force.
+func (j *Journal) Snapshot(ctx context.Context, position int64, records []*kumquatv1.Record) (err error) {
+	defer func() { err = eris.Wrapf(err, "snapshot of %s", j.options.Partition) }()
+	j.snapshotMu.Lock()
+	defer j.snapshotMu.Unlock()
+	if err := j.resolveUnknownHead(ctx); err != nil {
+		return err
+	}
+	if j.head.head.GetToken() == j.token && j.head.head.GetSequence() == position {
+		return nil
+	}
+	batches, err := encodeBatches(records, maxPartBytes)
+	if err != nil {
+		return err
+	}
+	next := &kumquatv1.SnapshotHead{
+		Epoch:    int64(j.options.Epoch),
+		Sequence: position,
+		Token:    j.token,
+		Parts:    int32(len(batches)),
+	}
+	for part, batch := range batches {
+		if err := j.writePart(ctx, next, part, batch); err != nil {
+			return err
+		}
+	}
+	if err := j.swapHead(ctx, j.head, next); err != nil {
+		if errors.Is(err, errs.ErrFenced) {
+			j.setFenced()
+		}
+		j.headUnresolved = isUnknown(err)
+		return err
+	}
+	j.mu.Lock()
+	j.backlog = int(j.position - position)
+	j.backlogBytes = 0
+	j.mu.Unlock()
+	j.record(EventSnapshot, recorder.Fields{"sequence": itoa(position), "parts": itoa(int64(len(batches)))})
+	j.deleteCovered(ctx, next)
+	return nil
+}
+
+// writePart writes one part of a snapshot. The key carries this writer's
+// token, so a part that exists already is this writer's.
+func (j *Journal) writePart(ctx context.Context, head *kumquatv1.SnapshotHead, part int, batch []byte) error {
+	value, err := proto.Marshal(&kumquatv1.JournalSnapshot{
+		Sequence: head.GetSequence(),
+		Epoch:    head.GetEpoch(),
+		Checksum: crc32.Checksum(batch, castagnoli),
+		Batch:    batch,
+		Part:     int32(part),
+	})
+	if err != nil {
+		return err
+	}
+	key := partKey(j.options.Partition, head.GetSequence(), head.GetToken(), part)
+	found, err := j.options.Store.Get(ctx, key)
+	expected := storer.Revision(0)
+	switch {
+	case err == nil:
+		expected = found.Revision
+	case !errors.Is(err, errs.ErrNotFound):
+		return err
+	}
+	_, err = j.options.Store.CompareAndSwap(ctx, storer.Swap{Key: key, Expected: expected, Value: value})
+	return err
+}
+
+// swapHead switches the head over. A lost answer is resolved by reading back.
+func (j *Journal) swapHead(ctx context.Context, from headState, to *kumquatv1.SnapshotHead) error {
+	value, err := proto.Marshal(to)
+	if err != nil {
+		return err
+	}
+	key := headKey(j.options.Partition)
+	revision, err := j.options.Store.CompareAndSwap(ctx, storer.Swap{Key: key, Expected: from.revision, Value: value})
+	if isUnknown(err) {
+		revision, err = j.resolveHead(ctx, from, value)
+	}
+	if errors.Is(err, errs.ErrConflict) {
+		return errs.ErrFenced
+	}
+	if err != nil {
+		return err
+	}
+	j.head = headState{head: to, revision: revision}
+	return nil
+}
+
+// resolveHead finds out whether the head was switched over, and switches it
+// if it is unchanged.
+func (j *Journal) resolveHead(ctx context.Context, from headState, value []byte) (storer.Revision, error) {
+	key := headKey(j.options.Partition)
+	policy := newRetryPolicy()
+	for ctx.Err() == nil {
+		pause(ctx, policy.NextBackOff())
+		found, err := j.options.Store.Get(ctx, key)
+		switch {
+		case err == nil && string(found.Value) == string(value):
+			return found.Revision, nil
+		case err == nil && found.Revision != from.revision:
+			return 0, errs.ErrConflict
+		case err != nil && !errors.Is(err, errs.ErrNotFound):
+			continue
+		}
+		revision, err := j.options.Store.CompareAndSwap(ctx, storer.Swap{Key: key, Expected: from.revision, Value: value})
+		if err == nil {
+			return revision, nil
+		}
+	}
+	return 0, &errs.UnknownOutcomeError{Op: "switch the snapshot head", Cause: ctx.Err()}
+}
+
+// resolveUnknownHead reads the head again after a switch whose outcome stayed
+// unknown.
+func (j *Journal) resolveUnknownHead(ctx context.Context) error {
+	if !j.headUnresolved {
+		return nil
+	}
+	found, err := j.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	j.head, j.headUnresolved = found, false
+	return nil
+}
+
+// deleteCovered deletes the entries and parts that a snapshot in force
+// replaces. What remains after a failure is deleted with the next snapshot.
+func (j *Journal) deleteCovered(ctx context.Context, head *kumquatv1.SnapshotHead) {
+	store := j.options.Store
+	root := partsRoot(j.options.Partition)
+	kept := partsPrefix(j.options.Partition, head.GetSequence(), head.GetToken())
+	_ = store.DeleteRange(ctx, root, kept)
+	_ = store.DeleteRange(ctx, storer.PrefixEnd(kept), storer.PrefixEnd(root))
+	if j.leftovers && j.deleteBetweenFences(ctx) {
+		j.leftovers = false
+	}
+	last := j.fences[len(j.fences)-1]
+	if covered := head.GetSequence(); covered > last {
+		_ = store.DeleteRange(ctx, entryKey(j.options.Partition, last+1), entryKey(j.options.Partition, covered+1))
+	}
+}
+
+// deleteBetweenFences deletes what earlier owners left, except the newest
+// entries that begin an epoch, and reports whether all calls succeeded.
+func (j *Journal) deleteBetweenFences(ctx context.Context) bool {
+	kept := j.fences[max(0, len(j.fences)-maxFences):]
+	from := int64(0)
+	ok := true
+	for _, fence := range kept {
+		if fence > from {
+			err := j.options.Store.DeleteRange(ctx, entryKey(j.options.Partition, from), entryKey(j.options.Partition, fence))
+			ok = ok && err == nil
+		}
+		from = fence + 1
+	}
+	if ok {
+		j.fences = append([]int64(nil), kept...)
+	}
+	return ok
+}
