--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -2,6 +2,13 @@
 
 package recorder
 
+import "github.com/apex/log"
+
 // catalogue holds all kinds of events by number.
 var catalogue = map[Number]Entry{
+	2000: {Name: "journaler.opened", Level: log.InfoLevel},
+	2001: {Name: "journaler.corrupt", Level: log.InfoLevel},
+	2002: {Name: "journaler.fenced", Level: log.InfoLevel},
+	2003: {Name: "journaler.unknownResolved", Level: log.InfoLevel},
+	2004: {Name: "journaler.snapshot", Level: log.InfoLevel},
 }
