Add the operators' commands

Every command has text and JSON output and documented exit codes. Calls go to the first daemon that answers; a change whose answer was lost ends with "outcome unknown" unless reading back tells what happened. apply refuses a file that would bring a data centre back by accident, and tells the loser of a race what the winner changed.

--- a/cmd/kumquat/main.go
+++ b/cmd/kumquat/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/cli/applycmd.go
@@ -0,0 +1,133 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+)
+
+// anyVersion is the base version of a change that fits whatever is in force.
+const anyVersion = -1
+
+// applyCmd puts declarations in force.
+type applyCmd struct {
+	base
+	File        string `short:"f" long:"file" required:"true" value-name:"FILE" description:"YAML file of the declarations; - is the standard input"`
+	BaseVersion int64  `long:"base-version" default:"-1" value-name:"N" description:"Refuse unless this version is in force, for example the one that kumquat diff showed"`
+	BringBack   bool   `long:"bring-back" description:"Allow the file to bring data centres back in service"`
+}
+
+func (*applyCmd) describe() string {
+	return "Put a declarations file in force at all daemons. Only the file as a whole is applied, or nothing. " +
+		"It is refused if another operator changed the declarations meanwhile. Applying the same file again changes nothing."
+}
+
+func (c *applyCmd) run(ctx context.Context, a *app) error {
+	client, err := a.newClient()
+	if err != nil {
+		return err
+	}
+	found, err := compareFile(ctx, a, client, c.File)
+	if err != nil {
+		return err
+	}
+	if err := c.check(found); err != nil {
+		return err
+	}
+	if a.globals.DryRun {
+		return a.printValue(found, found.write)
+	}
+	if a.globals.Output != outputJSON {
+		found.write(a.system.Stderr())
+	}
+	answer, err := apply(ctx, client, found)
+	if err != nil {
+		return err
+	}
+	return a.print(answer, func(w io.Writer) {
+		writeApplied(w, answer.GetVersion(), answer.GetUnchanged(), answer.GetUnconfirmed())
+	})
+}
+
+// check refuses a file that was made for another version or that would bring
+// a data centre back by accident.
+func (c *applyCmd) check(found *difference) error {
+	if c.BaseVersion != anyVersion && c.BaseVersion != found.BaseVersion && len(found.Changes) > 0 {
+		return &errs.RefusedError{
+			What:   c.File,
+			Why:    fmt.Sprintf("it is based on version %d, and version %d is in force", c.BaseVersion, found.BaseVersion),
+			Remedy: "look at kumquat diff, merge, and apply again",
+		}
+	}
+	if names := found.returning(); len(names) > 0 && !c.BringBack {
+		return &errs.RefusedError{
+			What:   c.File,
+			Why:    fmt.Sprintf("it would bring %s back in service, which an operator took out", strings.Join(names, ", ")),
+			Remedy: "set out: true in the file, or add --bring-back",
+		}
+	}
+	return nil
+}
+
+// apply sends the change. If the answer was lost, or a repeat at another
+// daemon is refused because the first attempt took effect, it reads back.
+func apply(ctx context.Context, c *client, found *difference) (*kumquatv1.ApplyResponse, error) {
+	answer, err := call(ctx, c, changes, "apply", kumquatv1.Operator.Apply,
+		&kumquatv1.ApplyRequest{Document: found.document, BaseVersion: found.BaseVersion})
+	var unknown *errs.UnknownOutcomeError
+	if err == nil || !errors.As(err, &unknown) && !isConflict(err) {
+		return answer, err
+	}
+	current, readErr := call(ctx, c, reads, "read declarations", kumquatv1.Operator.GetDeclarations, &kumquatv1.GetDeclarationsRequest{})
+	if readErr != nil {
+		return nil, err
+	}
+	if current.GetDocument() == found.document && current.GetVersion() != found.BaseVersion {
+		return &kumquatv1.ApplyResponse{Version: current.GetVersion()}, nil
+	}
+	if isConflict(err) {
+		return nil, conflictError(found, current)
+	}
+	return nil, err
+}
+
+func isConflict(err error) bool {
+	var answer twirp.Error
+	return errors.As(err, &answer) && answer.Code() == twirp.Aborted
+}
+
+// conflictError tells the loser of a race what the winner changed.
+func conflictError(found *difference, current *kumquatv1.GetDeclarationsResponse) error {
+	refused := &errs.RefusedError{
+		What:   "the change",
+		Why:    fmt.Sprintf("another operator put version %d in force", current.GetVersion()),
+		Remedy: "look at kumquat diff, merge, and apply again",
+	}
+	theirs, err := declarer.Parse("declarations in force", []byte(current.GetDocument()))
+	if err != nil {
+		return refused
+	}
+	for _, change := range declarer.Diff(found.inForce, theirs) {
+		refused.Why += "\n        " + change.String()
+	}
+	return refused
+}
+
+func writeApplied(w io.Writer, version int64, unchanged bool, unconfirmed []string) {
+	if unchanged {
+		printf(w, "version %d is in force already\n", version)
+		return
+	}
+	printf(w, "version %d accepted\n", version)
+	if len(unconfirmed) > 0 {
+		printf(w, "not yet confirmed by %s; kumquat status shows when it is in force there\n", strings.Join(unconfirmed, ", "))
+	}
+}
--- /dev/null
+++ b/internal/cli/cancelcmd.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// cancelCmd cancels an intent or some of its tasks.
+type cancelCmd struct {
+	base
+	Tasks []string `long:"task" value-name:"ID" description:"Only this task; may be given several times"`
+	Args  struct {
+		Intent string `positional-arg-name:"INTENT" description:"Intent to cancel"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (*cancelCmd) describe() string {
+	return "Cancel all tasks of an intent, or only those named. Tasks that have ended stay as they are."
+}
+
+func (c *cancelCmd) run(ctx context.Context, a *app) error {
+	client, err := a.newClient()
+	if err != nil {
+		return err
+	}
+	if a.globals.DryRun {
+		a.notice("would cancel intent %s", c.Args.Intent)
+		return nil
+	}
+	answer, err := call(ctx, client, changes, "cancel", kumquatv1.Operator.Cancel,
+		&kumquatv1.CancelRequest{Intent: c.Args.Intent, TaskIds: c.Tasks})
+	if err != nil {
+		return err
+	}
+	return a.print(answer, func(w io.Writer) {
+		printf(w, "%d tasks of intent %s cancelled\n", answer.GetCancelled(), c.Args.Intent)
+	})
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/translator"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// effect tells whether a call changes anything.
+type effect bool
+
+const (
+	reads   effect = false
+	changes effect = true
+)
+
+// A client calls the first daemon of several that answers.
+type client struct {
+	daemons []kumquatv1.Operator
+	globals *globalOptions
+}
+
+func (a *app) newClient() (c *client, err error) {
+	defer func() { err = eris.Wrap(err, "prepare the connection") }()
+	scheme, transport := "http", &http.Transport{}
+	if !a.globals.Plaintext {
+		scheme = "https"
+		if transport.TLSClientConfig, err = a.globals.TLS.config(); err != nil {
+			return nil, err
+		}
+	}
+	c = &client{globals: &a.globals}
+	for _, address := range a.globals.Addresses {
+		c.daemons = append(c.daemons, kumquatv1.NewOperatorProtobufClient(scheme+"://"+address, &http.Client{Transport: transport}))
+	}
+	return c, nil
+}
+
+// config returns the TLS configuration, or a *usageError if options are
+// missing.
+func (o tlsOptions) config() (config *tls.Config, err error) {
+	if o.Certificate == "" || o.Key == "" || o.Authority == "" {
+		return nil, &usageError{"--tls-certificate, --tls-key and --tls-authority are needed, or --plaintext"}
+	}
+	certificate, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+	if err != nil {
+		return nil, err
+	}
+	authority, err := os.ReadFile(o.Authority)
+	if err != nil {
+		return nil, err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(authority) {
+		return nil, eris.Errorf("%s holds no certificate", o.Authority)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: roots, MinVersion: tls.VersionTLS13}, nil
+}
+
+// call makes a call at the daemons in turn until one gives an answer. All
+// calls are idempotent, so that a call whose answer was lost may be repeated
+// at the next daemon. If no daemon answers and one may have received a call
+// that changes something, the error is a *errs.UnknownOutcomeError.
+func call[Request, Answer any](
+	ctx context.Context, c *client, kind effect, op string,
+	method func(kumquatv1.Operator, context.Context, *Request) (*Answer, error), request *Request,
+) (answer *Answer, err error) {
+	var causes []error
+	sent := false
+	for _, daemon := range c.daemons {
+		answer, maybeSent, err := callOne(ctx, c, daemon, method, request)
+		if err == nil {
+			return answer, nil
+		}
+		if isFinal(err) {
+			return nil, err
+		}
+		causes = append(causes, err)
+		sent = sent || maybeSent
+	}
+	unreachable := &unreachableError{causes: causes}
+	if kind == changes && sent {
+		return nil, &errs.UnknownOutcomeError{Op: op, Cause: unreachable}
+	}
+	return nil, unreachable
+}
+
+// callOne makes a call at one daemon and tells whether the daemon may have
+// received it and acted on it.
+func callOne[Request, Answer any](
+	ctx context.Context, c *client, daemon kumquatv1.Operator,
+	method func(kumquatv1.Operator, context.Context, *Request) (*Answer, error), request *Request,
+) (answer *Answer, maybeSent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.globals.Timeout)
+	defer cancel()
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { wrote.Store(true) },
+	})
+	answer, err = method(daemon, ctx, request)
+	err = translator.Decode(err)
+	return answer, wrote.Load() && !isUntouched(err), err
+}
+
+// isFinal tells whether an error is the system's answer, which another daemon
+// would repeat.
+func isFinal(err error) bool {
+	var (
+		faulty  *errs.DocumentError
+		refused *errs.RefusedError
+		unknown *errs.UnknownOutcomeError
+		answer  twirp.Error
+	)
+	switch {
+	case errors.As(err, &faulty), errors.As(err, &refused), errors.As(err, &unknown):
+		return true
+	case errors.As(err, &answer):
+		return codeOfAnswer(answer.Code()) == exitRefused
+	default:
+		return false
+	}
+}
+
+// isUntouched tells whether the daemon itself says that it changed nothing.
+func isUntouched(err error) bool {
+	var (
+		unavailable *errs.StoreUnavailableError
+		answer      twirp.Error
+	)
+	return errors.As(err, &unavailable) ||
+		errors.As(err, &answer) && answer.Code() == twirp.Unavailable && answer.Meta("http_error_from_intermediary") == ""
+}
--- /dev/null
+++ b/internal/cli/diffcmd.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+)
+
+// diffCmd shows what apply would change.
+type diffCmd struct {
+	base
+	File     string `short:"f" long:"file" required:"true" value-name:"FILE" description:"YAML file of the declarations; - is the standard input"`
+	ExitCode bool   `long:"exit-code" description:"Exit with code 6 if there are differences"`
+}
+
+// A difference compares a document with the one in force.
+type difference struct {
+	// BaseVersion is the version in force; 0 if there is none.
+	BaseVersion int64             `json:"baseVersion"`
+	Changes     []declarer.Change `json:"changes"`
+	inForce     *declarer.Declarations
+	wanted      *declarer.Declarations
+	document    string
+}
+
+func (c *diffCmd) run(ctx context.Context, a *app) error {
+	client, err := a.newClient()
+	if err != nil {
+		return err
+	}
+	found, err := compareFile(ctx, a, client, c.File)
+	if err != nil {
+		return err
+	}
+	if err := a.printValue(found, found.write); err != nil {
+		return err
+	}
+	if c.ExitCode && len(found.Changes) > 0 {
+		return &differenceError{}
+	}
+	return nil
+}
+
+// compareFile compares a file with the declarations in force.
+func compareFile(ctx context.Context, a *app, c *client, name string) (*difference, error) {
+	document, err := a.system.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	wanted, err := declarer.Parse(name, document)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := call(ctx, c, reads, "read declarations", kumquatv1.Operator.GetDeclarations, &kumquatv1.GetDeclarationsRequest{})
+	if err != nil {
+		return nil, err
+	}
+	found := &difference{BaseVersion: answer.GetVersion(), wanted: wanted, document: string(document)}
+	if answer.GetDocument() != "" {
+		if found.inForce, err = declarer.Parse("declarations in force", []byte(answer.GetDocument())); err != nil {
+			return nil, err
+		}
+	}
+	found.Changes = declarer.Diff(found.inForce, wanted)
+	return found, nil
+}
+
+func (d *difference) write(w io.Writer) {
+	if len(d.Changes) == 0 {
+		printf(w, "no differences to version %d\n", d.BaseVersion)
+		return
+	}
+	printf(w, "%d differences to version %d:\n", len(d.Changes), d.BaseVersion)
+	for _, change := range d.Changes {
+		printf(w, "  %s\n", change)
+	}
+}
+
+// returning lists data centres that the document would bring back in service.
+func (d *difference) returning() []string {
+	if d.inForce == nil {
+		return nil
+	}
+	var names []string
+	for _, name := range d.wanted.DataCentreNames() {
+		if d.inForce.RegionOf(name) != "" && d.inForce.IsOut(name) && !d.wanted.IsOut(name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/cli/exitcode.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"errors"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// An exitCode tells a script how a command ended.
+type exitCode int
+
+// Exit codes. They are part of the tool's interface.
+const (
+	exitOK exitCode = 0
+	// exitRefused means that the daemon refused; nothing has changed.
+	exitRefused exitCode = 1
+	// exitUsage means bad options or a faulty document; nothing has changed.
+	exitUsage exitCode = 2
+	// exitUnreachable means that no daemon or no store answered; nothing has changed.
+	exitUnreachable exitCode = 3
+	// exitUnknown means that a change may or may not have taken effect.
+	exitUnknown exitCode = 4
+	// exitLocal means a failure of the tool itself, for example at a file.
+	exitLocal exitCode = 5
+	// exitDifferent means that diff --exit-code found differences.
+	exitDifferent exitCode = 6
+	// exitIncomplete means that a wait ended before what it waited for.
+	exitIncomplete exitCode = 7
+)
+
+// exitCodesHelp stands in the help and in the reference.
+const exitCodesHelp = `Exit codes:
+0 done
+1 refused; nothing has changed
+2 bad options or a faulty document; nothing has changed
+3 no daemon or store reached; nothing has changed
+4 outcome unknown: a change may have taken effect
+5 failure of the tool itself, for example at a file
+6 differences found (diff --exit-code)
+7 a wait ended before what it waited for`
+
+// A usageError reports bad arguments.
+type usageError struct{ message string }
+
+// Error implements error.
+func (e *usageError) Error() string { return e.message }
+
+// An unreachableError reports that no daemon took the call.
+type unreachableError struct{ causes []error }
+
+// Error implements error.
+func (e *unreachableError) Error() string {
+	return "no daemon answered: " + errors.Join(e.causes...).Error()
+}
+
+// A differenceError reports that documents differ.
+type differenceError struct{}
+
+// Error implements error.
+func (*differenceError) Error() string { return "the declarations differ" }
+
+// An incompleteError reports a wait that ended too early.
+type incompleteError struct{ message string }
+
+// Error implements error.
+func (e *incompleteError) Error() string { return e.message }
+
+// codeOf returns the exit code for an error.
+func codeOf(err error) exitCode {
+	var (
+		parse       *flags.Error
+		usage       *usageError
+		faulty      *errs.DocumentError
+		refused     *errs.RefusedError
+		unknown     *errs.UnknownOutcomeError
+		unavailable *errs.StoreUnavailableError
+		unreachable *unreachableError
+		different   *differenceError
+		incomplete  *incompleteError
+		answer      twirp.Error
+	)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &parse), errors.As(err, &usage), errors.As(err, &faulty):
+		return exitUsage
+	case errors.As(err, &refused):
+		return exitRefused
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &unavailable), errors.As(err, &unreachable):
+		return exitUnreachable
+	case errors.As(err, &different):
+		return exitDifferent
+	case errors.As(err, &incomplete):
+		return exitIncomplete
+	case errors.As(err, &answer):
+		return codeOfAnswer(answer.Code())
+	default:
+		return exitLocal
+	}
+}
+
+// codeOfAnswer returns the exit code for a daemon's untyped error.
+func codeOfAnswer(code twirp.ErrorCode) exitCode {
+	switch code {
+	case twirp.Unavailable:
+		return exitUnreachable
+	case twirp.Unknown, twirp.Internal, twirp.DeadlineExceeded, twirp.Canceled:
+		return exitUnknown
+	default:
+		return exitRefused
+	}
+}
--- /dev/null
+++ b/internal/cli/main_test.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"net"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"kumquat": func() { os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the scripts in testdata, each against a fake daemon of its
+// own at $KUMQUAT_ADDRESS; nothing listens at $NOBODY.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: startFake,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits": exits,
+			"fault": fault,
+		},
+	})
+}
+
+type fakeKey struct{}
+
+func startFake(env *testscript.Env) error {
+	fake := newFakeOperator()
+	server := httptest.NewServer(fake.handler())
+	env.Defer(server.Close)
+	env.Values[fakeKey{}] = fake
+	env.Setenv("KUMQUAT_ADDRESS", server.Listener.Addr().String())
+	env.Setenv("KUMQUAT_PLAINTEXT", "true")
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	env.Setenv("NOBODY", listener.Addr().String())
+	return listener.Close()
+}
+
+// fault METHOD KIND sets what happens at the next call of a method.
+func fault(ts *testscript.TestScript, _ bool, args []string) {
+	fake := ts.Value(fakeKey{}).(*fakeOperator)
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	fake.faults[args[0]] = args[1]
+}
+
+// exits CODE COMMAND... runs a command and compares its exit code.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	err = ts.Exec(args[1], args[2:]...)
+	got := 0
+	var failed interface{ ExitCode() int }
+	if err != nil {
+		if !asExit(err, &failed) {
+			ts.Fatalf("%v", err)
+		}
+		got = failed.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("%v exits with code %d, want %d", args[1:], got, want)
+	}
+}
+
+func asExit(err error, target *interface{ ExitCode() int }) bool {
+	failed, ok := err.(interface{ ExitCode() int }) //nolint:errorlint // testscript returns the error of package exec as it is.
+	if ok {
+		*target = failed
+	}
+	return ok
+}
--- /dev/null
+++ b/internal/cli/printer.go
@@ -0,0 +1,162 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// outputJSON is the value of --output for machines.
+const outputJSON = "json"
+
+// print writes a message as JSON, or as text by the function.
+func (a *app) print(message proto.Message, text func(io.Writer)) error {
+	if a.globals.Output != outputJSON {
+		return a.printText(text)
+	}
+	data, err := marshalMessage(message)
+	if err != nil {
+		return err
+	}
+	return a.system.WriteFile("-", data)
+}
+
+// printValue writes a value as JSON, or as text by the function.
+func (a *app) printValue(value any, text func(io.Writer)) error {
+	if a.globals.Output != outputJSON {
+		return a.printText(text)
+	}
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return a.system.WriteFile("-", append(data, '\n'))
+}
+
+func (a *app) printText(text func(io.Writer)) error {
+	var out bytes.Buffer
+	text(&out)
+	return a.system.WriteFile("-", out.Bytes())
+}
+
+// notice writes a line for people to the standard error output, in text mode
+// only.
+func (a *app) notice(format string, args ...any) {
+	if a.globals.Output != outputJSON {
+		// There is nowhere to report the failure of this stream.
+		_, _ = fmt.Fprintf(a.system.Stderr(), format+"\n", args...)
+	}
+}
+
+// marshalMessage returns a message as indented JSON that is the same each
+// time.
+func marshalMessage(message proto.Message) ([]byte, error) {
+	compact, err := protojson.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, compact, "", "  "); err != nil {
+		return nil, err
+	}
+	indented.WriteByte('\n')
+	return indented.Bytes(), nil
+}
+
+// A table writes aligned columns.
+type table struct {
+	*tabwriter.Writer
+}
+
+func newTable(w io.Writer, columns ...string) table {
+	t := table{tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)}
+	t.row(columns...)
+	return t
+}
+
+func (t table) row(cells ...string) {
+	// The writer is a buffer.
+	_, _ = fmt.Fprintln(t, strings.Join(cells, "\t"))
+}
+
+// printf writes to a buffer, which doesn't fail.
+func printf(w io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(w, format, args...)
+}
+
+// An errorReport is an error as JSON.
+type errorReport struct {
+	ExitCode exitCode               `json:"exitCode"`
+	Message  string                 `json:"message"`
+	What     string                 `json:"what,omitempty"`
+	Why      string                 `json:"why,omitempty"`
+	Remedy   string                 `json:"remedy,omitempty"`
+	Problems []errs.DocumentProblem `json:"problems,omitempty"`
+}
+
+// report describes an error for people and machines.
+func report(err error) errorReport {
+	var (
+		refused     *errs.RefusedError
+		faulty      *errs.DocumentError
+		unknown     *errs.UnknownOutcomeError
+		unavailable *errs.StoreUnavailableError
+		unreachable *unreachableError
+		answer      twirp.Error
+	)
+	r := errorReport{ExitCode: codeOf(err), Message: err.Error()}
+	switch {
+	case errors.As(err, &refused):
+		r.What, r.Why, r.Remedy = refused.What, refused.Why, refused.Remedy
+	case errors.As(err, &faulty):
+		r.Problems = faulty.Problems
+		r.Message = faulty.Error()
+		r.Remedy = "correct the document; nothing of it has taken effect"
+	case errors.As(err, &unknown):
+		r.Message = unknown.Error()
+		r.Remedy = "look with kumquat status or kumquat diff, then repeat the command: it is idempotent"
+	case errors.As(err, &unavailable):
+		r.Message = unavailable.Error()
+		r.Remedy = "nothing has changed; repeat the command when the store answers"
+	case errors.As(err, &unreachable):
+		r.Remedy = "nothing has changed; check --address and that the daemons run"
+	case errors.As(err, &answer):
+		r.Message = answer.Msg()
+	}
+	return r
+}
+
+// printError writes an error to the standard error output.
+func (a *app) printError(err error) {
+	r := report(err)
+	var out bytes.Buffer
+	switch {
+	case r.ExitCode == exitDifferent:
+		return
+	case a.globals.Output == outputJSON:
+		data, marshalErr := json.MarshalIndent(map[string]errorReport{"error": r}, "", "  ")
+		if marshalErr != nil {
+			data = []byte(r.Message)
+		}
+		out.Write(append(data, '\n'))
+	case r.What != "":
+		printf(&out, "kumquat: %s refused\n  why:  %s\n  next: %s\n", r.What, r.Why, r.Remedy)
+	default:
+		printf(&out, "kumquat: %s\n", strings.TrimPrefix(r.Message, "kumquat: "))
+		if r.Remedy != "" {
+			printf(&out, "  next: %s\n", r.Remedy)
+		}
+	}
+	// There is nowhere to report the failure of this stream.
+	_, _ = a.system.Stderr().Write(out.Bytes())
+}
