Add the store's client and the key-value stand-in over HTTP

The client gives each write one of three outcomes: a call that never got a connection, was refused by the budget or the open circuit had no effect; a write whose answer failed after that is unknown. The circuit admits single, jittered trials; keep-alives are never refused by the budget. The stand-in speaks the same messages and can lose requests and answers.

--- /dev/null
+++ b/internal/connection/storer/client.go
@@ -0,0 +1,217 @@
+package storer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer/encoder"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	defaultRate        = 200
+	defaultBurst       = 400
+	defaultWatchIdle   = 30 * time.Second
+	dialTimeout        = time.Second
+	idleConnections    = 16
+)
+
+// Options configure a Client. Zero fields have defaults.
+type Options struct {
+	// Endpoint is the base URL of the service.
+	Endpoint string
+	HTTP     *http.Client
+	// CallTimeout bounds each call but a watch.
+	CallTimeout time.Duration
+	// Rate is the budget in calls per second, Burst what may be saved up.
+	Rate  float64
+	Burst int
+	// WatchIdle ends a watch that has been silent for this time.
+	WatchIdle time.Duration
+	Recorder  recorder.Recorder
+}
+
+// A Client is a Store over the service's HTTP protocol. It is safe for
+// concurrent use.
+type Client struct {
+	options Options
+	breaker *breaker
+	budget  *rate.Limiter
+	counts  counters
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client; it makes no call yet.
+func NewClient(options Options) *Client {
+	if options.CallTimeout == 0 {
+		options.CallTimeout = defaultCallTimeout
+	}
+	if options.Rate == 0 {
+		options.Rate = defaultRate
+	}
+	if options.Burst == 0 {
+		options.Burst = defaultBurst
+	}
+	if options.WatchIdle == 0 {
+		options.WatchIdle = defaultWatchIdle
+	}
+	if options.HTTP == nil {
+		options.HTTP = newHTTPClient()
+	}
+	if options.Recorder == nil {
+		options.Recorder = recorder.Discard{}
+	}
+	return &Client{
+		options: options,
+		breaker: newBreaker(),
+		budget:  rate.NewLimiter(rate.Limit(options.Rate), options.Burst),
+	}
+}
+
+// newHTTPClient returns a client that keeps its connections.
+func newHTTPClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		DisableCompression:  true,
+	}}
+}
+
+// Calls returns the calls made so far.
+func (c *Client) Calls() Counts { return c.counts.snapshot() }
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	c.options.HTTP.CloseIdleConnections()
+	return nil
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var answer encoder.RangeResponse
+	err := c.call(ctx, call{op: "get", path: encoder.PathRange, request: encoder.RangeRequest{Key: []byte(key)}, answer: &answer})
+	if err != nil {
+		return Entry{}, err
+	}
+	if len(answer.KVs) == 0 {
+		return Entry{}, errs.ErrNotFound
+	}
+	return entryOf(answer.KVs[0]), nil
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var answer encoder.RangeResponse
+	request := encoder.RangeRequest{Key: rangeStart(prefix), RangeEnd: []byte(PrefixEnd(prefix))}
+	err := c.call(ctx, call{op: "list", path: encoder.PathRange, request: request, answer: &answer})
+	if err != nil {
+		return Listing{}, err
+	}
+	listing := Listing{Revision: Revision(answer.Header.Revision)}
+	for _, found := range answer.KVs {
+		listing.Entries = append(listing.Entries, entryOf(found))
+	}
+	return listing, nil
+}
+
+// CompareAndSwap implements Store.
+func (c *Client) CompareAndSwap(ctx context.Context, swap Swap) (Revision, error) {
+	put := &encoder.PutRequest{Key: []byte(swap.Key), Value: swap.Value, Lease: int64(swap.Lease)}
+	return c.transact(ctx, "compare-and-swap", swap.Key, swap.Expected, encoder.RequestOp{Put: put})
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, expected Revision) error {
+	removal := &encoder.DeleteRangeRequest{Key: []byte(key)}
+	_, err := c.transact(ctx, "delete", key, expected, encoder.RequestOp{DeleteRange: removal})
+	return err
+}
+
+// transact applies one operation on condition of a key's revision.
+func (c *Client) transact(ctx context.Context, op, key string, expected Revision, operation encoder.RequestOp) (Revision, error) {
+	request := encoder.TransactionRequest{
+		Compare: []encoder.Compare{{
+			Result:      encoder.ResultEqual,
+			Target:      encoder.TargetMod,
+			Key:         []byte(key),
+			ModRevision: int64(expected),
+		}},
+		Success: []encoder.RequestOp{operation},
+	}
+	var answer encoder.TransactionResponse
+	err := c.call(ctx, call{op: op, path: encoder.PathTransaction, request: request, answer: &answer, write: true})
+	if err != nil {
+		return 0, err
+	}
+	if !answer.Succeeded {
+		return 0, errs.ErrConflict
+	}
+	return Revision(answer.Header.Revision), nil
+}
+
+// DeleteRange implements Store.
+func (c *Client) DeleteRange(ctx context.Context, from, to string) error {
+	request := encoder.DeleteRangeRequest{Key: []byte(from), RangeEnd: []byte(to)}
+	var answer encoder.DeleteRangeResponse
+	return c.call(ctx, call{op: "delete range", path: encoder.PathDeleteRange, request: request, answer: &answer, write: true})
+}
+
+// Grant implements Store. The protocol counts in seconds; parts of a second
+// are rounded up.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	var answer encoder.LeaseResponse
+	err := c.call(ctx, call{op: "grant", path: encoder.PathGrant, request: encoder.GrantRequest{TTL: seconds}, answer: &answer, write: true})
+	if err != nil {
+		return 0, err
+	}
+	return LeaseID(answer.ID), nil
+}
+
+// KeepAlive implements Store. It draws on the budget but is never refused by it.
+func (c *Client) KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error) {
+	var answer encoder.KeepAliveResponse
+	err := c.call(ctx, call{
+		op: "keep-alive", path: encoder.PathKeepAlive, request: encoder.LeaseRequest{ID: int64(id)},
+		answer: &answer, write: true, vital: true,
+	})
+	if err != nil {
+		return 0, err
+	}
+	if answer.Result.TTL <= 0 {
+		return 0, errs.ErrNotFound
+	}
+	return time.Duration(answer.Result.TTL) * time.Second, nil
+}
+
+// Revoke implements Store.
+func (c *Client) Revoke(ctx context.Context, id LeaseID) error {
+	var answer encoder.LeaseResponse
+	return c.call(ctx, call{op: "revoke", path: encoder.PathRevoke, request: encoder.LeaseRequest{ID: int64(id)}, answer: &answer, write: true})
+}
+
+// entryOf converts a key of the protocol.
+func entryOf(found encoder.KeyValue) Entry {
+	return Entry{
+		Key:      string(found.Key),
+		Value:    found.Value,
+		Revision: Revision(found.ModRevision),
+		Lease:    LeaseID(found.Lease),
+	}
+}
+
+// rangeStart returns the first key of a prefix; the protocol has no empty key.
+func rangeStart(prefix string) []byte {
+	if prefix == "" {
+		return []byte{0}
+	}
+	return []byte(prefix)
+}
--- /dev/null
+++ b/internal/standin/controller/endpoint.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Paths of the endpoints by which tests control the stand-ins.
+const (
+	PathFaults     = "/standin/faults"
+	PathCounts     = "/standin/counts"
+	PathBreaches   = "/standin/breaches"
+	PathLog        = "/standin/log"
+	PathModel      = "/standin/model"
+	PathOut        = "/standin/out"
+	PathCrash      = "/standin/crash"
+	PathExecutions = "/standin/executions"
+	PathHosts      = "/standin/hosts"
+	PathState      = "/standin/state"
+)
+
+// Show answers with a value as JSON.
+func Show[T any](value func() T) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		// A client that went away needs no answer.
+		_ = json.NewEncoder(writer).Encode(value())
+	}
+}
+
+// Accept takes a value as JSON. Unknown fields are refused.
+func Accept[T any](take func(T) error) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		var value T
+		body := json.NewDecoder(request.Body)
+		body.DisallowUnknownFields()
+		if err := body.Decode(&value); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := take(value); err != nil {
+			http.Error(writer, err.Error(), http.StatusNotFound)
+			return
+		}
+		writer.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// A Remote controls a stand-in over HTTP.
+type Remote struct {
+	// Address is the IP number and port of the endpoints.
+	Address string
+}
+
+// remoteTimeout bounds each call of a Remote.
+const remoteTimeout = 10 * time.Second
+
+// Get reads a value from a path.
+func (r Remote) Get(ctx context.Context, path string, value any) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address+path, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s", path, response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(value)
+}
+
+// Post sends a value to a path.
+func (r Remote) Post(ctx context.Context, path string, value any) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("%s: %s", path, response.Status)
+	}
+	return nil
+}
--- a/internal/standin/keyvalue/fake.go
+++ b/internal/standin/keyvalue/fake.go
@@ -161,6 +161,19 @@
 	if err := f.enter(ctx, "watch"); err != nil {
 		return err
 	}
+	err := f.follow(ctx, prefix, storer.PrefixEnd(prefix), after, func(events []storer.Event, _ storer.Revision) error {
+		deliver(events)
+		return nil
+	})
+	if errors.Is(err, errs.ErrNotFound) {
+		return err
+	}
+	return &errs.StoreUnavailableError{Op: "watch", Cause: err}
+}
+
+// follow delivers the changes of a range with the revision reached until the
+// context ends, an outage begins or a delivery fails.
+func (f *Fake) follow(ctx context.Context, from, to string, after storer.Revision, deliver func([]storer.Event, storer.Revision) error) error {
 	f.box.count(func(c *Counts) { c.Watches++; c.WatchesWaiting++ })
 	defer f.box.count(func(c *Counts) { c.WatchesWaiting-- })
 	poll := time.NewTicker(watchPoll)
@@ -168,20 +181,22 @@
 	for {
 		faults, faultsChanged := f.box.get()
 		if faults.Outage {
-			return &errs.StoreUnavailableError{Op: "watch", Cause: errOutage}
+			return errOutage
 		}
-		events, reached, changed, ok := f.table.Since(f.now(), prefix, storer.PrefixEnd(prefix), after)
+		events, reached, changed, ok := f.table.Since(f.now(), from, to, after)
 		if !ok {
 			return errs.ErrNotFound
 		}
 		after = max(after, reached)
 		if len(events) > 0 {
-			deliver(events)
+			if err := deliver(events, reached); err != nil {
+				return err
+			}
 			continue
 		}
 		select {
 		case <-ctx.Done():
-			return &errs.StoreUnavailableError{Op: "watch", Cause: ctx.Err()}
+			return ctx.Err()
 		case <-faultsChanged:
 		case <-changed:
 		case <-poll.C:
