Plan intents as a pure function

Cause: operators confirm a plan before anything runs, and an outdated plan has to be recognised. Measured: tests only. Conclusion: confirmation can recompute the plan and compare.

--- /dev/null
+++ b/internal/version/planner/describe.go
@@ -0,0 +1,186 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+// describe adds the placement decision to a plan.
+func describe(plan *kumquatv1.Plan, decision placer.Decision, snapshot *placer.Snapshot) {
+	centre := make(map[string]string, len(snapshot.Workers))
+	for i := range snapshot.Workers {
+		centre[snapshot.Workers[i].Name] = snapshot.Workers[i].DataCentre
+	}
+	for _, choice := range decision.Choices {
+		plan.Placements = append(plan.Placements, &kumquatv1.Placement{
+			Task:       choice.Task,
+			Worker:     choice.Worker,
+			DataCentre: centre[choice.Worker],
+			Why:        choice.Why,
+		})
+		for _, displacement := range choice.Displacements {
+			plan.Displacements = append(plan.Displacements, &kumquatv1.Displacement{
+				Task:   displacement.Task,
+				Worker: displacement.Worker,
+				Action: actionOf(displacement),
+			})
+		}
+	}
+	for _, rejection := range decision.Rejections {
+		if rejection.Permanent {
+			plan.Rejections = append(plan.Rejections, &kumquatv1.Rejection{Task: rejection.Task, Reason: rejection.Reason})
+		} else {
+			plan.Waiting = append(plan.Waiting, rejection.Task)
+		}
+	}
+}
+
+func actionOf(displacement placer.Displacement) string {
+	if displacement.Throttle > 0 {
+		return "throttle"
+	}
+	return "evict"
+}
+
+// allocate divides the tasks over the shards: as placed, and the waiting ones
+// in proportion. Task ids are renumbered so that each shard takes one range.
+func allocate(plan *kumquatv1.Plan, centres []string) {
+	if len(centres) == 0 {
+		return
+	}
+	placed := make(map[string]int)
+	for _, placement := range plan.Placements {
+		placed[placement.DataCentre]++
+	}
+	counts := make(map[string]int, len(centres))
+	rest := int(plan.Count) - len(plan.Placements)
+	for i, centre := range centres {
+		counts[centre] = placed[centre] + rest/len(centres)
+		if i < rest%len(centres) {
+			counts[centre]++
+		}
+	}
+	first := 0
+	for _, centre := range centres {
+		if counts[centre] == 0 {
+			continue
+		}
+		plan.Shards = append(plan.Shards, &kumquatv1.ShardTasks{
+			DataCentre: centre,
+			First:      int32(first),
+			Count:      int32(counts[centre]),
+		})
+		first += counts[centre]
+	}
+	renumber(plan)
+}
+
+// renumber gives each placement and waiting task an id of its shard's range.
+func renumber(plan *kumquatv1.Plan) {
+	next := make(map[string]int32, len(plan.Shards))
+	for _, shard := range plan.Shards {
+		next[shard.DataCentre] = shard.First
+	}
+	for _, placement := range plan.Placements {
+		placement.Task = TaskID(plan.Intent, int(next[placement.DataCentre]))
+		next[placement.DataCentre]++
+	}
+	if len(plan.Rejections) > 0 {
+		return
+	}
+	plan.Waiting = plan.Waiting[:0]
+	for _, shard := range plan.Shards {
+		for n := next[shard.DataCentre]; n < shard.First+shard.Count; n++ {
+			plan.Waiting = append(plan.Waiting, TaskID(plan.Intent, int(n)))
+		}
+	}
+}
+
+// addQuota adds the team's limit and its use before and after.
+func addQuota(plan *kumquatv1.Plan, snapshot *placer.Snapshot, d *declarer.Declarations) {
+	team, ok := d.Team(plan.Team)
+	if !ok {
+		return
+	}
+	plan.QuotaLimit = resourcesOf(team.Quota)
+	before := snapshot.Quotas[plan.Team].Used
+	after := before
+	for range plan.Placements {
+		after = after.Plus(sizeOf(plan.Resources))
+	}
+	plan.QuotaBefore = messageOf(before)
+	plan.QuotaAfter = messageOf(after)
+}
+
+// addTimes adds when the first task should start and the last one finish. A
+// plan that places nothing has no such times.
+func addTimes(plan *kumquatv1.Plan, intent *declarer.Intent, now time.Time) {
+	if len(plan.Placements) == 0 {
+		return
+	}
+	plan.ExpectedStartUnixMillis = now.UnixMilli()
+	if intent.ExpectedRun == 0 {
+		return
+	}
+	waves := (int(plan.Count) + len(plan.Placements) - 1) / len(plan.Placements)
+	plan.ExpectedFinishUnixMillis = now.Add(time.Duration(waves) * intent.ExpectedRun).UnixMilli()
+}
+
+// digest returns a short digest over what an operator confirms.
+func digest(plan *kumquatv1.Plan) string {
+	h := xxhash.New()
+	write := func(format string, values ...any) {
+		// A hash never returns an error.
+		_, _ = fmt.Fprintf(h, format+"\n", values...)
+	}
+	write("%s %d", plan.Document, plan.ConfigurationVersion)
+	for _, placement := range plan.Placements {
+		write("%s %s", placement.Task, placement.Worker)
+	}
+	for _, displacement := range plan.Displacements {
+		write("%s %s %s", displacement.Task, displacement.Worker, displacement.Action)
+	}
+	for _, rejection := range plan.Rejections {
+		write("%s %s", rejection.Task, rejection.Reason)
+	}
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// Changes tells what has changed between a plan and the same intent planned
+// later, in what an operator relied on when confirming. It is empty if the
+// plan still holds.
+func Changes(old, current *kumquatv1.Plan) []string {
+	var changes []string
+	add := func(format string, values ...any) { changes = append(changes, fmt.Sprintf(format, values...)) }
+	if old.ConfigurationVersion != current.ConfigurationVersion {
+		add("the configuration is now version %d, it was %d", current.ConfigurationVersion, old.ConfigurationVersion)
+	}
+	if len(current.Placements) < len(old.Placements) {
+		add("%d tasks could start now, it was %d", len(current.Placements), len(old.Placements))
+	}
+	for _, rejection := range current.Rejections {
+		add("%s can't run: %s", rejection.Task, rejection.Reason)
+	}
+	if a, b := displaced(old), displaced(current); !slices.Equal(a, b) {
+		add("tasks that would make room are now [%s], they were [%s]", strings.Join(b, " "), strings.Join(a, " "))
+	}
+	return changes
+}
+
+// displaced returns the tasks that would make room, sorted.
+func displaced(plan *kumquatv1.Plan) []string {
+	var tasks []string
+	for _, displacement := range plan.Displacements {
+		tasks = append(tasks, displacement.Action+" "+displacement.Task)
+	}
+	slices.Sort(tasks)
+	return tasks
+}
--- /dev/null
+++ b/internal/version/planner/planner_test.go
@@ -0,0 +1,112 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+var noon = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func newRequest(count int) Request {
+	d := &declarer.Declarations{
+		Regions: []declarer.Region{{Name: "purba-medinipur", DataCentres: []declarer.DataCentre{{Name: "digha"}, {Name: "haldia"}}}},
+		Teams:   []declarer.Team{{Name: "surveys", Quota: declarer.Resources{Cores: 1000, MemoryGB: 1000}, Weight: 1}},
+	}
+	request := Request{
+		Intent: &declarer.Intent{
+			Name: "census", Team: "surveys", Class: "survey", Kind: declarer.KindRunBy, Count: count,
+			Resources: declarer.Resources{Cores: 4, MemoryGB: 1}, Within: time.Hour, ExpectedRun: time.Minute,
+		},
+		Version: &declarer.Version{Number: 7, Declarations: d},
+		Policy:  placer.NewProtective(),
+	}
+	for _, centre := range []string{"digha", "haldia"} {
+		shard := &kumquatv1.ShardStatusResponse{Shard: "shard:" + centre}
+		for i := range 2 {
+			shard.Workers = append(shard.Workers, &kumquatv1.WorkerStatus{
+				Worker: fmt.Sprintf("%s-%d", centre, i), Rack: centre, DataCentre: centre, Reachable: true,
+				Capacity: &kumquatv1.Resources{MilliCores: 8000, MemoryBytes: 1 << 36},
+			})
+		}
+		request.Shards = append(request.Shards, shard)
+	}
+	return request
+}
+
+func TestPlan(t *testing.T) {
+	t.Run("places what fits and allocates the rest", func(t *testing.T) {
+		plan := Plan(newRequest(11), noon)
+		assertCounts(t, plan, 8, 3, 0)
+		assertRanges(t, plan)
+	})
+	t.Run("leaves out a data centre that is out", func(t *testing.T) {
+		request := newRequest(8)
+		request.Version.Declarations = request.Version.Declarations.WithDataCentre("digha", true)
+		plan := Plan(request, noon)
+		assertCounts(t, plan, 4, 4, 0)
+		assertRanges(t, plan)
+	})
+	t.Run("rejects what can never run", func(t *testing.T) {
+		request := newRequest(1)
+		request.Intent.Resources.Cores = 9
+		assertCounts(t, Plan(request, noon), 0, 0, 1)
+	})
+}
+
+func TestChanges(t *testing.T) {
+	old := Plan(newRequest(4), noon)
+	t.Run("none when nothing changed", func(t *testing.T) {
+		assertChanges(t, old, newRequest(4), 0)
+	})
+	t.Run("a newer configuration", func(t *testing.T) {
+		request := newRequest(4)
+		request.Version = &declarer.Version{Number: 8, Declarations: request.Version.Declarations}
+		assertChanges(t, old, request, 1)
+	})
+	t.Run("less room", func(t *testing.T) {
+		request := newRequest(4)
+		request.Shards = request.Shards[:1]
+		request.Shards[0].Workers = request.Shards[0].Workers[:1]
+		assertChanges(t, old, request, 1)
+	})
+}
+
+func assertCounts(t *testing.T, plan *kumquatv1.Plan, placed, waiting, rejected int) {
+	t.Helper()
+	if len(plan.Placements) != placed || len(plan.Waiting) != waiting || len(plan.Rejections) != rejected {
+		t.Errorf("placed %d, waiting %d, rejected %d; want %d, %d, %d",
+			len(plan.Placements), len(plan.Waiting), len(plan.Rejections), placed, waiting, rejected)
+	}
+}
+
+// assertRanges checks that the shards take every task exactly once and that
+// each placement lies in the range of its data centre.
+func assertRanges(t *testing.T, plan *kumquatv1.Plan) {
+	t.Helper()
+	centre := map[string]string{}
+	for _, shard := range plan.Shards {
+		for n := shard.First; n < shard.First+shard.Count; n++ {
+			centre[TaskID(plan.Intent, int(n))] = shard.DataCentre
+		}
+	}
+	if len(centre) != int(plan.Count) {
+		t.Errorf("ranges hold %d tasks, want %d", len(centre), plan.Count)
+	}
+	for _, placement := range plan.Placements {
+		if centre[placement.Task] != placement.DataCentre {
+			t.Errorf("%s is placed in %s but belongs to %s", placement.Task, placement.DataCentre, centre[placement.Task])
+		}
+	}
+}
+
+func assertChanges(t *testing.T, old *kumquatv1.Plan, request Request, want int) {
+	t.Helper()
+	if got := Changes(old, Plan(request, noon)); len(got) != want {
+		t.Errorf("changes = %q, want %d", got, want)
+	}
+}
