--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -11,4 +11,9 @@
 	2002: {Name: "journaler.fenced", Level: log.InfoLevel},
 	2003: {Name: "journaler.unknownResolved", Level: log.InfoLevel},
 	2004: {Name: "journaler.snapshot", Level: log.InfoLevel},
+	4001: {Name: "storer.circuitOpened", Level: log.InfoLevel},
+	4002: {Name: "storer.circuitClosed", Level: log.InfoLevel},
+	4003: {Name: "storer.budgetExceeded", Level: log.InfoLevel},
+	4004: {Name: "storer.outcomeUnknown", Level: log.InfoLevel},
+	4005: {Name: "storer.watchBroken", Level: log.InfoLevel},
 }
