Carry typed errors over twirp

Cause: operators have to be told what was refused, why and what to do. Change: package errorcoder encodes typed errors as twirp errors and back. Measured: round-trip tests.

--- a/internal/process/responder/responder.go
+++ b/internal/process/responder/responder.go
@@ -4,11 +4,10 @@
 
 import (
 	"context"
-	"errors"
-
-	"github.com/twitchtv/twirp"
+	"fmt"
 
 	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -87,7 +86,7 @@
 func (r *Responder) owned(name string) (Shard, error) {
 	shard, ok := r.shard(name)
 	if !ok {
-		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "%s: %v", name, errs.ErrNotOwner)
+		return nil, errorcoder.Encode(fmt.Errorf("%s: %w", name, errs.ErrNotOwner))
 	}
 	return shard, nil
 }
@@ -99,7 +98,7 @@
 		return nil, err
 	}
 	resp, err := shard.Adopt(ctx, req)
-	return resp, convert(err)
+	return resp, errorcoder.Encode(err)
 }
 
 // Submit implements kumquatv1.Peer.
@@ -109,7 +108,7 @@
 		return nil, err
 	}
 	resp, err := shard.Submit(ctx, req)
-	return resp, convert(err)
+	return resp, errorcoder.Encode(err)
 }
 
 // CancelTasks implements kumquatv1.Peer.
@@ -119,7 +118,7 @@
 		return nil, err
 	}
 	resp, err := shard.CancelTasks(ctx, req)
-	return resp, convert(err)
+	return resp, errorcoder.Encode(err)
 }
 
 // ShardStatus implements kumquatv1.Peer.
@@ -129,25 +128,5 @@
 		return nil, err
 	}
 	resp, err := shard.ShardStatus(ctx, req)
-	return resp, convert(err)
-}
-
-// convert maps the project's typed errors to twirp's codes.
-func convert(err error) error {
-	var unavailable *errs.StoreUnavailableError
-	var unknown *errs.UnknownOutcomeError
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, errs.ErrNotOwner), errors.Is(err, errs.ErrFenced):
-		return twirp.NewError(twirp.FailedPrecondition, err.Error())
-	case errors.Is(err, errs.ErrNotFound):
-		return twirp.NotFoundError(err.Error())
-	case errors.As(err, &unavailable):
-		return twirp.NewError(twirp.Unavailable, err.Error())
-	case errors.As(err, &unknown):
-		return twirp.NewError(twirp.Unknown, err.Error())
-	default:
-		return twirp.InternalErrorWith(err)
-	}
+	return resp, errorcoder.Encode(err)
 }
--- /dev/null
+++ b/internal/rpc/errorcoder/errorcoder.go
@@ -0,0 +1,81 @@
+// Package errorcoder carries the project's typed errors over twirp.
+package errorcoder
+
+import (
+	"errors"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// Keys of the metadata of an encoded error.
+const (
+	metaWhat   = "what"
+	metaWhy    = "why"
+	metaRemedy = "remedy"
+	metaOp     = "op"
+)
+
+// Encode returns the twirp error that stands for a typed error, or nil.
+func Encode(err error) error {
+	var refused *errs.RefusedError
+	var document *errs.DocumentError
+	var unavailable *errs.StoreUnavailableError
+	var unknown *errs.UnknownOutcomeError
+	var coded twirp.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &coded):
+		return coded
+	case errors.As(err, &refused):
+		return encodeRefused(refused)
+	case errors.As(err, &document):
+		return twirp.NewError(twirp.InvalidArgument, document.Error())
+	case errors.Is(err, errs.ErrNotOwner), errors.Is(err, errs.ErrFenced):
+		return twirp.NewError(twirp.Aborted, err.Error())
+	case errors.Is(err, errs.ErrNotFound):
+		return twirp.NotFoundError(err.Error())
+	case errors.As(err, &unavailable):
+		return twirp.NewError(twirp.Unavailable, err.Error()).WithMeta(metaOp, unavailable.Op)
+	case errors.As(err, &unknown):
+		return twirp.NewError(twirp.Unknown, err.Error()).WithMeta(metaOp, unknown.Op)
+	default:
+		return twirp.InternalErrorWith(err)
+	}
+}
+
+func encodeRefused(refused *errs.RefusedError) error {
+	return twirp.NewError(twirp.FailedPrecondition, refused.Error()).
+		WithMeta(metaWhat, refused.What).
+		WithMeta(metaWhy, refused.Why).
+		WithMeta(metaRemedy, refused.Remedy)
+}
+
+// Decode returns the typed error behind a twirp error. Errors of other kinds
+// are returned as they are.
+func Decode(err error) error {
+	var coded twirp.Error
+	if !errors.As(err, &coded) {
+		return err
+	}
+	switch coded.Code() {
+	case twirp.FailedPrecondition:
+		return &errs.RefusedError{
+			What:   coded.Meta(metaWhat),
+			Why:    coded.Meta(metaWhy),
+			Remedy: coded.Meta(metaRemedy),
+		}
+	case twirp.Aborted:
+		return errs.ErrNotOwner
+	case twirp.NotFound:
+		return errs.ErrNotFound
+	case twirp.Unavailable:
+		return &errs.StoreUnavailableError{Op: coded.Meta(metaOp), Cause: errors.New(coded.Msg())}
+	case twirp.Unknown:
+		return &errs.UnknownOutcomeError{Op: coded.Meta(metaOp), Cause: errors.New(coded.Msg())}
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/internal/rpc/errorcoder/errorcoder_test.go
@@ -0,0 +1,40 @@
+package errorcoder
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+func TestRoundTrip(t *testing.T) {
+	t.Run("refused", func(t *testing.T) {
+		want := &errs.RefusedError{What: "plan", Why: "it is outdated", Remedy: "plan again"}
+		var got *errs.RefusedError
+		assertAs(t, fmt.Errorf("confirm: %w", want), &got)
+		if got != nil && *got != *want {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	})
+	t.Run("unknown outcome", func(t *testing.T) {
+		var got *errs.UnknownOutcomeError
+		assertAs(t, &errs.UnknownOutcomeError{Op: "apply", Cause: errors.New("cut")}, &got)
+	})
+	t.Run("unavailable", func(t *testing.T) {
+		var got *errs.StoreUnavailableError
+		assertAs(t, &errs.StoreUnavailableError{Op: "apply", Cause: errors.New("down")}, &got)
+	})
+	t.Run("not owner", func(t *testing.T) {
+		if got := Decode(Encode(errs.ErrFenced)); !errors.Is(got, errs.ErrNotOwner) {
+			t.Errorf("got %v, want %v", got, errs.ErrNotOwner)
+		}
+	})
+}
+
+func assertAs[E error](t *testing.T, err error, target *E) {
+	t.Helper()
+	if got := Decode(Encode(err)); !errors.As(got, target) {
+		t.Errorf("got %T %v, want %T", got, got, *target)
+	}
+}
