Add the clients and programs of workers and the list of hosts

One client serves the agents of all workers over kept connections; a lower fence comes back as ErrFenced. The worker program hosts many agents with one control port; the list of hosts lags behind what tests set.

--- /dev/null
+++ b/cmd/standin-worker/main.go
@@ -0,0 +1,12 @@
+// Command standin-worker takes the place of the agents of many workers in tests.
+package main
+
+import (
+	"os"
+
+	"github.com/kumquatstack/kumquatstack/internal/standin/worker"
+)
+
+func main() {
+	os.Exit(worker.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/connection/commander/client.go
@@ -0,0 +1,188 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	dialTimeout        = time.Second
+	// idlePerWorker keeps renewals and reports on open connections.
+	idlePerWorker = 2
+	idleTimeout   = 2 * time.Minute
+	answerLimit   = 16 << 20
+)
+
+// Options configure a Client. Zero fields have defaults.
+type Options struct {
+	HTTP *http.Client
+	// CallTimeout bounds each call whose context has no earlier deadline.
+	CallTimeout time.Duration
+}
+
+// A Client reaches the agents of all workers and shares their connections. It
+// is safe for concurrent use.
+type Client struct {
+	options Options
+}
+
+var (
+	_ Dialer = (*Client)(nil)
+	_ Agent  = (*agent)(nil)
+)
+
+// NewClient returns a client; it makes no call yet.
+func NewClient(options Options) *Client {
+	if options.CallTimeout == 0 {
+		options.CallTimeout = defaultCallTimeout
+	}
+	if options.HTTP == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		options.HTTP = &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerWorker,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}}
+	}
+	return &Client{options: options}
+}
+
+// Agent implements Dialer. It makes no call.
+func (c *Client) Agent(address string) Agent {
+	return &agent{client: c, base: "http://" + address}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() error {
+	c.options.HTTP.CloseIdleConnections()
+	return nil
+}
+
+// An agent commands one worker over HTTP.
+type agent struct {
+	client *Client
+	base   string
+}
+
+// Start implements Agent.
+func (a *agent) Start(ctx context.Context, start Start) error {
+	return a.post(ctx, PathStart, start, nil)
+}
+
+// Renew implements Agent. All runs travel in one call.
+func (a *agent) Renew(ctx context.Context, fence Fence, ids []RunID, lease time.Duration) ([]RunID, error) {
+	var answer RenewResponse
+	if err := a.post(ctx, PathRenew, RenewRequest{Fence: fence, IDs: ids, Lease: lease}, &answer); err != nil {
+		return nil, err
+	}
+	return answer.NotRunning, nil
+}
+
+// Checkpoint implements Agent.
+func (a *agent) Checkpoint(ctx context.Context, fence Fence, id RunID) (string, error) {
+	var answer CheckpointResponse
+	if err := a.post(ctx, PathCheckpoint, RunRequest{Fence: fence, ID: id}, &answer); err != nil {
+		return "", err
+	}
+	return answer.Checkpoint, nil
+}
+
+// Throttle implements Agent.
+func (a *agent) Throttle(ctx context.Context, fence Fence, id RunID, percent int) error {
+	return a.post(ctx, PathThrottle, RunRequest{Fence: fence, ID: id, Percent: percent}, nil)
+}
+
+// Stop implements Agent.
+func (a *agent) Stop(ctx context.Context, fence Fence, id RunID) error {
+	return a.post(ctx, PathStop, RunRequest{Fence: fence, ID: id}, nil)
+}
+
+// Forget implements Agent.
+func (a *agent) Forget(ctx context.Context, fence Fence, ids []RunID) error {
+	return a.post(ctx, PathForget, ForgetRequest{Fence: fence, IDs: ids}, nil)
+}
+
+// Report implements Agent.
+func (a *agent) Report(ctx context.Context, fence Fence) (report Report, err error) {
+	if err := a.post(ctx, PathReport, ReportRequest{Fence: fence}, &report); err != nil {
+		return Report{}, err
+	}
+	return report, nil
+}
+
+// Usage implements Agent.
+func (a *agent) Usage(ctx context.Context) ([]Usage, error) {
+	var answer UsageResponse
+	if err := a.exchange(ctx, http.MethodGet, PathUsage, http.NoBody, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Usages, nil
+}
+
+// post sends a command.
+func (a *agent) post(ctx context.Context, path string, command, answer any) error {
+	body, err := json.Marshal(command)
+	if err != nil {
+		return err
+	}
+	return a.exchange(ctx, http.MethodPost, path, bytes.NewReader(body), answer)
+}
+
+// exchange makes one call. A nil answer is read and dropped.
+func (a *agent) exchange(ctx context.Context, method, path string, body io.Reader, answer any) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("worker %s%s: %w", a.base, path, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, a.client.options.CallTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, a.base+path, body)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := a.client.options.HTTP.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return failure(response.StatusCode, content)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(content, answer)
+}
+
+// failure returns the error that an answer other than 200 stands for.
+func failure(status int, content []byte) error {
+	var problem Problem
+	if json.Unmarshal(content, &problem) != nil {
+		problem.Error = http.StatusText(status)
+	}
+	switch status {
+	case http.StatusConflict:
+		return fmt.Errorf("%s: %w", problem.Error, errs.ErrFenced)
+	case http.StatusNotFound:
+		return fmt.Errorf("%s: %w", problem.Error, errs.ErrNotFound)
+	default:
+		return errors.New(problem.Error)
+	}
+}
--- /dev/null
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -0,0 +1,52 @@
+package hostlist
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+)
+
+func assertState(t *testing.T, source lister.Lister, want lister.HostState) {
+	t.Helper()
+	hosts, err := source.Hosts(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(hosts) != 1 || hosts[0].State != want {
+		t.Fatalf("hosts %+v, want one that is %s", hosts, want)
+	}
+}
+
+func TestList(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	list := New()
+	list.SetClock(func() time.Time { return now })
+	list.SetFaults(Faults{LagMillis: 5000})
+	list.SetHosts([]lister.Host{{Name: "r", State: lister.StateLive}})
+	server := httptest.NewServer(NewHandler(list))
+	defer server.Close()
+	client := lister.NewClient(server.URL)
+	defer func() { _ = client.Close() }()
+	if err := list.SetState("r", lister.StateLeaving); err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(time.Minute)
+	t.Run("shows the newest after the lag", func(t *testing.T) { assertState(t, client, lister.StateLeaving) })
+	if err := list.SetState("r", lister.StateLive); err != nil {
+		t.Fatal(err)
+	}
+	t.Run("lags", func(t *testing.T) { assertState(t, client, lister.StateLeaving) })
+	t.Run("fails in an outage", func(t *testing.T) {
+		list.SetFaults(Faults{Outage: true})
+		if hosts, err := client.Hosts(t.Context()); err == nil {
+			t.Fatalf("hosts %v in an outage", hosts)
+		}
+	})
+	t.Run("knows its hosts", func(t *testing.T) {
+		if err := list.SetState("x", lister.StateLive); err == nil {
+			t.Fatal("no error for an unknown host")
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/hostlist/server.go
@@ -0,0 +1,53 @@
+package hostlist
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
+)
+
+// A StateRequest changes the state of one host.
+type StateRequest struct {
+	Name  string           `json:"name"`
+	State lister.HostState `json:"state"`
+}
+
+// NewHandler returns a handler that serves a list, with the endpoints by which
+// tests control it.
+func NewHandler(list *List) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+lister.PathHosts, func(w http.ResponseWriter, r *http.Request) {
+		hosts, err := list.Hosts(r.Context())
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A client that went away needs no answer.
+		_ = json.NewEncoder(w).Encode(lister.Listing{Hosts: hosts})
+	})
+	mux.Handle("POST "+controller.PathFaults, controller.Accept(func(faults Faults) error {
+		list.SetFaults(faults)
+		return nil
+	}))
+	mux.Handle("POST "+controller.PathHosts, controller.Accept(func(hosts lister.Listing) error {
+		list.SetHosts(hosts.Hosts)
+		return nil
+	}))
+	mux.Handle("POST "+controller.PathState, controller.Accept(func(state StateRequest) error {
+		return list.SetState(state.Name, state.State)
+	}))
+	return mux
+}
+
+// Main runs the stand-in program and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var options struct {
+		Listen string `long:"listen" default:"127.0.0.1:0" description:"IP number and port to listen on"`
+	}
+	return controller.Main(args, stdout, stderr, &options, &options.Listen, func() []controller.Service {
+		return []controller.Service{{Name: "hostlist", Handler: NewHandler(New())}}
+	})
+}
--- /dev/null
+++ b/internal/standin/worker/control.go
@@ -0,0 +1,73 @@
+package worker
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
+	"github.com/kumquatstack/kumquatstack/internal/standin/judge"
+)
+
+// A FaultsRequest sets the faults of one worker, or of all if it names none.
+type FaultsRequest struct {
+	Worker string `json:"worker"`
+	Faults Faults `json:"faults"`
+}
+
+// A ModelRequest sets the model of one worker, or of all if it names none.
+type ModelRequest struct {
+	Worker string `json:"worker"`
+	Model  Model  `json:"model"`
+}
+
+// A CrashRequest ends all runs of one worker.
+type CrashRequest struct {
+	Worker string `json:"worker"`
+}
+
+// An OutRequest makes starts in a data centre after an instant breaches. The
+// zero instant ends that.
+type OutRequest struct {
+	DataCentre string    `json:"dataCentre"`
+	After      time.Time `json:"after"`
+}
+
+// NewControl returns the endpoints by which tests control a fleet.
+func NewControl(fleet *Fleet) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+controller.PathFaults, controller.Accept(func(request FaultsRequest) error {
+		return fleet.each(request.Worker, func(fake *Fake) { fake.SetFaults(request.Faults) })
+	}))
+	mux.Handle("POST "+controller.PathModel, controller.Accept(func(request ModelRequest) error {
+		return fleet.each(request.Worker, func(fake *Fake) { fake.SetModel(fake.Now(), request.Model) })
+	}))
+	mux.Handle("POST "+controller.PathCrash, controller.Accept(func(request CrashRequest) error {
+		return fleet.each(request.Worker, func(fake *Fake) { fake.Crash(fake.Now()) })
+	}))
+	mux.Handle("POST "+controller.PathOut, controller.Accept(func(request OutRequest) error {
+		return fleet.each("", func(fake *Fake) {
+			if fake.options.DataCentre == request.DataCentre {
+				fake.SetOutAfter(request.After)
+			}
+		})
+	}))
+	mux.Handle("GET "+controller.PathLog, controller.Show(func() []judge.Record { return fleet.Records() }))
+	mux.Handle("GET "+controller.PathBreaches, controller.Show(func() []judge.Breach { return fleet.Breaches() }))
+	return mux
+}
+
+// each calls a function for one worker by name, or for all if the name is empty.
+func (f *Fleet) each(name string, act func(*Fake)) error {
+	found := false
+	for _, fake := range f.all() {
+		if name == "" || fake.options.Name == name {
+			act(fake)
+			found = true
+		}
+	}
+	if !found {
+		return fmt.Errorf("no worker %q", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/worker/server.go
@@ -0,0 +1,85 @@
+package worker
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// requestLimit bounds the bytes of one command.
+const requestLimit = 4 << 20
+
+// NewHandler returns a handler that serves a fake over the agent's protocol.
+func NewHandler(fake *Fake) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+commander.PathStart, handle(func(r *http.Request, start commander.Start) (any, error) {
+		return nil, fake.Start(r.Context(), start)
+	}))
+	mux.Handle("POST "+commander.PathRenew, handle(func(r *http.Request, renew commander.RenewRequest) (any, error) {
+		missing, err := fake.Renew(r.Context(), renew.Fence, renew.IDs, renew.Lease)
+		return commander.RenewResponse{NotRunning: missing}, err
+	}))
+	mux.Handle("POST "+commander.PathCheckpoint, handle(func(r *http.Request, run commander.RunRequest) (any, error) {
+		name, err := fake.Checkpoint(r.Context(), run.Fence, run.ID)
+		return commander.CheckpointResponse{Checkpoint: name}, err
+	}))
+	mux.Handle("POST "+commander.PathThrottle, handle(func(r *http.Request, run commander.RunRequest) (any, error) {
+		return nil, fake.Throttle(r.Context(), run.Fence, run.ID, run.Percent)
+	}))
+	mux.Handle("POST "+commander.PathStop, handle(func(r *http.Request, run commander.RunRequest) (any, error) {
+		return nil, fake.Stop(r.Context(), run.Fence, run.ID)
+	}))
+	mux.Handle("POST "+commander.PathForget, handle(func(r *http.Request, forget commander.ForgetRequest) (any, error) {
+		return nil, fake.Forget(r.Context(), forget.Fence, forget.IDs)
+	}))
+	mux.Handle("POST "+commander.PathReport, handle(func(r *http.Request, report commander.ReportRequest) (any, error) {
+		return fake.Report(r.Context(), report.Fence)
+	}))
+	mux.HandleFunc("GET "+commander.PathUsage, func(w http.ResponseWriter, r *http.Request) {
+		usages, err := fake.Usage(r.Context())
+		answer(w, commander.UsageResponse{Usages: usages}, err)
+	})
+	return mux
+}
+
+// handle decodes a command and answers with its result.
+func handle[C any](serve func(*http.Request, C) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var command C
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, requestLimit)).Decode(&command); err != nil {
+			write(w, http.StatusBadRequest, commander.Problem{Error: err.Error()})
+			return
+		}
+		result, err := serve(r, command)
+		answer(w, result, err)
+	})
+}
+
+// answer writes a result or the problem that an error stands for. Lost
+// answers and unreachable workers break the connection.
+func answer(w http.ResponseWriter, result any, err error) {
+	switch {
+	case err == nil && result == nil:
+		write(w, http.StatusOK, struct{}{})
+	case err == nil:
+		write(w, http.StatusOK, result)
+	case errors.Is(err, errs.ErrFenced):
+		write(w, http.StatusConflict, commander.Problem{Error: err.Error()})
+	case errors.Is(err, errs.ErrNotFound):
+		write(w, http.StatusNotFound, commander.Problem{Error: err.Error()})
+	case errors.Is(err, errCheckpoint):
+		write(w, http.StatusInternalServerError, commander.Problem{Error: err.Error()})
+	default:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A client that went away needs no answer.
+	_ = json.NewEncoder(w).Encode(body)
+}
