--- a/internal/cli/main_test.go
+++ b/internal/cli/main_test.go
@@ -1,9 +1,11 @@
 package cli
 
 import (
+	"errors"
 	"net"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"strconv"
 	"testing"
 
@@ -61,9 +63,9 @@
 	ts.Check(err)
 	err = ts.Exec(args[1], args[2:]...)
 	got := 0
-	var failed interface{ ExitCode() int }
 	if err != nil {
-		if !asExit(err, &failed) {
+		var failed *exec.ExitError
+		if !errors.As(err, &failed) {
 			ts.Fatalf("%v", err)
 		}
 		got = failed.ExitCode()
@@ -72,11 +74,3 @@
 		ts.Fatalf("%v exits with code %d, want %d", args[1:], got, want)
 	}
 }
-
-func asExit(err error, target *interface{ ExitCode() int }) bool {
-	failed, ok := err.(interface{ ExitCode() int }) //nolint:errorlint // testscript returns the error of package exec as it is.
-	if ok {
-		*target = failed
-	}
-	return ok
-}
