Use one encoding of typed errors over twirp

The tool and the daemons had one each. The faulty lines of a document and lost races now travel with their details, and answers of an intermediary are no longer taken for the store's.

--- a/internal/cli/applycmd.go
+++ b/internal/cli/applycmd.go
@@ -7,8 +7,6 @@
 	"io"
 	"strings"
 
-	"github.com/twitchtv/twirp"
-
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
@@ -99,10 +97,7 @@
 	return nil, err
 }
 
-func isConflict(err error) bool {
-	var answer twirp.Error
-	return errors.As(err, &answer) && answer.Code() == twirp.Aborted
-}
+func isConflict(err error) bool { return errors.Is(err, errs.ErrConflict) }
 
 // conflictError tells the loser of a race what the winner changed.
 func conflictError(found *difference, current *kumquatv1.GetDeclarationsResponse) error {
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -13,8 +13,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
 
-	"github.com/kumquatstack/kumquatstack/internal/connection/translator"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -110,7 +110,7 @@
 		WroteHeaders: func() { wrote.Store(true) },
 	})
 	answer, err = method(daemon, ctx, request)
-	err = translator.Decode(err)
+	err = errorcoder.Decode(err)
 	return answer, wrote.Load() && !isUntouched(err), err
 }
 
@@ -126,6 +126,8 @@
 	switch {
 	case errors.As(err, &faulty), errors.As(err, &refused), errors.As(err, &unknown):
 		return true
+	case errors.Is(err, errs.ErrNotFound), errors.Is(err, errs.ErrConflict):
+		return true
 	case errors.As(err, &answer):
 		return codeOfAnswer(answer.Code()) == exitRefused
 	default:
@@ -139,6 +141,6 @@
 		unavailable *errs.StoreUnavailableError
 		answer      twirp.Error
 	)
-	return errors.As(err, &unavailable) ||
+	return errors.As(err, &unavailable) || errors.Is(err, errs.ErrNotOwner) ||
 		errors.As(err, &answer) && answer.Code() == twirp.Unavailable && answer.Meta("http_error_from_intermediary") == ""
 }
--- a/internal/cli/exitcode.go
+++ b/internal/cli/exitcode.go
@@ -87,7 +87,7 @@
 		return exitOK
 	case errors.As(err, &parse), errors.As(err, &usage), errors.As(err, &faulty):
 		return exitUsage
-	case errors.As(err, &refused):
+	case errors.As(err, &refused), errors.Is(err, errs.ErrNotFound), errors.Is(err, errs.ErrConflict):
 		return exitRefused
 	case errors.As(err, &unknown):
 		return exitUnknown
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -7,8 +7,10 @@
 	"strings"
 	"sync"
 
-	"github.com/kumquatstack/kumquatstack/internal/connection/translator"
+	"github.com/twitchtv/twirp"
+
 	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
 )
@@ -34,7 +36,7 @@
 
 // handler serves the operator with its faults.
 func (f *fakeOperator) handler() http.Handler {
-	server := kumquatv1.NewOperatorServer(f, translator.ServerOption())
+	server := kumquatv1.NewOperatorServer(f, withTypedErrors())
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		method := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
 		f.mu.Lock()
@@ -54,6 +56,16 @@
 	})
 }
 
+// withTypedErrors encodes the errors that the methods return.
+func withTypedErrors() twirp.ServerOption {
+	return twirp.WithServerInterceptors(func(next twirp.Method) twirp.Method {
+		return func(ctx context.Context, request any) (any, error) {
+			answer, err := next(ctx, request)
+			return answer, errorcoder.Encode(err)
+		}
+	})
+}
+
 // race changes the declarations as another operator would.
 func (f *fakeOperator) race() {
 	f.mu.Lock()
--- a/internal/cli/plancmd.go
+++ b/internal/cli/plancmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -44,7 +45,7 @@
 	}
 	answer, err := call(ctx, client, reads, "plan", kumquatv1.Operator.Plan, &kumquatv1.PlanRequest{Document: string(document)})
 	if err != nil {
-		return err
+		return withFile(err, c.File)
 	}
 	plan := answer.GetPlan()
 	if c.Out != system.Stream {
@@ -58,6 +59,15 @@
 	return c.write(a, plan)
 }
 
+// withFile names the file in an error about a document that was sent.
+func withFile(err error, name string) error {
+	var faulty *errs.DocumentError
+	if errors.As(err, &faulty) {
+		return &errs.DocumentError{Name: name, Problems: faulty.Problems}
+	}
+	return err
+}
+
 // write keeps the plan for kumquat confirm.
 func (c *planCmd) write(a *app, plan *kumquatv1.Plan) error {
 	if c.Out == "" {
--- a/internal/rpc/errorcoder/errorcoder.go
+++ b/internal/rpc/errorcoder/errorcoder.go
@@ -2,6 +2,7 @@
 package errorcoder
 
 import (
+	"encoding/json"
 	"errors"
 
 	"github.com/twitchtv/twirp"
@@ -15,6 +16,8 @@
 	metaWhy    = "why"
 	metaRemedy = "remedy"
 	metaOp     = "op"
+	// metaDocument is a *errs.DocumentError as JSON.
+	metaDocument = "document"
 )
 
 // Encode returns the twirp error that stands for a typed error, or nil.
@@ -32,7 +35,9 @@
 	case errors.As(err, &refused):
 		return encodeRefused(refused)
 	case errors.As(err, &document):
-		return twirp.NewError(twirp.InvalidArgument, document.Error())
+		return encodeDocument(document)
+	case errors.Is(err, errs.ErrConflict):
+		return twirp.NewError(twirp.AlreadyExists, err.Error())
 	case errors.Is(err, errs.ErrNotOwner), errors.Is(err, errs.ErrFenced):
 		return twirp.NewError(twirp.Aborted, err.Error())
 	case errors.Is(err, errs.ErrNotFound):
@@ -53,6 +58,15 @@
 		WithMeta(metaRemedy, refused.Remedy)
 }
 
+func encodeDocument(document *errs.DocumentError) error {
+	coded := twirp.NewError(twirp.InvalidArgument, document.Error())
+	details, err := json.Marshal(document)
+	if err != nil {
+		return coded
+	}
+	return coded.WithMeta(metaDocument, string(details))
+}
+
 // Decode returns the typed error behind a twirp error. Errors of other kinds
 // are returned as they are.
 func Decode(err error) error {
@@ -60,8 +74,16 @@
 	if !errors.As(err, &coded) {
 		return err
 	}
+	if text := coded.Meta(metaDocument); text != "" {
+		return decodeDocument(text, err)
+	}
 	switch coded.Code() {
+	case twirp.AlreadyExists:
+		return errs.ErrConflict
 	case twirp.FailedPrecondition:
+		if coded.Meta(metaWhat) == "" {
+			return err
+		}
 		return &errs.RefusedError{
 			What:   coded.Meta(metaWhat),
 			Why:    coded.Meta(metaWhy),
@@ -72,10 +94,26 @@
 	case twirp.NotFound:
 		return errs.ErrNotFound
 	case twirp.Unavailable:
+		if coded.Meta(metaOp) == "" {
+			return err
+		}
 		return &errs.StoreUnavailableError{Op: coded.Meta(metaOp), Cause: errors.New(coded.Msg())}
 	case twirp.Unknown:
+		if coded.Meta(metaOp) == "" {
+			return err
+		}
 		return &errs.UnknownOutcomeError{Op: coded.Meta(metaOp), Cause: errors.New(coded.Msg())}
 	default:
 		return err
 	}
 }
+
+// decodeDocument returns the error that a document's text stands for, or the
+// given error if it stands for none.
+func decodeDocument(text string, otherwise error) error {
+	var document errs.DocumentError
+	if err := json.Unmarshal([]byte(text), &document); err != nil {
+		return otherwise
+	}
+	return &document
+}
--- a/internal/rpc/errorcoder/errorcoder_test.go
+++ b/internal/rpc/errorcoder/errorcoder_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 )
 
@@ -25,6 +27,23 @@
 		var got *errs.StoreUnavailableError
 		assertAs(t, &errs.StoreUnavailableError{Op: "apply", Cause: errors.New("down")}, &got)
 	})
+	t.Run("faulty document", func(t *testing.T) {
+		want := &errs.DocumentError{Name: "i.yaml", Problems: []errs.DocumentProblem{{Line: 3, Key: "kind", Message: "is missing"}}}
+		var got *errs.DocumentError
+		assertAs(t, fmt.Errorf("plan: %w", want), &got)
+		if got != nil && got.Error() != want.Error() {
+			t.Errorf("got %v, want %v", got, want)
+		}
+	})
+	t.Run("conflict", func(t *testing.T) {
+		if got := Decode(Encode(errs.ErrConflict)); !errors.Is(got, errs.ErrConflict) {
+			t.Errorf("got %v, want %v", got, errs.ErrConflict)
+		}
+	})
+	t.Run("an answer of an intermediary stays as it is", func(t *testing.T) {
+		var got twirp.Error
+		assertAs[twirp.Error](t, twirp.NewError(twirp.Unavailable, "busy"), &got)
+	})
 	t.Run("not owner", func(t *testing.T) {
 		if got := Decode(Encode(errs.ErrFenced)); !errors.Is(got, errs.ErrNotOwner) {
 			t.Errorf("got %v, want %v", got, errs.ErrNotOwner)
