Let a daemon dial other addresses than its peers advertise

Behind address translation a daemon reaches a peer under another address than the one in the peer's record. The setting reroute maps one to the other, per daemon; the dialer for peers applies it. Integration tests need the same to put a fault-injecting proxy between each pair of daemons.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -2,7 +2,6 @@
 package dialer
 
 import (
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -37,13 +36,7 @@
 }
 
 // NewPlainClient returns an HTTP client for unencrypted peer connections.
-func NewPlainClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
-		IdleConnTimeout:     idleTimeout,
-	}}
-}
+func NewPlainClient() *http.Client { return NewClient(NewDialFunc(nil)) }
 
 // Peer returns the client of the daemon at an address.
 func (d *Dialer) Peer(address string) kumquatv1.Peer {
--- /dev/null
+++ b/internal/connection/dialer/route.go
@@ -0,0 +1,33 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// A DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewDialFunc returns a DialFunc for connections between daemons. An address
+// that is a key of reroute is replaced by its value, as address translation
+// between two networks requires.
+func NewDialFunc(reroute map[string]string) DialFunc {
+	dial := &net.Dialer{Timeout: connectTimeout}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if other, ok := reroute[address]; ok {
+			address = other
+		}
+		return dial.DialContext(ctx, network, address)
+	}
+}
+
+// NewClient returns an HTTP client for peer connections that are opened by
+// dial.
+func NewClient(dial DialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -37,7 +37,10 @@
 	// Seeds are addresses of peers that are asked for the configuration when
 	// the store does not answer at the start.
 	Seeds []string `yaml:"seeds" validate:"unique"`
-	TLS   TLS      `yaml:"tls"`
+	// Reroute gives, for an address that another daemon advertises, the one
+	// that this daemon dials in its place, as behind address translation.
+	Reroute map[string]string `yaml:"reroute"`
+	TLS     TLS               `yaml:"tls"`
 	// Plaintext allows connections without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
@@ -171,6 +174,10 @@
 	for i, seed := range s.Seeds {
 		checkAddress(fmt.Sprintf("seeds[%d]", i), seed, report)
 	}
+	for advertised, dialled := range s.Reroute {
+		checkAddress("reroute", advertised, report)
+		checkAddress("reroute", dialled, report)
+	}
 }
 
 func checkAddress(key, address string, report decoder.Report) (parsed netip.AddrPort, ok bool) {
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -51,6 +51,7 @@
 		"unknown level":         {"plaintext: true", "plaintext: true\nlogLevel: loud", 15, "logLevel"},
 		"poll interval, a unit": {"hostList: {", "hostList: {pollInterval: 5 sec, ", 12, "hostList.pollInterval"},
 		"poll interval, range":  {"hostList: {", "hostList: {pollInterval: 5ms, ", 12, "hostList.pollInterval"},
+		"rerouted host name":    {"plaintext: true", "plaintext: true\nreroute: {10.1.0.6:7001: relay:1}", 15, "reroute"},
 		"unknown key":           {"  health:", "  helth:", 8, "listen.helth"},
 	} {
 		t.Run(name, func(t *testing.T) {
