Add the harness for tests with real processes

It builds the programs once, starts them on loopback, puts a fault-injecting proxy on each way between two of them, kills, pauses and stops them, and shows the ends of their logs when a test fails. Children die with the test program.

--- /dev/null
+++ b/internal/harness/caller.go
@@ -0,0 +1,196 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/standin/runner"
+)
+
+// Headers of callers' requests and the system's answers.
+const (
+	headerDeadline = "Kumquat-Deadline-Millis"
+	headerKey      = "Idempotency-Key"
+	headerOutcome  = "Kumquat-Outcome"
+)
+
+// Outcomes that the system states in its answers.
+const (
+	OutcomeNotRun   = "notRun"
+	OutcomeUnknown  = "unknown"
+	OutcomeAnswered = "answered"
+)
+
+// answerGrace is how much longer than the deadline a caller waits.
+const answerGrace = 5 * time.Second
+
+// A Call is one request of a caller.
+type Call struct {
+	ID       string
+	Path     string
+	Body     []byte
+	Key      string
+	Deadline time.Duration
+	// Service is the time that the runner takes; zero leaves it to the runner.
+	Service time.Duration
+}
+
+// An Answer is what a caller got.
+type Answer struct {
+	Call    Call
+	Status  int
+	Outcome string
+	Body    []byte
+	// Err is set if the answer was not whole or there was none.
+	Err error
+}
+
+// Whole reports whether the caller got the runner's whole answer.
+func (a Answer) Whole() bool { return a.Err == nil && a.Status == http.StatusOK }
+
+// String describes the answer for failed tests.
+func (a Answer) String() string {
+	return fmt.Sprintf("%s %s: status %d, outcome %q, %d bytes, error %v", a.Call.ID, a.Call.Path, a.Status, a.Outcome, len(a.Body), a.Err)
+}
+
+// A Caller sends requests to daemons. It is safe for concurrent use.
+type Caller struct {
+	client *http.Client
+}
+
+// NewCaller returns a caller with connections of its own.
+func NewCaller() *Caller {
+	const connections = 256
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &Caller{client: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: connections,
+		DisableCompression:  true,
+	}}}
+}
+
+// Close closes the idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Do sends one request to a daemon and waits for the answer.
+func (c *Caller) Do(ctx context.Context, daemon *Daemon, call Call) (answer Answer) {
+	answer.Call = call
+	ctx, cancel := context.WithTimeout(ctx, call.Deadline+answerGrace)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.Callers+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		answer.Err = err
+		return answer
+	}
+	request.Header.Set(runner.HeaderRequest, call.ID)
+	request.Header.Set(headerDeadline, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	if call.Key != "" {
+		request.Header.Set(headerKey, call.Key)
+	}
+	if call.Service > 0 {
+		request.Header.Set(runner.HeaderServiceMicros, strconv.FormatInt(call.Service.Microseconds(), 10))
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		answer.Err = err
+		return answer
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer.Status = response.StatusCode
+	answer.Outcome = response.Header.Get(headerOutcome)
+	answer.Body, answer.Err = io.ReadAll(response.Body)
+	return answer
+}
+
+// A Load is a steady stream of requests, spread over daemons.
+type Load struct {
+	stop    chan struct{}
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	answers []Answer
+}
+
+// StartLoad sends requests at a rate per second until Stop. The calls come
+// from next, which gets their numbers, and target chooses their daemons.
+func StartLoad(rate int, next func(number int) Call, target func(number int) *Daemon) *Load {
+	load := &Load{stop: make(chan struct{})}
+	caller := NewCaller()
+	load.group.Go(func() {
+		defer caller.Close()
+		var calls sync.WaitGroup
+		defer calls.Wait()
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		defer ticker.Stop()
+		for number := 0; ; number++ {
+			select {
+			case <-load.stop:
+				return
+			case <-ticker.C:
+			}
+			calls.Go(func() { load.add(caller.Do(context.Background(), target(number), next(number))) })
+		}
+	})
+	return load
+}
+
+// Count returns the number of answers so far.
+func (l *Load) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.answers)
+}
+
+// Whole returns the number of whole answers so far.
+func (l *Load) Whole() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	whole := 0
+	for _, answer := range l.answers {
+		if answer.Whole() {
+			whole++
+		}
+	}
+	return whole
+}
+
+// Stop ends the stream, waits for all answers and returns them.
+func (l *Load) Stop() []Answer {
+	close(l.stop)
+	l.group.Wait()
+	return l.answers
+}
+
+func (l *Load) add(answer Answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers = append(l.answers, answer)
+}
+
+// A Target chooses daemons for requests; its choice may change meanwhile.
+type Target struct {
+	daemons atomic.Pointer[[]*Daemon]
+}
+
+// NewTarget returns a target that uses daemons in turn.
+func NewTarget(daemons ...*Daemon) *Target {
+	target := &Target{}
+	target.Set(daemons...)
+	return target
+}
+
+// Set replaces the daemons, as the balancer does.
+func (t *Target) Set(daemons ...*Daemon) { t.daemons.Store(&daemons) }
+
+// Choose returns the daemon for a request.
+func (t *Target) Choose(number int) *Daemon {
+	daemons := *t.daemons.Load()
+	return daemons[number%len(daemons)]
+}
--- /dev/null
+++ b/internal/harness/records.go
@@ -0,0 +1,172 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
+	"github.com/kumquatstack/kumquatstack/internal/standin/judge"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+	"github.com/kumquatstack/kumquatstack/internal/standin/runner"
+	"github.com/kumquatstack/kumquatstack/internal/standin/worker"
+)
+
+// Version returns the version of the declarations in force at the daemon, or
+// -1 if it doesn't answer.
+func (d *Daemon) Version(ctx context.Context) int64 {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	response, err := d.Operator().GetDeclarations(ctx, &kumquatv1.GetDeclarationsRequest{})
+	if err != nil {
+		return -1
+	}
+	return response.GetVersion()
+}
+
+// SetStoreFaults sets the faults of the store.
+func (c *Cluster) SetStoreFaults(faults keyvalue.Faults) {
+	c.t.Helper()
+	c.post(c.store, controller.PathFaults, faults)
+}
+
+// StoreCounts returns the calls that the store has seen.
+func (c *Cluster) StoreCounts() (counts keyvalue.Counts) {
+	c.t.Helper()
+	c.get(c.store, controller.PathCounts, &counts)
+	return counts
+}
+
+// SetRunnerFaults sets the faults of one runner, or of all if it names none.
+func (c *Cluster) SetRunnerFaults(request runner.FaultsRequest) {
+	c.t.Helper()
+	for _, remote := range c.runnersOf(request.Runner) {
+		c.post(remote, controller.PathFaults, request)
+	}
+}
+
+// RunnerCounts returns what all runners have seen.
+func (c *Cluster) RunnerCounts() (counts []runner.Counts) {
+	c.t.Helper()
+	for _, remote := range c.runners {
+		var found []runner.Counts
+		c.get(remote, controller.PathCounts, &found)
+		counts = append(counts, found...)
+	}
+	return counts
+}
+
+// Executions returns how often each named request began to run at a runner.
+func (c *Cluster) Executions() map[string]int {
+	c.t.Helper()
+	executions := map[string]int{}
+	for _, remote := range c.runners {
+		found := map[string]int{}
+		c.get(remote, controller.PathExecutions, &found)
+		for id, times := range found {
+			executions[id] += times
+		}
+	}
+	return executions
+}
+
+// SetWorkerFaults sets the faults of one worker, or of all if it names none.
+func (c *Cluster) SetWorkerFaults(request worker.FaultsRequest) {
+	c.t.Helper()
+	for _, remote := range c.workersOf(request.Worker) {
+		c.post(remote, controller.PathFaults, request)
+	}
+}
+
+// CrashWorker ends all runs of one worker.
+func (c *Cluster) CrashWorker(name string) {
+	c.t.Helper()
+	for _, remote := range c.workersOf(name) {
+		c.post(remote, controller.PathCrash, worker.CrashRequest{Worker: name})
+	}
+}
+
+// Records returns the starts and ends at all workers.
+func (c *Cluster) Records() (records []judge.Record) {
+	c.t.Helper()
+	for _, remote := range c.workers {
+		var found []judge.Record
+		c.get(remote, controller.PathLog, &found)
+		records = append(records, found...)
+	}
+	return records
+}
+
+// Breaches returns all promises broken at workers and runners, those between
+// workers of different processes included.
+func (c *Cluster) Breaches() (breaches []judge.Breach) {
+	c.t.Helper()
+	for _, remotes := range [][]controller.Remote{c.workers, c.runners} {
+		for _, remote := range remotes {
+			var found []judge.Breach
+			c.get(remote, controller.PathBreaches, &found)
+			breaches = append(breaches, found...)
+		}
+	}
+	return append(breaches, judge.Check(c.Records())...)
+}
+
+// AssertNoBreach fails the test if a promise was broken.
+func (c *Cluster) AssertNoBreach() {
+	c.t.Helper()
+	breaches := c.Breaches()
+	for number, breach := range breaches {
+		if number == tailLines {
+			c.t.Errorf("%d more breaches", len(breaches)-number)
+			return
+		}
+		c.t.Errorf("%s at %s: %s: %s", breach.Rule, breach.At.Format(time.StampMilli), breach.Subject, breach.Detail)
+	}
+}
+
+// workersOf returns the control endpoints of the process of a worker, or of all.
+func (c *Cluster) workersOf(name string) []controller.Remote {
+	return c.remotesOf(name, c.workers, func(site Site) bool { return site.Workers > 0 })
+}
+
+// runnersOf returns the control endpoints of the process of a runner, or of all.
+func (c *Cluster) runnersOf(name string) []controller.Remote {
+	return c.remotesOf(name, c.runners, func(site Site) bool { return site.Runners > 0 })
+}
+
+// remotesOf returns the control endpoint of the site that a host's name
+// begins with, or all if the name is empty.
+func (c *Cluster) remotesOf(name string, remotes []controller.Remote, has func(Site) bool) []controller.Remote {
+	c.t.Helper()
+	if name == "" {
+		return remotes
+	}
+	number := 0
+	for _, site := range c.options.Sites {
+		if !has(site) {
+			continue
+		}
+		if strings.HasPrefix(name, site.DataCentre+"-") {
+			return remotes[number : number+1]
+		}
+		number++
+	}
+	c.t.Fatal(fmt.Errorf("no process of host %q", name))
+	return nil
+}
+
+func (c *Cluster) get(remote controller.Remote, path string, value any) {
+	c.t.Helper()
+	if err := remote.Get(context.Background(), path, value); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *Cluster) post(remote controller.Remote, path string, value any) {
+	c.t.Helper()
+	if err := remote.Post(context.Background(), path, value); err != nil {
+		c.t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/harness/settings.go
@@ -0,0 +1,161 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// operatorTimeout bounds each call of the operators' interface.
+const operatorTimeout = 15 * time.Second
+
+// Names in the declarations of DeclarationsOf.
+const (
+	Upstream = "charm"
+	// PathOnce is a route whose requests run at most once.
+	PathOnce = "/charms"
+	// PathIdempotent is a route whose requests may be sent again.
+	PathIdempotent = "/proofs"
+	// PathKeyed is a route that requires an idempotency key.
+	PathKeyed = "/orders"
+	Team      = "crew"
+	Class     = "survey"
+)
+
+// settingsOf returns the settings of a daemon, with all its links.
+func (c *Cluster) settingsOf(daemon *Daemon, hostList string) []byte {
+	c.t.Helper()
+	reroute := map[string]string{}
+	var seeds []string
+	for _, other := range c.Daemons {
+		if other == daemon {
+			continue
+		}
+		for _, address := range []string{other.Callers, other.Peers, other.Operators} {
+			reroute[address] = c.Network.Link(daemon.Name, other.Name, address)
+		}
+		seeds = append(seeds, other.Peers)
+	}
+	content, err := yaml.Marshal(map[string]any{
+		"name":       daemon.Name,
+		"dataCentre": daemon.DataCentre,
+		"region":     daemon.Region,
+		"listen": map[string]string{
+			"callers": daemon.Callers, "peers": daemon.Peers, "operators": daemon.Operators, "health": daemon.Health,
+		},
+		"store":     map[string]string{"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address)},
+		"hostList":  map[string]any{"endpoint": hostList, "pollInterval": "200ms"},
+		"seeds":     seeds,
+		"reroute":   reroute,
+		"plaintext": true,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return content
+}
+
+// write writes a file among the logs and returns its path.
+func (c *Cluster) write(name string, content []byte) (path string) {
+	c.t.Helper()
+	path = filepath.Join(c.logs, name)
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return path
+}
+
+// DeclarationsOf returns declarations for sites: one upstream with three
+// routes, one team that may use everything, and one class of batch work.
+func DeclarationsOf(sites []Site) string {
+	var document strings.Builder
+	document.WriteString("regions:\n")
+	for _, region := range regionsOf(sites) {
+		fmt.Fprintf(&document, "- name: %s\n  dataCentres:\n", region)
+		for _, site := range sites {
+			if site.Region == region {
+				fmt.Fprintf(&document, "  - name: %s\n", site.DataCentre)
+			}
+		}
+	}
+	fmt.Fprintf(&document, `upstreams:
+- name: %s
+  slotsPerRunner: 8
+  connectionsPerRunner: 64
+  maxDuration: 2s
+  queueLength: 1000
+  retryPercent: 10
+  maxBodyBytes: 1048576
+routes:
+- path: %s
+  upstream: %[1]s
+- path: %s
+  upstream: %[1]s
+  idempotent: true
+- path: %s
+  upstream: %[1]s
+  keyRequired: true
+teams:
+- name: %s
+  quota: {cores: 10000, memoryGB: 10000, accelerators: 0}
+  weight: 1
+classes:
+- name: %s
+batch:
+  lease: 5s
+  evictionsPerMinute: 60
+link:
+  megabitsPerSecond: 30
+`, Upstream, PathOnce, PathIdempotent, PathKeyed, Team, Class)
+	return document.String()
+}
+
+// regionsOf returns the regions of sites, each once, in order.
+func regionsOf(sites []Site) (regions []string) {
+	seen := map[string]bool{}
+	for _, site := range sites {
+		if !seen[site.Region] {
+			seen[site.Region] = true
+			regions = append(regions, site.Region)
+		}
+	}
+	return regions
+}
+
+// ApplyDeclarations puts the declarations in force at all daemons.
+func (c *Cluster) ApplyDeclarations() {
+	c.t.Helper()
+	document := c.options.Declarations
+	if document == "" {
+		document = DeclarationsOf(c.options.Sites)
+	}
+	var version int64
+	Eventually(c.t, readyTimeout, "declarations are accepted", func() bool {
+		request := &kumquatv1.ApplyRequest{Document: document, BaseVersion: -1}
+		response, err := c.Daemons[0].Operator().Apply(c.t.Context(), request)
+		if err != nil {
+			c.t.Logf("apply: %v", err)
+			return false
+		}
+		version = response.GetVersion()
+		return true
+	})
+	c.AwaitVersion(version, c.Daemons...)
+}
+
+// AwaitVersion waits until daemons have a version of the declarations, or a
+// later one, in force.
+func (c *Cluster) AwaitVersion(version int64, daemons ...*Daemon) {
+	c.t.Helper()
+	for _, daemon := range daemons {
+		Eventually(c.t, readyTimeout, fmt.Sprintf("%s has version %d", daemon.Name, version), func() bool {
+			return daemon.Version(c.t.Context()) >= version
+		})
+	}
+}
