Bound the shape of YAML documents before they are parsed

A file of 800 kB whose one line nested 400,000 lists took all 31 GB of a machine: the YAML library keeps the path of every node, so memory grows with the square of the nesting (28 MB for 4,000 levels, 8 MB for 2,000) and of the number of keys in one mapping (76 MB for 4,000, 21 MB for 2,000). Documents are now refused before parsing beyond 200 columns of indentation, 100 brackets or 1,000 keys a mapping, and at 256 KiB.

Defaults move from code into tags beside the accepted ranges.

--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -12,14 +12,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/decoder"
 )
 
-// Defaults of values that a file leaves out.
-const (
-	defaultLogLevel     = "info"
-	defaultPollInterval = time.Second
-	defaultDrainTimeout = 10 * time.Minute
-	defaultEventBytes   = 4 << 20
-)
-
 // Settings are what one daemon is told at its start. They never change while
 // it runs; everything that may change is in the declarations.
 type Settings struct {
@@ -44,11 +36,11 @@
 	// Plaintext allows connections without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
-	LogLevel string `yaml:"logLevel" validate:"oneof=debug info warn error"`
+	LogLevel string `yaml:"logLevel" default:"info" validate:"oneof=debug info warn error"`
 	// DrainTimeout bounds a planned stop.
-	DrainTimeout time.Duration `yaml:"drainTimeout" validate:"min=1s,max=24h"`
+	DrainTimeout time.Duration `yaml:"drainTimeout" default:"10m" validate:"min=1s,max=24h"`
 	// EventBytes bounds the memory of recorded events.
-	EventBytes int `yaml:"eventBytes" validate:"min=65536,max=1073741824"`
+	EventBytes int `yaml:"eventBytes" default:"4194304" validate:"min=65536,max=1073741824"`
 }
 
 // Addresses are IP numbers with ports, for example "10.1.0.5:7000".
@@ -82,7 +74,7 @@
 	// Endpoint is a URL.
 	Endpoint string `yaml:"endpoint" validate:"required,http_url"`
 	// PollInterval is the time between two reads of the list.
-	PollInterval time.Duration `yaml:"pollInterval" validate:"min=100ms,max=1m"`
+	PollInterval time.Duration `yaml:"pollInterval" default:"1s" validate:"min=100ms,max=1m"`
 }
 
 // TLS names the PEM files of the daemon's certificate, its key, and the
@@ -105,27 +97,13 @@
 // Parse decodes and checks a settings document. The name is that of the file
 // and stands in errors. Every error is a *errs.DocumentError.
 func Parse(name string, document []byte) (*Settings, error) {
-	set := &Settings{
-		HostList:     HostList{PollInterval: defaultPollInterval},
-		LogLevel:     defaultLogLevel,
-		DrainTimeout: defaultDrainTimeout,
-		EventBytes:   defaultEventBytes,
-	}
+	set := &Settings{}
 	if err := decoder.Decode(name, document, set, checkAddresses, checkTLS); err != nil {
 		return nil, err
 	}
 	return set.withDefaults(), nil
 }
 
-// UnmarshalYAML fills in defaults.
-func (h *HostList) UnmarshalYAML(unmarshal func(any) error) error {
-	type plain HostList
-	value := plain{PollInterval: defaultPollInterval}
-	err := unmarshal(&value)
-	*h = HostList(value)
-	return err
-}
-
 // withDefaults returns a copy whose empty advertised addresses are filled in.
 func (s *Settings) withDefaults() *Settings {
 	next := *s
--- a/internal/version/declarer/declarations.go
+++ b/internal/version/declarer/declarations.go
@@ -35,17 +35,17 @@
 type Upstream struct {
 	Name string `yaml:"name" validate:"required,hostname_rfc1123"`
 	// SlotsPerRunner is the number of requests a runner holds at a time.
-	SlotsPerRunner int `yaml:"slotsPerRunner" validate:"min=1,max=1024"`
+	SlotsPerRunner int `yaml:"slotsPerRunner" default:"8" validate:"min=1,max=1024"`
 	// ConnectionsPerRunner is the number of connections a runner accepts.
-	ConnectionsPerRunner int `yaml:"connectionsPerRunner" validate:"min=1,max=4096"`
+	ConnectionsPerRunner int `yaml:"connectionsPerRunner" default:"64" validate:"min=1,max=4096"`
 	// MaxDuration bounds the time a request may hold a slot.
-	MaxDuration time.Duration `yaml:"maxDuration" validate:"min=10ms,max=10m"`
+	MaxDuration time.Duration `yaml:"maxDuration" default:"30s" validate:"min=10ms,max=10m"`
 	// QueueLength bounds the requests that wait at one daemon.
-	QueueLength int `yaml:"queueLength" validate:"min=0,max=100000"`
+	QueueLength int `yaml:"queueLength" default:"1000" validate:"min=0,max=100000"`
 	// RetryPercent bounds retries and hedges as a percentage of requests.
-	RetryPercent int `yaml:"retryPercent" validate:"min=0,max=100"`
+	RetryPercent int `yaml:"retryPercent" default:"10" validate:"min=0,max=100"`
 	// MaxBodyBytes bounds a request's body.
-	MaxBodyBytes int64 `yaml:"maxBodyBytes" validate:"min=0"`
+	MaxBodyBytes int64 `yaml:"maxBodyBytes" default:"1048576" validate:"min=0"`
 }
 
 // A Route maps a path prefix to an upstream.
@@ -59,7 +59,7 @@
 	// DefaultDeadline applies to requests that state none; zero refuses them.
 	DefaultDeadline time.Duration `yaml:"defaultDeadline" validate:"min=0,max=10m"`
 	// MissCost weighs a missed deadline; larger is served first.
-	MissCost int `yaml:"missCost" validate:"min=0,max=1000"`
+	MissCost int `yaml:"missCost" default:"1" validate:"min=0,max=1000"`
 }
 
 // A Team shares the workers with other teams under a quota.
@@ -67,7 +67,7 @@
 	Name  string    `yaml:"name" validate:"required,hostname_rfc1123"`
 	Quota Resources `yaml:"quota"`
 	// Weight is the team's share when demand exceeds capacity.
-	Weight int `yaml:"weight" validate:"min=1,max=1000"`
+	Weight int `yaml:"weight" default:"1" validate:"min=1,max=1000"`
 }
 
 // Resources are amounts of processor, memory and accelerators.
@@ -102,9 +102,9 @@
 // Batch tunes the placement of tasks.
 type Batch struct {
 	// Lease is the time a worker runs a task without renewal.
-	Lease time.Duration `yaml:"lease" validate:"omitempty,min=1s,max=1h"`
+	Lease time.Duration `yaml:"lease" default:"10s" validate:"min=1s,max=1h"`
 	// EvictionsPerMinute bounds evictions for interference per data centre.
-	EvictionsPerMinute int `yaml:"evictionsPerMinute" validate:"min=0,max=10000"`
+	EvictionsPerMinute int `yaml:"evictionsPerMinute" default:"60" validate:"min=0,max=10000"`
 }
 
 // Link bounds the traffic between regions.
--- a/internal/version/declarer/intent.go
+++ b/internal/version/declarer/intent.go
@@ -29,7 +29,7 @@
 	Class string `yaml:"class" validate:"required"`
 	Kind  Kind   `yaml:"kind" validate:"required,oneof=runNow runBy keepRunning"`
 	// Count is the number of tasks.
-	Count int `yaml:"count" validate:"min=1,max=20000"`
+	Count int `yaml:"count" default:"1" validate:"min=1,max=20000"`
 	// Resources are needed by each task.
 	Resources Resources `yaml:"resources"`
 	// Deadline is the time by which all tasks should have finished.
@@ -45,7 +45,7 @@
 // ParseIntent decodes and checks an intent document. The name is that of the
 // file and stands in errors. Every error is a *errs.DocumentError.
 func ParseIntent(name string, document []byte) (*Intent, error) {
-	intent := &Intent{Count: 1}
+	intent := &Intent{}
 	if err := decoder.Decode(name, document, intent, checkIntent); err != nil {
 		return nil, err
 	}
@@ -94,7 +94,7 @@
 // CheckIntent compares an intent with the declarations in force. It reports
 // undeclared teams, classes and data centres as a *errs.DocumentError.
 func (d *Declarations) CheckIntent(name string, document []byte) (intent *Intent, err error) {
-	intent = &Intent{Count: 1}
+	intent = &Intent{}
 	err = decoder.Decode(name, document, intent, checkIntent, d.checkReferences)
 	if err != nil {
 		return nil, err
--- a/internal/version/declarer/parse.go
+++ b/internal/version/declarer/parse.go
@@ -2,82 +2,20 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/decoder"
 )
 
-// Defaults of values that a document leaves out.
-const (
-	defaultSlotsPerRunner       = 8
-	defaultConnectionsPerRunner = 64
-	defaultMaxDuration          = 30 * time.Second
-	defaultQueueLength          = 1000
-	defaultRetryPercent         = 10
-	defaultMaxBodyBytes         = 1 << 20
-	defaultMissCost             = 1
-	defaultWeight               = 1
-	defaultLease                = 10 * time.Second
-	defaultEvictionsPerMinute   = 60
-)
-
-func defaultBatch() Batch {
-	return Batch{Lease: defaultLease, EvictionsPerMinute: defaultEvictionsPerMinute}
-}
-
 // Parse decodes and checks a declarations document. The name is that of the
 // file and stands in errors. Every error is a *errs.DocumentError.
 func Parse(name string, document []byte) (*Declarations, error) {
-	declared := &Declarations{Batch: defaultBatch()}
+	declared := &Declarations{}
 	if err := decoder.Decode(name, document, declared, checkDataCentres, checkRoutes, checkUpstreams, checkClasses); err != nil {
 		return nil, err
 	}
 	return declared, nil
 }
 
-// UnmarshalYAML fills in defaults.
-func (u *Upstream) UnmarshalYAML(unmarshal func(any) error) error {
-	type plain Upstream
-	value := plain{
-		SlotsPerRunner:       defaultSlotsPerRunner,
-		ConnectionsPerRunner: defaultConnectionsPerRunner,
-		MaxDuration:          defaultMaxDuration,
-		QueueLength:          defaultQueueLength,
-		RetryPercent:         defaultRetryPercent,
-		MaxBodyBytes:         defaultMaxBodyBytes,
-	}
-	err := unmarshal(&value)
-	*u = Upstream(value)
-	return err
-}
-
-// UnmarshalYAML fills in defaults.
-func (r *Route) UnmarshalYAML(unmarshal func(any) error) error {
-	type plain Route
-	value := plain{MissCost: defaultMissCost}
-	err := unmarshal(&value)
-	*r = Route(value)
-	return err
-}
-
-// UnmarshalYAML fills in defaults.
-func (t *Team) UnmarshalYAML(unmarshal func(any) error) error {
-	type plain Team
-	value := plain{Weight: defaultWeight}
-	err := unmarshal(&value)
-	*t = Team(value)
-	return err
-}
-
-// UnmarshalYAML fills in defaults.
-func (b *Batch) UnmarshalYAML(unmarshal func(any) error) error {
-	type plain Batch
-	value := plain(defaultBatch())
-	err := unmarshal(&value)
-	*b = Batch(value)
-	return err
-}
-
 // checkDataCentres requires that a data centre is declared in one region only.
 func checkDataCentres(d *Declarations, report decoder.Report) {
 	regions := map[string]string{}
--- a/internal/version/declarer/parse_test.go
+++ b/internal/version/declarer/parse_test.go
@@ -44,7 +44,7 @@
 	t.Run("defaults", func(t *testing.T) {
 		assertEqual(t, declared.Upstreams[0].SlotsPerRunner, 8)
 		assertEqual(t, declared.Upstreams[0].ConnectionsPerRunner, 64)
-		assertEqual(t, declared.Batch.Lease, defaultLease)
+		assertEqual(t, declared.Batch.Lease, 10*time.Second)
 		assertEqual(t, declared.Routes[0].MissCost, 1)
 	})
 }
--- a/internal/version/decoder/decoder.go
+++ b/internal/version/decoder/decoder.go
@@ -19,11 +19,8 @@
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 )
 
-// MaxDocumentBytes bounds a document: the store holds values up to a megabyte.
-const MaxDocumentBytes = 900_000
-
-// maxNesting bounds the depth of lists and mappings.
-const maxNesting = 100
+// MaxDocumentBytes bounds the size of a document.
+const MaxDocumentBytes = 256 << 10
 
 // A Report takes one fault that a cross-check found.
 type Report func(key, message, accepted string)
@@ -31,9 +28,9 @@
 // A Check compares parts of a decoded document with each other.
 type Check[T any] func(value *T, report Report)
 
-// Decode decodes one document into value, which holds the defaults. The name
-// is that of the file and stands in errors. Every error is a
-// *errs.DocumentError.
+// Decode decodes one document into value. Fields whose keys are absent get the
+// value in their tag "default". The name is that of the file and stands in
+// errors. Every error is a *errs.DocumentError.
 func Decode[T any](name string, document []byte, value *T, checks ...Check[T]) error {
 	faults := &faults{name: name}
 	root := parse(document, faults)
@@ -49,6 +46,7 @@
 		faults.addYAML(err)
 		return faults.err()
 	}
+	setDefaults(reflect.ValueOf(value).Elem(), "", walk.lines)
 	locate := &locator{lines: walk.lines, faults: faults}
 	validateStruct(value, locate)
 	for _, check := range checks {
@@ -63,8 +61,8 @@
 		faults.add(0, "", fmt.Sprintf("document has %d bytes", len(document)), fmt.Sprintf("up to %d bytes", MaxDocumentBytes))
 		return nil
 	}
-	if nesting(document) > maxNesting {
-		faults.add(0, "", "too many nested brackets", fmt.Sprintf("up to %d", maxNesting))
+	if problem := checkShape(document); problem != nil {
+		faults.problems = append(faults.problems, *problem)
 		return nil
 	}
 	file, err := parser.ParseBytes(document, 0)
@@ -90,22 +88,6 @@
 	}
 }
 
-// nesting returns the greatest depth of brackets in flow style, ignoring
-// quotes, which overstates it at worst.
-func nesting(document []byte) int {
-	depth, deepest := 0, 0
-	for _, c := range document {
-		switch c {
-		case '[', '{':
-			depth++
-		case ']', '}':
-			depth--
-		}
-		deepest = max(deepest, depth)
-	}
-	return deepest
-}
-
 // faults collects problems.
 type faults struct {
 	name     string
--- /dev/null
+++ b/internal/version/decoder/shape.go
@@ -0,0 +1,99 @@
+package decoder
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+)
+
+// Bounds of a document's shape. The parser's memory and time grow with the
+// square of the nesting and of the number of keys in one mapping.
+const (
+	maxNesting = 100
+	// maxIndent bounds the column at which a line's content begins.
+	maxIndent = 200
+	maxKeys   = 1000
+)
+
+// A shape measures a document without parsing it. It may overstate, as it
+// knows neither quotes nor block scalars.
+type shape struct {
+	// blocks holds the open block mappings, outermost first.
+	blocks []block
+	// flows holds the number of commas in the open brackets.
+	flows []int
+}
+
+// A block is a block mapping that begins at a column.
+type block struct{ column, keys int }
+
+// checkShape returns the first problem of a document's shape, or nil.
+func checkShape(document []byte) *errs.DocumentProblem {
+	var s shape
+	number := 0
+	for text := range bytes.Lines(document) {
+		number++
+		if message, accepted := s.line(text); message != "" {
+			return &errs.DocumentProblem{Line: number, Message: message, Accepted: accepted}
+		}
+	}
+	return nil
+}
+
+// line measures the next line.
+func (s *shape) line(text []byte) (message, accepted string) {
+	content := bytes.TrimLeft(text, " \t-?:")
+	column := len(text) - len(content)
+	content = bytes.TrimSpace(content)
+	if column > maxIndent {
+		return "is indented too deeply", fmt.Sprintf("up to %d columns", maxIndent)
+	}
+	if len(content) == 0 || content[0] == '#' {
+		return "", ""
+	}
+	isEntry := bytes.ContainsAny(text[:column], "-?:")
+	if s.addKey(column, isEntry) > maxKeys {
+		return "has too many lines in one block", fmt.Sprintf("up to %d keys in a mapping", maxKeys)
+	}
+	return s.brackets(content)
+}
+
+// addKey counts a line in its block and returns the count.
+func (s *shape) addKey(column int, isEntry bool) int {
+	for len(s.blocks) > 0 && s.blocks[len(s.blocks)-1].column > column {
+		s.blocks = s.blocks[:len(s.blocks)-1]
+	}
+	last := len(s.blocks) - 1
+	if last < 0 || s.blocks[last].column < column {
+		s.blocks = append(s.blocks, block{column: column, keys: 1})
+		return 1
+	}
+	if isEntry {
+		s.blocks[last].keys = 0
+	}
+	s.blocks[last].keys++
+	return s.blocks[last].keys
+}
+
+// brackets measures the mappings and lists in flow style.
+func (s *shape) brackets(content []byte) (message, accepted string) {
+	for _, c := range content {
+		last := len(s.flows) - 1
+		switch {
+		case c == '{' || c == '[':
+			s.flows = append(s.flows, 0)
+		case (c == '}' || c == ']') && last >= 0:
+			s.flows = s.flows[:last]
+		case c == ',' && last >= 0:
+			s.flows[last]++
+		}
+		if len(s.flows) > maxNesting {
+			return "has too many nested brackets", fmt.Sprintf("up to %d", maxNesting)
+		}
+		if last >= 0 && last < len(s.flows) && s.flows[last] > maxKeys {
+			return "has too many entries in one pair of brackets", fmt.Sprintf("up to %d", maxKeys)
+		}
+	}
+	return "", ""
+}
