Make the reference from the code

Commands come from the parser of the options, keys from the types, their tags and their comments; the test of the catalogues compares these pages too.

--- a/internal/cataloguer/render.go
+++ b/internal/cataloguer/render.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/kumquatstack/kumquatstack/internal/cli"
 )
 
 // Paths of the generated files, relative to the root of the repository.
@@ -10,6 +12,10 @@
 	EventsPage  = "docs/events.md"
 	EventsTable = "internal/process/recorder/entries.go"
 	MetricsPage = "docs/reference/metrics.md"
+
+	CommandsPage     = "docs/reference/commands.md"
+	DeclarationsPage = "docs/reference/declarations.md"
+	SettingsPage     = "docs/reference/settings.md"
 )
 
 // Files returns the generated files by path for the sources under a root.
@@ -22,10 +28,17 @@
 	if err != nil {
 		return nil, err
 	}
+	declarations, settings, err := referencePages(root)
+	if err != nil {
+		return nil, err
+	}
 	return map[string]string{
-		EventsPage:  eventsPage(events),
-		EventsTable: eventsTable(events),
-		MetricsPage: metricsPage(metrics),
+		EventsPage:       eventsPage(events),
+		EventsTable:      eventsTable(events),
+		MetricsPage:      metricsPage(metrics),
+		CommandsPage:     cli.Reference(),
+		DeclarationsPage: declarations,
+		SettingsPage:     settings,
 	}, nil
 }
 
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -16,23 +16,28 @@
 // it runs; everything that may change is in the declarations.
 type Settings struct {
 	// Name identifies the daemon; no two daemons have the same.
-	Name       string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
+	Name string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
+	// DataCentre is where the daemon stands.
 	DataCentre string `yaml:"dataCentre" validate:"required,hostname_rfc1123"`
-	Region     string `yaml:"region" validate:"required,hostname_rfc1123"`
+	// Region is that of the data centre.
+	Region string `yaml:"region" validate:"required,hostname_rfc1123"`
 	// Listen holds the addresses the daemon listens on.
 	Listen Addresses `yaml:"listen"`
 	// Advertise holds the addresses at which others reach the daemon, where
 	// they differ from those it listens on.
 	Advertise Advertised `yaml:"advertise"`
-	Store     Store      `yaml:"store"`
-	HostList  HostList   `yaml:"hostList"`
+	// Store is the key-value service.
+	Store Store `yaml:"store"`
+	// HostList is the list of hosts.
+	HostList HostList `yaml:"hostList"`
 	// Seeds are addresses of peers that are asked for the configuration when
 	// the store does not answer at the start.
 	Seeds []string `yaml:"seeds" validate:"unique"`
 	// Reroute gives, for an address that another daemon advertises, the one
 	// that this daemon dials in its place, as behind address translation.
 	Reroute map[string]string `yaml:"reroute"`
-	TLS     TLS               `yaml:"tls"`
+	// TLS names the files for encrypted connections.
+	TLS TLS `yaml:"tls"`
 	// Plaintext allows connections without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
@@ -58,8 +63,11 @@
 // Advertised are the addresses given to others; an empty one is the address
 // that the daemon listens on.
 type Advertised struct {
-	Callers   string `yaml:"callers"`
-	Peers     string `yaml:"peers"`
+	// Callers is the address for callers.
+	Callers string `yaml:"callers"`
+	// Peers is the address for other daemons.
+	Peers string `yaml:"peers"`
+	// Operators is the address for the tool.
 	Operators string `yaml:"operators"`
 }
 
@@ -80,9 +88,12 @@
 // TLS names the PEM files of the daemon's certificate, its key, and the
 // authority that signs the certificates of peers and operators.
 type TLS struct {
+	// Certificate is shown to peers, operators and callers.
 	Certificate string `yaml:"certificate" validate:"omitempty,file"`
-	Key         string `yaml:"key" validate:"omitempty,file"`
-	Authority   string `yaml:"authority" validate:"omitempty,file"`
+	// Key is that of the certificate.
+	Key string `yaml:"key" validate:"omitempty,file"`
+	// Authority signs the certificates of peers and operators.
+	Authority string `yaml:"authority" validate:"omitempty,file"`
 }
 
 // Load reads and checks a settings file.
--- a/internal/version/declarer/declarations.go
+++ b/internal/version/declarer/declarations.go
@@ -9,18 +9,26 @@
 
 // Declarations is the whole operators' document. It is immutable once parsed.
 type Declarations struct {
-	Regions   []Region   `yaml:"regions" validate:"required,min=1,unique=Name,dive"`
+	// Regions hold all data centres.
+	Regions []Region `yaml:"regions" validate:"required,min=1,unique=Name,dive"`
+	// Upstreams are the back ends.
 	Upstreams []Upstream `yaml:"upstreams" validate:"unique=Name,dive"`
-	Routes    []Route    `yaml:"routes" validate:"unique=Path,dive"`
-	Teams     []Team     `yaml:"teams" validate:"unique=Name,dive"`
-	Classes   []Class    `yaml:"classes" validate:"unique=Name,dive"`
-	Batch     Batch      `yaml:"batch"`
-	Link      Link       `yaml:"link"`
+	// Routes lead requests to upstreams; the longest matching path counts.
+	Routes []Route `yaml:"routes" validate:"unique=Path,dive"`
+	// Teams own the intents.
+	Teams []Team `yaml:"teams" validate:"unique=Name,dive"`
+	// Classes are those that intents name.
+	Classes []Class `yaml:"classes" validate:"unique=Name,dive"`
+	// Batch tunes the placement of tasks.
+	Batch Batch `yaml:"batch"`
+	// Link bounds the traffic between regions.
+	Link Link `yaml:"link"`
 }
 
 // A Region is a set of data centres with a fast network between them.
 type Region struct {
-	Name        string       `yaml:"name" validate:"required,hostname_rfc1123"`
+	Name string `yaml:"name" validate:"required,hostname_rfc1123"`
+	// DataCentres of the region.
 	DataCentres []DataCentre `yaml:"dataCentres" validate:"required,min=1,unique=Name,dive"`
 }
 
@@ -50,7 +58,9 @@
 
 // A Route maps a path prefix to an upstream.
 type Route struct {
-	Path     string `yaml:"path" validate:"required,startswith=/"`
+	// Path is the beginning of the request's path.
+	Path string `yaml:"path" validate:"required,startswith=/"`
+	// Upstream is the name of a declared one.
 	Upstream string `yaml:"upstream" validate:"required"`
 	// Idempotent declares that a request may be sent more than once.
 	Idempotent bool `yaml:"idempotent"`
@@ -64,7 +74,8 @@
 
 // A Team shares the workers with other teams under a quota.
 type Team struct {
-	Name  string    `yaml:"name" validate:"required,hostname_rfc1123"`
+	Name string `yaml:"name" validate:"required,hostname_rfc1123"`
+	// Quota bounds what the team's tasks use at a time.
 	Quota Resources `yaml:"quota"`
 	// Weight is the team's share when demand exceeds capacity.
 	Weight int `yaml:"weight" default:"1" validate:"min=1,max=1000"`
@@ -72,10 +83,12 @@
 
 // Resources are amounts of processor, memory and accelerators.
 type Resources struct {
+	// Cores are processors; fractions are accepted.
 	Cores float64 `yaml:"cores" validate:"min=0,max=1000000"`
 	// MemoryGB is in units of 10⁹ bytes.
-	MemoryGB     float64 `yaml:"memoryGB" validate:"min=0,max=10000000"`
-	Accelerators int     `yaml:"accelerators" validate:"min=0,max=1000000"`
+	MemoryGB float64 `yaml:"memoryGB" validate:"min=0,max=10000000"`
+	// Accelerators are whole devices.
+	Accelerators int `yaml:"accelerators" validate:"min=0,max=1000000"`
 }
 
 // Units of resources.
--- a/internal/version/declarer/intent.go
+++ b/internal/version/declarer/intent.go
@@ -24,10 +24,14 @@
 // An Intent is an operator's statement of work to be done. It is immutable
 // once parsed.
 type Intent struct {
-	Name  string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
-	Team  string `yaml:"team" validate:"required"`
+	// Name is unique among all intents.
+	Name string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
+	// Team is the name of a declared one.
+	Team string `yaml:"team" validate:"required"`
+	// Class is the name of a declared one.
 	Class string `yaml:"class" validate:"required"`
-	Kind  Kind   `yaml:"kind" validate:"required,oneof=runNow runBy keepRunning"`
+	// Kind tells when the work runs.
+	Kind Kind `yaml:"kind" validate:"required,oneof=runNow runBy keepRunning"`
 	// Count is the number of tasks.
 	Count int `yaml:"count" default:"1" validate:"min=1,max=20000"`
 	// Resources are needed by each task.
--- a/internal/version/decoder/decoder.go
+++ b/internal/version/decoder/decoder.go
@@ -153,7 +153,7 @@
 			reportDuplicate(fault, key, locate)
 			continue
 		}
-		locate.report(key, message(fault), accepted(tag, fault.Type()))
+		locate.report(key, message(fault), Accepted(tag, fault.Type()))
 	}
 }
 
--- a/internal/version/decoder/describe.go
+++ b/internal/version/decoder/describe.go
@@ -54,8 +54,8 @@
 	return fmt.Sprintf("%v is out of range", fault.Value())
 }
 
-// accepted describes the values that a validate tag accepts.
-func accepted(tag string, kind reflect.Type) string {
+// Accepted describes the values that a validate tag accepts.
+func Accepted(tag string, kind reflect.Type) string {
 	low, high := "", ""
 	var words []string
 	for _, rule := range strings.Split(tag, ",") {
--- a/internal/version/decoder/walker.go
+++ b/internal/version/decoder/walker.go
@@ -54,6 +54,8 @@
 		w.time(node, key)
 	case kind.Kind() == reflect.Struct:
 		w.mapping(node, kind, key)
+	case kind.Kind() == reflect.Map:
+		w.table(node, kind, key)
 	case kind.Kind() == reflect.Slice:
 		w.list(node, kind, key)
 	default:
@@ -96,6 +98,18 @@
 	}
 }
 
+// table checks a mapping whose keys are free.
+func (w *walker) table(node ast.Node, kind reflect.Type, key string) {
+	values, ok := pairs(node)
+	if !ok {
+		w.fault(node, key, "is not a mapping", "a mapping")
+		return
+	}
+	for _, pair := range values {
+		w.node(pair.Value, kind.Elem(), join(key, pair.Key.String()))
+	}
+}
+
 func (w *walker) list(node ast.Node, kind reflect.Type, key string) {
 	sequence, ok := node.(*ast.SequenceNode)
 	if !ok {
