Hold up writes in the stand-in, and check the client's outcomes

A network may deliver a write after its writer has given up. The stand-in can now apply writes late, and two racing writers still agree on one winner.

--- a/internal/connection/storer/resolver_test.go
+++ b/internal/connection/storer/resolver_test.go
@@ -62,6 +62,8 @@
 		fake.SetFaults(keyvalue.Faults{
 			LoseRequests: rapid.IntRange(0, 2).Draw(t, "loseRequests"),
 			LoseAnswers:  rapid.IntRange(0, 2).Draw(t, "loseAnswers"),
+			LateWrites:   rapid.IntRange(0, 2).Draw(t, "lateWrites"),
+			LateMillis:   rapid.Int64Range(0, 60).Draw(t, "lateMillis"),
 		})
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
--- a/internal/standin/keyvalue/fake.go
+++ b/internal/standin/keyvalue/fake.go
@@ -183,6 +183,7 @@
 		if faults.Outage {
 			return errOutage
 		}
+		f.box.settle(f.now())
 		events, reached, changed, ok := f.table.Since(f.now(), from, to, after)
 		if !ok {
 			return errs.ErrNotFound
@@ -224,6 +225,9 @@
 	case fateAnswerLost:
 		_ = apply(f.now())
 		return &errs.UnknownOutcomeError{Op: op, Cause: errAnswerLost}
+	case fateLate:
+		f.box.postpone(f.now(), func(now time.Time) { _ = apply(now) })
+		return &errs.UnknownOutcomeError{Op: op, Cause: errAnswerLost}
 	default:
 		return apply(f.now())
 	}
@@ -244,6 +248,7 @@
 	if ctx.Err() != nil {
 		return &errs.StoreUnavailableError{Op: op, Cause: ctx.Err()}
 	}
+	f.box.settle(f.now())
 	if faults, _ := f.box.get(); faults.Outage {
 		f.box.count(func(c *Counts) { c.Refused++ })
 		return &errs.StoreUnavailableError{Op: op, Cause: errOutage}
--- a/internal/standin/keyvalue/fake_test.go
+++ b/internal/standin/keyvalue/fake_test.go
@@ -77,6 +77,18 @@
 		_, err = fake.Get(t.Context(), "a")
 		assertIs(t, err, errs.ErrNotFound)
 	})
+	t.Run("applies a held up write late", func(t *testing.T) {
+		now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+		fake := NewFake()
+		fake.SetClock(func() time.Time { return now })
+		fake.SetFaults(Faults{LateWrites: 1, LateMillis: 1000})
+		_, err := fake.CompareAndSwap(t.Context(), storer.Swap{Key: "a", Value: []byte("1")})
+		assertUnknown(t, err)
+		_, err = fake.Get(t.Context(), "a")
+		assertIs(t, err, errs.ErrNotFound)
+		now = now.Add(time.Second)
+		assertValue(t, fake, "a", "1")
+	})
 	t.Run("fails without effect in an outage", func(t *testing.T) {
 		fake := NewFake()
 		fake.SetFaults(Faults{Outage: true})
--- a/internal/standin/keyvalue/faults.go
+++ b/internal/standin/keyvalue/faults.go
@@ -25,6 +25,10 @@
 	// LoseRequests is the number of next writes that are lost before they
 	// take effect, which looks the same to the client as a lost answer.
 	LoseRequests int `json:"loseRequests"`
+	// LateWrites is the number of next writes whose answers are lost and that
+	// take effect LateMillis later, as when a network holds them up.
+	LateWrites int   `json:"lateWrites"`
+	LateMillis int64 `json:"lateMillis"`
 }
 
 // WithOutage returns a copy with the outage on or off.
@@ -58,8 +62,15 @@
 	fateApplied fate = iota
 	fateAnswerLost
 	fateRequestLost
+	fateLate
 )
 
+// A lateWrite takes effect when it is due.
+type lateWrite struct {
+	due   time.Time
+	apply func(now time.Time)
+}
+
 // A box holds the faults and counters shared by the fake and the server.
 type box struct {
 	mu      sync.Mutex
@@ -67,6 +78,7 @@
 	counts  Counts
 	random  *rand.Rand
 	changed chan struct{}
+	late    []lateWrite
 }
 
 func newBox() *box {
@@ -122,9 +134,40 @@
 		b.faults.LoseAnswers--
 		b.counts.AnswersLost++
 		return fateAnswerLost
+	case b.faults.LateWrites > 0:
+		b.faults.LateWrites--
+		b.counts.AnswersLost++
+		return fateLate
 	case b.random.IntN(100) < b.faults.LoseAnswersPercent:
 		b.counts.AnswersLost++
 		return fateAnswerLost
 	}
 	return fateApplied
 }
+
+// postpone lets a write take effect later.
+func (b *box) postpone(now time.Time, apply func(now time.Time)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	due := now.Add(time.Duration(b.faults.LateMillis) * time.Millisecond)
+	b.late = append(b.late, lateWrite{due: due, apply: apply})
+}
+
+// settle applies the late writes that are due.
+func (b *box) settle(now time.Time) {
+	b.mu.Lock()
+	var due []lateWrite
+	waiting := b.late[:0:0]
+	for _, write := range b.late {
+		if write.due.After(now) {
+			waiting = append(waiting, write)
+		} else {
+			due = append(due, write)
+		}
+	}
+	b.late = waiting
+	b.mu.Unlock()
+	for _, write := range due {
+		write.apply(now)
+	}
+}
--- a/internal/standin/keyvalue/server.go
+++ b/internal/standin/keyvalue/server.go
@@ -67,7 +67,11 @@
 		} else {
 			fake.box.count(func(c *Counts) { c.Reads++ })
 		}
-		if outcome == fateRequestLost {
+		switch outcome {
+		case fateRequestLost:
+			panic(http.ErrAbortHandler)
+		case fateLate:
+			fake.box.postpone(fake.now(), func(now time.Time) { serve(now, question) })
 			panic(http.ErrAbortHandler)
 		}
 		answer, problem := serve(fake.now(), question)
