--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/standin/runner"
@@ -113,15 +114,18 @@
 // A Load is a steady stream of requests, spread over daemons.
 type Load struct {
 	stop    chan struct{}
+	once    sync.Once
 	group   sync.WaitGroup
 	mu      sync.Mutex
 	answers []Answer
 }
 
-// StartLoad sends requests at a rate per second until Stop. The calls come
-// from next, which gets their numbers, and target chooses their daemons.
-func StartLoad(rate int, next func(number int) Call, target func(number int) *Daemon) *Load {
+// StartLoad sends requests at a rate per second until Stop or the end of the
+// test. The calls come from next, which gets their numbers, and target chooses
+// their daemons.
+func StartLoad(t testing.TB, rate int, next func(number int) Call, target func(number int) *Daemon) *Load {
 	load := &Load{stop: make(chan struct{})}
+	t.Cleanup(func() { load.Stop() })
 	caller := NewCaller()
 	load.group.Go(func() {
 		defer caller.Close()
@@ -163,7 +167,7 @@
 
 // Stop ends the stream, waits for all answers and returns them.
 func (l *Load) Stop() []Answer {
-	close(l.stop)
+	l.once.Do(func() { close(l.stop) })
 	l.group.Wait()
 	return l.answers
 }
