Carry slots and service time in a peer's load

Cause: the choice of a peer compares expected waits, which need the number of slots and the mean time of use beside free slots and queue lengths.

--- /dev/null
+++ b/internal/connection/forwarder/envelope.go
@@ -0,0 +1,164 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/slotter"
+	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
+	"github.com/kumquatstack/kumquatstack/internal/request/attempter"
+)
+
+// Path is the path of the peer handler.
+const Path = "/forward/"
+
+// Header fields between daemons. Idempotency keys travel under other names,
+// because net/http sends requests with the usual names again on its own.
+const (
+	headerMethod     = "Kumquat-Method"
+	headerTarget     = "Kumquat-Target"
+	headerHost       = "Kumquat-Host"
+	headerHops       = "Kumquat-Hops"
+	headerUpstream   = "Kumquat-Upstream"
+	headerMissCost   = "Kumquat-Miss-Cost"
+	headerIdempotent = "Kumquat-Idempotent"
+	headerBound      = "Kumquat-Bound"
+	headerKey        = "Kumquat-Key"
+	headerOtherKey   = "Kumquat-Other-Key"
+	headerLoad       = "Kumquat-Load"
+	headerReason     = "Kumquat-Reason"
+	headerRunnerName = "Kumquat-Runner-Name"
+	headerRetryAfter = "Kumquat-Retry-After-Millis"
+)
+
+// renamed maps the names that net/http acts on to the names between daemons.
+var renamed = map[string]string{
+	answerer.HeaderIdempotencyKey: headerKey,
+	"X-Idempotency-Key":           headerOtherKey,
+}
+
+// errMalformed reports a forwarded request that can't be read.
+var errMalformed = errors.New("forwarded request is malformed")
+
+// wrap returns the request that carries a call to a peer.
+func wrap(ctx context.Context, call *attempter.Call, address string, now time.Time) (req *http.Request, err error) {
+	var body io.Reader
+	if reader := call.Body.Reader(); reader != nil {
+		body = reader
+	}
+	req, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+Path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = call.Body.Size()
+	if call.Body.IsRepeatable() && len(call.Body.Bytes) > 0 {
+		req.GetBody = func() (io.ReadCloser, error) {
+			return io.NopCloser(bytes.NewReader(call.Body.Bytes)), nil
+		}
+	}
+	req.Header = call.Header.Clone()
+	for name, other := range renamed {
+		if values := req.Header[name]; values != nil {
+			req.Header[other] = values
+			delete(req.Header, name)
+		}
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = []string{""}
+	}
+	req.Header.Set(headerMethod, call.Method)
+	req.Header.Set(headerTarget, call.Target)
+	req.Header.Set(headerHost, call.Host)
+	req.Header.Set(headerHops, strconv.Itoa(call.Hops+1))
+	req.Header.Set(headerUpstream, call.Upstream)
+	req.Header.Set(headerMissCost, strconv.Itoa(call.MissCost))
+	req.Header.Set(headerIdempotent, strconv.FormatBool(call.Idempotent))
+	req.Header.Set(headerBound, strconv.FormatBool(call.Bound))
+	req.Header.Set(answerer.HeaderRequest, call.Request)
+	req.Header.Set(answerer.HeaderCaller, call.Caller)
+	remaining := call.Deadline.Sub(now).Milliseconds()
+	req.Header.Set(answerer.HeaderDeadline, strconv.FormatInt(max(1, remaining), 10))
+	return req, nil
+}
+
+// unwrap returns the call that a peer's request carries.
+func unwrap(r *http.Request, now time.Time) (call *attempter.Call, err error) {
+	millis, err := strconv.ParseInt(r.Header.Get(answerer.HeaderDeadline), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%w: deadline: %w", errMalformed, err)
+	}
+	hops, err := strconv.Atoi(r.Header.Get(headerHops))
+	if err != nil {
+		return nil, fmt.Errorf("%w: hops: %w", errMalformed, err)
+	}
+	cost, err := strconv.Atoi(r.Header.Get(headerMissCost))
+	if err != nil {
+		return nil, fmt.Errorf("%w: cost of a miss: %w", errMalformed, err)
+	}
+	if r.ContentLength < 0 {
+		return nil, fmt.Errorf("%w: length is missing", errMalformed)
+	}
+	call = &attempter.Call{
+		Request:    r.Header.Get(answerer.HeaderRequest),
+		Upstream:   r.Header.Get(headerUpstream),
+		Caller:     r.Header.Get(answerer.HeaderCaller),
+		Method:     r.Header.Get(headerMethod),
+		Target:     r.Header.Get(headerTarget),
+		Host:       r.Header.Get(headerHost),
+		Header:     answerer.EndToEnd(r.Header),
+		Deadline:   now.Add(time.Duration(millis) * time.Millisecond),
+		MissCost:   cost,
+		Idempotent: r.Header.Get(headerIdempotent) == "true",
+		Hops:       hops,
+		Bound:      r.Header.Get(headerBound) == "true",
+	}
+	for name, other := range renamed {
+		if values := r.Header[other]; values != nil {
+			call.Header[name] = values
+		}
+	}
+	call.Header.Del("Content-Length")
+	call.Header.Del("Accept-Encoding")
+	if values := r.Header["Accept-Encoding"]; values != nil {
+		call.Header["Accept-Encoding"] = values
+	}
+	if call.Method == "" || call.Target == "" || call.Upstream == "" {
+		return nil, fmt.Errorf("%w: method, target or upstream is missing", errMalformed)
+	}
+	return call, nil
+}
+
+// formatLoad writes a load as a header field.
+func formatLoad(load slotter.Load) string {
+	return fmt.Sprintf("%d/%d/%d/%d", load.Slots, load.Free, load.Queued, load.Service.Microseconds())
+}
+
+// parseLoad reads a load from a header field.
+func parseLoad(value string, now time.Time) (load Load, ok bool) {
+	parts := strings.Split(value, "/")
+	if len(parts) != 4 {
+		return Load{}, false
+	}
+	var numbers [4]int64
+	for i, part := range parts {
+		number, err := strconv.ParseInt(part, 10, 64)
+		if err != nil || number < 0 {
+			return Load{}, false
+		}
+		numbers[i] = number
+	}
+	return Load{
+		Slots:   int(numbers[0]),
+		Free:    int(numbers[1]),
+		Queued:  int(numbers[2]),
+		Service: time.Duration(numbers[3]) * time.Microsecond,
+		SeenAt:  now,
+	}, true
+}
--- /dev/null
+++ b/internal/process/picker/health.go
@@ -0,0 +1,164 @@
+// Package picker decides which runner takes the next request. Its functions
+// are pure; the present time is an argument.
+package picker
+
+import "time"
+
+// An Observation is the outcome of one use of a runner.
+type Observation int
+
+// Outcomes of the use of a runner.
+const (
+	// Answered is a whole answer that doesn't blame the runner.
+	Answered Observation = iota
+	// Failed is a whole answer that blames the runner (status 5xx).
+	Failed
+	// Broken is an exchange without a whole answer.
+	Broken
+	// Unreachable is a connection that could not be opened.
+	Unreachable
+	// Withdrawn is an exchange that its caller ended.
+	Withdrawn
+)
+
+// Bounds of a runner's health.
+const (
+	// minEjection is the length of the first ejection.
+	minEjection = 500 * time.Millisecond
+	// maxEjection is the length of the longest ejection.
+	maxEjection = 15 * time.Second
+	// slowStart is the time in which a returned runner gets its slots back.
+	slowStart = 5 * time.Second
+	// failureWeight is the weight of the newest outcome in the failure share.
+	failureWeight = 0.15
+	// latencyWeight is the weight of the newest latency in its average.
+	latencyWeight = 0.1
+	// ejectionShare is the failure share above which a runner is ejected.
+	ejectionShare = 0.5
+	// slowFactor is the multiple of the median latency that counts as slow.
+	slowFactor = 3
+	// minLatencySamples is the number of answers before latency counts.
+	minLatencySamples = 10
+)
+
+// A Health is what this daemon has observed of one runner. It is immutable.
+type Health struct {
+	// failures is the weighted share of recent failures.
+	failures float64
+	// ejections counts ejections since the last lasting recovery.
+	ejections int
+	// ejectedUntil is the end of the ejection; zero if not ejected.
+	ejectedUntil time.Time
+	// probing is true from the end of an ejection to the first answer.
+	probing bool
+	// returnedAt is the time of the last recovery; zero if there was none.
+	returnedAt time.Time
+	// latency is the weighted average time of an answer.
+	latency time.Duration
+	samples int
+	// leavingUntil is the time until which the runner's own signal holds.
+	leavingUntil time.Time
+}
+
+// With returns the health after one more observation. The latency counts for
+// Answered only.
+func (h Health) With(seen Observation, latency time.Duration, now time.Time) Health {
+	switch seen {
+	case Answered:
+		return h.withAnswer(latency, now)
+	case Failed:
+		return h.withFailure(failureWeight, now)
+	case Broken:
+		return h.withFailure(2*failureWeight, now)
+	case Unreachable:
+		return h.withEjection(now)
+	default:
+		return h
+	}
+}
+
+// WithLeaving returns the health after the runner said that it is leaving.
+func (h Health) WithLeaving(until time.Time) Health {
+	h.leavingUntil = until
+	return h
+}
+
+// withAnswer returns the health after a good answer.
+func (h Health) withAnswer(latency time.Duration, now time.Time) Health {
+	h.failures *= 1 - failureWeight
+	if h.probing {
+		h.probing = false
+		h.returnedAt = now
+		h.failures = 0
+		h.samples = 0
+	}
+	if h.ejections > 0 && now.Sub(h.returnedAt) > maxEjection {
+		h.ejections = 0
+	}
+	if h.samples == 0 {
+		h.latency = latency
+	}
+	h.latency += time.Duration(latencyWeight * float64(latency-h.latency))
+	h.samples++
+	return h
+}
+
+// withFailure returns the health after a failure of some weight.
+func (h Health) withFailure(weight float64, now time.Time) Health {
+	h.failures += weight * (1 - h.failures)
+	if h.probing || h.failures > ejectionShare {
+		return h.withEjection(now)
+	}
+	return h
+}
+
+// withEjection returns the health at the start of an ejection.
+func (h Health) withEjection(now time.Time) Health {
+	if now.Before(h.ejectedUntil) {
+		return h
+	}
+	length := minEjection << min(h.ejections, 5)
+	h.ejections++
+	h.ejectedUntil = now.Add(min(length, maxEjection))
+	h.probing = true
+	return h
+}
+
+// IsEjected reports whether the runner gets nothing at the moment.
+func (h Health) IsEjected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+// EjectedUntil returns the end of the last ejection.
+func (h Health) EjectedUntil() time.Time { return h.ejectedUntil }
+
+// IsProbing reports whether the runner has to prove itself by one request.
+func (h Health) IsProbing() bool { return h.probing }
+
+// IsLeaving reports whether the runner's own signal of leaving holds.
+func (h Health) IsLeaving(now time.Time) bool { return now.Before(h.leavingUntil) }
+
+// Latency returns the average time of an answer, or zero if too few were seen.
+func (h Health) Latency() time.Duration {
+	if h.samples < minLatencySamples {
+		return 0
+	}
+	return h.latency
+}
+
+// Limit returns how many of a runner's slots may be used now. The median is
+// the typical latency of the upstream's runners; zero if unknown.
+func (h Health) Limit(slots int, median time.Duration, now time.Time) int {
+	if h.IsEjected(now) || h.IsLeaving(now) {
+		return 0
+	}
+	if h.probing {
+		return min(1, slots)
+	}
+	limit := slots
+	if since := now.Sub(h.returnedAt); !h.returnedAt.IsZero() && since < slowStart {
+		limit = 1 + int(float64(slots-1)*since.Seconds()/slowStart.Seconds())
+	}
+	if slow := h.Latency(); median > 0 && slow > slowFactor*median {
+		limit = min(limit, max(1, int(float64(slots*slowFactor)*median.Seconds()/slow.Seconds())))
+	}
+	return limit
+}
--- /dev/null
+++ b/internal/process/picker/pick.go
@@ -0,0 +1,72 @@
+package picker
+
+import (
+	"slices"
+	"time"
+)
+
+// A Candidate is one runner as a choice sees it.
+type Candidate struct {
+	// Near is true for runners in the data centre of this daemon.
+	Near bool
+	// Closed is true for runners that must get nothing, whatever their health.
+	Closed bool
+	// Slots is the runner's declared number of slots.
+	Slots int
+	// InFlight is the number of slots in use.
+	InFlight int
+	Health   Health
+}
+
+// Free returns the slots that may be used now.
+func (c Candidate) Free(median time.Duration, now time.Time) int {
+	if c.Closed {
+		return 0
+	}
+	return max(0, c.Health.Limit(c.Slots, median, now)-c.InFlight)
+}
+
+// Pick returns the index of the runner that takes the next request: a near one
+// first, then the one with the smallest share of its slots in use. The offset
+// rotates the choice among equals. Runners that have to prove themselves come
+// first if probe is true, and last otherwise. Pick returns false if no slot is
+// free.
+func Pick(candidates []Candidate, offset int, probe bool, median time.Duration, now time.Time) (index int, ok bool) {
+	for i := range candidates {
+		at := (i + offset) % len(candidates)
+		if candidates[at].Free(median, now) == 0 {
+			continue
+		}
+		if !ok || isBetter(candidates[at], candidates[index], probe) {
+			index, ok = at, true
+		}
+	}
+	return index, ok
+}
+
+// isBetter reports whether a is to be preferred over b.
+func isBetter(a, b Candidate, probe bool) bool {
+	if a.Health.probing != b.Health.probing {
+		return a.Health.probing == probe
+	}
+	if a.Near != b.Near {
+		return a.Near
+	}
+	return a.InFlight*b.Slots < b.InFlight*a.Slots
+}
+
+// Median returns the typical latency of the candidates, or zero if fewer than
+// three have a known latency.
+func Median(candidates []Candidate) time.Duration {
+	latencies := make([]time.Duration, 0, len(candidates))
+	for i := range candidates {
+		if latency := candidates[i].Health.Latency(); latency > 0 {
+			latencies = append(latencies, latency)
+		}
+	}
+	if len(latencies) < 3 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[len(latencies)/2]
+}
--- /dev/null
+++ b/internal/process/slotter/runner.go
@@ -0,0 +1,76 @@
+package slotter
+
+import (
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/exchanger"
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/picker"
+)
+
+// An idleConn is an open connection without a request.
+type idleConn struct {
+	conn  *exchanger.Conn
+	since time.Time
+}
+
+// A runner is one replica of an upstream. It is guarded by the table's lock.
+type runner struct {
+	host      lister.Host
+	partition owner.Partition
+	// listed is false for runners that are on the host list no more.
+	listed bool
+	// out is true while operators have taken the runner's data centre out.
+	out      bool
+	inFlight int
+	idle     []idleConn
+	health   picker.Health
+}
+
+// isUsable reports whether the host list and the operators let the runner work.
+func (r *runner) isUsable() bool {
+	return r.listed && !r.out && r.host.State == lister.StateLive
+}
+
+// popIdle removes the connection that was used last, or returns nil.
+func (r *runner) popIdle() *exchanger.Conn {
+	if len(r.idle) == 0 {
+		return nil
+	}
+	last := len(r.idle) - 1
+	conn := r.idle[last].conn
+	r.idle = r.idle[:last]
+	return conn
+}
+
+// takeIdle removes all idle connections.
+func (r *runner) takeIdle() []*exchanger.Conn {
+	conns := make([]*exchanger.Conn, 0, len(r.idle))
+	for _, idle := range r.idle {
+		conns = append(conns, idle.conn)
+	}
+	r.idle = nil
+	return conns
+}
+
+// takeStale removes the idle connections that have to be closed.
+func (r *runner) takeStale(mayUse bool, now time.Time) []*exchanger.Conn {
+	if len(r.idle) == 0 {
+		return nil
+	}
+	if !mayUse || !r.isUsable() {
+		return r.takeIdle()
+	}
+	var stale []*exchanger.Conn
+	kept := r.idle[:0]
+	for _, idle := range r.idle {
+		if now.Sub(idle.since) > idleTimeout {
+			stale = append(stale, idle.conn)
+			continue
+		}
+		kept = append(kept, idle)
+	}
+	r.idle = kept
+	return stale
+}
--- /dev/null
+++ b/internal/request/attempter/call.go
@@ -0,0 +1,94 @@
+// Package attempter carries out one urgent request on a runner of this daemon.
+package attempter
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
+)
+
+// A Call is one urgent request on its way to a runner. It is immutable, but
+// for a body that is read while it is sent.
+type Call struct {
+	// Request names the call in logs and the time line.
+	Request  string
+	Upstream string
+	Caller   string
+	Method   string
+	// Target is the request target: path and query.
+	Target string
+	Host   string
+	// Header holds the end-to-end fields.
+	Header   http.Header
+	Body     Body
+	Deadline time.Time
+	MissCost int
+	// Idempotent calls may be sent more than once.
+	Idempotent bool
+	// Hops is the number of daemons that the call has passed.
+	Hops int
+	// Bound keeps the call at this daemon, which has chosen to queue it.
+	Bound bool
+}
+
+// A Body is the body of a call: kept bytes or a stream that is read once.
+type Body struct {
+	Bytes  []byte
+	Stream io.Reader
+	// Length is the length of the stream.
+	Length int64
+}
+
+// IsRepeatable reports whether the body can be sent again.
+func (b Body) IsRepeatable() bool { return b.Stream == nil }
+
+// Size returns the length of the body.
+func (b Body) Size() int64 {
+	if b.Stream != nil {
+		return b.Length
+	}
+	return int64(len(b.Bytes))
+}
+
+// Reader returns a reader of the body; it is nil if the body is empty.
+func (b Body) Reader() io.Reader {
+	switch {
+	case b.Stream != nil:
+		return b.Stream
+	case len(b.Bytes) > 0:
+		return bytes.NewReader(b.Bytes)
+	default:
+		return nil
+	}
+}
+
+// NewRequest returns the request to a runner at an address.
+func (c *Call) NewRequest(ctx context.Context, address string) (req *http.Request, err error) {
+	target, err := url.ParseRequestURI(c.Target)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", address
+	req = &http.Request{
+		Method: c.Method, URL: target, Host: c.Host,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: c.Header.Clone(), Body: http.NoBody,
+	}
+	if req.Header == nil {
+		req.Header = make(http.Header)
+	}
+	if body := c.Body.Reader(); body != nil {
+		req.Body = io.NopCloser(body)
+		req.ContentLength = c.Body.Size()
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = []string{""}
+	}
+	req.Header.Set(answerer.HeaderRequest, c.Request)
+	return req.WithContext(ctx), nil
+}
