--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -98,7 +98,7 @@
 	if c.writeErr == nil {
 		return
 	}
-	if !c.writer.sent.Load() {
+	if !c.writer.isSent() {
 		c.closeTCP()
 		return
 	}
@@ -144,17 +144,14 @@
 
 // sendError makes the error of a broken exchange.
 func (c *Conn) sendError(ctx context.Context, cause error) error {
-	select {
-	case <-c.written:
-		if c.writeErr != nil {
-			cause = errors.Join(c.writeErr, cause)
-		}
-	default:
+	sent, refusal := c.writer.settle()
+	if refusal != nil {
+		cause = refusal
 	}
 	if ctx.Err() != nil {
 		cause = errors.Join(context.Cause(ctx), cause)
 	}
-	return &SendError{Sent: c.writer.sent.Load(), Cause: cause}
+	return &SendError{Sent: sent, Cause: cause}
 }
 
 // Reuse ends an exchange and reports whether the connection is idle again. If
@@ -168,7 +165,7 @@
 }
 
 // IsSent reports whether a byte of the last request may have left.
-func (c *Conn) IsSent() bool { return c.writer != nil && c.writer.sent.Load() }
+func (c *Conn) IsSent() bool { return c.writer != nil && c.writer.isSent() }
 
 // Drain ends an exchange whose connection can't be used again. It half-closes
 // the connection and returns when the runner has closed its side, or at the
--- a/internal/connection/exchanger/gate.go
+++ b/internal/connection/exchanger/gate.go
@@ -2,7 +2,7 @@
 
 import (
 	"net"
-	"sync/atomic"
+	"sync"
 )
 
 // A Gate is asked right before the first byte of a request is written. An
@@ -14,21 +14,60 @@
 type gatedWriter struct {
 	conn net.Conn
 	gate Gate
-	sent atomic.Bool
+
+	mu      sync.Mutex
+	sent    bool
+	closed  bool
+	refusal error // what the gate said
 }
 
 // Write implements io.Writer.
 func (w *gatedWriter) Write(p []byte) (int, error) {
-	first := !w.sent.Load()
-	if first && w.gate != nil {
-		if err := w.gate(); err != nil {
-			return 0, err
-		}
+	first, err := w.open()
+	if err != nil {
+		return 0, err
 	}
-	w.sent.Store(true)
 	n, err := w.conn.Write(p)
 	if first && n == 0 && err != nil {
-		w.sent.Store(false)
+		w.mu.Lock()
+		w.sent = false
+		w.mu.Unlock()
 	}
 	return n, err
 }
+
+// open asks the gate if nothing has been written yet.
+func (w *gatedWriter) open() (first bool, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return false, net.ErrClosed
+	}
+	if w.sent {
+		return false, nil
+	}
+	if w.gate != nil {
+		if err := w.gate(); err != nil {
+			w.refusal = err
+			return false, err
+		}
+	}
+	w.sent = true
+	return true, nil
+}
+
+// isSent reports whether a byte may have left.
+func (w *gatedWriter) isSent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent
+}
+
+// settle reports whether a byte may have left, and makes sure that none leaves
+// later if none has so far.
+func (w *gatedWriter) settle() (sent bool, refusal error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = !w.sent
+	return w.sent, w.refusal
+}
