--- a/internal/process/slotter/acquire.go
+++ b/internal/process/slotter/acquire.go
@@ -69,7 +69,7 @@
 	case <-ctx.Done():
 	}
 	s.withdraw(w, entry)
-	return nil, &errs.NotRunError{Reason: "deadline passed while waiting for a slot"}
+	return nil, &errs.NotRunError{Reason: "deadline passed while waiting for a slot", RetryAfter: time.Second}
 }
 
 // enqueue lets a request wait, or refuses it early.
@@ -146,7 +146,7 @@
 		w := entry.Item.Value
 		if !now.Before(w.ask.Deadline) {
 			up.queue.Remove(entry)
-			w.refuse(&errs.NotRunError{Reason: "deadline passed while waiting for a slot"})
+			w.refuse(&errs.NotRunError{Reason: "deadline passed while waiting for a slot", RetryAfter: time.Second})
 			continue
 		}
 		slot := s.take(up, w.ask, now)
