--- a/internal/connection/forwarder/envelope.go
+++ b/internal/connection/forwarder/envelope.go
@@ -29,7 +29,7 @@
 	headerUpstream   = "Kumquat-Upstream"
 	headerMissCost   = "Kumquat-Miss-Cost"
 	headerIdempotent = "Kumquat-Idempotent"
-	headerBound      = "Kumquat-Bound"
+	headerAvoid      = "Kumquat-Avoid"
 	headerKey        = "Kumquat-Key"
 	headerOtherKey   = "Kumquat-Other-Key"
 	headerLoad       = "Kumquat-Load"
@@ -80,11 +80,10 @@
 	req.Header.Set(headerUpstream, call.Upstream)
 	req.Header.Set(headerMissCost, strconv.Itoa(call.MissCost))
 	req.Header.Set(headerIdempotent, strconv.FormatBool(call.Idempotent))
-	req.Header.Set(headerBound, strconv.FormatBool(call.Bound))
+	req.Header.Set(headerAvoid, call.Avoid)
 	req.Header.Set(answerer.HeaderRequest, call.Request)
 	req.Header.Set(answerer.HeaderCaller, call.Caller)
-	remaining := call.Deadline.Sub(now).Milliseconds()
-	req.Header.Set(answerer.HeaderDeadline, strconv.FormatInt(max(1, remaining), 10))
+	req.Header.Set(answerer.HeaderDeadline, answerer.FormatRemaining(call.Deadline, now))
 	return req, nil
 }
 
@@ -116,8 +115,8 @@
 		Deadline:   now.Add(time.Duration(millis) * time.Millisecond),
 		MissCost:   cost,
 		Idempotent: r.Header.Get(headerIdempotent) == "true",
+		Avoid:      r.Header.Get(headerAvoid),
 		Hops:       hops,
-		Bound:      r.Header.Get(headerBound) == "true",
 	}
 	for name, other := range renamed {
 		if values := r.Header[other]; values != nil {
--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -173,7 +173,7 @@
 		cancel()
 		return nil, &attempter.Error{Outcome: answerer.OutcomeNotRun, Reason: "call can't be forwarded", Cause: err}
 	}
-	resp, err := f.opts.Transport.RoundTrip(req)
+	resp, err := f.opts.Transport.RoundTrip(req) //nolint:bodyclose // The answer's Release closes it.
 	if err != nil {
 		cancel()
 		return nil, f.broken(call, peer, connected.Load(), err)
--- a/internal/connection/forwarder/handler.go
+++ b/internal/connection/forwarder/handler.go
@@ -28,7 +28,7 @@
 
 // Handler returns the peer handler of this daemon.
 func (f *Forwarder) Handler() *Handler {
-	return &Handler{forwarder: f, local: attempter.NewLocal(f.opts.Slots)}
+	return &Handler{forwarder: f, local: attempter.NewLocal(f.opts.Slots, f.opts.Now)}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/request/attempter/call.go
+++ b/internal/request/attempter/call.go
@@ -30,10 +30,17 @@
 	MissCost int
 	// Idempotent calls may be sent more than once.
 	Idempotent bool
+	// Avoid is a runner that the call has failed on.
+	Avoid string
 	// Hops is the number of daemons that the call has passed.
 	Hops int
-	// Bound keeps the call at this daemon, which has chosen to queue it.
-	Bound bool
+}
+
+// WithAvoid returns a copy of the call that keeps away from a runner.
+func (c *Call) WithAvoid(runner string) *Call {
+	next := *c
+	next.Avoid = runner
+	return &next
 }
 
 // A Body is the body of a call: kept bytes or a stream that is read once.
@@ -67,8 +74,9 @@
 	}
 }
 
-// NewRequest returns the request to a runner at an address.
-func (c *Call) NewRequest(ctx context.Context, address string) (req *http.Request, err error) {
+// NewRequest returns the request to a runner at an address. It carries the
+// time that remains.
+func (c *Call) NewRequest(ctx context.Context, address string, now time.Time) (req *http.Request, err error) {
 	target, err := url.ParseRequestURI(c.Target)
 	if err != nil {
 		return nil, err
@@ -90,5 +98,6 @@
 		req.Header["User-Agent"] = []string{""}
 	}
 	req.Header.Set(answerer.HeaderRequest, c.Request)
+	req.Header.Set(answerer.HeaderDeadline, answerer.FormatRemaining(c.Deadline, now))
 	return req.WithContext(ctx), nil
 }
--- a/internal/request/attempter/local.go
+++ b/internal/request/attempter/local.go
@@ -17,18 +17,21 @@
 // Local carries out calls on the runners that this daemon owns.
 type Local struct {
 	slots *slotter.Slots
+	now   func() time.Time
 }
 
 var _ Executor = (*Local)(nil)
 
 // NewLocal returns an executor on this daemon's runners.
-func NewLocal(slots *slotter.Slots) *Local { return &Local{slots: slots} }
+func NewLocal(slots *slotter.Slots, now func() time.Time) *Local {
+	return &Local{slots: slots, now: now}
+}
 
 // AskFor returns what a call asks of the slots.
 func AskFor(call *Call) slotter.Ask {
 	return slotter.Ask{
 		Upstream: call.Upstream, Request: call.Request, Caller: call.Caller,
-		Deadline: call.Deadline, MissCost: call.MissCost, Idempotent: call.Idempotent,
+		Deadline: call.Deadline, MissCost: call.MissCost, Idempotent: call.Idempotent, Avoid: call.Avoid,
 	}
 }
 
@@ -67,12 +70,12 @@
 
 // try sends a call to one runner.
 func (l *Local) try(ctx context.Context, call *Call, slot *slotter.Slot) (answer *Answer, err error) {
-	req, err := call.NewRequest(ctx, slot.Address())
+	req, err := call.NewRequest(ctx, slot.Address(), l.now())
 	if err != nil {
 		slot.Release()
 		return nil, &Error{Outcome: answerer.OutcomeNotRun, Reason: "request target is malformed", Cause: err}
 	}
-	resp, err := slot.Do(ctx, req)
+	resp, err := slot.Do(ctx, req) //nolint:bodyclose // The slot's Release ends it.
 	if err == nil {
 		return &Answer{Response: resp, Runner: slot.Runner(), Release: slot.Release}, nil
 	}
