--- /dev/null
+++ b/internal/request/router/counters.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
+)
+
+// counters count requests by outcome.
+type counters struct {
+	answered, refused, notRun, unknown, cut, retried, replayed atomic.Int64
+}
+
+// count counts an answer of the system itself.
+func (c *counters) count(outcome answerer.Outcome, status int) {
+	switch {
+	case status < http.StatusInternalServerError:
+		c.refused.Add(1)
+	case outcome == answerer.OutcomeNotRun:
+		c.notRun.Add(1)
+	default:
+		c.unknown.Add(1)
+	}
+}
+
+// Counters returns the number of requests by outcome, for metrics.
+func (rt *Router) Counters() map[string]int64 {
+	c := &rt.counters
+	return map[string]int64{
+		"answered": c.answered.Load(),
+		"refused":  c.refused.Load(),
+		"notRun":   c.notRun.Load(),
+		"unknown":  c.unknown.Load(),
+		"cut":      c.cut.Load(),
+		"retried":  c.retried.Load(),
+		"replayed": c.replayed.Load(),
+		"active":   rt.active.Load(),
+	}
+}
