--- a/internal/process/claimkeeper/claim.go
+++ b/internal/process/claimkeeper/claim.go
@@ -2,19 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
-// errNotOwner returns the error of calls for partitions of others.
-func errNotOwner() error {
-	return twirp.WrapError(twirp.NewError(twirp.FailedPrecondition, errs.ErrNotOwner.Error()), errs.ErrNotOwner)
-}
-
 // Claim reserves a key. It waits for the result of an attempt in progress for
 // as long as the claim's deadline allows. GRANTED is answered only when the
 // claim is durable. The error wraps errs.ErrNotOwner.
@@ -24,7 +18,7 @@
 		now := k.opts.Now()
 		p := k.find(request.GetKey(), now)
 		if p == nil {
-			return nil, errNotOwner()
+			return nil, errs.ErrNotOwner
 		}
 		response, changed := k.claimOnce(ctx, p, request, now)
 		if response.GetState() != kumquatv1.ClaimState_CLAIM_STATE_IN_PROGRESS {
@@ -123,7 +117,7 @@
 	now := k.opts.Now()
 	p := k.find(report.GetKey(), now)
 	if p == nil {
-		return nil, errNotOwner()
+		return nil, errs.ErrNotOwner
 	}
 	p.mu.Lock()
 	c := p.claims[report.GetKey()]
@@ -149,7 +143,7 @@
 		}
 	})
 	if err != nil {
-		return nil, twirp.Unavailable.Errorf("report is not durable: %w", err)
+		return nil, fmt.Errorf("report is not durable: %w", err)
 	}
 	return &kumquatv1.CompleteResponse{Durable: true}, nil
 }
