--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -106,8 +106,8 @@
 		cluster.startDaemon(daemon)
 	}
 	if !options.Unready {
-		cluster.AwaitReady(cluster.Daemons...)
 		cluster.ApplyDeclarations()
+		cluster.AwaitReady(cluster.Daemons...)
 	}
 	return cluster
 }
--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -85,7 +85,7 @@
 		}
 	}
 	fmt.Fprintf(&document, `upstreams:
-- name: %s
+- name: %[1]s
   slotsPerRunner: 8
   connectionsPerRunner: 64
   maxDuration: 2s
@@ -93,20 +93,20 @@
   retryPercent: 10
   maxBodyBytes: 1048576
 routes:
-- path: %s
+- path: %[2]s
   upstream: %[1]s
-- path: %s
+- path: %[3]s
   upstream: %[1]s
   idempotent: true
-- path: %s
+- path: %[4]s
   upstream: %[1]s
   keyRequired: true
 teams:
-- name: %s
+- name: %[5]s
   quota: {cores: 10000, memoryGB: 10000, accelerators: 0}
   weight: 1
 classes:
-- name: %s
+- name: %[6]s
 batch:
   lease: 5s
   evictionsPerMinute: 60
