--- /dev/null
+++ b/internal/process/administrator/administrator.go
@@ -0,0 +1,162 @@
+// Package administrator serves the operators' tool.
+package administrator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/merger"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+// shardTimeout bounds one question to the owner of a shard.
+const shardTimeout = 3 * time.Second
+
+// A Change is the outcome of an accepted change of the declarations.
+type Change struct {
+	Version     int64
+	Unchanged   bool
+	Unconfirmed []string
+}
+
+// Configurations keeps the declarations.
+type Configurations interface {
+	Current() declarer.Version
+	Apply(ctx context.Context, document []byte, base int64) (Change, error)
+	SetDataCentre(ctx context.Context, name string, out bool) (Change, error)
+}
+
+// Members tells which daemons there are, this one included.
+type Members interface {
+	Daemons(now time.Time) []*kumquatv1.DaemonStatus
+	Sources() []merger.Source
+}
+
+// Settings are what an Administrator needs.
+type Settings struct {
+	Store          storer.Store
+	Configurations Configurations
+	Members        Members
+	// Peer returns the owner of a partition, this daemon included.
+	Peer     func(partition owner.Partition) (kumquatv1.Peer, bool)
+	Policy   placer.Policy
+	Recorder recorder.Recorder
+	Now      func() time.Time
+}
+
+// An Administrator implements the operators' service.
+type Administrator struct {
+	settings Settings
+}
+
+var _ kumquatv1.Operator = (*Administrator)(nil)
+
+// New returns an administrator.
+func New(settings Settings) *Administrator {
+	return &Administrator{settings: settings}
+}
+
+// current returns the version in force or the error of a daemon without one.
+func (a *Administrator) current() (*declarer.Version, error) {
+	version := a.settings.Configurations.Current()
+	if version.Declarations == nil {
+		return nil, &errs.RefusedError{
+			What:   "the call",
+			Why:    "this daemon has no declarations in force yet",
+			Remedy: "apply a declarations document, or wait until the store answers",
+		}
+	}
+	return &version, nil
+}
+
+// A census is what the owners of all shards report.
+type census struct {
+	shards  []*kumquatv1.ShardStatusResponse
+	missing []string
+}
+
+// survey asks the owners of all declared shards at once.
+func (a *Administrator) survey(ctx context.Context, d *declarer.Declarations, req *kumquatv1.ShardStatusRequest) census {
+	centres := d.DataCentreNames()
+	answers := make([]*kumquatv1.ShardStatusResponse, len(centres))
+	var group sync.WaitGroup
+	for i, centre := range centres {
+		group.Go(func() { answers[i] = a.askShard(ctx, centre, req) })
+	}
+	group.Wait()
+
+	var c census
+	for i, answer := range answers {
+		if answer == nil {
+			c.missing = append(c.missing, centres[i])
+			continue
+		}
+		c.shards = append(c.shards, answer)
+	}
+	return c
+}
+
+// askShard returns nil if the owner of a shard doesn't answer.
+func (a *Administrator) askShard(ctx context.Context, centre string, req *kumquatv1.ShardStatusRequest) *kumquatv1.ShardStatusResponse {
+	partition := owner.ShardOf(centre)
+	peer, ok := a.settings.Peer(partition)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, shardTimeout)
+	defer cancel()
+	answer, err := peer.ShardStatus(ctx, &kumquatv1.ShardStatusRequest{
+		Shard:        string(partition),
+		Intent:       req.Intent,
+		IncludeTasks: req.IncludeTasks,
+	})
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// Timeline implements kumquatv1.Operator.
+func (a *Administrator) Timeline(ctx context.Context, req *kumquatv1.TimelineRequest) (*kumquatv1.TimelineResponse, error) {
+	return merger.Merge(ctx, a.settings.Members.Sources(), req), nil
+}
+
+// GetDeclarations implements kumquatv1.Operator.
+func (a *Administrator) GetDeclarations(context.Context, *kumquatv1.GetDeclarationsRequest) (*kumquatv1.GetDeclarationsResponse, error) {
+	version := a.settings.Configurations.Current()
+	return &kumquatv1.GetDeclarationsResponse{Version: version.Number, Document: string(version.Document)}, nil
+}
+
+// Apply implements kumquatv1.Operator.
+func (a *Administrator) Apply(ctx context.Context, req *kumquatv1.ApplyRequest) (*kumquatv1.ApplyResponse, error) {
+	change, err := a.settings.Configurations.Apply(ctx, []byte(req.Document), req.BaseVersion)
+	if err != nil {
+		return nil, errorcoder.Encode(err)
+	}
+	return &kumquatv1.ApplyResponse{
+		Version:     change.Version,
+		Unchanged:   change.Unchanged,
+		Unconfirmed: change.Unconfirmed,
+	}, nil
+}
+
+// SetDataCentre implements kumquatv1.Operator.
+func (a *Administrator) SetDataCentre(ctx context.Context, req *kumquatv1.SetDataCentreRequest) (*kumquatv1.SetDataCentreResponse, error) {
+	change, err := a.settings.Configurations.SetDataCentre(ctx, req.DataCentre, req.Out)
+	if err != nil {
+		return nil, errorcoder.Encode(err)
+	}
+	return &kumquatv1.SetDataCentreResponse{
+		Version:     change.Version,
+		Unchanged:   change.Unchanged,
+		Unconfirmed: change.Unconfirmed,
+	}, nil
+}
--- /dev/null
+++ b/internal/process/administrator/cancel.go
@@ -0,0 +1,110 @@
+package administrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// maxCancelAttempts bounds the writes of one cancellation while others change
+// the same record.
+const maxCancelAttempts = 5
+
+// Cancel implements kumquatv1.Operator. The cancellation of a whole intent is
+// durable in its record before the shards are told; shards that can't be
+// reached read it from there.
+func (a *Administrator) Cancel(ctx context.Context, req *kumquatv1.CancelRequest) (*kumquatv1.CancelResponse, error) {
+	record, err := a.recordCancellation(ctx, req)
+	if err != nil {
+		return nil, errorcoder.Encode(err)
+	}
+	resp := &kumquatv1.CancelResponse{}
+	for _, shard := range record.Shards {
+		cancelled, err := a.cancelIn(ctx, shard.DataCentre, req)
+		if err != nil && len(req.TaskIds) > 0 {
+			return nil, errorcoder.Encode(err)
+		}
+		resp.Cancelled += cancelled
+	}
+	return resp, nil
+}
+
+// recordCancellation marks a whole intent as cancelled. The cancellation of
+// single tasks is kept by their shards alone.
+func (a *Administrator) recordCancellation(ctx context.Context, req *kumquatv1.CancelRequest) (*kumquatv1.IntentRecord, error) {
+	for range maxCancelAttempts {
+		record, revision, err := a.load(ctx, req.Intent)
+		if err != nil {
+			return nil, cancelError(req.Intent, err)
+		}
+		if len(req.TaskIds) > 0 || record.CancelledUnixMillis != 0 {
+			return record, nil
+		}
+		record.CancelledUnixMillis = a.settings.Now().UnixMilli()
+		err = a.replace(ctx, record, revision)
+		var unknown *errs.UnknownOutcomeError
+		if errors.Is(err, errs.ErrConflict) || errors.As(err, &unknown) {
+			continue
+		}
+		if err == nil {
+			a.settings.Recorder.Record(a.settings.Now(), EventIntentCancelled, recorder.Fields{"intent": req.Intent})
+		}
+		return record, err
+	}
+	return nil, &errs.UnknownOutcomeError{Op: "cancellation of " + req.Intent, Cause: errs.ErrConflict}
+}
+
+// cancelError explains why an intent could not be loaded.
+func cancelError(intent string, err error) error {
+	if !errors.Is(err, errs.ErrNotFound) {
+		return err
+	}
+	return &errs.RefusedError{
+		What:   "cancellation of " + intent,
+		Why:    "no intent of that name was confirmed",
+		Remedy: "see the names with `kumquat status`",
+	}
+}
+
+// replace writes a changed record over the revision it was read at.
+func (a *Administrator) replace(ctx context.Context, record *kumquatv1.IntentRecord, revision storer.Revision) error {
+	value, err := proto.Marshal(record)
+	if err != nil {
+		return fmt.Errorf("encode intent %s: %w", record.Id, err)
+	}
+	_, err = a.settings.Store.CompareAndSwap(ctx, storer.Swap{
+		Key:      IntentPrefix + record.Id,
+		Expected: revision,
+		Value:    value,
+	})
+	return err
+}
+
+// cancelIn tells the owner of one shard.
+func (a *Administrator) cancelIn(ctx context.Context, centre string, req *kumquatv1.CancelRequest) (int32, error) {
+	partition := owner.ShardOf(centre)
+	peer, ok := a.settings.Peer(partition)
+	if !ok {
+		return 0, fmt.Errorf("%s has no owner: %w", partition, errs.ErrNotOwner)
+	}
+	ctx, cancel := context.WithTimeout(ctx, shardTimeout)
+	defer cancel()
+	resp, err := peer.CancelTasks(ctx, &kumquatv1.CancelTasksRequest{
+		Shard:   string(partition),
+		Intent:  req.Intent,
+		TaskIds: req.TaskIds,
+	})
+	if err != nil {
+		return 0, err
+	}
+	return resp.Cancelled, nil
+}
--- /dev/null
+++ b/internal/process/administrator/plan.go
@@ -0,0 +1,131 @@
+package administrator
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/planner"
+)
+
+// intentDocumentName stands for an intent's file in error messages.
+const intentDocumentName = "intent"
+
+// Plan implements kumquatv1.Operator.
+func (a *Administrator) Plan(ctx context.Context, req *kumquatv1.PlanRequest) (*kumquatv1.PlanResponse, error) {
+	plan, err := a.plan(ctx, req.Document)
+	if err != nil {
+		return nil, errorcoder.Encode(err)
+	}
+	return &kumquatv1.PlanResponse{Plan: plan}, nil
+}
+
+// plan returns what an intent document would do now.
+func (a *Administrator) plan(ctx context.Context, document string) (*kumquatv1.Plan, error) {
+	version, err := a.current()
+	if err != nil {
+		return nil, err
+	}
+	intent, err := version.Declarations.CheckIntent(intentDocumentName, []byte(document))
+	if err != nil {
+		return nil, err
+	}
+	c := a.survey(ctx, version.Declarations, &kumquatv1.ShardStatusRequest{IncludeTasks: true})
+	if len(c.shards) == 0 {
+		return nil, &errs.RefusedError{
+			What:   "plan of " + intent.Name,
+			Why:    "no owner of a shard answers: " + strings.Join(c.missing, ", "),
+			Remedy: "see `kumquat status`; shards get an owner again seconds after a daemon has died",
+		}
+	}
+	request := planner.Request{
+		Intent:   intent,
+		Document: document,
+		Version:  version,
+		Shards:   c.shards,
+		Policy:   a.settings.Policy,
+	}
+	return planner.Plan(request, a.settings.Now()), nil
+}
+
+// Confirm implements kumquatv1.Operator.
+func (a *Administrator) Confirm(ctx context.Context, req *kumquatv1.ConfirmRequest) (*kumquatv1.ConfirmResponse, error) {
+	resp, err := a.confirm(ctx, req.Plan)
+	if err != nil {
+		a.settings.Recorder.Record(a.settings.Now(), EventConfirmRefused, recorder.Fields{
+			"intent": req.GetPlan().GetIntent(),
+			"reason": err.Error(),
+		})
+		return nil, errorcoder.Encode(err)
+	}
+	return resp, nil
+}
+
+// confirm makes a plan durable if it still holds.
+func (a *Administrator) confirm(ctx context.Context, plan *kumquatv1.Plan) (*kumquatv1.ConfirmResponse, error) {
+	if plan.GetId() == "" {
+		return nil, &errs.RefusedError{What: "confirmation", Why: "it holds no plan", Remedy: "make one with `kumquat plan`"}
+	}
+	found, err := a.findConfirmed(ctx, plan)
+	if err != nil || found != nil {
+		return found, err
+	}
+	current, err := a.plan(ctx, plan.Document)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkCurrent(plan, current); err != nil {
+		return nil, err
+	}
+	return a.create(ctx, newRecord(plan, current, a.settings.Now()))
+}
+
+// checkCurrent refuses a plan that no longer holds.
+func checkCurrent(plan, current *kumquatv1.Plan) error {
+	changes := planner.Changes(plan, current)
+	if len(changes) == 0 {
+		return nil
+	}
+	return &errs.RefusedError{
+		What:   "confirmation of " + plan.Intent,
+		Why:    strings.Join(changes, "; "),
+		Remedy: "make a new plan with `kumquat plan` and confirm that one",
+	}
+}
+
+// newRecord returns the durable record of a confirmed plan. The tasks are
+// divided over the shards as they would be now.
+func newRecord(plan, current *kumquatv1.Plan, now time.Time) *kumquatv1.IntentRecord {
+	return &kumquatv1.IntentRecord{
+		Id:                  current.Intent,
+		Team:                current.Team,
+		Class:               current.Class,
+		Kind:                current.Kind,
+		Resources:           current.Resources,
+		Shards:              current.Shards,
+		DeadlineUnixMillis:  plan.DeadlineUnixMillis,
+		ExpectedRunMillis:   current.ExpectedRunMillis,
+		ConfirmedUnixMillis: now.UnixMilli(),
+		Plan:                plan.Id,
+		Document:            current.Document,
+		Spread:              current.Kind == kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING,
+	}
+}
+
+// recordConfirmed notes that an intent became durable.
+func (a *Administrator) recordConfirmed(record *kumquatv1.IntentRecord) {
+	tasks := int32(0)
+	for _, shard := range record.Shards {
+		tasks += shard.Count
+	}
+	a.settings.Recorder.Record(a.settings.Now(), EventIntentConfirmed, recorder.Fields{
+		"intent": record.Id,
+		"team":   record.Team,
+		"tasks":  strconv.Itoa(int(tasks)),
+	})
+}
