--- /dev/null
+++ b/internal/process/hlc/clock.go
@@ -0,0 +1,59 @@
+// Package hlc implements a hybrid logical clock, which orders events of all
+// daemons: an event that could have caused another has the lower reading.
+package hlc
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// counterBits is the number of low bits that count events within one tick.
+	counterBits = 16
+	counterMask = 1<<counterBits - 1
+	// MaxAhead bounds how far a remote reading may be ahead of the local wall
+	// clock; readings beyond it are ignored.
+	MaxAhead = time.Minute
+)
+
+// A Clock is a hybrid logical clock. Readings are nanoseconds since 1970 whose
+// lowest 16 bits count events. The zero value is ready for use.
+type Clock struct {
+	mu   sync.Mutex
+	last uint64
+}
+
+// Now returns a reading larger than all earlier ones of this clock.
+func (c *Clock) Now(now time.Time) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.advance(now)
+}
+
+// Observe takes in the reading of another clock, so that later readings of
+// this clock are larger, and returns the clock's new reading. It reports
+// whether the remote reading was plausible.
+func (c *Clock) Observe(remote uint64, now time.Time) (reading uint64, plausible bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	plausible = remote <= physical(now.Add(MaxAhead))
+	if plausible {
+		c.last = max(c.last, remote)
+	}
+	return c.advance(now), plausible
+}
+
+// advance moves the clock on; the caller holds mu.
+func (c *Clock) advance(now time.Time) uint64 {
+	c.last = max(c.last+1, physical(now))
+	return c.last
+}
+
+// Time returns the wall time of a reading.
+func Time(reading uint64) time.Time {
+	return time.Unix(0, int64(reading&^counterMask))
+}
+
+func physical(now time.Time) uint64 {
+	return uint64(max(now.UnixNano(), 0)) &^ counterMask
+}
--- /dev/null
+++ b/internal/process/member/identity.go
@@ -0,0 +1,74 @@
+// Package member registers the daemon in the store under a lease, exchanges
+// heartbeats with the other daemons and keeps the view of all members.
+package member
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
+)
+
+// Prefix is the prefix of all member records.
+const Prefix = watcher.Root + "members/"
+
+const (
+	// LeaseTTL is the time to live of a member's lease.
+	LeaseTTL = 4 * time.Second
+	// LeaseMargin is how long before its lease could lapse a daemon stops
+	// relying on it. It covers clock drift and the way from check to act.
+	LeaseMargin = 500 * time.Millisecond
+	// HeartbeatInterval is the time between heartbeats to a peer.
+	HeartbeatInterval = 500 * time.Millisecond
+	// SilentAfter is the time without an answer after which a peer counts as
+	// unreachable.
+	SilentAfter = 3 * HeartbeatInterval
+
+	keepAliveInterval = LeaseTTL / 4
+	keepAliveTimeout  = time.Second
+	heartbeatTimeout  = 400 * time.Millisecond
+	// claimPatience is how long registration waits for a former lease of the
+	// same name to lapse before it gives the name up as taken.
+	claimPatience = 3 * LeaseTTL
+)
+
+// An Identity is what a daemon knows of itself from its settings.
+type Identity struct {
+	Daemon     string `json:"daemon"`
+	Address    string `json:"address"` // IP number and port of the peer service
+	DataCentre string `json:"dataCentre"`
+	Region     string `json:"region"`
+}
+
+// A record is the stored value of a member.
+type record struct {
+	Identity
+	// Token is unique to the writing process.
+	Token string `json:"token"`
+}
+
+// A Member is one registered incarnation of a daemon.
+type Member struct {
+	Identity
+	// Incarnation is the store revision of the member's record.
+	Incarnation int64
+	Token       string
+}
+
+// Key returns the key of a daemon's member record.
+func Key(daemon string) string { return Prefix + daemon }
+
+// Parse reads a member record.
+func Parse(entry storer.Entry) (m Member, err error) {
+	var r record
+	if err := json.Unmarshal(entry.Value, &r); err != nil {
+		return Member{}, fmt.Errorf("member record %s: %w", entry.Key, err)
+	}
+	if r.Daemon != strings.TrimPrefix(entry.Key, Prefix) {
+		return Member{}, fmt.Errorf("member record %s names daemon %q", entry.Key, r.Daemon)
+	}
+	return Member{Identity: r.Identity, Incarnation: int64(entry.Revision), Token: r.Token}, nil
+}
