--- a/internal/process/member/registrar.go
+++ b/internal/process/member/registrar.go
@@ -60,6 +60,9 @@
 // Identity returns the daemon's own identity.
 func (g *Registrar) Identity() Identity { return g.identity }
 
+// Token returns the token of this process in its records.
+func (g *Registrar) Token() string { return g.token }
+
 // Lease returns the lease as it stands.
 func (g *Registrar) Lease() Lease {
 	g.mu.Lock()
@@ -173,7 +176,7 @@
 		case <-ticker.C:
 		}
 		if err := g.renew(ctx); errors.Is(err, errs.ErrNotFound) {
-			lost := g.Lease()
+			lost := g.endLease()
 			g.record.Record(time.Now(), EventLeaseLost, recorder.Fields{
 				"daemon":      g.identity.Daemon,
 				"incarnation": strconv.FormatInt(lost.Incarnation, 10),
@@ -212,6 +215,14 @@
 	}
 }
 
+// endLease notes that the lease has lapsed in the store.
+func (g *Registrar) endLease() Lease {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lease = g.lease.WithRenewal(g.lease.Renewed, 0)
+	return g.lease
+}
+
 // Close gives the lease back, so that the others see the daemon gone at once.
 // Run has to have returned.
 func (g *Registrar) Close(ctx context.Context) (err error) {
--- /dev/null
+++ b/internal/process/owner/partitions.go
@@ -0,0 +1,83 @@
+package owner
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+)
+
+const (
+	// RunnerPartitions is the number of runner partitions of a data centre.
+	RunnerPartitions = 8
+	// ClaimPartitions is the number of partitions of idempotency keys.
+	ClaimPartitions = 16
+)
+
+// A Kind groups partitions that are decided alike.
+type Kind string
+
+// Kinds of partitions.
+const (
+	KindRunners Kind = "runners"
+	KindClaims  Kind = "claims"
+	KindShard   Kind = "shard"
+)
+
+// RunnersOf returns the partition of a runner.
+func RunnersOf(dataCentre, runner string) Partition {
+	return runners(dataCentre, int(xxhash.Sum64String(runner)%RunnerPartitions))
+}
+
+// ClaimsOf returns the partition of an idempotency key.
+func ClaimsOf(key string) Partition {
+	return claims(int(xxhash.Sum64String(key) % ClaimPartitions))
+}
+
+// ShardOf returns the partition of a data centre's tasks and workers.
+func ShardOf(dataCentre string) Partition {
+	return Partition(string(KindShard) + ":" + dataCentre)
+}
+
+func runners(dataCentre string, index int) Partition {
+	return Partition(string(KindRunners) + ":" + dataCentre + ":" + strconv.Itoa(index))
+}
+
+func claims(index int) Partition {
+	return Partition(string(KindClaims) + ":" + strconv.Itoa(index))
+}
+
+// Partitions returns all partitions of the declared data centres.
+func Partitions(declared *declarer.Declarations) []Partition {
+	var all []Partition
+	for _, region := range declared.Regions {
+		for _, dc := range region.DataCentres {
+			all = append(all, ShardOf(dc.Name))
+			for i := range RunnerPartitions {
+				all = append(all, runners(dc.Name, i))
+			}
+		}
+	}
+	for i := range ClaimPartitions {
+		all = append(all, claims(i))
+	}
+	return all
+}
+
+// Kind returns the partition's kind.
+func (p Partition) Kind() Kind {
+	kind, _, _ := strings.Cut(string(p), ":")
+	return Kind(kind)
+}
+
+// DataCentre returns the data centre of a partition, or "" if it has none.
+func (p Partition) DataCentre() string {
+	if p.Kind() == KindClaims {
+		return ""
+	}
+	_, rest, _ := strings.Cut(string(p), ":")
+	dataCentre, _, _ := strings.Cut(rest, ":")
+	return dataCentre
+}
