Assemble the daemon

Cause: the parts exist and have to be wired into one process. Change: package daemon makes the parts, serves the four listeners, opens and closes shards with their partitions, and stops in order: leave the balancer, drain callers, hand partitions over, drain peers, give the lease back.

--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -11,7 +11,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/merger"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
-	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
@@ -139,7 +138,7 @@
 func (a *Administrator) Apply(ctx context.Context, req *kumquatv1.ApplyRequest) (*kumquatv1.ApplyResponse, error) {
 	change, err := a.settings.Configurations.Apply(ctx, []byte(req.Document), req.BaseVersion)
 	if err != nil {
-		return nil, errorcoder.Encode(err)
+		return nil, err
 	}
 	return &kumquatv1.ApplyResponse{
 		Version:     change.Version,
@@ -152,7 +151,7 @@
 func (a *Administrator) SetDataCentre(ctx context.Context, req *kumquatv1.SetDataCentreRequest) (*kumquatv1.SetDataCentreResponse, error) {
 	change, err := a.settings.Configurations.SetDataCentre(ctx, req.DataCentre, req.Out)
 	if err != nil {
-		return nil, errorcoder.Encode(err)
+		return nil, err
 	}
 	return &kumquatv1.SetDataCentreResponse{
 		Version:     change.Version,
--- a/internal/process/administrator/cancel.go
+++ b/internal/process/administrator/cancel.go
@@ -11,7 +11,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
-	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -25,13 +24,13 @@
 func (a *Administrator) Cancel(ctx context.Context, req *kumquatv1.CancelRequest) (*kumquatv1.CancelResponse, error) {
 	record, err := a.recordCancellation(ctx, req)
 	if err != nil {
-		return nil, errorcoder.Encode(err)
+		return nil, err
 	}
 	resp := &kumquatv1.CancelResponse{}
 	for _, shard := range record.Shards {
 		cancelled, err := a.cancelIn(ctx, shard.DataCentre, req)
 		if err != nil && len(req.TaskIds) > 0 {
-			return nil, errorcoder.Encode(err)
+			return nil, err
 		}
 		resp.Cancelled += cancelled
 	}
--- a/internal/process/administrator/plan.go
+++ b/internal/process/administrator/plan.go
@@ -8,7 +8,6 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
-	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/version/planner"
 )
@@ -20,7 +19,7 @@
 func (a *Administrator) Plan(ctx context.Context, req *kumquatv1.PlanRequest) (*kumquatv1.PlanResponse, error) {
 	plan, err := a.plan(ctx, req.Document)
 	if err != nil {
-		return nil, errorcoder.Encode(err)
+		return nil, err
 	}
 	return &kumquatv1.PlanResponse{Plan: plan}, nil
 }
@@ -61,7 +60,7 @@
 			"intent": req.GetPlan().GetIntent(),
 			"reason": err.Error(),
 		})
-		return nil, errorcoder.Encode(err)
+		return nil, err
 	}
 	return resp, nil
 }
--- a/internal/process/administrator/status.go
+++ b/internal/process/administrator/status.go
@@ -5,7 +5,6 @@
 	"context"
 	"slices"
 
-	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -13,7 +12,7 @@
 func (a *Administrator) Status(ctx context.Context, req *kumquatv1.StatusRequest) (*kumquatv1.StatusResponse, error) {
 	version, err := a.current()
 	if err != nil {
-		return nil, errorcoder.Encode(err)
+		return nil, err
 	}
 	c := a.survey(ctx, version.Declarations, &kumquatv1.ShardStatusRequest{Intent: req.Intent, IncludeTasks: true})
 	resp := &kumquatv1.StatusResponse{
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,287 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/connection/dialer"
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/process/administrator"
+	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
+	"github.com/kumquatstack/kumquatstack/internal/process/counter"
+	"github.com/kumquatstack/kumquatstack/internal/process/hlc"
+	"github.com/kumquatstack/kumquatstack/internal/process/hostwatcher"
+	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/responder"
+	"github.com/kumquatstack/kumquatstack/internal/process/settings"
+	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+// Store call budget of one daemon.
+const (
+	storeCallsPerSecond = 200
+	storeCallsBurst     = 200
+	storeCallTimeout    = 2 * time.Second
+	// storeWatchIdle ends a watch that may have lost its connection.
+	storeWatchIdle = 30 * time.Second
+)
+
+// controlPrefix is the prefix of the store's keys that every daemon watches.
+const controlPrefix = "/kumquat/v1/ctl/"
+
+// A Daemon is one kumquatd with all its parts. It lives as long as the
+// process.
+type Daemon struct {
+	settings *settings.Settings
+	recorder *recorder.Ring
+	metrics  *counter.Set
+	clock    *hlc.Clock
+
+	store      *storer.Client
+	watcher    *watcher.Watcher
+	configurer *configurer.Configurer
+	group      *member.Group
+	owner      *owner.Owner
+	dialer     *dialer.Dialer
+	agents     *commander.Client
+	hosts      *hostwatcher.Watcher
+	responder  *responder.Responder
+	shards     *shards
+	requests   *requests
+	servers    *servers
+}
+
+// New assembles a daemon. It makes no connection yet.
+func New(set *settings.Settings, logger log.Interface) (*Daemon, error) {
+	d := &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
+	d.recorder = recorder.NewRing(set.Name, set.EventBytes, func() uint64 { return d.clock.Now(time.Now()) }, logger)
+	d.store = storer.NewClient(storer.Options{
+		Endpoint:    set.Store.Endpoint,
+		CallTimeout: storeCallTimeout,
+		Rate:        storeCallsPerSecond,
+		Burst:       storeCallsBurst,
+		WatchIdle:   storeWatchIdle,
+		Recorder:    d.recorder,
+	})
+	d.dialer = dialer.New(set.Scheme(), dialer.NewClient(dialer.NewDialFunc(set.Reroute)))
+	d.agents = commander.NewClient(commander.Options{})
+	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
+	d.addConfigurer()
+	d.addGroup()
+	d.addOwner()
+	d.requests = newRequests(d)
+	d.shards = newShards(d)
+	d.addHosts()
+	d.responder = d.newResponder()
+	d.servers = newServers(d)
+	d.metrics.PublishRuntime()
+	return d, nil
+}
+
+// addConfigurer adds the keeper of the declarations.
+func (d *Daemon) addConfigurer() {
+	d.configurer = configurer.New(configurer.Settings{
+		Store:    d.store,
+		Watcher:  d.watcher,
+		Recorder: d.recorder,
+		Dial:     d.dialer.Peer,
+		Parse: func(document []byte) (*declarer.Declarations, error) {
+			return declarer.Parse("declarations", document)
+		},
+		Encode: declarer.Encode,
+	})
+}
+
+// addGroup adds the daemon's membership.
+func (d *Daemon) addGroup() {
+	d.group = member.New(member.Settings{
+		Identity: member.Identity{
+			Daemon:     d.settings.Name,
+			Address:    d.settings.Advertise.Peers,
+			DataCentre: d.settings.DataCentre,
+			Region:     d.settings.Region,
+		},
+		Store:         d.store,
+		Watcher:       d.watcher,
+		Clock:         d.clock,
+		Recorder:      d.recorder,
+		Dial:          d.dialer.Peer,
+		Seeds:         d.settings.Seeds,
+		Upstreams:     func() []*kumquatv1.UpstreamLoad { return d.requests.loads(time.Now()) },
+		Configuration: d.configurer.State,
+	})
+	d.configurer.Join(d.group)
+}
+
+// addOwner adds the decider on partitions.
+func (d *Daemon) addOwner() {
+	d.owner = owner.New(owner.Settings{
+		Store:        d.store,
+		Watcher:      d.watcher,
+		Group:        d.group,
+		Starter:      d.configurer,
+		Recorder:     d.recorder,
+		Declarations: d.configurer.Declarations,
+		StoreRegion:  d.settings.Store.Region,
+		OnAcquire:    d.acquired,
+		OnLose:       d.lost,
+	})
+	d.configurer.OnChange(func(declarer.Version) { d.owner.Wake() })
+}
+
+// addHosts adds the reader of the platform's host list.
+func (d *Daemon) addHosts() {
+	d.hosts = hostwatcher.New(hostwatcher.Options{
+		Lister:   lister.NewClient(d.settings.HostList.Endpoint),
+		Interval: d.settings.HostList.PollInterval,
+		Recorder: d.recorder,
+		Now:      time.Now,
+		Changed:  d.requests.setHosts,
+	})
+}
+
+// newResponder returns the answerer of peers' calls.
+func (d *Daemon) newResponder() *responder.Responder {
+	return responder.New(responder.Parts{
+		Members:        d.group,
+		Pledges:        noPledges{},
+		Configurations: d.configurer,
+		Claims:         d.requests,
+		Events:         d.recorder,
+		Shard:          d.shards.find,
+	})
+}
+
+// newAdministrator returns the answerer of the operators' tool.
+func (d *Daemon) newAdministrator() *administrator.Administrator {
+	return administrator.New(administrator.Settings{
+		Store:          d.store,
+		Configurations: configurations{d.configurer},
+		Members:        directory{d},
+		Peer:           d.peerOf,
+		Policy:         placer.NewProtective(),
+		Recorder:       d.recorder,
+		Now:            time.Now,
+	})
+}
+
+// peerOf returns the owner of a partition, this daemon included.
+func (d *Daemon) peerOf(partition owner.Partition) (kumquatv1.Peer, bool) {
+	name, address, ok := d.owner.OwnerOf(partition)
+	if !ok {
+		return nil, false
+	}
+	if name == d.settings.Name {
+		return d.responder, true
+	}
+	return d.dialer.Peer(address), true
+}
+
+// acquired begins work on a partition.
+func (d *Daemon) acquired(partition owner.Partition, epoch owner.Epoch) {
+	switch partition.Kind() {
+	case owner.KindShard:
+		d.shards.acquire(partition, epoch)
+	case owner.KindClaims:
+		d.requests.openClaims(partition, epoch)
+	}
+}
+
+// lost ends work on a partition and waits for it.
+func (d *Daemon) lost(partition owner.Partition, reason owner.Reason) {
+	switch partition.Kind() {
+	case owner.KindShard:
+		d.shards.lose(partition)
+	case owner.KindClaims:
+		d.requests.closeClaims(partition)
+	case owner.KindRunners:
+		d.requests.loseRunners(partition, reason)
+	}
+}
+
+// Run serves until the context ends, then stops in an orderly way. It returns
+// nil after a planned stop.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	// The parts outlive the context, since a planned stop needs them.
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := d.servers.listen(); err != nil {
+		return err
+	}
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return d.watcher.Run(work) })
+	group.Go(func() error { return d.configurer.Run(work) })
+	group.Go(func() error { return d.group.Run(work) })
+	group.Go(func() error { return d.owner.Run(work) })
+	group.Go(func() error { return d.hosts.Run(work) })
+	group.Go(d.servers.serve)
+	d.recorder.Record(time.Now(), EventStarted, recorder.Fields{"dataCentre": d.settings.DataCentre})
+
+	stopped := false
+	select {
+	case <-ctx.Done():
+		stopped = true
+		d.stop(context.WithoutCancel(ctx))
+	case <-work.Done():
+	}
+	cancel()
+	d.servers.abort()
+	err = group.Wait()
+	d.close()
+	if stopped {
+		return nil
+	}
+	return err
+}
+
+// stop ends the daemon's work without cutting off a request.
+func (d *Daemon) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
+	defer cancel()
+	d.recorder.Record(time.Now(), EventStopping, nil)
+	d.group.SetLeaving()
+	d.servers.setLeaving()
+	wait(ctx, d.settings.BalancerDelay)
+	d.servers.drainCallers(ctx)
+	d.requests.drain(ctx)
+	if err := d.owner.Close(ctx); err != nil {
+		d.recorder.Record(time.Now(), EventHandoverIncomplete, recorder.Fields{"reason": err.Error()})
+	}
+	d.servers.drainPeers(ctx)
+	d.recorder.Record(time.Now(), EventStopped, nil)
+}
+
+// close gives back what outlives the parts' goroutines.
+func (d *Daemon) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeCallTimeout)
+	defer cancel()
+	// A lease that can't be given back lapses by itself.
+	_ = d.group.Close(ctx)
+	d.requests.close()
+	d.dialer.Close()
+	_ = d.agents.Close()
+}
+
+// wait sleeps until the time has passed or the context ends.
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Metrics returns the daemon's metrics.
+func (d *Daemon) Metrics() http.Handler { return d.metrics }
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -2,15 +2,93 @@
 package daemon
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
-	_ "net/http" // The programs link the C library through package net.
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/settings"
+)
+
+// Version is the version that the daemon reports.
+const Version = "0.1.0"
+
+// Exit codes of kumquatd.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitSettings = 3
 )
 
-// Main runs the daemon and returns its exit code.
-func Main(_ []string, stdout, _ io.Writer) int {
-	if _, err := fmt.Fprintln(stdout, "kumquatd"); err != nil {
-		return 1
+// options are the daemon's command line.
+type options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this daemon"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs the daemon until SIGTERM or SIGINT and returns its exit code: 0
+// after a planned stop, 1 if the daemon failed, 2 for a faulty command line, 3
+// for faulty settings.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var opts options
+	parser := flags.NewNamedParser("kumquatd", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
+		return report(stderr, err, exitFailed)
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		var flagError *flags.Error
+		if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+			return report(stdout, err, exitOK)
+		}
+		return report(stderr, err, exitUsage)
+	}
+	if opts.Version {
+		return report(stdout, fmt.Errorf("kumquatd %s", Version), exitOK)
+	}
+	if opts.Settings == "" {
+		return report(stderr, errors.New("no settings file given; use --settings FILE"), exitUsage)
+	}
+	return run(opts.Settings, stderr)
+}
+
+// run runs the daemon with a settings file.
+func run(path string, stderr io.Writer) int {
+	set, err := settings.Load(path)
+	if err != nil {
+		return report(stderr, err, exitSettings)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d, err := New(set, newLogger(stderr, set))
+	if err != nil {
+		return report(stderr, err, exitFailed)
+	}
+	if err := d.Run(ctx); err != nil {
+		return report(stderr, err, exitFailed)
+	}
+	return exitOK
+}
+
+// newLogger returns a logger of JSON lines.
+func newLogger(w io.Writer, set *settings.Settings) log.Interface {
+	level, err := log.ParseLevel(set.LogLevel)
+	if err != nil {
+		level = log.InfoLevel
 	}
-	return 0
+	return (&log.Logger{Handler: json.New(w), Level: level}).WithField("daemon", set.Name)
+}
+
+// report prints a message and returns the exit code.
+func report(w io.Writer, message error, code int) int {
+	// Nothing is left to do if the message can't be written.
+	_, _ = fmt.Fprintln(w, message)
+	return code
 }
--- /dev/null
+++ b/internal/process/daemon/servers.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/forwarder"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// Limits of the daemon's listeners.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// A listener is one address that the daemon serves.
+type listener struct {
+	address string
+	server  *http.Server
+	socket  net.Listener
+}
+
+// servers are the daemon's listeners.
+type servers struct {
+	daemon    *Daemon
+	callers   *listener
+	peers     *listener
+	operators *listener
+	health    *listener
+	leaving   atomic.Bool
+}
+
+// newServers returns the listeners of a daemon whose parts are assembled.
+func newServers(d *Daemon) *servers {
+	s := &servers{daemon: d}
+	listen := d.settings.Listen
+	s.callers = newListener(listen.Callers, d.requests.router)
+	s.peers = newListener(listen.Peers, s.peerMux())
+	s.operators = newListener(listen.Operators, kumquatv1.NewOperatorServer(d.newAdministrator(), errorcoder.ServerOption()))
+	s.health = newListener(listen.Health, s.healthMux())
+	return s
+}
+
+func newListener(address string, handler http.Handler) *listener {
+	return &listener{address: address, server: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}}
+}
+
+// all returns the listeners in the order in which they are opened.
+func (s *servers) all() []*listener {
+	return []*listener{s.health, s.peers, s.operators, s.callers}
+}
+
+// peerMux serves the peer protocol and forwarded requests.
+func (s *servers) peerMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(kumquatv1.PeerPathPrefix, kumquatv1.NewPeerServer(s.daemon.responder, errorcoder.ServerOption()))
+	mux.Handle(forwarder.Path, s.daemon.requests.forwarder.Handler())
+	return mux
+}
+
+// healthMux serves the balancer's probes and the metrics.
+func (s *servers) healthMux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.Handle("GET /debug/vars", s.daemon.metrics)
+	return mux
+}
+
+// serveReady tells the balancer whether to send callers here.
+func (s *servers) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.leaving.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case s.daemon.configurer.Declarations() == nil:
+		http.Error(w, "no declarations in force", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// listen opens all addresses.
+func (s *servers) listen() (err error) {
+	for _, l := range s.all() {
+		if l.socket, err = net.Listen("tcp", l.address); err != nil {
+			s.closeSockets()
+			return eris.Wrapf(err, "listen on %s", l.address)
+		}
+	}
+	return nil
+}
+
+func (s *servers) closeSockets() {
+	for _, l := range s.all() {
+		if l.socket != nil {
+			// The daemon ends with the error that led here.
+			_ = l.socket.Close()
+		}
+	}
+}
+
+// serve serves until all listeners are shut down.
+func (s *servers) serve() error {
+	var group errgroup.Group
+	for _, l := range s.all() {
+		group.Go(func() error {
+			err := l.server.Serve(l.socket)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			s.daemon.recorder.Record(time.Now(), EventServerFailed, recorder.Fields{
+				"address": l.address,
+				"reason":  err.Error(),
+			})
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+// setLeaving makes the balancer send callers elsewhere.
+func (s *servers) setLeaving() {
+	s.leaving.Store(true)
+	s.callers.server.SetKeepAlivesEnabled(false)
+}
+
+// drainCallers stops accepting callers and waits for those being served.
+func (s *servers) drainCallers(ctx context.Context) {
+	// What is still open when the context ends is cut by abort.
+	_ = s.callers.server.Shutdown(ctx)
+}
+
+// drainPeers stops accepting peers and operators and waits for their calls.
+func (s *servers) drainPeers(ctx context.Context) {
+	_ = s.peers.server.Shutdown(ctx)
+	_ = s.operators.server.Shutdown(ctx)
+}
+
+// abort closes what is still open.
+func (s *servers) abort() {
+	for _, l := range s.all() {
+		// Nothing can be done about a socket that can't be closed.
+		_ = l.server.Close()
+	}
+}
--- a/internal/process/responder/responder.go
+++ b/internal/process/responder/responder.go
@@ -7,7 +7,6 @@
 	"fmt"
 
 	"github.com/kumquatstack/kumquatstack/internal/errs"
-	"github.com/kumquatstack/kumquatstack/internal/rpc/errorcoder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -86,7 +85,7 @@
 func (r *Responder) owned(name string) (Shard, error) {
 	shard, ok := r.shard(name)
 	if !ok {
-		return nil, errorcoder.Encode(fmt.Errorf("%s: %w", name, errs.ErrNotOwner))
+		return nil, fmt.Errorf("%s: %w", name, errs.ErrNotOwner)
 	}
 	return shard, nil
 }
@@ -98,7 +97,7 @@
 		return nil, err
 	}
 	resp, err := shard.Adopt(ctx, req)
-	return resp, errorcoder.Encode(err)
+	return resp, err
 }
 
 // Submit implements kumquatv1.Peer.
@@ -108,7 +107,7 @@
 		return nil, err
 	}
 	resp, err := shard.Submit(ctx, req)
-	return resp, errorcoder.Encode(err)
+	return resp, err
 }
 
 // CancelTasks implements kumquatv1.Peer.
@@ -118,7 +117,7 @@
 		return nil, err
 	}
 	resp, err := shard.CancelTasks(ctx, req)
-	return resp, errorcoder.Encode(err)
+	return resp, err
 }
 
 // ShardStatus implements kumquatv1.Peer.
@@ -128,5 +127,5 @@
 		return nil, err
 	}
 	resp, err := shard.ShardStatus(ctx, req)
-	return resp, errorcoder.Encode(err)
+	return resp, err
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -16,8 +16,10 @@
 const (
 	defaultLogLevel     = "info"
 	defaultPollInterval = time.Second
-	defaultDrainTimeout = 10 * time.Minute
-	defaultEventBytes   = 4 << 20
+	// defaultBalancerDelay covers two probes of the balancer.
+	defaultBalancerDelay = 3 * time.Second
+	defaultDrainTimeout  = 10 * time.Minute
+	defaultEventBytes    = 4 << 20
 )
 
 // Settings are what one daemon is told at its start. They never change while
@@ -45,6 +47,9 @@
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `yaml:"logLevel" validate:"oneof=debug info warn error"`
+	// BalancerDelay is the time between the answer to the balancer that the
+	// daemon is leaving and the end of accepting callers.
+	BalancerDelay time.Duration `yaml:"balancerDelay" validate:"min=0,max=5m"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration `yaml:"drainTimeout" validate:"min=1s,max=24h"`
 	// EventBytes bounds the memory of recorded events.
@@ -75,6 +80,9 @@
 type Store struct {
 	// Endpoint is a URL, for example "http://10.1.0.2:2379".
 	Endpoint string `yaml:"endpoint" validate:"required,http_url"`
+	// Region is where the service runs; daemons there are preferred as owners
+	// of partitions that any region could own.
+	Region string `yaml:"region" validate:"omitempty,hostname_rfc1123"`
 }
 
 // HostList tells how to reach the platform's list of hosts.
@@ -106,10 +114,11 @@
 // and stands in errors. Every error is a *errs.DocumentError.
 func Parse(name string, document []byte) (*Settings, error) {
 	set := &Settings{
-		HostList:     HostList{PollInterval: defaultPollInterval},
-		LogLevel:     defaultLogLevel,
-		DrainTimeout: defaultDrainTimeout,
-		EventBytes:   defaultEventBytes,
+		HostList:      HostList{PollInterval: defaultPollInterval},
+		LogLevel:      defaultLogLevel,
+		BalancerDelay: defaultBalancerDelay,
+		DrainTimeout:  defaultDrainTimeout,
+		EventBytes:    defaultEventBytes,
 	}
 	if err := decoder.Decode(name, document, set, checkAddresses, checkTLS); err != nil {
 		return nil, err
--- a/internal/rpc/errorcoder/errorcoder.go
+++ b/internal/rpc/errorcoder/errorcoder.go
@@ -2,6 +2,7 @@
 package errorcoder
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 
@@ -117,3 +118,13 @@
 	}
 	return &document
 }
+
+// ServerOption encodes the errors of a service's handlers.
+func ServerOption() twirp.ServerOption {
+	return twirp.WithServerInterceptors(func(next twirp.Method) twirp.Method {
+		return func(ctx context.Context, req any) (any, error) {
+			resp, err := next(ctx, req)
+			return resp, Encode(err)
+		}
+	})
+}
