--- /dev/null
+++ b/internal/integration/path_test.go
@@ -0,0 +1,50 @@
+// Package integration tests real processes behind a fault-injecting proxy.
+package integration
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+)
+
+const patience = 20 * time.Second
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+func newPeachtree(daemons int) []harness.Site {
+	return []harness.Site{
+		{DataCentre: "atl-a", Region: "north-ga", Daemons: daemons - 1, Workers: 4, Runners: 4},
+		{DataCentre: "ath-a", Region: "north-ga", Daemons: 1, Workers: 2, Runners: 2},
+	}
+}
+
+func TestUrgentRequestThroughEachDaemon(t *testing.T) {
+	cluster := harness.Start(t, harness.Options{Sites: newPeachtree(3)})
+	caller := harness.NewCaller()
+	defer caller.Close()
+	for i, daemon := range cluster.Daemons {
+		t.Run(daemon.Name, func(t *testing.T) {
+			assertAnswered(t, caller, daemon, fmt.Sprintf("r%d", i))
+		})
+	}
+	cluster.AssertNoBreach()
+}
+
+func assertAnswered(t *testing.T, caller *harness.Caller, daemon *harness.Daemon, id string) {
+	t.Helper()
+	body := []byte("thumbprint of " + id)
+	number := 0
+	harness.Eventually(t, patience, "the request is answered whole", func() bool {
+		number++
+		call := harness.Call{ID: fmt.Sprintf("%s-%d", id, number), Path: harness.PathOnce, Body: body, Deadline: 2 * time.Second}
+		answer := caller.Do(t.Context(), daemon, call)
+		if !answer.Whole() {
+			t.Log(answer)
+		}
+		return answer.Whole() && bytes.Contains(answer.Body, body)
+	})
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -190,11 +190,8 @@
 
 // acquired begins work on a partition.
 func (d *Daemon) acquired(partition owner.Partition, epoch owner.Epoch) {
-	switch partition.Kind() {
-	case owner.KindShard:
+	if partition.Kind() == owner.KindShard {
 		d.shards.acquire(partition, epoch)
-	case owner.KindClaims:
-		d.requests.openClaims(partition, epoch)
 	}
 }
 
@@ -203,8 +200,6 @@
 	switch partition.Kind() {
 	case owner.KindShard:
 		d.shards.lose(partition)
-	case owner.KindClaims:
-		d.requests.closeClaims(partition)
 	case owner.KindRunners:
 		d.requests.loseRunners(partition, reason)
 	}
