--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -157,7 +157,7 @@
 		Members:        d.group,
 		Pledges:        noPledges{},
 		Configurations: d.configurer,
-		Claims:         d.requests,
+		Claims:         d.requests.keeper,
 		Events:         d.recorder,
 		Shard:          d.shards.find,
 	})
@@ -263,6 +263,7 @@
 	defer cancel()
 	// A lease that can't be given back lapses by itself.
 	_ = d.group.Close(ctx)
+	d.shards.close()
 	d.requests.close()
 	d.dialer.Close()
 	_ = d.agents.Close()
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -25,7 +25,7 @@
 
 // requests are the parts that urgent requests pass through.
 type requests struct {
-	*claimkeeper.Keeper
+	keeper    *claimkeeper.Keeper
 	daemon    *Daemon
 	slots     *slotter.Slots
 	budget    *budgeter.Budget
@@ -53,7 +53,7 @@
 		Budget:     r.budget,
 		Recorder:   d.recorder,
 	})
-	r.Keeper = claimkeeper.New(claimkeeper.Options{
+	r.keeper = claimkeeper.New(claimkeeper.Options{
 		Authority: d.owner,
 		Open:      r.openJournal,
 		Recorder:  d.recorder,
@@ -61,7 +61,7 @@
 	r.claimer = claimer.New(claimer.Options{
 		Daemon:    d.settings.Name,
 		Directory: d.owner,
-		Local:     r.Keeper,
+		Local:     r.keeper,
 		Dial:      func(address string) claimer.Service { return d.dialer.Peer(address) },
 		Recorder:  d.recorder,
 	})
@@ -175,7 +175,7 @@
 func (r *requests) close() {
 	// All of them wait for what they started and have nothing to report.
 	_ = r.claimer.Close()
-	_ = r.Keeper.Close()
+	_ = r.keeper.Close()
 	_ = r.forwarder.Close()
 	_ = r.slots.Close()
 }
