--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -42,6 +42,9 @@
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
 	LogLevel string `yaml:"logLevel" default:"info" validate:"oneof=debug info warn error"`
+	// BalancerDelay is the time between the answer to the balancer that the
+	// daemon is leaving and the end of accepting callers.
+	BalancerDelay time.Duration `yaml:"balancerDelay" default:"3s" validate:"min=0,max=5m"`
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration `yaml:"drainTimeout" default:"10m" validate:"min=1s,max=24h"`
 	// EventBytes bounds the memory of recorded events.
@@ -75,6 +78,9 @@
 type Store struct {
 	// Endpoint is a URL, for example "http://10.1.0.2:2379".
 	Endpoint string `yaml:"endpoint" validate:"required,http_url"`
+	// Region is where the service runs; daemons there are preferred as owners
+	// of partitions that any region could own.
+	Region string `yaml:"region" validate:"omitempty,hostname_rfc1123"`
 }
 
 // HostList tells how to reach the platform's list of hosts.
