Own the tasks and workers of a data centre

Cause: batch work needs one decider a data centre that survives its own death, lost answers and unreachable workers without running a task twice.

Change: sharder journals each change before it acts on it, starts, renews, checkpoints, stops and throttles under its epoch, adopts what runs after a change of owner, and moves tasks to other data centres. Intents and tasks name the data centres they may run in.

--- /dev/null
+++ b/internal/process/sharder/disturbing.go
@@ -0,0 +1,57 @@
+package sharder
+
+import (
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+// evictionWindow is the time over which evictions for interference are bound.
+const evictionWindow = time.Minute
+
+// Disturb throttles and evicts tasks that slow services down. The throttle of a
+// displacement is the percentage to withhold; zero lifts it. Evictions beyond
+// the declared budget a minute are left out. It returns how many throttles and
+// evictions were accepted.
+func (s *Sharder) Disturb(throttles []placer.Displacement, evictions []string) (accepted int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	if !s.holds(now) || s.superseded {
+		return 0, errs.ErrNotOwner
+	}
+	for _, displacement := range throttles {
+		e, ok := s.table.byWorker[displacement.Worker][displacement.Task]
+		w, known := s.workers[displacement.Worker]
+		if ok && known && e.rank() > 0 && s.setThrottle(w, e, displacement.Throttle) {
+			accepted++
+		}
+	}
+	for _, id := range evictions {
+		e, ok := s.table.entries[id]
+		if ok && e.rank() > 0 && s.withinBudget(now) {
+			s.remove(e, "", "slows a service down", now)
+			accepted++
+		}
+	}
+	s.wake()
+	return accepted, nil
+}
+
+// withinBudget charges one eviction for interference to the budget.
+func (s *Sharder) withinBudget(now time.Time) bool {
+	budget := s.options.declarations().Batch.EvictionsPerMinute
+	recent := s.evictions[:0]
+	for _, at := range s.evictions {
+		if now.Sub(at) < evictionWindow {
+			recent = append(recent, at)
+		}
+	}
+	s.evictions = recent
+	if len(recent) >= budget {
+		return false
+	}
+	s.evictions = append(s.evictions, now)
+	return true
+}
--- /dev/null
+++ b/internal/process/sharder/faults_test.go
@@ -0,0 +1,318 @@
+package sharder
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/judge"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+	agent "github.com/kumquatstack/kumquatstack/internal/standin/worker"
+)
+
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 100, 20*time.Second))
+		r.untilCount(s.Sharder, assignedState, 64)
+		time.Sleep(2 * time.Second)
+		r.store.SetFaults(keyvalue.Faults{Outage: true})
+		time.Sleep(2 * time.Minute)
+		if done := len(judge.Finished(r.fleet.Records())); done != 64 {
+			t.Errorf("%d tasks finished in the outage, want the 64 that ran", done)
+		}
+		r.store.SetFaults(keyvalue.Faults{LoseAnswersPercent: 30})
+		r.untilCount(s.Sharder, finishedState, 100)
+		r.assertPromises(100)
+	})
+}
+
+func TestDataCentreOutAndIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		atl, ath := r.own("atl-a", nil), r.own("ath-a", nil)
+		defer atl.kill()
+		defer ath.kill()
+		monitors := intentOf("watch", "atl-a", 4, 0)
+		monitors.Kind = kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING
+		atl.Ingest(monitors)
+		atl.Ingest(intentOf("casts", "atl-a", 60, 30*time.Second))
+		time.Sleep(5 * time.Second)
+		r.setOut("atl-a", true)
+		out := time.Now()
+		until(t, "all tasks are elsewhere", func() bool {
+			return r.count(atl.Sharder, movedState) == 64 && r.count(ath.Sharder, assignedState) > 4
+		})
+		t.Logf("moved within %s", time.Since(out))
+		r.untilCount(ath.Sharder, finishedState, 60)
+		if late := judge.LateStarts(r.fleet.Records(), "atl-a", out.Add(time.Second), time.Time{}); len(late) > 0 {
+			t.Errorf("started after the data centre was out: %v", late)
+		}
+		r.assertMonitorGap("watch", 4, 8*time.Second)
+		r.setOut("atl-a", false)
+		ath.Ingest(intentOf("more", "ath-a", 150, 30*time.Second))
+		until(t, "work flows back", func() bool { return r.count(atl.Sharder, assignedState) > 20 })
+		until(t, "all is finished", func() bool {
+			return r.count(atl.Sharder, finishedState)+r.count(ath.Sharder, finishedState) == 210
+		})
+		r.assertPromises(210)
+	})
+}
+
+// assertMonitorGap checks that each task of an intent ran without a gap longer
+// than a bound after its first start.
+func (r *rig) assertMonitorGap(intent string, tasks int, bound time.Duration) {
+	r.t.Helper()
+	ended := make(map[string]time.Time)
+	starts := 0
+	for _, record := range r.fleet.Records() {
+		if len(record.Task) < len(intent) || record.Task[:len(intent)] != intent {
+			continue
+		}
+		if record.Kind == judge.KindEnd {
+			ended[record.Task] = record.At
+			continue
+		}
+		starts++
+		if at, ok := ended[record.Task]; ok {
+			delete(ended, record.Task)
+			if gap := record.At.Sub(at); gap > bound {
+				r.t.Errorf("%s was silent for %s", record.Task, gap)
+			}
+		}
+	}
+	if len(ended) > 0 || starts < 2*tasks {
+		r.t.Errorf("%d monitors don't run, %d starts", len(ended), starts)
+	}
+}
+
+func TestCancellation(t *testing.T) {
+	cancelAll := func(t *testing.T, r *rig, s *seat, want int32) {
+		t.Helper()
+		before := r.store.Counts().Writes
+		response, err := s.CancelTasks(t.Context(), &kumquatv1.CancelTasksRequest{Intent: "casts"})
+		if err != nil || response.GetCancelled() != want {
+			t.Fatalf("cancelled %v, %v, want %d", response, err, want)
+		}
+		if writes := r.store.Counts().Writes - before; writes > 4 {
+			t.Errorf("%d store writes for one call, want at most 4", writes)
+		}
+	}
+	t.Run("10,000 tasks before and after their start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 2)
+			s := r.own("atl-a", nil)
+			defer s.kill()
+			s.Ingest(intentOf("casts", "atl-a", 10000, time.Hour))
+			r.untilCount(s.Sharder, assignedState, 64)
+			time.Sleep(3 * time.Second)
+			cancelAll(t, r, s, 10000)
+			r.untilCount(s.Sharder, cancelledState, 10000)
+			if running := r.running(); running != 0 {
+				t.Errorf("%d tasks run after the cancellation", running)
+			}
+			r.assertPromises(0)
+		})
+	})
+	t.Run("during the start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 2)
+			s := r.own("atl-a", nil)
+			defer s.kill()
+			for _, fake := range r.fakes {
+				fake.SetFaults(agent.Faults{DelayMillis: 500})
+			}
+			s.Ingest(intentOf("casts", "atl-a", 20, time.Hour))
+			r.untilCount(s.Sharder, assignedState, 20)
+			time.Sleep(300 * time.Millisecond)
+			cancelAll(t, r, s, 20)
+			r.untilCount(s.Sharder, cancelledState, 20)
+			if running := r.running(); running != 0 {
+				t.Errorf("%d tasks run after the cancellation", running)
+			}
+		})
+	})
+	t.Run("before the intent is known", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, 2)
+			s := r.own("atl-a", nil)
+			defer s.kill()
+			cancelAll(t, r, s, 0)
+			s.Ingest(intentOf("casts", "atl-a", 20, time.Hour))
+			time.Sleep(5 * time.Second)
+			if starts := len(r.fleet.Records()); starts != 0 {
+				t.Errorf("%d starts of a cancelled intent", starts)
+			}
+		})
+	})
+}
+
+func TestBadWorkerIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 3)
+		r.fakes["atl-a-w1"].SetFaults(agent.Faults{FailAll: true})
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 150, 30*time.Second))
+		r.untilCount(s.Sharder, finishedState, 150)
+		r.assertPromises(150)
+		r.assertQuarantined(s, "atl-a-w1", true)
+		s.kill()
+
+		second := r.own("atl-a", nil)
+		defer second.kill()
+		r.assertQuarantined(second, "atl-a-w1", true)
+		r.fakes["atl-a-w1"].SetFaults(agent.Faults{})
+		time.Sleep(10 * time.Minute)
+		second.Ingest(intentOf("probes", "atl-a", 150, 30*time.Second))
+		r.untilCount(second.Sharder, finishedState, 300)
+		r.assertQuarantined(second, "atl-a-w1", false)
+	})
+}
+
+func (r *rig) assertQuarantined(s *seat, name string, want bool) {
+	r.t.Helper()
+	until(r.t, "the worker is known", func() bool {
+		for _, status := range s.Status(&kumquatv1.ShardStatusRequest{}).GetWorkers() {
+			if status.GetWorker() == name && status.GetQuarantined() == want {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func TestBadJobIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 5)
+		for _, fake := range r.fakes {
+			fake.SetFaults(agent.Faults{FailClasses: []string{"broken"}})
+		}
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		bad := intentOf("bad", "atl-a", 50, 30*time.Second)
+		bad.Class = "broken"
+		s.Ingest(bad)
+		s.Ingest(intentOf("casts", "atl-a", 100, 30*time.Second))
+		r.untilCount(s.Sharder, refusedState, 50)
+		r.untilCount(s.Sharder, finishedState, 100)
+		r.assertPromises(100)
+		for i := range 5 {
+			r.assertQuarantined(s, "atl-a-w"+string(rune('0'+i)), false)
+		}
+	})
+}
+
+func TestCheckpointFails(t *testing.T) {
+	for name, faults := range map[string]agent.Faults{
+		"fails": {FailCheckpoints: true},
+		"hangs": {HangCheckpoints: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 2)
+				s := r.own("atl-a", nil)
+				defer s.kill()
+				s.Ingest(intentOf("casts", "atl-a", 10, 30*time.Second))
+				time.Sleep(5 * time.Second)
+				for _, fake := range r.fakes {
+					fake.SetFaults(faults)
+				}
+				s.evictSome()
+				time.Sleep(checkpointTimeout + 4*time.Second)
+				r.assertSecondRuns(4)
+				r.untilCount(s.Sharder, finishedState, 10)
+				r.assertPromises(10)
+			})
+		})
+	}
+}
+
+// assertSecondRuns checks how many tasks have started again.
+func (r *rig) assertSecondRuns(want int) {
+	r.t.Helper()
+	again := 0
+	for _, record := range r.fleet.Records() {
+		if record.Kind == judge.KindStart && record.Run == 2 {
+			again++
+		}
+	}
+	if again != want {
+		r.t.Errorf("%d tasks started again, want %d", again, want)
+	}
+}
+
+func TestUrgentMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 80, 60*time.Second))
+		time.Sleep(5 * time.Second)
+		urgent := intentOf("cleanup", "atl-a", 3, 5*time.Second)
+		urgent.Kind = kumquatv1.TaskKind_TASK_KIND_RUN_NOW
+		urgent.Resources.MemoryBytes = 64 * testGB
+		s.Ingest(urgent)
+		asked := time.Now()
+		until(t, "the urgent tasks run", func() bool { return r.starts("cleanup") == 3 })
+		if took := time.Since(asked); took > 8*time.Second {
+			t.Errorf("urgent tasks started after %s", took)
+		}
+		r.untilCount(s.Sharder, finishedState, 83)
+		r.assertPromises(83)
+	})
+}
+
+// starts returns the number of starts of an intent's tasks.
+func (r *rig) starts(intent string) int {
+	starts := 0
+	for _, record := range r.fleet.Records() {
+		if record.Kind == judge.KindStart && record.Task[:min(len(record.Task), len(intent)+1)] == intent+"/" {
+			starts++
+		}
+	}
+	return starts
+}
+
+func TestLargerThanDeclared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		for _, fake := range r.fakes {
+			fake.SetModel(time.Now(), agent.Model{UsagePercent: map[string]int{"casting": 200}})
+		}
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 64, time.Hour))
+		time.Sleep(time.Minute)
+		if running := r.running(); running != 32 {
+			t.Errorf("%d tasks run, want 32 of twice their declared size", running)
+		}
+		r.assertPromises(0)
+	})
+}
+
+func TestLeavingHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 20, 60*time.Second))
+		time.Sleep(5 * time.Second)
+		r.mu.Lock()
+		r.hosts[0].State = lister.StateLeaving
+		r.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		left := len(s.table.byWorker["atl-a-w0"])
+		s.mu.Unlock()
+		if left != 0 {
+			t.Errorf("%d tasks are left on a leaving host", left)
+		}
+		r.untilCount(s.Sharder, finishedState, 20)
+		r.assertPromises(20)
+	})
+}
--- /dev/null
+++ b/internal/process/sharder/reporting.go
@@ -0,0 +1,263 @@
+package sharder
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/blamer"
+	"github.com/kumquatstack/kumquatstack/internal/version/lifecycler"
+)
+
+const (
+	// firstRestartPause and lastRestartPause bound the pause before a task that
+	// failed starts again.
+	firstRestartPause = time.Second
+	lastRestartPause  = time.Minute
+	// lateStartMargin is how long a worker remembers the stop of a run whose
+	// start was not answered, so that a late start has no effect.
+	lateStartMargin = time.Minute
+)
+
+// applyReport compares a worker's report with the table. Entries that were
+// commanded after the report was requested are left to the next one.
+func (s *Sharder) applyReport(w *worker, report commander.Report, since uint64, now time.Time) {
+	w.reported = true
+	w.strays = make(map[commander.RunID]*stray)
+	seen := make(map[string]bool, len(report.Runs))
+	for _, run := range report.Runs {
+		e := s.table.entries[run.ID.Task]
+		if e != nil && s.isPresentRun(w, e, run.ID) {
+			seen[run.ID.Task] = true
+			if !e.busy && e.touched <= since {
+				s.applyRun(e, run, now)
+			}
+			continue
+		}
+		s.applyStray(w, e, run, now)
+	}
+	for _, e := range sorted(s.table.byWorker[w.name]) {
+		if !seen[e.task.ID] && e.sent && !e.busy && e.touched <= since {
+			s.applyAbsence(e, now)
+		}
+	}
+}
+
+// isPresentRun reports whether a run is the one that the entry's task has
+// assigned to the worker.
+func (s *Sharder) isPresentRun(w *worker, e *entry, id commander.RunID) bool {
+	return e.task.Assigned() && e.task.Worker == w.name && e.task.Run == id.Run
+}
+
+// applyRun applies what a worker reports of a task's present run.
+func (s *Sharder) applyRun(e *entry, run commander.Run, now time.Time) {
+	if run.State != commander.RunRunning {
+		s.endRun(e, run, now)
+		return
+	}
+	e.throttle = run.ThrottlePercent
+	if e.runningSince.IsZero() {
+		e.runningSince = now
+	}
+	if e.replayed {
+		s.recordTask(EventTaskAdopted, e, "")
+	}
+	e.sent, e.replayed = true, false
+	if e.removal != nil {
+		e.removal.stopped = false
+	}
+	s.table.set(e, e.task.MarkStarted())
+}
+
+// applyAbsence concludes from a report without the task's present run. The
+// report has raised the worker's fence, so no earlier owner can start it any
+// more; a start of this owner that was not answered is sent again.
+func (s *Sharder) applyAbsence(e *entry, now time.Time) {
+	unanswered := !e.replayed && !e.task.Started
+	stopped := e.removal != nil && e.removal.stopped
+	if unanswered && !stopped {
+		if e.attempts >= maxStartAttempts && e.removal == nil {
+			e.removal = &removal{}
+		}
+		return
+	}
+	s.endRun(e, commander.Run{ID: runID(e), State: commander.RunLapsed, Reason: "unknown to the worker"}, now)
+}
+
+// applyStray handles a run that is not a task's present one: it is stopped if
+// it runs and forgotten once nothing needs it.
+func (s *Sharder) applyStray(w *worker, e *entry, run commander.Run, now time.Time) {
+	if run.State == commander.RunRunning {
+		w.strays[run.ID] = &stray{run: run}
+		s.record(EventStray, recorder.Fields{"task": run.ID.Task, "worker": w.name, "run": itoa(int64(run.ID.Run))})
+		return
+	}
+	if e != nil && run.State == commander.RunFinished && run.ID.Run < e.task.Run && mayYetFinish(e) {
+		s.finish(e, e.task.EndRun(run, "", now), run, now)
+	}
+	w.allowForgetting(run.ID, now)
+}
+
+// mayYetFinish reports whether the result of an earlier run can be accepted
+// because the present one has provably not been sent to a worker.
+func mayYetFinish(e *entry) bool {
+	if e.task.State == kumquatv1.TaskState_TASK_STATE_PENDING {
+		return true
+	}
+	return e.task.State == kumquatv1.TaskState_TASK_STATE_ASSIGNED && !e.sent && !e.busy
+}
+
+// allowForgetting lets the worker forget an ended run, unless it is already
+// so.
+func (w *worker) allowForgetting(id commander.RunID, after time.Time) {
+	if _, ok := w.forgettable[id]; !ok {
+		w.forgettable[id] = after
+	}
+}
+
+// endRun applies the end of a task's present run.
+func (s *Sharder) endRun(e *entry, run commander.Run, now time.Time) {
+	target := ""
+	if e.removal != nil {
+		target = e.removal.target
+	}
+	w := s.ensureWorker(e.task.Worker)
+	forgetAfter := now
+	if !e.task.Started {
+		forgetAfter = now.Add(lateStartMargin)
+	}
+	w.allowForgetting(run.ID, forgetAfter)
+	w.probing = false
+	forgiven := s.noteOutcome(w, e, run, now)
+	next := e.task.EndRun(run, target, now)
+	if forgiven {
+		next = next.Forgive(w.name)
+		if next.State == kumquatv1.TaskState_TASK_STATE_REFUSED {
+			next = e.task.Lost(now)
+		}
+	}
+	s.finish(e, next, run, now)
+}
+
+// finish sets the state after the end of a run and records it.
+func (s *Sharder) finish(e *entry, next lifecycler.Task, run commander.Run, now time.Time) {
+	detail := fmt.Sprintf("%s %s", run.State, run.Reason)
+	if next.State == kumquatv1.TaskState_TASK_STATE_PENDING {
+		s.recordTask(EventTaskResumes, e, detail)
+	} else {
+		s.recordTask(EventTaskEnded, e, detail)
+	}
+	s.table.set(e, next)
+	if run.State == commander.RunFailed && next.State == kumquatv1.TaskState_TASK_STATE_PENDING {
+		e.notBefore = now.Add(min(firstRestartPause<<min(e.failures, 10), lastRestartPause))
+		e.failures++
+	}
+	if next.State == kumquatv1.TaskState_TASK_STATE_REFUSED {
+		s.noteRefusal(e, now)
+	}
+}
+
+// noteOutcome tells the ledger how a run ended. It reports whether the failure
+// is the worker's.
+func (s *Sharder) noteOutcome(w *worker, e *entry, run commander.Run, now time.Time) (forgiven bool) {
+	switch run.State {
+	case commander.RunFinished:
+		s.noteGood(w, e, now)
+	case commander.RunFailed:
+		if s.ledger.Bad(w.name, e.task.ID, e.task.Intent, now) {
+			s.quarantine(w.name)
+		}
+		_, forgiven = s.ledger.Quarantined(w.name)
+	}
+	return forgiven
+}
+
+// noteSurvivors counts runs that have gone on for long as gone well.
+func (s *Sharder) noteSurvivors(w *worker, ids []commander.RunID, now time.Time) {
+	for _, id := range ids {
+		e, ok := s.table.entries[id.Task]
+		if !ok || e.survived || e.task.Run != id.Run || e.runningSince.IsZero() || now.Sub(e.runningSince) < blamer.Survival {
+			continue
+		}
+		e.survived = true
+		s.noteGood(w, e, now)
+	}
+}
+
+// noteGood tells the ledger of a run that went well.
+func (s *Sharder) noteGood(w *worker, e *entry, now time.Time) {
+	released, quarantined := s.ledger.Good(w.name, e.task.Intent, now)
+	if released {
+		s.setQuarantine(w.name, "", false)
+	}
+	for _, name := range quarantined {
+		s.quarantine(name)
+	}
+}
+
+// quarantine records a worker that the ledger has quarantined.
+func (s *Sharder) quarantine(name string) {
+	reason, _ := s.ledger.Quarantined(name)
+	s.setQuarantine(name, reason, true)
+	s.forgiveAll(name)
+}
+
+// setQuarantine records the start or the end of a worker's quarantine.
+func (s *Sharder) setQuarantine(name, reason string, active bool) {
+	quarantine := &kumquatv1.Quarantine{Worker: name, Active: active, Reason: reason}
+	s.quarantines[name] = quarantine
+	if !active {
+		delete(s.quarantines, name)
+	}
+	s.flusher.extras = append(s.flusher.extras, &kumquatv1.Record{
+		Change: &kumquatv1.Record_Quarantine{Quarantine: quarantine},
+	})
+	number := EventWorkerReleased
+	if active {
+		number = EventWorkerQuarantined
+	}
+	s.record(number, recorder.Fields{"worker": name, "reason": reason})
+}
+
+// forgiveAll drops a bad worker from what speaks against waiting tasks.
+func (s *Sharder) forgiveAll(name string) {
+	for _, e := range sorted(s.table.pending) {
+		s.table.set(e, e.task.Forgive(name))
+	}
+}
+
+// noteRefusal refuses the rest of an intent of which nothing runs anywhere.
+func (s *Sharder) noteRefusal(e *entry, now time.Time) {
+	if !s.ledger.Refused(e.task.Intent) {
+		return
+	}
+	reason := "other tasks of the intent " + e.task.Reason
+	for _, other := range sorted(s.table.byIntent[e.task.Intent]) {
+		if other.task.State == kumquatv1.TaskState_TASK_STATE_PENDING {
+			s.table.set(other, other.task.Refuse(reason, now))
+			s.recordTask(EventTaskEnded, other, reason)
+		}
+	}
+}
+
+// lapse resumes tasks whose worker doesn't answer and whose lease has provably
+// lapsed. A start that was not answered may still be on its way, so such a
+// task waits for the worker's report or until the platform no longer lists it.
+func (s *Sharder) lapse(now time.Time) {
+	for name, w := range s.workers {
+		if w.renewing || (w.failures == 0 && w.agent != nil) {
+			continue
+		}
+		for _, e := range sorted(s.table.byWorker[name]) {
+			if !e.sent || e.busy || !now.After(e.leaseUntil) {
+				continue
+			}
+			if e.task.Started || (!w.listed && s.listSeen) {
+				s.recordTask(EventTaskLapsed, e, "")
+				s.endRun(e, commander.Run{ID: runID(e), State: commander.RunLapsed, Reason: "worker lost"}, now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/sharder/rig_test.go
@@ -0,0 +1,272 @@
+package sharder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/judge"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+	agent "github.com/kumquatstack/kumquatstack/internal/standin/worker"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+const (
+	testCores = 32
+	testLease = 10 * time.Second
+	testGB    = int64(1) << 30
+)
+
+// A grant is the authority of one owner in a test.
+type grant struct {
+	mu       sync.Mutex
+	epoch    owner.Epoch
+	holds    bool
+	starts   bool
+	acquired time.Time
+}
+
+var _ owner.Authority = (*grant)(nil)
+
+func (g *grant) Holds(owner.Partition, time.Time) (owner.Epoch, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.epoch, g.holds
+}
+
+func (g *grant) AcquiredAt(owner.Partition) time.Time { return g.acquired }
+
+func (g *grant) MayStart(string, time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.starts
+}
+
+func (g *grant) set(holds, starts bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holds, g.starts = holds, starts
+}
+
+// A rig is the platform of a test: a store, workers, and the declarations.
+type rig struct {
+	t     *testing.T
+	store *keyvalue.Fake
+	fleet *agent.Fleet
+	fakes map[string]*agent.Fake
+
+	mu       sync.Mutex
+	hosts    []lister.Host
+	declared *declarer.Version
+	epoch    owner.Epoch
+	owners   map[string]*Sharder
+}
+
+// newRig returns a platform with workers in two data centres of one region.
+func newRig(t *testing.T, workersPerDC int) *rig {
+	t.Helper()
+	r := &rig{
+		t:      t,
+		store:  keyvalue.NewFake(),
+		fleet:  agent.NewFleet(),
+		fakes:  make(map[string]*agent.Fake),
+		owners: make(map[string]*Sharder),
+		declared: &declarer.Version{Number: 1, Declarations: &declarer.Declarations{
+			Regions: []declarer.Region{{Name: "north-ga", DataCentres: []declarer.DataCentre{{Name: "atl-a"}, {Name: "ath-a"}}}},
+			Batch:   declarer.Batch{Lease: testLease},
+		}},
+	}
+	for _, dc := range []string{"atl-a", "ath-a"} {
+		for i := range workersPerDC {
+			r.addWorker(dc, fmt.Sprintf("%s-w%d", dc, i))
+		}
+	}
+	return r
+}
+
+func (r *rig) addWorker(dc, name string) {
+	r.fakes[name] = r.fleet.Add(name, agent.Options{
+		Name: name, DataCentre: dc, Lag: 2 * time.Second,
+		Capacity: commander.Resources{MilliCores: testCores * 1000, MemoryBytes: 125 * testGB},
+	})
+	r.hosts = append(r.hosts, lister.Host{
+		Name: name, Address: name, Kind: lister.KindWorker, State: lister.StateLive, DataCentre: dc,
+		Rack: name, MilliCores: testCores * 1000, MemoryBytes: 125 * testGB,
+	})
+}
+
+func (r *rig) hostList() []lister.Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]lister.Host(nil), r.hosts...)
+}
+
+func (r *rig) declarations() *declarer.Version {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.declared
+}
+
+func (r *rig) setOut(dc string, out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.declared = &declarer.Version{Number: r.declared.Number + 1, Declarations: r.declared.Declarations.WithDataCentre(dc, out)}
+}
+
+// A seat is one owner of a shard in a test.
+type seat struct {
+	*Sharder
+	grant *grant
+	stop  context.CancelFunc
+	done  chan error
+	once  sync.Once
+}
+
+// own starts an owner of a data centre's shard. The agents and the store pass
+// through wrap, if it is not nil.
+func (r *rig) own(dc string, wrap func(commander.Dialer) commander.Dialer) *seat {
+	r.t.Helper()
+	r.epoch++
+	g := &grant{epoch: r.epoch, holds: true, starts: true, acquired: time.Now()}
+	agents := commander.Dialer(r.fleet)
+	if wrap != nil {
+		agents = wrap(agents)
+	}
+	s, err := Open(r.t.Context(), Options{
+		Shard: owner.Partition(shardOf(dc)), DataCentre: dc, Epoch: r.epoch, Store: r.store, Agents: agents,
+		Hosts: r.hostList, Declarations: r.declarations, Authority: g, Policy: placer.NewProtective(),
+		Peers: &rigPeers{rig: r},
+	})
+	if err != nil {
+		r.t.Fatalf("open: %v", err)
+	}
+	ctx, cancel := context.WithCancel(r.t.Context())
+	found := &seat{Sharder: s, grant: g, stop: cancel, done: make(chan error, 1)}
+	r.mu.Lock()
+	r.owners[dc] = s
+	r.mu.Unlock()
+	go func() { found.done <- s.Run(ctx) }()
+	return found
+}
+
+// kill ends an owner without any farewell.
+func (s *seat) kill() {
+	s.once.Do(func() {
+		s.grant.set(false, false)
+		s.stop()
+		<-s.done
+		_ = s.Close()
+	})
+}
+
+// rigPeers reaches the owners of a rig.
+type rigPeers struct{ rig *rig }
+
+var _ Peers = (*rigPeers)(nil)
+
+func (p *rigPeers) ownerOf(dc string) (*Sharder, error) {
+	p.rig.mu.Lock()
+	defer p.rig.mu.Unlock()
+	if s, ok := p.rig.owners[dc]; ok {
+		return s, nil
+	}
+	return nil, errs.ErrNotOwner
+}
+
+func (p *rigPeers) Adopt(ctx context.Context, dc string, request *kumquatv1.AdoptRequest) (*kumquatv1.AdoptResponse, error) {
+	s, err := p.ownerOf(dc)
+	if err != nil {
+		return nil, err
+	}
+	return s.Adopt(ctx, request)
+}
+
+func (p *rigPeers) ShardStatus(_ context.Context, dc string, request *kumquatv1.ShardStatusRequest) (*kumquatv1.ShardStatusResponse, error) {
+	s, err := p.ownerOf(dc)
+	if err != nil {
+		return nil, err
+	}
+	return s.Status(request), nil
+}
+
+// intentOf returns a confirmed intent with count tasks of one core in one data centre.
+func intentOf(id, dc string, count int, run time.Duration) *kumquatv1.IntentRecord {
+	return &kumquatv1.IntentRecord{
+		Id: id, Team: "orders", Class: "casting", Kind: kumquatv1.TaskKind_TASK_KIND_RUN_BY,
+		Resources:           &kumquatv1.Resources{MilliCores: 1000, MemoryBytes: testGB},
+		Shards:              []*kumquatv1.ShardTasks{{DataCentre: dc, Count: int32(count)}},
+		ExpectedRunMillis:   run.Milliseconds(),
+		ConfirmedUnixMillis: time.Now().UnixMilli(),
+	}
+}
+
+// until waits for a condition in virtual time.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 3000 {
+		if holds() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+func (r *rig) count(s *Sharder, state kumquatv1.TaskState) int {
+	return int(s.Status(&kumquatv1.ShardStatusRequest{}).GetCounts()[stateName(state)])
+}
+
+func (r *rig) untilCount(s *Sharder, state kumquatv1.TaskState, want int) {
+	r.t.Helper()
+	until(r.t, fmt.Sprintf("%d tasks %s", want, stateName(state)), func() bool { return r.count(s, state) == want })
+}
+
+func (r *rig) running() int {
+	running := 0
+	for _, fake := range r.fakes {
+		report, err := fake.Worker.Report(fake.Now(), 1<<40)
+		if err == nil {
+			for _, run := range report.Runs {
+				if run.State == commander.RunRunning {
+					running++
+				}
+			}
+		}
+	}
+	return running
+}
+
+// assertPromises checks that no promise about tasks was broken and that tasks
+// finished once each.
+func (r *rig) assertPromises(finished int) {
+	r.t.Helper()
+	for _, breach := range r.fleet.Breaches() {
+		r.t.Errorf("breach: %s %s: %s", breach.Rule, breach.Subject, breach.Detail)
+	}
+	done := judge.Finished(r.fleet.Records())
+	if len(done) != finished {
+		r.t.Errorf("%d tasks finished, want %d", len(done), finished)
+	}
+	for task, times := range done {
+		if times != 1 {
+			r.t.Errorf("task %s finished %d times", task, times)
+		}
+	}
+}
+
+const (
+	pendingState   = kumquatv1.TaskState_TASK_STATE_PENDING
+	assignedState  = kumquatv1.TaskState_TASK_STATE_ASSIGNED
+	finishedState  = kumquatv1.TaskState_TASK_STATE_FINISHED
+	cancelledState = kumquatv1.TaskState_TASK_STATE_CANCELLED
+	refusedState   = kumquatv1.TaskState_TASK_STATE_REFUSED
+	movedState     = kumquatv1.TaskState_TASK_STATE_MOVED
+)
--- /dev/null
+++ b/internal/process/sharder/sharder_test.go
@@ -0,0 +1,69 @@
+package sharder
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	agent "github.com/kumquatstack/kumquatstack/internal/standin/worker"
+)
+
+func TestTasksRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 200, 5*time.Second))
+		r.untilCount(s.Sharder, finishedState, 200)
+		r.assertPromises(200)
+	})
+}
+
+func TestTakeOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		first := r.own("atl-a", nil)
+		first.Ingest(intentOf("casts", "atl-a", 60, 40*time.Second))
+		time.Sleep(5 * time.Second)
+		first.kill()
+		second := r.own("atl-a", nil)
+		defer second.kill()
+		r.untilCount(second.Sharder, finishedState, 60)
+		r.assertPromises(60)
+	})
+}
+
+func TestWorkerUnreachable(t *testing.T) {
+	for name, back := range map[string]time.Duration{"back before the lease lapses": 4 * time.Second, "back after": 60 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 2)
+				s := r.own("atl-a", nil)
+				defer s.kill()
+				s.Ingest(intentOf("casts", "atl-a", 40, 30*time.Second))
+				r.untilCount(s.Sharder, assignedState, 40)
+				time.Sleep(5 * time.Second)
+				r.fakes["atl-a-w0"].SetFaults(agent.Faults{Unreachable: true, Hang: true})
+				time.Sleep(back)
+				r.fakes["atl-a-w0"].SetFaults(agent.Faults{})
+				r.untilCount(s.Sharder, finishedState, 40)
+				r.assertPromises(40)
+			})
+		})
+	}
+}
+
+func TestHostLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 40, 30*time.Second))
+		time.Sleep(5 * time.Second)
+		lost := r.fakes["atl-a-w0"]
+		lost.Crash(lost.Now())
+		lost.SetFaults(agent.Faults{Unreachable: true})
+		r.untilCount(s.Sharder, finishedState, 40)
+		r.assertPromises(40)
+	})
+}
