Run daemons and stand-ins in one process

Cause: a newcomer needs to see the main job run with one command. Measured: compiled and linted only; it waits for the shard owner. Conclusion: none yet.

--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -9,11 +9,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/kumquatstack/kumquatstack/internal/process/embedder"
 	"github.com/kumquatstack/kumquatstack/internal/process/settings"
 )
 
@@ -30,8 +32,11 @@
 
 // options are the daemon's command line.
 type options struct {
-	Settings string `short:"s" long:"settings" value-name:"FILE" description:"settings file of this daemon"`
-	Version  bool   `long:"version" description:"print the version and exit"`
+	Settings string        `short:"s" long:"settings" value-name:"FILE" description:"settings file of this daemon"`
+	Embedded string        `long:"embedded" value-name:"DIRECTORY" description:"run the daemons of a directory with stand-ins of the platform in this process, and show requests and tasks"`
+	Duration time.Duration `long:"duration" value-name:"TIME" default:"20s" description:"length of an embedded run"`
+	Log      string        `long:"log" value-name:"FILE" description:"file for the daemons' logs of an embedded run"`
+	Version  bool          `long:"version" description:"print the version and exit"`
 }
 
 // Main runs the daemon until SIGTERM or SIGINT and returns its exit code: 0
@@ -53,8 +58,11 @@
 	if opts.Version {
 		return report(stdout, fmt.Errorf("kumquatd %s", Version), exitOK)
 	}
+	if opts.Embedded != "" {
+		return runEmbedded(opts, stdout, stderr)
+	}
 	if opts.Settings == "" {
-		return report(stderr, errors.New("no settings file given; use --settings FILE"), exitUsage)
+		return report(stderr, errors.New("no settings file given; use --settings FILE or --embedded DIRECTORY"), exitUsage)
 	}
 	return run(opts.Settings, stderr)
 }
@@ -77,6 +85,40 @@
 	return exitOK
 }
 
+// Sizes of an embedded run.
+const (
+	embeddedRequestsPerSecond = 100
+	embeddedHosts             = 4
+)
+
+// runEmbedded runs daemons and stand-ins in this process.
+func runEmbedded(opts options, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	embedded := embedder.Options{
+		Directory:          opts.Embedded,
+		Duration:           opts.Duration,
+		RequestsPerSecond:  embeddedRequestsPerSecond,
+		HostsPerDataCentre: embeddedHosts,
+		Out:                stdout,
+		NewDaemon: func(set *settings.Settings, logger log.Interface) (embedder.Runner, error) {
+			return New(set, logger)
+		},
+	}
+	if opts.Log != "" {
+		file, err := os.Create(opts.Log)
+		if err != nil {
+			return report(stderr, err, exitFailed)
+		}
+		defer func() { _ = file.Close() }()
+		embedded.Log = file
+	}
+	if err := embedder.Run(ctx, embedded); err != nil {
+		return report(stderr, err, exitFailed)
+	}
+	return exitOK
+}
+
 // newLogger returns a logger of JSON lines.
 func newLogger(w io.Writer, set *settings.Settings) log.Interface {
 	level, err := log.ParseLevel(set.LogLevel)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -149,6 +149,14 @@
 	return &next
 }
 
+// WithStop returns a copy with other times for a planned stop.
+func (s *Settings) WithStop(balancerDelay, drainTimeout time.Duration) *Settings {
+	next := *s
+	next.BalancerDelay = balancerDelay
+	next.DrainTimeout = drainTimeout
+	return &next
+}
+
 // Scheme returns the scheme of peer and operator addresses.
 func (s *Settings) Scheme() string {
 	if s.Plaintext {
