Open shards with their partitions

Cause: the shard owner is ready. Change: the daemon opens a shard when it acquires its partition, hands it confirmed intents from the watch, and closes it before giving it away.

--- a/internal/process/daemon/events.go
+++ b/internal/process/daemon/events.go
@@ -19,4 +19,6 @@
 	EventShardOpened recorder.Number = 5005
 	// EventServerFailed says that a listener ended by itself.
 	EventServerFailed recorder.Number = 5006
+	// EventIntentUnreadable says that a confirmed intent can not be decoded.
+	EventIntentUnreadable recorder.Number = 5007
 )
--- a/internal/process/daemon/shards.go
+++ b/internal/process/daemon/shards.go
@@ -1,14 +1,237 @@
 package daemon
 
 import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/administrator"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
+	"github.com/kumquatstack/kumquatstack/internal/process/sharder"
+	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
-type shards struct{}
+// openRetry is the pause after a shard's journal could not be opened.
+const openRetry = 500 * time.Millisecond
+
+// shards are the shards that this daemon owns.
+type shards struct {
+	daemon *Daemon
+
+	mu   sync.Mutex
+	open map[owner.Partition]*openShard
+}
+
+// An openShard is one shard from its acquisition to its loss.
+type openShard struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu sync.Mutex
+	// sharder is nil until the journal has been replayed.
+	sharder *sharder.Sharder
+}
+
+// newShards returns an empty table. It subscribes to confirmed intents.
+func newShards(d *Daemon) *shards {
+	s := &shards{daemon: d, open: make(map[owner.Partition]*openShard)}
+	d.watcher.Subscribe(administrator.IntentPrefix, s.ingest)
+	return s
+}
+
+// find returns a shard that this daemon owns and has opened.
+func (s *shards) find(name string) (responder.Shard, bool) {
+	s.mu.Lock()
+	shard, ok := s.open[owner.Partition(name)]
+	s.mu.Unlock()
+	if !ok {
+		return nil, false
+	}
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if shard.sharder == nil {
+		return nil, false
+	}
+	return servedShard{shard.sharder}, true
+}
+
+// servedShard offers a shard to peers.
+type servedShard struct {
+	*sharder.Sharder
+}
+
+// ShardStatus implements responder.Shard.
+func (s servedShard) ShardStatus(_ context.Context, req *kumquatv1.ShardStatusRequest) (*kumquatv1.ShardStatusResponse, error) {
+	return s.Status(req), nil
+}
+
+// acquire begins work on a shard.
+func (s *shards) acquire(partition owner.Partition, epoch owner.Epoch) {
+	ctx, cancel := context.WithCancel(context.Background())
+	shard := &openShard{cancel: cancel, done: make(chan struct{})}
+	s.mu.Lock()
+	s.open[partition] = shard
+	s.mu.Unlock()
+	go func() {
+		defer close(shard.done)
+		s.run(ctx, shard, partition, epoch)
+	}()
+}
+
+// lose ends work on a shard and waits for it.
+func (s *shards) lose(partition owner.Partition) {
+	s.mu.Lock()
+	shard, ok := s.open[partition]
+	delete(s.open, partition)
+	s.mu.Unlock()
+	if ok {
+		shard.cancel()
+		<-shard.done
+	}
+}
+
+// close ends work on all shards.
+func (s *shards) close() {
+	s.mu.Lock()
+	var partitions []owner.Partition
+	for partition := range s.open {
+		partitions = append(partitions, partition)
+	}
+	s.mu.Unlock()
+	for _, partition := range partitions {
+		s.lose(partition)
+	}
+}
+
+// run opens a shard, again and again until it succeeds, and works on it.
+func (s *shards) run(ctx context.Context, shard *openShard, partition owner.Partition, epoch owner.Epoch) {
+	for ctx.Err() == nil {
+		err := s.runOnce(ctx, shard, partition, epoch)
+		if err == nil || ctx.Err() != nil || errors.Is(err, errs.ErrFenced) {
+			return
+		}
+		s.daemon.recorder.Record(time.Now(), EventShardOpenFailed, recorder.Fields{
+			"partition": string(partition),
+			"reason":    err.Error(),
+		})
+		wait(ctx, openRetry)
+	}
+}
+
+// runOnce opens a shard and works on it until the context ends.
+func (s *shards) runOnce(ctx context.Context, shard *openShard, partition owner.Partition, epoch owner.Epoch) (err error) {
+	opened, err := sharder.Open(ctx, s.options(partition, epoch))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, opened.Close()) }()
+	s.daemon.recorder.Record(time.Now(), EventShardOpened, recorder.Fields{"partition": string(partition)})
+	shard.set(opened)
+	defer shard.set(nil)
+	// Intents confirmed from here on arrive by the watch.
+	for _, entry := range s.daemon.watcher.Entries(administrator.IntentPrefix) {
+		s.ingestInto(opened, entry.Value)
+	}
+	return opened.Run(ctx)
+}
+
+func (o *openShard) set(opened *sharder.Sharder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sharder = opened
+}
+
+// options returns what a shard needs of the daemon.
+func (s *shards) options(partition owner.Partition, epoch owner.Epoch) sharder.Options {
+	d := s.daemon
+	return sharder.Options{
+		Shard:        partition,
+		DataCentre:   partition.DataCentre(),
+		Epoch:        epoch,
+		Store:        d.store,
+		Agents:       d.agents,
+		Hosts:        d.hosts.Hosts,
+		Declarations: d.requests.version,
+		Authority:    d.owner,
+		Policy:       placer.NewProtective(),
+		Recorder:     d.recorder,
+		Now:          time.Now,
+		Peers:        shardPeers{d},
+	}
+}
+
+// ingest hands changed intents to the open shards.
+func (s *shards) ingest(changes []watcher.Change) {
+	s.mu.Lock()
+	var opened []*sharder.Sharder
+	for _, shard := range s.open {
+		shard.mu.Lock()
+		if shard.sharder != nil {
+			opened = append(opened, shard.sharder)
+		}
+		shard.mu.Unlock()
+	}
+	s.mu.Unlock()
+	for _, change := range changes {
+		if change.Deleted {
+			continue
+		}
+		for _, shard := range opened {
+			s.ingestInto(shard, change.Entry.Value)
+		}
+	}
+}
+
+// ingestInto hands one durable intent to a shard.
+func (s *shards) ingestInto(shard *sharder.Sharder, value []byte) {
+	record := &kumquatv1.IntentRecord{}
+	if err := proto.Unmarshal(value, record); err != nil {
+		s.daemon.recorder.Record(time.Now(), EventIntentUnreadable, recorder.Fields{"reason": err.Error()})
+		return
+	}
+	shard.Ingest(record)
+}
+
+// shardPeers reaches the owners of other shards.
+type shardPeers struct {
+	daemon *Daemon
+}
+
+var _ sharder.Peers = shardPeers{}
+
+// Adopt implements sharder.Peers.
+func (p shardPeers) Adopt(ctx context.Context, dataCentre string, req *kumquatv1.AdoptRequest) (*kumquatv1.AdoptResponse, error) {
+	peer, err := p.ownerOf(dataCentre)
+	if err != nil {
+		return nil, err
+	}
+	req.Shard = string(owner.ShardOf(dataCentre))
+	return peer.Adopt(ctx, req)
+}
+
+// ShardStatus implements sharder.Peers.
+func (p shardPeers) ShardStatus(ctx context.Context, dataCentre string, req *kumquatv1.ShardStatusRequest) (*kumquatv1.ShardStatusResponse, error) {
+	peer, err := p.ownerOf(dataCentre)
+	if err != nil {
+		return nil, err
+	}
+	req.Shard = string(owner.ShardOf(dataCentre))
+	return peer.ShardStatus(ctx, req)
+}
 
-func newShards(*Daemon) *shards                        { return &shards{} }
-func (s *shards) find(string) (responder.Shard, bool)  { return nil, false }
-func (s *shards) acquire(owner.Partition, owner.Epoch) {}
-func (s *shards) lose(owner.Partition)                 {}
-func (s *shards) close()                               {}
+func (p shardPeers) ownerOf(dataCentre string) (kumquatv1.Peer, error) {
+	peer, ok := p.daemon.peerOf(owner.ShardOf(dataCentre))
+	if !ok {
+		return nil, eris.Wrapf(errs.ErrNotOwner, "the shard of %s has no known owner", dataCentre)
+	}
+	return peer, nil
+}
