--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,11 @@
-.PHONY: build test lint fmt generate
+.PHONY: build demo test lint fmt generate
 
 build:
 	go build -o bin/ ./cmd/...
 
+demo:
+	go run ./cmd/kumquatd --embedded examples/peachtree
+
 test:
 	go test -race -count=1 ./...
 
--- a/internal/cli/diffcmd.go
+++ b/internal/cli/diffcmd.go
@@ -68,11 +68,15 @@
 }
 
 func (d *difference) write(w io.Writer) {
-	if len(d.Changes) == 0 {
+	switch len(d.Changes) {
+	case 0:
 		printf(w, "no differences to version %d\n", d.BaseVersion)
 		return
+	case 1:
+		printf(w, "1 difference to version %d:\n", d.BaseVersion)
+	default:
+		printf(w, "%d differences to version %d:\n", len(d.Changes), d.BaseVersion)
 	}
-	printf(w, "%d differences to version %d:\n", len(d.Changes), d.BaseVersion)
 	for _, change := range d.Changes {
 		printf(w, "  %s\n", change)
 	}
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -129,7 +129,7 @@
 			counts = map[string]int32{"TASK_STATE_FINISHED": 2}
 		}
 		f.ended = true
-		answer.Intents = append(answer.Intents, &kumquatv1.IntentStatus{Intent: intent, Team: "studio", Kind: "runBy", Counts: counts})
+		answer.Intents = append(answer.Intents, &kumquatv1.IntentStatus{Intent: intent, Team: "studio", Kind: "TASK_KIND_RUN_BY", Counts: counts})
 	}
 	if req.IncludeTasks {
 		answer.Tasks = []*kumquatv1.Task{{Id: "night-casting/0", State: kumquatv1.TaskState_TASK_STATE_FINISHED, Run: 2, Worker: "w-1", Result: []byte("done")}}
--- a/internal/cli/statuscmd.go
+++ b/internal/cli/statuscmd.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
 )
 
 // statusCmd shows intents, tasks, workers and daemons.
@@ -50,7 +51,7 @@
 	writeMissing(w, status)
 	t := newTable(w, "INTENT", "TEAM", "KIND", "TASKS")
 	for _, intent := range status.GetIntents() {
-		t.row(intent.GetIntent(), intent.GetTeam(), intent.GetKind(), formatCounts(intent.GetCounts()))
+		t.row(intent.GetIntent(), intent.GetTeam(), kindName(intent.GetKind()), formatCounts(intent.GetCounts()))
 	}
 	flush(t)
 	if c.Tasks {
@@ -67,6 +68,20 @@
 	}
 }
 
+// kindName returns a kind as it stands in intents.
+func kindName(name string) string {
+	switch name {
+	case kumquatv1.TaskKind_TASK_KIND_RUN_NOW.String():
+		return string(declarer.KindRunNow)
+	case kumquatv1.TaskKind_TASK_KIND_RUN_BY.String():
+		return string(declarer.KindRunBy)
+	case kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING.String():
+		return string(declarer.KindKeepRunning)
+	default:
+		return name
+	}
+}
+
 func writeMissing(w io.Writer, status *kumquatv1.StatusResponse) {
 	if missing := status.GetMissingShards(); len(missing) > 0 {
 		printf(w, "INCOMPLETE: no answer from the owner of %s\n\n", strings.Join(missing, ", "))
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -14,6 +14,9 @@
 // a file.
 const Stream = "-"
 
+// filePermissions are those of written files.
+const filePermissions = 0o644
+
 // A System reads and writes files and streams.
 type System interface {
 	// ReadFile reads a file, or the standard input.
@@ -70,6 +73,9 @@
 	if err = temporary.Close(); err != nil {
 		return err
 	}
+	if err = os.Chmod(temporary.Name(), filePermissions); err != nil {
+		return err
+	}
 	return os.Rename(temporary.Name(), name)
 }
 
