Test ownership and configuration with several daemons

Cause: takeover, handover and configuration need several daemons at once. Change: daemons of one process share the store's stand-in, with cuts.

--- a/internal/process/configurer/apply.go
+++ b/internal/process/configurer/apply.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -52,37 +54,19 @@
 // tell whether the change took effect, *errs.StoreUnavailableError if it
 // didn't.
 func (c *Configurer) Apply(ctx context.Context, document []byte, base int64) (result Result, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("applying declarations: %w", err)
-		}
-	}()
-	if _, err := c.settings.Parse(document); err != nil {
+	defer func() { err = eris.Wrap(err, "applying declarations") }()
+	if _, err := declarer.Parse(documentName, document); err != nil {
 		return Result{}, err
 	}
 	return c.change(ctx, base, func([]byte) ([]byte, error) { return document, nil })
 }
 
 // SetDataCentre takes a data centre out of service or brings it back. The
-// errors are those of Apply, and errs.ErrNotFound for an undeclared one.
+// errors are those of Apply, and *errs.RefusedError for an undeclared one.
 func (c *Configurer) SetDataCentre(ctx context.Context, name string, out bool) (result Result, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("setting data centre %s: %w", name, err)
-		}
-	}()
+	defer func() { err = eris.Wrapf(err, "setting data centre %s", name) }()
 	return c.change(ctx, AnyVersion, func(document []byte) ([]byte, error) {
-		declared, err := c.settings.Parse(document)
-		if err != nil {
-			return nil, err
-		}
-		if declared.RegionOf(name) == "" {
-			return nil, errs.ErrNotFound
-		}
-		if declared.IsOut(name) == out {
-			return document, nil
-		}
-		return c.settings.Encode(declared.WithDataCentre(name, out))
+		return declarer.EditDataCentre(document, name, out)
 	})
 }
 
@@ -184,34 +168,33 @@
 	}
 	return &errs.RefusedError{
 		What: "the change of the declarations",
-		Why: fmt.Sprintf("it is based on version %d, but version %d is in force; they differ from yours in: %s",
-			base, found, summarise(stored.Document, string(wanted))),
+		Why: fmt.Sprintf("it is based on version %d, but version %d is in force; yours would change there: %s",
+			base, found, summarise([]byte(stored.Document), wanted)),
 		Remedy: "fetch the version in force, merge it and apply again",
 	}
 }
 
-// summarise lists lines of the stored document that the wanted one lacks, and
-// the reverse.
-func summarise(stored, wanted string) string {
+// summarise lists what the wanted document would change in the stored one.
+func summarise(stored, wanted []byte) string {
 	const most = 10
-	has := strings.Split(stored, "\n")
-	wants := strings.Split(wanted, "\n")
-	var lines []string
-	for _, line := range has {
-		if !slices.Contains(wants, line) {
-			lines = append(lines, "+"+line)
-		}
+	before, err := declarer.Parse(documentName, stored)
+	if err != nil {
+		return err.Error()
 	}
-	for _, line := range wants {
-		if !slices.Contains(has, line) {
-			lines = append(lines, "-"+line)
-		}
+	after, err := declarer.Parse(documentName, wanted)
+	if err != nil {
+		return err.Error()
 	}
-	if len(lines) == 0 {
-		return "nothing but the order of lines"
+	changes := declarer.Diff(before, after)
+	if len(changes) == 0 {
+		return "comments or layout only"
+	}
+	var lines []string
+	for _, change := range changes[:min(len(changes), most)] {
+		lines = append(lines, change.String())
 	}
-	if len(lines) > most {
-		lines = append(lines[:most], fmt.Sprintf("and %d more lines", len(lines)-most))
+	if len(changes) > most {
+		lines = append(lines, fmt.Sprintf("and %d more", len(changes)-most))
 	}
 	return strings.Join(lines, "; ")
 }
--- a/internal/process/configurer/configurer.go
+++ b/internal/process/configurer/configurer.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
@@ -24,10 +25,6 @@
 	Recorder recorder.Recorder
 	// Dial returns the client of the daemon at an address.
 	Dial func(address string) kumquatv1.Peer
-	// Parse decodes and checks a document.
-	Parse func(document []byte) (*declarer.Declarations, error)
-	// Encode writes declarations as a document.
-	Encode func(declared *declarer.Declarations) ([]byte, error)
 }
 
 // A Configurer keeps the newest declarations in force. Versions are store
@@ -201,10 +198,10 @@
 	if version <= c.Current().Number {
 		return nil
 	}
-	declared, err := c.settings.Parse(document)
+	declared, err := declarer.Parse(documentName, document)
 	if err != nil {
 		c.refuse(version, err)
-		return fmt.Errorf("version %d: %w", version, err)
+		return eris.Wrapf(err, "version %d", version)
 	}
 	next := declarer.Version{Number: version, Document: document, Declarations: declared}
 	c.mu.Lock()
--- a/internal/process/configurer/envelope.go
+++ b/internal/process/configurer/envelope.go
@@ -4,7 +4,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
+
+	"github.com/rotisserie/eris"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
@@ -13,6 +14,9 @@
 // Key is the key of the declarations.
 const Key = watcher.Root + "declarations"
 
+// documentName stands in the errors of documents.
+const documentName = "declarations"
+
 // An envelope is the stored value of the declarations.
 type envelope struct {
 	Document string `json:"document"`
@@ -26,7 +30,7 @@
 
 func parseEnvelope(entry storer.Entry) (e envelope, err error) {
 	if err := json.Unmarshal(entry.Value, &e); err != nil {
-		return envelope{}, fmt.Errorf("declarations record at revision %d: %w", entry.Revision, err)
+		return envelope{}, eris.Wrapf(err, "declarations record at revision %d", entry.Revision)
 	}
 	return e, nil
 }
--- a/internal/process/member/identity.go
+++ b/internal/process/member/identity.go
@@ -4,10 +4,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 )
@@ -65,10 +66,10 @@
 func Parse(entry storer.Entry) (m Member, err error) {
 	var r record
 	if err := json.Unmarshal(entry.Value, &r); err != nil {
-		return Member{}, fmt.Errorf("member record %s: %w", entry.Key, err)
+		return Member{}, eris.Wrapf(err, "member record %s", entry.Key)
 	}
 	if r.Daemon != strings.TrimPrefix(entry.Key, Prefix) {
-		return Member{}, fmt.Errorf("member record %s names daemon %q", entry.Key, r.Daemon)
+		return Member{}, eris.Errorf("member record %s names daemon %q", entry.Key, r.Daemon)
 	}
 	return Member{Identity: r.Identity, Incarnation: int64(entry.Revision), Token: r.Token}, nil
 }
--- a/internal/process/member/registrar.go
+++ b/internal/process/member/registrar.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -110,12 +112,12 @@
 	sent := time.Now()
 	id, err := g.store.Grant(ctx, LeaseTTL)
 	if err != nil {
-		return fmt.Errorf("granting the member lease: %w", err)
+		return eris.Wrap(err, "granting the member lease")
 	}
 	revision, err := g.create(ctx, id)
 	if err != nil {
 		_ = g.store.Revoke(ctx, id)
-		return fmt.Errorf("creating the member record: %w", err)
+		return eris.Wrap(err, "creating the member record")
 	}
 	lease := Lease{Incarnation: int64(revision)}.WithRenewal(sent, LeaseTTL)
 	g.setLease(lease, id)
@@ -235,7 +237,7 @@
 		return nil
 	}
 	if err := g.store.Revoke(ctx, id); err != nil {
-		return fmt.Errorf("revoking the member lease: %w", err)
+		return eris.Wrap(err, "revoking the member lease")
 	}
 	return nil
 }
--- a/internal/process/owner/change.go
+++ b/internal/process/owner/change.go
@@ -5,11 +5,12 @@
 	"crypto/rand"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"sort"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -93,7 +94,7 @@
 func (o *Owner) takeOver(ctx context.Context, p Partition, former Record) error {
 	if o.settings.Evictor != nil {
 		if err := o.settings.Evictor.Evict(ctx, former.Owner, former.Incarnation); err != nil {
-			return fmt.Errorf("evicting %s: %w", former.Owner, err)
+			return eris.Wrapf(err, "evicting %s", former.Owner)
 		}
 	}
 	o.settings.Recorder.Record(time.Now(), EventTakeover, recorder.Fields{
@@ -167,11 +168,7 @@
 
 // swap writes an owner record and resolves an unknown outcome by reading back.
 func (o *Owner) swap(ctx context.Context, p Partition, expected storer.Revision, next Record) (written Record, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("writing the owner record of %s: %w", p, err)
-		}
-	}()
+	defer func() { err = eris.Wrapf(err, "writing the owner record of %s", p) }()
 	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
 	defer cancel()
 	next.Attempt = rand.Text()
--- /dev/null
+++ b/internal/process/owner/cluster_test.go
@@ -0,0 +1,300 @@
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
+	"github.com/kumquatstack/kumquatstack/internal/process/hlc"
+	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/responder"
+	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+)
+
+const (
+	pollPause = 10 * time.Millisecond
+	patience  = 30 * time.Second
+	document  = `
+regions:
+  - name: north-ga
+    dataCentres:
+      - name: atl-a
+      - name: ath-a
+`
+)
+
+var errCut = errors.New("cut off")
+
+// A cluster is a set of daemons in this process that share a fake store.
+type cluster struct {
+	t     *testing.T
+	store *keyvalue.Fake
+
+	mu    sync.Mutex
+	nodes map[string]*node // by address
+	// holders are the daemons that act as owner, by partition.
+	holders map[owner.Partition]map[string]bool
+	doubles []string
+}
+
+// A node is one daemon's membership, ownership and configuration.
+type node struct {
+	name     string
+	cluster  *cluster
+	cutStore atomic.Bool
+	cutPeers atomic.Bool
+	watcher  *watcher.Watcher
+	group    *member.Group
+	config   *configurer.Configurer
+	owner    *owner.Owner
+	peer     kumquatv1.Peer
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	groupErr chan error
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, store: keyvalue.NewFake(), nodes: make(map[string]*node),
+		holders: make(map[owner.Partition]map[string]bool),
+	}
+	t.Cleanup(func() {
+		for _, n := range c.all() {
+			n.kill()
+		}
+		for _, double := range c.doubles {
+			t.Error(double)
+		}
+	})
+	return c
+}
+
+func (c *cluster) all() []*node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var nodes []*node
+	for _, n := range c.nodes {
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// start runs a daemon.
+func (c *cluster) start(name, dataCentre string) *node {
+	return c.startAt(name, name, dataCentre)
+}
+
+// startAt runs a daemon at an address of its own.
+func (c *cluster) startAt(name, address, dataCentre string) *node {
+	n := &node{name: name, cluster: c, groupErr: make(chan error, 1)}
+	store := cutStore{Store: c.store, cut: &n.cutStore}
+	n.watcher = watcher.New(store, watcher.Root, recorder.Discard{})
+	n.config = configurer.New(configurer.Settings{
+		Store: store, Watcher: n.watcher, Recorder: recorder.Discard{}, Dial: n.dial,
+	})
+	n.group = member.New(member.Settings{
+		Identity: member.Identity{Daemon: name, Address: address, DataCentre: dataCentre, Region: "north-ga"},
+		Store:    store, Watcher: n.watcher, Clock: &hlc.Clock{}, Recorder: recorder.Discard{},
+		Dial: n.dial, Seeds: c.seeds(), Configuration: n.config.State,
+	})
+	n.config.Join(n.group)
+	n.owner = owner.New(owner.Settings{
+		Store: store, Watcher: n.watcher, Group: n.group, Starter: n.config,
+		Recorder: recorder.Discard{}, Declarations: n.config.Declarations,
+		OnAcquire: n.acquired, OnLose: n.lost,
+	})
+	n.peer = responder.New(responder.Parts{Members: n.group, Configurations: n.config})
+	c.mu.Lock()
+	c.nodes[address] = n
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done.Go(func() { _ = n.watcher.Run(ctx) })
+	n.done.Go(func() { _ = n.config.Run(ctx) })
+	n.done.Go(func() { n.groupErr <- n.group.Run(ctx) })
+	n.done.Go(func() { _ = n.owner.Run(ctx) })
+	return n
+}
+
+func (c *cluster) seeds() []string {
+	var seeds []string
+	for _, n := range c.all() {
+		seeds = append(seeds, n.name)
+	}
+	return seeds
+}
+
+// startAll runs n daemons and applies the declarations.
+func (c *cluster) startAll(n int) []*node {
+	c.t.Helper()
+	var nodes []*node
+	for i := range n {
+		nodes = append(nodes, c.start(fmt.Sprintf("atl-a-%d", i+1), "atl-a"))
+	}
+	if _, err := nodes[0].config.Apply(c.t.Context(), []byte(document), configurer.AnyVersion); err != nil {
+		c.t.Fatal(err)
+	}
+	c.await("all partitions to be owned evenly", func() bool { return c.isBalanced(nodes) })
+	return nodes
+}
+
+func (c *cluster) isBalanced(nodes []*node) bool {
+	owned, least, most := 0, 1<<30, 0
+	for _, n := range nodes {
+		count := len(n.owner.Partitions())
+		owned += count
+		least, most = min(least, count), max(most, count)
+	}
+	return owned == 2*(owner.RunnerPartitions+1)+owner.ClaimPartitions && most-least <= 3
+}
+
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+func (n *node) acquired(p owner.Partition, _ owner.Epoch) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	holders := n.cluster.holders[p]
+	if holders == nil {
+		holders = make(map[string]bool)
+		n.cluster.holders[p] = holders
+	}
+	now := time.Now()
+	for other := range holders {
+		if _, holds := n.cluster.nodes[other].owner.Holds(p, now); holds {
+			n.cluster.doubles = append(n.cluster.doubles, fmt.Sprintf("%s acquired %s while %s held it", n.name, p, other))
+		}
+	}
+	holders[n.name] = true
+}
+
+func (n *node) lost(p owner.Partition, _ owner.Reason) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	delete(n.cluster.holders[p], n.name)
+}
+
+// kill ends the daemon without handing anything over.
+func (n *node) kill() {
+	n.cutPeers.Store(true)
+	n.cancel()
+	n.done.Wait()
+}
+
+// stop ends the daemon cleanly.
+func (n *node) stop() error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err := n.owner.Close(ctx)
+	n.kill()
+	return errors.Join(err, n.group.Close(ctx))
+}
+
+// dial returns the client of another daemon, through the cuts of both.
+func (n *node) dial(address string) kumquatv1.Peer {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	other := n.cluster.nodes[address]
+	if other == nil || other.cutPeers.Load() || n.cutPeers.Load() {
+		return unreachable{}
+	}
+	return other.peer
+}
+
+// unreachable is a peer that doesn't answer.
+type unreachable struct{ kumquatv1.Peer }
+
+func (unreachable) Heartbeat(context.Context, *kumquatv1.HeartbeatRequest) (*kumquatv1.HeartbeatResponse, error) {
+	return nil, errCut
+}
+
+func (unreachable) PushConfiguration(context.Context, *kumquatv1.PushConfigurationRequest) (*kumquatv1.PushConfigurationResponse, error) {
+	return nil, errCut
+}
+
+func (unreachable) FetchConfiguration(context.Context, *kumquatv1.FetchConfigurationRequest) (*kumquatv1.FetchConfigurationResponse, error) {
+	return nil, errCut
+}
+
+// cutStore is a store that one daemon can be cut off from.
+type cutStore struct {
+	storer.Store
+	cut *atomic.Bool
+}
+
+func (s cutStore) fail(op string) error {
+	if s.cut.Load() {
+		return &errs.StoreUnavailableError{Op: op, Cause: errCut}
+	}
+	return nil
+}
+
+func (s cutStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := s.fail("get"); err != nil {
+		return storer.Entry{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s cutStore) List(ctx context.Context, prefix string) (storer.Listing, error) {
+	if err := s.fail("list"); err != nil {
+		return storer.Listing{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s cutStore) CompareAndSwap(ctx context.Context, swap storer.Swap) (storer.Revision, error) {
+	if err := s.fail("compare-and-swap"); err != nil {
+		return 0, err
+	}
+	return s.Store.CompareAndSwap(ctx, swap)
+}
+
+func (s cutStore) Grant(ctx context.Context, ttl time.Duration) (storer.LeaseID, error) {
+	if err := s.fail("grant"); err != nil {
+		return 0, err
+	}
+	return s.Store.Grant(ctx, ttl)
+}
+
+func (s cutStore) KeepAlive(ctx context.Context, id storer.LeaseID) (time.Duration, error) {
+	if err := s.fail("keep-alive"); err != nil {
+		return 0, err
+	}
+	return s.Store.KeepAlive(ctx, id)
+}
+
+func (s cutStore) Watch(ctx context.Context, prefix string, after storer.Revision, deliver func([]storer.Event)) error {
+	if err := s.fail("watch"); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil && !s.cut.Load() {
+			time.Sleep(pollPause)
+		}
+		cancel()
+	}()
+	return s.Store.Watch(ctx, prefix, after, deliver)
+}
--- /dev/null
+++ b/internal/process/owner/owner_test.go
@@ -0,0 +1,129 @@
+package owner_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
+	"github.com/kumquatstack/kumquatstack/internal/process/member"
+)
+
+func TestOwnerTakeover(t *testing.T) {
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	time.Sleep(member.LeaseTTL + 2*time.Second) // Past the grace after a connection.
+	t.Run("a killed daemon is replaced", func(t *testing.T) {
+		killed := time.Now()
+		nodes[2].kill()
+		c.await("the partitions to move", func() bool { return c.isBalanced(nodes[:2]) })
+		t.Logf("replaced %s after the kill", time.Since(killed).Round(time.Millisecond))
+		for _, n := range nodes[:2] {
+			assertHeld(t, n)
+		}
+	})
+	t.Run("a stopped daemon hands over", func(t *testing.T) {
+		stopped := time.Now()
+		if err := nodes[1].stop(); err != nil {
+			t.Fatal(err)
+		}
+		c.await("the partitions to move", func() bool { return c.isBalanced(nodes[:1]) })
+		t.Logf("handed over in %s", time.Since(stopped).Round(time.Millisecond))
+	})
+	t.Run("a new daemon gets its share", func(t *testing.T) {
+		joined := c.start("atl-a-4", "atl-a")
+		c.await("the partitions to move", func() bool { return c.isBalanced([]*node{nodes[0], joined}) })
+	})
+}
+
+func TestOwnerCutOff(t *testing.T) {
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	nodes[0].cutStore.Store(true)
+	nodes[0].cutPeers.Store(true)
+	c.await("the lone daemon to stop acting", func() bool { return len(nodes[0].owner.Partitions()) == 0 })
+	c.await("the others to take over", func() bool { return c.isBalanced(nodes[1:]) })
+	nodes[0].cutStore.Store(false)
+	nodes[0].cutPeers.Store(false)
+	c.await("the daemon to get its share again", func() bool { return c.isBalanced(nodes) })
+}
+
+func TestIdentityClaimed(t *testing.T) {
+	c := newCluster(t)
+	first := c.startAll(1)[0]
+	second := c.startAt(first.name, "elsewhere", "atl-a")
+	var claimed *member.IdentityClaimedError
+	select {
+	case err := <-second.groupErr:
+		if !errors.As(err, &claimed) {
+			t.Errorf("error %v, want that the identity is claimed", err)
+		}
+	case <-time.After(patience):
+		t.Error("the second daemon goes on")
+	}
+	if !first.group.Lease().Holds(time.Now()) {
+		t.Error("the first daemon lost its lease")
+	}
+}
+
+func TestConfiguration(t *testing.T) {
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	t.Run("a data centre out is in force everywhere", func(t *testing.T) {
+		c.await("start authority", func() bool { return nodes[2].owner.MayStart("atl-a", time.Now()) })
+		result, err := nodes[0].config.SetDataCentre(t.Context(), "atl-a", true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertConfirmed(t, result)
+		for _, n := range nodes {
+			assertMayStart(t, n, "atl-a", false)
+		}
+	})
+	t.Run("a daemon cut off from the store learns it from peers", func(t *testing.T) {
+		nodes[2].cutStore.Store(true)
+		result, err := nodes[0].config.SetDataCentre(t.Context(), "ath-a", true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		assertConfirmed(t, result)
+		assertMayStart(t, nodes[2], "ath-a", false)
+	})
+	t.Run("a daemon cut off from all is named and loses its start authority", func(t *testing.T) {
+		nodes[2].cutPeers.Store(true)
+		result, err := nodes[0].config.SetDataCentre(t.Context(), "atl-a", false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(result.Unconfirmed) != 1 || result.Unconfirmed[0] != nodes[2].name {
+			t.Errorf("unconfirmed %v, want %s", result.Unconfirmed, nodes[2].name)
+		}
+		_, age := nodes[2].config.State(time.Now())
+		if age >= 0 && age <= configurer.ProofLifetime {
+			t.Errorf("proof of age %s remains", age)
+		}
+	})
+}
+
+func assertConfirmed(t *testing.T, result configurer.Result) {
+	t.Helper()
+	if len(result.Unconfirmed) > 0 || result.Unchanged {
+		t.Errorf("result %+v, want a change confirmed by all", result)
+	}
+}
+
+func assertMayStart(t *testing.T, n *node, dataCentre string, want bool) {
+	t.Helper()
+	if got := n.owner.MayStart(dataCentre, time.Now()); got != want {
+		t.Errorf("%s: MayStart(%s) = %t, want %t", n.name, dataCentre, got, want)
+	}
+}
+
+func assertHeld(t *testing.T, n *node) {
+	t.Helper()
+	for _, p := range n.owner.Partitions() {
+		if _, ok := n.owner.Holds(p, time.Now()); !ok {
+			t.Errorf("%s is listed but not held", p)
+		}
+	}
+}
--- a/internal/process/owner/record.go
+++ b/internal/process/owner/record.go
@@ -2,9 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 )
@@ -46,7 +47,7 @@
 // ParseRecord reads an owner record.
 func ParseRecord(entry storer.Entry) (p Partition, r Record, err error) {
 	if err := json.Unmarshal(entry.Value, &r); err != nil {
-		return "", Record{}, fmt.Errorf("owner record %s: %w", entry.Key, err)
+		return "", Record{}, eris.Wrapf(err, "owner record %s", entry.Key)
 	}
 	return Partition(strings.TrimPrefix(entry.Key, Prefix)), r.WithRevision(entry.Revision), nil
 }
