Test the decisions on slots, and treat sick and joining runners better

Cause: the decisions on slots had no tests of their own; a poisoned request could eject all runners, and joining runners got all their load at once.

Runners that join start slowly, at most half are ejected for their answers, answers that are much too late count as failures, and Close ends draining connections.

--- a/internal/process/picker/health.go
+++ b/internal/process/picker/health.go
@@ -83,6 +83,12 @@
 	return h
 }
 
+// WithReturn returns the health of a runner that gets its slots back slowly.
+func (h Health) WithReturn(now time.Time) Health {
+	h.returnedAt = now
+	return h
+}
+
 // withAnswer returns the health after a good answer.
 func (h Health) withAnswer(latency time.Duration, now time.Time) Health {
 	h.failures *= 1 - failureWeight
--- /dev/null
+++ b/internal/process/picker/pick_test.go
@@ -0,0 +1,102 @@
+package picker
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func drawHealth(t *rapid.T, now time.Time) Health {
+	var h Health
+	for range rapid.IntRange(0, 30).Draw(t, "observations") {
+		seen := Observation(rapid.IntRange(int(Answered), int(Withdrawn)).Draw(t, "seen"))
+		before := time.Duration(rapid.IntRange(0, 20000).Draw(t, "before")) * time.Millisecond
+		latency := time.Duration(rapid.IntRange(1, 500).Draw(t, "latency")) * time.Millisecond
+		h = h.With(seen, latency, now.Add(-before))
+	}
+	return h
+}
+
+func TestPickIsAlwaysAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		candidates := make([]Candidate, rapid.IntRange(0, 6).Draw(t, "runners"))
+		free := 0
+		for i := range candidates {
+			slots := rapid.IntRange(1, 8).Draw(t, "slots")
+			candidates[i] = Candidate{
+				Near:     rapid.Bool().Draw(t, "near"),
+				Closed:   rapid.IntRange(0, 3).Draw(t, "closed") == 0,
+				Slots:    slots,
+				InFlight: rapid.IntRange(0, slots).Draw(t, "inFlight"),
+				Health:   drawHealth(t, now),
+			}
+			free += candidates[i].Free(Median(candidates), now)
+		}
+		index, ok := Pick(candidates, rapid.IntRange(0, 100).Draw(t, "offset"), rapid.Bool().Draw(t, "probe"), Median(candidates), now)
+		if !ok {
+			if free > 0 && Median(candidates) == 0 {
+				t.Fatalf("nothing was picked though %d slots are free", free)
+			}
+			return
+		}
+		chosen := candidates[index]
+		if chosen.Closed || chosen.InFlight >= chosen.Slots || chosen.Health.IsEjected(now) {
+			t.Fatalf("picked %+v", chosen)
+		}
+	})
+}
+
+func TestHealth(t *testing.T) {
+	t.Run("a fast failer is ejected and returns slowly", func(t *testing.T) {
+		var h Health
+		now := start
+		for range 5 {
+			h = h.With(Failed, time.Millisecond, now)
+		}
+		assertLimit(t, h, now, 0)
+		now = h.EjectedUntil()
+		assertLimit(t, h, now, 1)
+		h = h.With(Answered, 50*time.Millisecond, now)
+		assertLimit(t, h, now, 1)
+		assertLimit(t, h, now.Add(slowStart/2), 4)
+		assertLimit(t, h, now.Add(slowStart), 8)
+	})
+	t.Run("a failed probe lengthens the ejection", func(t *testing.T) {
+		h := Health{}.With(Unreachable, 0, start)
+		first := h.EjectedUntil().Sub(start)
+		h = h.With(Unreachable, 0, h.EjectedUntil())
+		if second := h.EjectedUntil().Sub(start.Add(first)); second <= first {
+			t.Errorf("second ejection takes %v, the first %v", second, first)
+		}
+	})
+	t.Run("a slow runner gets fewer slots", func(t *testing.T) {
+		var h Health
+		for range 100 {
+			h = h.With(Answered, 600*time.Millisecond, start)
+		}
+		if limit := h.Limit(8, 50*time.Millisecond, start); limit > 3 {
+			t.Errorf("limit = %d", limit)
+		}
+	})
+	t.Run("a leaving runner gets nothing", func(t *testing.T) {
+		assertLimit(t, Health{}.WithLeaving(start.Add(time.Minute)), start, 0)
+	})
+	t.Run("withdrawn requests blame nobody", func(t *testing.T) {
+		var h Health
+		for range 100 {
+			h = h.With(Withdrawn, time.Second, start)
+		}
+		assertLimit(t, h, start, 8)
+	})
+}
+
+func assertLimit(t *testing.T, h Health, now time.Time, want int) {
+	t.Helper()
+	if got := h.Limit(8, 0, now); got != want {
+		t.Errorf("limit = %d, want %d", got, want)
+	}
+}
--- a/internal/process/slotter/acquire.go
+++ b/internal/process/slotter/acquire.go
@@ -165,7 +165,7 @@
 		closeAvoided(up, candidates, ask.Avoid, now)
 	}
 	up.offset++
-	index, ok := picker.Pick(candidates, up.offset, ask.Idempotent, picker.Median(candidates), now)
+	index, ok := picker.Pick(candidates, up.offset, ask.Idempotent, up.median, now)
 	if !ok {
 		return nil
 	}
@@ -182,7 +182,7 @@
 		}
 		saved := candidates[i].Closed
 		candidates[i].Closed = true
-		if _, ok := picker.Pick(candidates, 0, true, 0, now); !ok {
+		if _, ok := picker.Pick(candidates, 0, true, up.median, now); !ok {
 			candidates[i].Closed = saved
 		}
 	}
@@ -207,11 +207,10 @@
 // capacity returns the number of slots that serve an upstream here.
 func (s *Slots) capacity(up *upstream, now time.Time) int {
 	candidates := s.candidates(up, now)
-	median := picker.Median(candidates)
 	slots := 0
 	for i := range candidates {
 		if !candidates[i].Closed {
-			slots += candidates[i].Health.Limit(candidates[i].Slots, median, now)
+			slots += candidates[i].Health.Limit(candidates[i].Slots, up.median, now)
 		}
 	}
 	return slots
--- a/internal/process/slotter/drain.go
+++ b/internal/process/slotter/drain.go
@@ -9,7 +9,6 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/exchanger"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
-	"github.com/kumquatstack/kumquatstack/internal/process/picker"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 )
 
@@ -55,14 +54,12 @@
 // load computes the load of an upstream.
 func (s *Slots) load(name string, up *upstream, now time.Time) Load {
 	load := Load{Upstream: name, Queued: up.queue.Len(), Service: up.service}
-	candidates := s.candidates(up, now)
-	median := picker.Median(candidates)
-	for _, c := range candidates {
+	for _, c := range s.candidates(up, now) {
 		if c.Closed {
 			continue
 		}
-		load.Slots += c.Health.Limit(c.Slots, median, now)
-		load.Free += c.Free(median, now)
+		load.Slots += c.Health.Limit(c.Slots, up.median, now)
+		load.Free += c.Free(up.median, now)
 	}
 	return load
 }
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -123,12 +123,23 @@
 	case errors.Is(err, ErrTooLong):
 		sl.seen = picker.Broken
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		sl.seen = picker.Answered
+		sl.seen = sl.judgeLate()
 	default:
 		sl.blame(ctx, picker.Broken)
 	}
 }
 
+// judgeLate returns what an answer that came too late says of the runner: that
+// it failed if others answer much faster, and otherwise only how long it took.
+func (sl *Slot) judgeLate() picker.Observation {
+	sl.slots.mu.Lock()
+	defer sl.slots.mu.Unlock()
+	if median := sl.up.median; median > 0 && sl.latency > lateFactor*median {
+		return picker.Failed
+	}
+	return picker.Answered
+}
+
 // Release gives the slot back. The slot is free when the answer is whole, or
 // when the runner has closed its side of the connection.
 func (sl *Slot) Release() {
@@ -159,8 +170,9 @@
 // drain waits until the runner no longer works on the request.
 func (sl *Slot) drain() {
 	defer sl.slots.jobs.Done()
-	limit := sl.slots.opts.Now().Add(sl.maxDuration())
-	sl.conn.Drain(limit)
+	stop := context.AfterFunc(sl.slots.life, sl.conn.Close)
+	defer stop()
+	sl.conn.Drain(sl.slots.opts.Now().Add(sl.maxDuration()))
 	sl.slots.free(sl, nil)
 }
 
@@ -192,6 +204,9 @@
 	if !sl.sentAt.IsZero() || sl.seen != picker.Answered {
 		after = before.With(sl.seen, sl.latency, now)
 	}
+	if sl.seen == picker.Failed && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
+		after = before
+	}
 	if sl.leaving {
 		after = after.WithLeaving(now.Add(leavingHold))
 	}
@@ -206,6 +221,22 @@
 	}
 }
 
+// isMostlyEjected reports whether one more ejection would leave less than half
+// of this daemon's runners. Ejecting them for their answers would help nobody.
+func (s *Slots) isMostlyEjected(up *upstream, now time.Time) bool {
+	own, ejected := 0, 1
+	for _, c := range s.candidates(up, now) {
+		if c.Closed {
+			continue
+		}
+		own++
+		if c.Health.IsEjected(now) {
+			ejected++
+		}
+	}
+	return 2*ejected > own
+}
+
 // A slotBody is the body of an answer that notes when the answer breaks.
 type slotBody struct {
 	slot  *Slot
--- a/internal/process/slotter/slots.go
+++ b/internal/process/slotter/slots.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/connection/exchanger"
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/picker"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
 )
@@ -27,6 +28,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// leavingHold is the time for which a runner's own signal of leaving holds.
 	leavingHold = 30 * time.Second
+	// lateFactor is the multiple of the typical latency after which a missing
+	// answer is the runner's failure.
+	lateFactor = 5
 	// initialService is the mean use of a slot before any was measured.
 	initialService = 50 * time.Millisecond
 )
@@ -91,9 +95,10 @@
 func (s *Slots) SetDeclarations(declared *declarer.Declarations) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.opts.Now()
 	s.declared = declared
-	s.rebuild()
-	s.dispatchAll(s.opts.Now())
+	s.rebuild(now)
+	s.dispatchAll(now)
 }
 
 // SetHosts takes over the platform's list of hosts. Hosts other than runners
@@ -101,13 +106,14 @@
 func (s *Slots) SetHosts(hosts []lister.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.opts.Now()
 	s.hosts = slices.Clone(hosts)
-	s.rebuild()
-	s.dispatchAll(s.opts.Now())
+	s.rebuild(now)
+	s.dispatchAll(now)
 }
 
 // rebuild brings the table in line with the declarations and the host list.
-func (s *Slots) rebuild() {
+func (s *Slots) rebuild(now time.Time) {
 	if s.declared == nil {
 		return
 	}
@@ -124,7 +130,7 @@
 	}
 	for _, host := range s.hosts {
 		if up := s.upstreams[host.Upstream]; up != nil && host.Kind == lister.KindRunner {
-			up.list(host, s.declared.IsOut(host.DataCentre))
+			up.list(host, s.declared.IsOut(host.DataCentre), now)
 		}
 	}
 	for name, up := range s.upstreams {
@@ -156,6 +162,7 @@
 	s.mu.Lock()
 	var stale []*exchanger.Conn
 	for _, up := range s.upstreams {
+		up.median = picker.Median(s.candidates(up, now))
 		for _, r := range up.runners {
 			stale = append(stale, r.takeStale(s.mayUse(r, up, now), now)...)
 		}
--- a/internal/process/slotter/upstream.go
+++ b/internal/process/slotter/upstream.go
@@ -18,14 +18,18 @@
 type upstream struct {
 	declared declarer.Upstream
 	isStated bool // the declarations name the upstream
-	runners  []*runner
-	byName   map[string]*runner
-	queue    *queuer.Queue[*waiter]
+	// hasHistory is true once runners were listed.
+	hasHistory bool
+	runners    []*runner
+	byName     map[string]*runner
+	queue      *queuer.Queue[*waiter]
 	// longest is the longest time any version let a request hold a slot.
 	longest time.Duration
 	// service is the mean time that a slot is in use.
 	service time.Duration
-	offset  int
+	// median is the typical latency of the runners; zero if unknown.
+	median time.Duration
+	offset int
 	// candidates is reused between choices.
 	candidates []picker.Candidate
 }
@@ -55,17 +59,22 @@
 	up.queue.SetCapacity(declared.QueueLength)
 }
 
-// list takes over an entry of the host list. A runner with a new address is
-// another process, about which nothing is known.
-func (up *upstream) list(host lister.Host, out bool) {
+// list takes over an entry of the host list. A runner that joins, that comes
+// back or that has a new address starts slowly, unless all runners are new.
+func (up *upstream) list(host lister.Host, out bool, now time.Time) {
 	r := up.byName[host.Name]
+	isFirst := !up.hasHistory
 	if r == nil {
 		r = &runner{}
 		up.byName[host.Name] = r
 		up.runners = append(up.runners, r)
 	}
-	if r.host.Address != host.Address {
+	isBack := r.host.State == lister.StateLeaving && host.State == lister.StateLive
+	if r.host.Address != host.Address || isBack {
 		r.health = picker.Health{}
+		if !isFirst {
+			r.health = r.health.WithReturn(now)
+		}
 	}
 	r.host = host
 	r.partition = PartitionOf(host)
@@ -83,6 +92,7 @@
 		}
 		delete(up.byName, r.host.Name)
 	}
+	up.hasHistory = up.hasHistory || len(kept) > 0
 	clear(up.runners[len(kept):])
 	up.runners = kept
 	sortRunners(up.runners)
