--- a/internal/connection/forwarder/peers.go
+++ b/internal/connection/forwarder/peers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/process/slotter"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -118,6 +119,21 @@
 	return wait
 }
 
+// LoadsToWire returns the loads that a heartbeat carries.
+func LoadsToWire(loads []slotter.Load) []*kumquatv1.UpstreamLoad {
+	wire := make([]*kumquatv1.UpstreamLoad, 0, len(loads))
+	for _, load := range loads {
+		wire = append(wire, &kumquatv1.UpstreamLoad{
+			Upstream:      load.Upstream,
+			FreeSlots:     int32(load.Free),
+			Queued:        int32(load.Queued),
+			Slots:         int32(load.Slots),
+			ServiceMicros: load.Service.Microseconds(),
+		})
+	}
+	return wire
+}
+
 // LoadFromWire returns the load that a heartbeat carries.
 func LoadFromWire(load *kumquatv1.UpstreamLoad, seenAt time.Time) Load {
 	return Load{
