Compare ways of sharing slots in a simulation

Cause: fixed split, owner with forwarding and leased credits have to be weighed by figures, with stale word of peers' loads and with faults.

--- /dev/null
+++ b/internal/experiment/main.go
@@ -0,0 +1,56 @@
+// Package experiment holds the commands of the experiment tool.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the tool.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// A subcommand is one experiment.
+type subcommand struct {
+	name        string
+	description string
+	// command returns the flags with their Execute method.
+	command func(out io.Writer) flags.Commander
+}
+
+// subcommands lists the experiments; each has a file of its own.
+var subcommands = []subcommand{
+	{"slots", "compare ways of sharing the runners' slots", newSlotsCommand},
+}
+
+// Main runs the tool and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	parser := flags.NewNamedParser("kumquat-experiment", flags.HelpFlag|flags.PassDoubleDash)
+	for _, sub := range subcommands {
+		if _, err := parser.AddCommand(sub.name, sub.description, "", sub.command(stdout)); err != nil {
+			_, _ = fmt.Fprintln(stderr, err)
+			return exitFailed
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(stdout, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	default:
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+}
