--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -12,43 +12,43 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/decoder"
 )
 
-// Defaults of values that a file leaves out.
-const (
-	defaultLogLevel     = "info"
-	defaultPollInterval = time.Second
-	defaultDrainTimeout = 10 * time.Minute
-	defaultEventBytes   = 4 << 20
-)
-
 // Settings are what one daemon is told at its start. They never change while
 // it runs; everything that may change is in the declarations.
 type Settings struct {
 	// Name identifies the daemon; no two daemons have the same.
-	Name       string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
+	Name string `yaml:"name" validate:"required,hostname_rfc1123,max=63"`
+	// DataCentre is where the daemon stands.
 	DataCentre string `yaml:"dataCentre" validate:"required,hostname_rfc1123"`
-	Region     string `yaml:"region" validate:"required,hostname_rfc1123"`
+	// Region is that of the data centre.
+	Region string `yaml:"region" validate:"required,hostname_rfc1123"`
 	// Listen holds the addresses the daemon listens on.
 	Listen Addresses `yaml:"listen"`
 	// Advertise holds the addresses at which others reach the daemon, where
 	// they differ from those it listens on.
 	Advertise Advertised `yaml:"advertise"`
-	Store     Store      `yaml:"store"`
-	HostList  HostList   `yaml:"hostList"`
+	// Store is the key-value service.
+	Store Store `yaml:"store"`
+	// HostList is the list of hosts.
+	HostList HostList `yaml:"hostList"`
 	// Seeds are addresses of peers that are asked for the configuration when
 	// the store does not answer at the start.
 	Seeds []string `yaml:"seeds" validate:"unique"`
 	// Reroute gives, for an address that another daemon advertises, the one
 	// that this daemon dials in its place, as behind address translation.
 	Reroute map[string]string `yaml:"reroute"`
-	TLS     TLS               `yaml:"tls"`
+	// TLS names the files for encrypted connections.
+	TLS TLS `yaml:"tls"`
 	// Plaintext allows connections without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
-	LogLevel string `yaml:"logLevel" validate:"oneof=debug info warn error"`
+	LogLevel string `yaml:"logLevel" default:"info" validate:"oneof=debug info warn error"`
+	// BalancerDelay is the time between the answer to the balancer that the
+	// daemon is leaving and the end of accepting callers.
+	BalancerDelay time.Duration `yaml:"balancerDelay" default:"3s" validate:"min=0,max=5m"`
 	// DrainTimeout bounds a planned stop.
-	DrainTimeout time.Duration `yaml:"drainTimeout" validate:"min=1s,max=24h"`
+	DrainTimeout time.Duration `yaml:"drainTimeout" default:"10m" validate:"min=1s,max=24h"`
 	// EventBytes bounds the memory of recorded events.
-	EventBytes int `yaml:"eventBytes" validate:"min=65536,max=1073741824"`
+	EventBytes int `yaml:"eventBytes" default:"4194304" validate:"min=65536,max=1073741824"`
 }
 
 // Addresses are IP numbers with ports, for example "10.1.0.5:7000".
@@ -66,8 +66,11 @@
 // Advertised are the addresses given to others; an empty one is the address
 // that the daemon listens on.
 type Advertised struct {
-	Callers   string `yaml:"callers"`
-	Peers     string `yaml:"peers"`
+	// Callers is the address for callers.
+	Callers string `yaml:"callers"`
+	// Peers is the address for other daemons.
+	Peers string `yaml:"peers"`
+	// Operators is the address for the tool.
 	Operators string `yaml:"operators"`
 }
 
@@ -75,6 +78,9 @@
 type Store struct {
 	// Endpoint is a URL, for example "http://10.1.0.2:2379".
 	Endpoint string `yaml:"endpoint" validate:"required,http_url"`
+	// Region is where the service runs; daemons there are preferred as owners
+	// of partitions that any region could own.
+	Region string `yaml:"region" validate:"omitempty,hostname_rfc1123"`
 }
 
 // HostList tells how to reach the platform's list of hosts.
@@ -82,15 +88,18 @@
 	// Endpoint is a URL.
 	Endpoint string `yaml:"endpoint" validate:"required,http_url"`
 	// PollInterval is the time between two reads of the list.
-	PollInterval time.Duration `yaml:"pollInterval" validate:"min=100ms,max=1m"`
+	PollInterval time.Duration `yaml:"pollInterval" default:"1s" validate:"min=100ms,max=1m"`
 }
 
 // TLS names the PEM files of the daemon's certificate, its key, and the
 // authority that signs the certificates of peers and operators.
 type TLS struct {
+	// Certificate is shown to peers, operators and callers.
 	Certificate string `yaml:"certificate" validate:"omitempty,file"`
-	Key         string `yaml:"key" validate:"omitempty,file"`
-	Authority   string `yaml:"authority" validate:"omitempty,file"`
+	// Key is that of the certificate.
+	Key string `yaml:"key" validate:"omitempty,file"`
+	// Authority signs the certificates of peers and operators.
+	Authority string `yaml:"authority" validate:"omitempty,file"`
 }
 
 // Load reads and checks a settings file.
@@ -105,27 +114,13 @@
 // Parse decodes and checks a settings document. The name is that of the file
 // and stands in errors. Every error is a *errs.DocumentError.
 func Parse(name string, document []byte) (*Settings, error) {
-	set := &Settings{
-		HostList:     HostList{PollInterval: defaultPollInterval},
-		LogLevel:     defaultLogLevel,
-		DrainTimeout: defaultDrainTimeout,
-		EventBytes:   defaultEventBytes,
-	}
+	set := &Settings{}
 	if err := decoder.Decode(name, document, set, checkAddresses, checkTLS); err != nil {
 		return nil, err
 	}
 	return set.withDefaults(), nil
 }
 
-// UnmarshalYAML fills in defaults.
-func (h *HostList) UnmarshalYAML(unmarshal func(any) error) error {
-	type plain HostList
-	value := plain{PollInterval: defaultPollInterval}
-	err := unmarshal(&value)
-	*h = HostList(value)
-	return err
-}
-
 // withDefaults returns a copy whose empty advertised addresses are filled in.
 func (s *Settings) withDefaults() *Settings {
 	next := *s
@@ -140,6 +135,14 @@
 	return &next
 }
 
+// WithStop returns a copy with other times for a planned stop.
+func (s *Settings) WithStop(balancerDelay, drainTimeout time.Duration) *Settings {
+	next := *s
+	next.BalancerDelay = balancerDelay
+	next.DrainTimeout = drainTimeout
+	return &next
+}
+
 // Scheme returns the scheme of peer and operator addresses.
 func (s *Settings) Scheme() string {
 	if s.Plaintext {
