--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -96,10 +96,6 @@
 		Watcher:  d.watcher,
 		Recorder: d.recorder,
 		Dial:     d.dialer.Peer,
-		Parse: func(document []byte) (*declarer.Declarations, error) {
-			return declarer.Parse("declarations", document)
-		},
-		Encode: declarer.Encode,
 	})
 }
 
