Tell an unknown outcome from a refusal after a lost answer

When the first daemon's answer to a change was lost and the second daemon refused the repeat, the tool said that nothing had changed, although the first attempt may have taken effect.

--- a/internal/cli/applycmd.go
+++ b/internal/cli/applycmd.go
@@ -75,30 +75,29 @@
 	return nil
 }
 
-// apply sends the change. If the answer was lost, or a repeat at another
-// daemon is refused because the first attempt took effect, it reads back.
+// apply sends the change. If its outcome is unknown or another operator was
+// faster, it reads back what is in force.
 func apply(ctx context.Context, c *client, found *difference) (*kumquatv1.ApplyResponse, error) {
 	answer, err := call(ctx, c, changes, "apply", kumquatv1.Operator.Apply,
 		&kumquatv1.ApplyRequest{Document: found.document, BaseVersion: found.BaseVersion})
 	var unknown *errs.UnknownOutcomeError
-	if err == nil || !errors.As(err, &unknown) && !isConflict(err) {
+	isConflict := errors.Is(err, errs.ErrConflict)
+	if err == nil || !errors.As(err, &unknown) && !isConflict {
 		return answer, err
 	}
 	current, readErr := call(ctx, c, reads, "read declarations", kumquatv1.Operator.GetDeclarations, &kumquatv1.GetDeclarationsRequest{})
-	if readErr != nil {
+	switch {
+	case readErr != nil:
 		return nil, err
-	}
-	if current.GetDocument() == found.document && current.GetVersion() != found.BaseVersion {
+	case current.GetDocument() == found.document && current.GetVersion() != found.BaseVersion:
 		return &kumquatv1.ApplyResponse{Version: current.GetVersion()}, nil
-	}
-	if isConflict(err) {
+	case isConflict:
 		return nil, conflictError(found, current)
+	default:
+		return nil, err
 	}
-	return nil, err
 }
 
-func isConflict(err error) bool { return errors.Is(err, errs.ErrConflict) }
-
 // conflictError tells the loser of a race what the winner changed.
 func conflictError(found *difference, current *kumquatv1.GetDeclarationsResponse) error {
 	refused := &errs.RefusedError{
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -71,8 +71,9 @@
 
 // call makes a call at the daemons in turn until one gives an answer. All
 // calls are idempotent, so that a call whose answer was lost may be repeated
-// at the next daemon. If no daemon answers and one may have received a call
-// that changes something, the error is a *errs.UnknownOutcomeError.
+// at the next daemon. If a daemon may have received a call that changes
+// something and none then says that it took effect, the error is a
+// *errs.UnknownOutcomeError.
 func call[Request, Answer any](
 	ctx context.Context, c *client, kind effect, op string,
 	method func(kumquatv1.Operator, context.Context, *Request) (*Answer, error), request *Request,
@@ -84,6 +85,10 @@
 		if err == nil {
 			return answer, nil
 		}
+		if isFinal(err) && kind == changes && sent {
+			// The refusal says nothing of the earlier attempt.
+			return nil, &errs.UnknownOutcomeError{Op: op, Cause: err}
+		}
 		if isFinal(err) {
 			return nil, err
 		}
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -157,12 +157,12 @@
 func (f *fakeOperator) Apply(_ context.Context, req *kumquatv1.ApplyRequest) (*kumquatv1.ApplyResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if req.Document == f.document {
-		return &kumquatv1.ApplyResponse{Version: f.version, Unchanged: true}, nil
-	}
 	if req.BaseVersion != f.version {
 		return nil, errs.ErrConflict
 	}
+	if req.Document == f.document {
+		return &kumquatv1.ApplyResponse{Version: f.version, Unchanged: true}, nil
+	}
 	f.version, f.document = f.version+1, req.Document
 	return &kumquatv1.ApplyResponse{Version: f.version}, nil
 }
