--- a/internal/cli/exitcode.go
+++ b/internal/cli/exitcode.go
@@ -85,12 +85,13 @@
 	switch {
 	case err == nil:
 		return exitOK
+	// An unknown outcome comes first, as its cause may be any other error.
+	case errors.As(err, &unknown):
+		return exitUnknown
 	case errors.As(err, &parse), errors.As(err, &usage), errors.As(err, &faulty):
 		return exitUsage
 	case errors.As(err, &refused), errors.Is(err, errs.ErrNotFound), errors.Is(err, errs.ErrConflict):
 		return exitRefused
-	case errors.As(err, &unknown):
-		return exitUnknown
 	case errors.As(err, &unavailable), errors.As(err, &unreachable):
 		return exitUnreachable
 	case errors.As(err, &different):
--- a/internal/cli/printer.go
+++ b/internal/cli/printer.go
@@ -116,15 +116,15 @@
 	)
 	r := errorReport{ExitCode: codeOf(err), Message: err.Error()}
 	switch {
+	case errors.As(err, &unknown):
+		r.Message = unknown.Error()
+		r.Remedy = "look with kumquat status or kumquat diff, then repeat the command: it is idempotent"
 	case errors.As(err, &refused):
 		r.What, r.Why, r.Remedy = refused.What, refused.Why, refused.Remedy
 	case errors.As(err, &faulty):
 		r.Problems = faulty.Problems
 		r.Message = faulty.Error()
 		r.Remedy = "correct the document; nothing of it has taken effect"
-	case errors.As(err, &unknown):
-		r.Message = unknown.Error()
-		r.Remedy = "look with kumquat status or kumquat diff, then repeat the command: it is idempotent"
 	case errors.As(err, &unavailable):
 		r.Message = unavailable.Error()
 		r.Remedy = "nothing has changed; repeat the command when the store answers"
--- a/internal/rpc/errorcoder/errorcoder.go
+++ b/internal/rpc/errorcoder/errorcoder.go
@@ -33,6 +33,9 @@
 		return nil
 	case errors.As(err, &coded):
 		return coded
+	// An unknown outcome comes first, as its cause may be any other error.
+	case errors.As(err, &unknown):
+		return twirp.NewError(twirp.Unknown, err.Error()).WithMeta(metaOp, unknown.Op)
 	case errors.As(err, &refused):
 		return encodeRefused(refused)
 	case errors.As(err, &document):
@@ -45,8 +48,6 @@
 		return twirp.NotFoundError(err.Error())
 	case errors.As(err, &unavailable):
 		return twirp.NewError(twirp.Unavailable, err.Error()).WithMeta(metaOp, unavailable.Op)
-	case errors.As(err, &unknown):
-		return twirp.NewError(twirp.Unknown, err.Error()).WithMeta(metaOp, unknown.Op)
 	default:
 		return twirp.InternalErrorWith(err)
 	}
--- a/internal/rpc/errorcoder/errorcoder_test.go
+++ b/internal/rpc/errorcoder/errorcoder_test.go
@@ -23,6 +23,13 @@
 		var got *errs.UnknownOutcomeError
 		assertAs(t, &errs.UnknownOutcomeError{Op: "apply", Cause: errors.New("cut")}, &got)
 	})
+	t.Run("unknown outcome with another cause", func(t *testing.T) {
+		causes := []error{errs.ErrConflict, &errs.RefusedError{What: "x"}, &errs.StoreUnavailableError{Op: "y", Cause: errs.ErrNotFound}}
+		for _, cause := range causes {
+			var got *errs.UnknownOutcomeError
+			assertAs(t, &errs.UnknownOutcomeError{Op: "cancel", Cause: cause}, &got)
+		}
+	})
 	t.Run("unavailable", func(t *testing.T) {
 		var got *errs.StoreUnavailableError
 		assertAs(t, &errs.StoreUnavailableError{Op: "apply", Cause: errors.New("down")}, &got)
