--- a/internal/process/sharder/crash_test.go
+++ b/internal/process/sharder/crash_test.go
@@ -57,10 +57,15 @@
 	return err
 }
 
-// A tappedAgent is an agent behind a tap.
+// An interceptor stands between an owner and its workers.
+type interceptor interface {
+	around(command string, send func() error) error
+}
+
+// A tappedAgent is an agent behind an interceptor.
 type tappedAgent struct {
 	commander.Agent
-	tap *tap
+	tap interceptor
 }
 
 func (a *tappedAgent) Start(ctx context.Context, start commander.Start) error {
--- a/internal/process/sharder/faults_test.go
+++ b/internal/process/sharder/faults_test.go
@@ -1,6 +1,7 @@
 package sharder
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,7 +71,7 @@
 	ended := make(map[string]time.Time)
 	starts := 0
 	for _, record := range r.fleet.Records() {
-		if len(record.Task) < len(intent) || record.Task[:len(intent)] != intent {
+		if !strings.HasPrefix(record.Task, intent+"/") {
 			continue
 		}
 		if record.Kind == judge.KindEnd {
@@ -258,7 +259,7 @@
 		urgent.Resources.MemoryBytes = 64 * testGB
 		s.Ingest(urgent)
 		asked := time.Now()
-		until(t, "the urgent tasks run", func() bool { return r.starts("cleanup") == 3 })
+		until(t, "the urgent tasks run", func() bool { return r.starts("cleanup/") == 3 })
 		if took := time.Since(asked); took > 8*time.Second {
 			t.Errorf("urgent tasks started after %s", took)
 		}
@@ -267,11 +268,11 @@
 	})
 }
 
-// starts returns the number of starts of an intent's tasks.
-func (r *rig) starts(intent string) int {
+// starts returns the number of starts of tasks whose id begins with a prefix.
+func (r *rig) starts(prefix string) int {
 	starts := 0
 	for _, record := range r.fleet.Records() {
-		if record.Kind == judge.KindStart && record.Task[:min(len(record.Task), len(intent)+1)] == intent+"/" {
+		if record.Kind == judge.KindStart && strings.HasPrefix(record.Task, prefix) {
 			starts++
 		}
 	}
@@ -316,3 +317,42 @@
 		r.assertPromises(20)
 	})
 }
+
+func TestStartAuthority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 10, time.Minute))
+		time.Sleep(5 * time.Second)
+		s.grant.set(true, false)
+		s.Ingest(intentOf("more", "atl-a", 10, time.Second))
+		time.Sleep(30 * time.Second)
+		if running, started := r.running(), r.starts("more/"); running != 10 || started != 0 {
+			t.Errorf("%d run and %d started without start authority, want 10 and 0", running, started)
+		}
+		s.grant.set(true, true)
+		r.untilCount(s.Sharder, finishedState, 20)
+		r.assertPromises(20)
+	})
+}
+
+func TestAuthorityInterrupted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 10, 30*time.Second))
+		time.Sleep(5 * time.Second)
+		s.grant.set(false, false)
+		calls := len(r.fleet.Records())
+		s.evictSome()
+		time.Sleep(testLease + 5*time.Second)
+		if lapsed := len(r.fleet.Records()) - calls; lapsed != 10 {
+			t.Errorf("%d runs ended without authority, want all 10 to lapse", lapsed)
+		}
+		s.grant.set(true, true)
+		r.untilCount(s.Sharder, finishedState, 10)
+		r.assertPromises(10)
+	})
+}
--- /dev/null
+++ b/internal/process/sharder/rate_test.go
@@ -0,0 +1,121 @@
+package sharder
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+)
+
+// A weigher counts the bytes of the values written to a store.
+type weigher struct {
+	storer.Store
+	bytes atomic.Int64
+}
+
+func (w *weigher) CompareAndSwap(ctx context.Context, swap storer.Swap) (storer.Revision, error) {
+	w.bytes.Add(int64(len(swap.Value)))
+	return w.Store.CompareAndSwap(ctx, swap)
+}
+
+// A meter counts the calls of the workers and the bytes of their JSON bodies.
+type meter struct {
+	commander.Dialer
+	calls atomic.Int64
+	bytes atomic.Int64
+}
+
+func (m *meter) Agent(address string) commander.Agent {
+	return &meteredAgent{Agent: m.Dialer.Agent(address), meter: m}
+}
+
+// count adds one call with its bodies.
+func (m *meter) count(bodies ...any) {
+	m.calls.Add(1)
+	for _, body := range bodies {
+		encoded, err := json.Marshal(body)
+		if err == nil {
+			m.bytes.Add(int64(len(encoded)))
+		}
+	}
+}
+
+type meteredAgent struct {
+	commander.Agent
+	meter *meter
+}
+
+func (a *meteredAgent) Start(ctx context.Context, start commander.Start) error {
+	a.meter.count(start)
+	return a.Agent.Start(ctx, start)
+}
+
+func (a *meteredAgent) Renew(ctx context.Context, fence commander.Fence, ids []commander.RunID, lease time.Duration) ([]commander.RunID, error) {
+	missing, err := a.Agent.Renew(ctx, fence, ids, lease)
+	a.meter.count(commander.RenewRequest{Fence: fence, IDs: ids, Lease: lease}, commander.RenewResponse{NotRunning: missing})
+	return missing, err
+}
+
+func (a *meteredAgent) Forget(ctx context.Context, fence commander.Fence, ids []commander.RunID) error {
+	a.meter.count(commander.ForgetRequest{Fence: fence, IDs: ids})
+	return a.Agent.Forget(ctx, fence, ids)
+}
+
+func (a *meteredAgent) Report(ctx context.Context, fence commander.Fence) (commander.Report, error) {
+	report, err := a.Agent.Report(ctx, fence)
+	a.meter.count(report)
+	return report, err
+}
+
+func (a *meteredAgent) Usage(ctx context.Context) ([]commander.Usage, error) {
+	usages, err := a.Agent.Usage(ctx)
+	a.meter.count(commander.UsageResponse{Usages: usages})
+	return usages, err
+}
+
+// One of eight shards at the size to design for: 55 workers and 44 of the 350
+// starts a second.
+func TestRateOfWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			startsPerSecond = 44
+			measured        = 60 * time.Second
+			run             = 27 * time.Second
+		)
+		r := newRig(t, 55)
+		scale := &weigher{Store: r.store}
+		m := &meter{Dialer: r.fleet}
+		r.wrapStore = scale
+		s := r.own("atl-a", func(commander.Dialer) commander.Dialer { return m })
+		defer s.kill()
+		second := 0
+		feed := func(length time.Duration) {
+			for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(time.Second) {
+				s.Ingest(intentOf(fmt.Sprintf("i%d", second), "atl-a", startsPerSecond, run))
+				second++
+			}
+		}
+		feed(run)
+		writes, bytes, calls, traffic, starts := r.store.Counts().Writes, scale.bytes.Load(), m.calls.Load(), m.bytes.Load(), r.starts("i")
+		feed(measured)
+		seconds := measured.Seconds()
+		writeRate := float64(r.store.Counts().Writes-writes) / seconds
+		startRate := float64(r.starts("i")-starts) / seconds
+		t.Logf("one shard: %.1f starts/s, %.1f store writes/s of %.1f KB/s, %.0f worker calls/s of %.1f KB/s",
+			startRate, writeRate, float64(scale.bytes.Load()-bytes)/seconds/1000,
+			float64(m.calls.Load()-calls)/seconds, float64(m.bytes.Load()-traffic)/seconds/1000)
+		if startRate < startsPerSecond-1 {
+			t.Errorf("%.1f starts/s, want %d", startRate, startsPerSecond)
+		}
+		if writeRate > 12 {
+			t.Errorf("%.1f store writes/s, want at most 12", writeRate)
+		}
+		r.assertPromises(r.count(s.Sharder, finishedState))
+	})
+}
--- a/internal/process/sharder/rig_test.go
+++ b/internal/process/sharder/rig_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
@@ -62,6 +63,8 @@
 	store *keyvalue.Fake
 	fleet *agent.Fleet
 	fakes map[string]*agent.Fake
+	// wrapStore replaces the store for owners if it is not nil.
+	wrapStore storer.Store
 
 	mu       sync.Mutex
 	hosts    []lister.Host
@@ -140,8 +143,12 @@
 	if wrap != nil {
 		agents = wrap(agents)
 	}
+	store := storer.Store(r.store)
+	if r.wrapStore != nil {
+		store = r.wrapStore
+	}
 	s, err := Open(r.t.Context(), Options{
-		Shard: owner.Partition(shardOf(dc)), DataCentre: dc, Epoch: r.epoch, Store: r.store, Agents: agents,
+		Shard: owner.Partition(shardOf(dc)), DataCentre: dc, Epoch: r.epoch, Store: store, Agents: agents,
 		Hosts: r.hostList, Declarations: r.declarations, Authority: g, Policy: placer.NewProtective(),
 		Peers: &rigPeers{rig: r},
 	})
@@ -229,16 +236,14 @@
 	until(r.t, fmt.Sprintf("%d tasks %s", want, stateName(state)), func() bool { return r.count(s, state) == want })
 }
 
+// running returns the number of runs at all workers.
 func (r *rig) running() int {
 	running := 0
-	for _, fake := range r.fakes {
-		report, err := fake.Worker.Report(fake.Now(), 1<<40)
-		if err == nil {
-			for _, run := range report.Runs {
-				if run.State == commander.RunRunning {
-					running++
-				}
-			}
+	for _, record := range r.fleet.Records() {
+		if record.Kind == judge.KindStart {
+			running++
+		} else {
+			running--
 		}
 	}
 	return running
