Test urgent requests under mixed faults with real processes

Cause: the promises have to hold when faults come together.

Change: five daemons and seven runners under steady load while runners fail, close, truncate and hang, a daemon is paused and woken, another killed and restarted, the store loses answers, and a runner leaves. What callers were told is compared with what ran.

--- /dev/null
+++ b/internal/integration/urgent/mixed_test.go
@@ -0,0 +1,129 @@
+// Package urgent tests urgent requests through real processes under faults.
+package urgent
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+	"github.com/kumquatstack/kumquatstack/internal/standin/runner"
+)
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+// countVariable names the environment variable that sets how many requests
+// the mixed faults are tested with.
+const countVariable = "KUMQUAT_REQUESTS"
+
+const (
+	defaultCount = 12_000
+	rate         = 800 // requests a second
+	deadline     = time.Second
+)
+
+// requestCount returns how many requests are sent.
+func requestCount(t *testing.T) int {
+	t.Helper()
+	value := os.Getenv(countVariable)
+	if value == "" {
+		return defaultCount
+	}
+	count, err := strconv.Atoi(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return count
+}
+
+// callOf makes the calls: half non-idempotent, a quarter idempotent, and a
+// quarter keyed, where each key is used by two requests.
+func callOf(number int) harness.Call {
+	call := harness.Call{ID: fmt.Sprintf("r%d", number), Path: harness.PathOnce, Body: []byte("print"), Deadline: deadline}
+	switch number % 4 {
+	case 2:
+		call.Path = harness.PathIdempotent
+	case 3:
+		call.Path = harness.PathKeyed
+		call.Key = keyOf(number)
+	}
+	return call
+}
+
+// keyOf returns the key of a keyed call.
+func keyOf(number int) string { return fmt.Sprintf("key-%d", number/8) }
+
+func TestPromisesHoldUnderMixedFaults(t *testing.T) {
+	cluster := harness.Start(t, harness.Options{
+		Sites: []harness.Site{
+			{DataCentre: "atl-a", Region: "north-ga", Daemons: 3, Runners: 4},
+			{DataCentre: "ath-a", Region: "north-ga", Daemons: 2, Runners: 3},
+		},
+		RunnerArgs: []string{"--mean", "10ms", "--sigma", "0.5"},
+	})
+	target := harness.NewTarget(cluster.Daemons...)
+	load := harness.StartLoad(t, rate, callOf, target.Choose)
+	count := requestCount(t)
+	faults := []func(){
+		func() {
+			cluster.SetRunnerFaults(runner.FaultsRequest{Faults: runner.Faults{FailPercent: 2, ClosePercent: 2, TruncatePercent: 2}})
+		},
+		func() { cluster.Daemons[1].Pause() },
+		func() { cluster.Daemons[1].Resume() },
+		func() { cluster.SetStoreFaults(keyvalue.Faults{LoseAnswersPercent: 10}) },
+		func() { cluster.Daemons[2].Kill() },
+		func() { cluster.SetStoreFaults(keyvalue.Faults{}) },
+		func() { cluster.Daemons[2].Start() },
+		func() { cluster.SetHostState("atl-a-runner-0", lister.StateLeaving) },
+		func() { cluster.SetRunnerFaults(runner.FaultsRequest{Faults: runner.Faults{HangPercent: 1}}) },
+		func() { cluster.SetRunnerFaults(runner.FaultsRequest{}) },
+	}
+	for i, fault := range faults {
+		awaitCount(t, load, count*(i+1)/(len(faults)+1))
+		fault()
+	}
+	awaitCount(t, load, count)
+	answers := load.Stop()
+	cluster.AssertNoBreach()
+	assertTruth(t, answers, cluster.Executions())
+}
+
+// awaitCount waits until the load has so many answers.
+func awaitCount(t *testing.T, load *harness.Load, count int) {
+	t.Helper()
+	harness.Eventually(t, 10*time.Minute, "the load goes on", func() bool { return load.Count() >= count })
+}
+
+// assertTruth compares what callers were told with what ran.
+func assertTruth(t *testing.T, answers []harness.Answer, executions map[string]int) {
+	t.Helper()
+	outcomes := make(map[string]int)
+	byKey := make(map[string]int)
+	for _, answer := range answers {
+		ran := executions[answer.Call.ID]
+		outcomes[fmt.Sprintf("%s %s %d", answer.Call.Path, answer.Outcome, answer.Status)]++
+		byKey[answer.Call.Key] += ran
+		isOnce := answer.Call.Path == harness.PathOnce
+		switch {
+		case answer.Call.Path != harness.PathIdempotent && ran > 1:
+			t.Errorf("ran %d times: %v", ran, answer)
+		case answer.Outcome == harness.OutcomeNotRun && ran > 0:
+			t.Errorf("ran %d times: %v", ran, answer)
+		case isOnce && answer.Whole() && ran != 1:
+			t.Errorf("ran %d times: %v", ran, answer)
+		}
+	}
+	for key, ran := range byKey {
+		if key != "" && ran > 1 {
+			t.Errorf("%s ran %d times", key, ran)
+		}
+	}
+	t.Logf("%d requests: %v", len(answers), outcomes)
+	if len(answers) == 0 || outcomes[harness.PathOnce+" answered 200"]*2 < len(answers)/2 {
+		t.Error("fewer than half of the non-idempotent requests were answered")
+	}
+}
