Refuse requests before declarations are known as not run

Cause: a daemon that had just started answered 404, as if no route existed, and the route table was rebuilt for each request when versions were copied.

--- a/internal/process/claimkeeper/keeper.go
+++ b/internal/process/claimkeeper/keeper.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
@@ -19,7 +17,7 @@
 // Bounds of the table.
 const (
 	// Partitions is the number of partitions of keys.
-	Partitions = 16
+	Partitions = owner.ClaimPartitions
 	// MaxResultBytes is the size up to which a result's body is kept.
 	MaxResultBytes = 16 << 10
 	// maxKeys is the number of keys of one partition.
@@ -42,7 +40,7 @@
 
 // PartitionOf returns the partition that a key belongs to.
 func PartitionOf(key string) owner.Partition {
-	return Partition(int(xxhash.Sum64String(key) % Partitions))
+	return owner.ClaimsOf(key)
 }
 
 // Partition returns the claims partition with a number from 0 to Partitions-1.
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -30,6 +30,7 @@
 	1021: {Name: "router.retried", Level: log.InfoLevel},
 	1022: {Name: "router.routeIgnored", Level: log.InfoLevel},
 	1023: {Name: "router.methodUnsupported", Level: log.InfoLevel},
+	1024: {Name: "router.noDeclarations", Level: log.InfoLevel},
 	1100: {Name: "forwarder.forwardBroken", Level: log.InfoLevel},
 	1101: {Name: "forwarder.forwardRefused", Level: log.InfoLevel},
 	1102: {Name: "forwarder.forwardMalformed", Level: log.InfoLevel},
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -21,6 +21,8 @@
 	callTimeout = 2 * time.Second
 	// reportPeriod is the time for which an outcome is reported again and again.
 	reportPeriod = time.Minute
+	// closeGrace is the time that Close gives undelivered reports.
+	closeGrace = 2 * time.Second
 	// maxReports is the number of outcomes that wait to be reported.
 	maxReports = 4096
 	// firstPause and longestPause bound the pauses between two tries.
@@ -228,10 +230,13 @@
 	}
 }
 
-// Close gives up undelivered reports and waits for their end.
+// Close waits for a while until all reports are delivered, gives up the others
+// and waits for their end.
 func (c *Claimer) Close() error {
-	c.end()
+	grace := time.AfterFunc(closeGrace, c.end)
+	defer grace.Stop()
 	c.jobs.Wait()
+	c.end()
 	return nil
 }
 
--- /dev/null
+++ b/internal/request/claimer/claimer_test.go
@@ -0,0 +1,95 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// fakeService answers claims, or loses the answers.
+type fakeService struct {
+	mu      sync.Mutex
+	lose    int
+	tokens  map[string]bool
+	reports []*kumquatv1.CompleteRequest
+}
+
+var errLost = errors.New("answer lost")
+
+func (s *fakeService) Claim(_ context.Context, request *kumquatv1.ClaimRequest) (*kumquatv1.ClaimResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens[request.GetToken()] = true
+	if s.lose > 0 {
+		s.lose--
+		return nil, errLost
+	}
+	return &kumquatv1.ClaimResponse{State: kumquatv1.ClaimState_CLAIM_STATE_GRANTED}, nil
+}
+
+func (s *fakeService) Complete(_ context.Context, report *kumquatv1.CompleteRequest) (*kumquatv1.CompleteResponse, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose > 0 {
+		s.lose--
+		return nil, errLost
+	}
+	s.reports = append(s.reports, report)
+	return &kumquatv1.CompleteResponse{Durable: true}, nil
+}
+
+// directory knows one owner.
+type directory struct{}
+
+func (directory) OwnerOf(owner.Partition) (daemon, address string, ok bool) { return "a", "", true }
+func (directory) Partitions() []owner.Partition                             { return nil }
+
+func newTestClaimer(lose int) (*Claimer, *fakeService) {
+	service := &fakeService{lose: lose, tokens: make(map[string]bool)}
+	return New(Options{Daemon: "a", Directory: directory{}, Local: service}), service
+}
+
+func TestClaimerRepeatsUnderOneToken(t *testing.T) {
+	c, service := newTestClaimer(3)
+	claim := c.Claim(t.Context(), "charms/1", nil, "charms", time.Now().Add(5*time.Second))
+	if claim.State != kumquatv1.ClaimState_CLAIM_STATE_GRANTED || len(service.tokens) != 1 {
+		t.Errorf("state %v after %d tokens", claim.State, len(service.tokens))
+	}
+	claim.ReportUnknown()
+	assertReports(t, c, service, func(r *kumquatv1.CompleteRequest) bool { return r.GetUnknown() })
+}
+
+func TestClaimerGivesTheKeyBack(t *testing.T) {
+	c, service := newTestClaimer(1)
+	claim := c.Claim(t.Context(), "charms/1", nil, "charms", time.Now())
+	if claim.State != kumquatv1.ClaimState_CLAIM_STATE_UNAVAILABLE {
+		t.Errorf("state = %v", claim.State)
+	}
+	assertReports(t, c, service, func(r *kumquatv1.CompleteRequest) bool { return r.GetNotRun() })
+}
+
+func TestClaimerReportsUntilDelivered(t *testing.T) {
+	c, service := newTestClaimer(0)
+	claim := c.Claim(t.Context(), "charms/1", nil, "charms", time.Now().Add(time.Second))
+	service.mu.Lock()
+	service.lose = 2
+	service.mu.Unlock()
+	claim.ReportResult(&kumquatv1.StoredResult{Status: 201})
+	assertReports(t, c, service, func(r *kumquatv1.CompleteRequest) bool { return r.GetResult().GetStatus() == 201 })
+}
+
+// assertReports closes the claimer and checks that one report was delivered.
+func assertReports(t *testing.T, c *Claimer, service *fakeService, want func(*kumquatv1.CompleteRequest) bool) {
+	t.Helper()
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+	if len(service.reports) != 1 || !want(service.reports[0]) {
+		t.Errorf("reports = %v", service.reports)
+	}
+}
--- a/internal/request/router/admission.go
+++ b/internal/request/router/admission.go
@@ -27,8 +27,14 @@
 	if refusal := v.checkForm(); refusal != nil {
 		return refusal
 	}
+	routes := v.router.routes()
+	if routes.version == nil {
+		refusal := bad(http.StatusServiceUnavailable, EventNoDeclarations, "no declarations are known yet")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
 	var ok bool
-	if v.target, ok = v.router.routes().match(v.r); !ok {
+	if v.target, ok = routes.match(v.r); !ok {
 		return bad(http.StatusNotFound, EventUnknownRoute, "no route matches the path")
 	}
 	deadline, refusal := v.deadline(now)
--- a/internal/request/router/events.go
+++ b/internal/request/router/events.go
@@ -53,4 +53,6 @@
 	EventRouteIgnored recorder.Number = 1022
 	// EventMethodUnsupported is recorded when a request asks for a tunnel or another protocol.
 	EventMethodUnsupported recorder.Number = 1023
+	// EventNoDeclarations is recorded when a request arrives before this daemon knows any declarations.
+	EventNoDeclarations recorder.Number = 1024
 )
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -115,7 +115,7 @@
 func (rt *Router) routes() *routeTable {
 	table := rt.table.Load()
 	version := rt.opts.Declarations()
-	if version == table.version {
+	if isSameVersion(version, table.version) {
 		return table
 	}
 	table = newRouteTable(version)
@@ -126,6 +126,14 @@
 	return table
 }
 
+// isSameVersion reports whether two pointers are to the same version.
+func isSameVersion(a, b *declarer.Version) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Number == b.Number
+}
+
 // refuse answers without a runner.
 func (v *visit) refuse(refusal answerer.Refusal) {
 	v.router.counters.count(refusal.Outcome, refusal.Status)
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -88,6 +88,14 @@
 	}
 }
 
+func TestRouterWithoutDeclarations(t *testing.T) {
+	runner := newFakeRunner(t, "charm-1", echo)
+	c := newCluster(t, []string{"atl-a-1"}, runner)
+	c.version = nil
+	got := call(t, c.daemons[0], http.MethodPost, "/charms/7", "print", inTime...)
+	assertReply(t, got, http.StatusServiceUnavailable, answerer.OutcomeNotRun)
+}
+
 func TestRouterNeverExceedsSlots(t *testing.T) {
 	slow := func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(5 * time.Millisecond)
