--- a/internal/rpc/errorcoder/errorcoder.go
+++ b/internal/rpc/errorcoder/errorcoder.go
@@ -31,11 +31,11 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &coded):
-		return coded
 	// An unknown outcome comes first, as its cause may be any other error.
 	case errors.As(err, &unknown):
 		return twirp.NewError(twirp.Unknown, err.Error()).WithMeta(metaOp, unknown.Op)
+	case errors.As(err, &coded):
+		return coded
 	case errors.As(err, &refused):
 		return encodeRefused(refused)
 	case errors.As(err, &document):
--- a/internal/rpc/errorcoder/errorcoder_test.go
+++ b/internal/rpc/errorcoder/errorcoder_test.go
@@ -24,7 +24,7 @@
 		assertAs(t, &errs.UnknownOutcomeError{Op: "apply", Cause: errors.New("cut")}, &got)
 	})
 	t.Run("unknown outcome with another cause", func(t *testing.T) {
-		causes := []error{errs.ErrConflict, &errs.RefusedError{What: "x"}, &errs.StoreUnavailableError{Op: "y", Cause: errs.ErrNotFound}}
+		causes := []error{twirp.NewError(twirp.Unavailable, "busy"), errs.ErrConflict, &errs.RefusedError{What: "x"}, &errs.StoreUnavailableError{Op: "y", Cause: errs.ErrNotFound}}
 		for _, cause := range causes {
 			var got *errs.UnknownOutcomeError
 			assertAs(t, &errs.UnknownOutcomeError{Op: "cancel", Cause: cause}, &got)
