--- a/internal/cli/main_test.go
+++ b/internal/cli/main_test.go
@@ -2,14 +2,20 @@
 
 import (
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/settings"
+	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
 )
 
 func TestMain(m *testing.M) {
@@ -41,6 +47,9 @@
 	env.Setenv("KUMQUAT_ADDRESS", server.Listener.Addr().String())
 	env.Setenv("KUMQUAT_PLAINTEXT", "true")
 
+	if err := startTLS(env, fake); err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -49,6 +58,32 @@
 	return listener.Close()
 }
 
+// startTLS serves the fake daemon at $TLS_ADDRESS to operators with the
+// certificate in operator.pem.
+func startTLS(env *testscript.Env, fake *fakeOperator) error {
+	authority, err := certifier.New(env.WorkDir, time.Now())
+	if err != nil {
+		return err
+	}
+	daemon, err := authority.Issue("daemon")
+	if err != nil {
+		return err
+	}
+	if _, err := authority.Issue("operator"); err != nil {
+		return err
+	}
+	set := &settings.Settings{TLS: settings.TLS(daemon)}
+	server := httptest.NewUnstartedServer(fake.handler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	if server.TLS, err = set.PeerTLS(); err != nil {
+		return err
+	}
+	server.StartTLS()
+	env.Defer(server.Close)
+	env.Setenv("TLS_ADDRESS", server.Listener.Addr().String())
+	return nil
+}
+
 // fault METHOD KIND sets what happens at the next call of a method.
 func fault(ts *testscript.TestScript, _ bool, args []string) {
 	fake := ts.Value(fakeKey{}).(*fakeOperator)
