Measure what a daemon uses for control at several sizes

Change: meters count the control traffic; kumquat-experiment slopes runs clusters of real daemons and stand-ins at several sizes and fits lines.

--- a/internal/connection/lister/client.go
+++ b/internal/connection/lister/client.go
@@ -33,10 +33,13 @@
 var _ Lister = (*Client)(nil)
 
 // NewClient returns a client of the list at a base URL; it makes no call yet.
-func NewClient(endpoint string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
-	return &Client{endpoint: endpoint, http: &http.Client{Transport: transport, Timeout: callTimeout}}
+// A nil HTTP client means one of its own.
+func NewClient(endpoint string, client *http.Client) *Client {
+	if client == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	}
+	return &Client{endpoint: endpoint, http: client}
 }
 
 // Hosts implements Lister.
@@ -46,6 +49,8 @@
 			err = fmt.Errorf("list of hosts: %w", err)
 		}
 	}()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.endpoint+PathHosts, http.NoBody)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/experiment/slopes/report.go
@@ -0,0 +1,93 @@
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/counter"
+)
+
+// kilobyte is the unit of traffic, megabyte that of memory.
+const (
+	kilobyte = 1000
+	megabyte = 1 << 20
+)
+
+// A fit is a straight line through measured points.
+type fit struct {
+	base  float64
+	slope float64
+}
+
+// at returns the line's value.
+func (f fit) at(size float64) float64 { return f.base + f.slope*size }
+
+// fitLine returns the line with the least squared error.
+func fitLine(sizes, values []float64) fit {
+	n := float64(len(sizes))
+	var sumX, sumY, sumXX, sumXY float64
+	for i, x := range sizes {
+		sumX += x
+		sumY += values[i]
+		sumXX += x * x
+		sumXY += x * values[i]
+	}
+	spread := n*sumXX - sumX*sumX
+	if spread == 0 {
+		return fit{base: sumY / n}
+	}
+	slope := (n*sumXY - sumX*sumY) / spread
+	return fit{base: (sumY - slope*sumX) / n, slope: slope}
+}
+
+// A column is one measured quantity.
+type column struct {
+	name  string
+	value func(r rate) float64
+}
+
+// columns are the quantities that are reported.
+var columns = []column{
+	{"CPU %", func(r rate) float64 { return r.cpuPercent }},
+	{"memory MB", func(r rate) float64 { return r.memoryBytes / megabyte }},
+	{"KB/s", func(r rate) float64 { return r.bytesPerSecond() / kilobyte }},
+	{"store KB/s", func(r rate) float64 { return r.perSecond[counter.StoreBytes] / kilobyte }},
+	{"workers KB/s", func(r rate) float64 { return r.perSecond[counter.WorkerBytes] / kilobyte }},
+	{"store calls/s", func(r rate) float64 { return r.storeCalls() }},
+	{"store writes/s", func(r rate) float64 { return r.perSecond[counter.StoreWrites] }},
+}
+
+// Report prints the points of a series and the line through them.
+func Report(out io.Writer, series Series, points []Point) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	line := func(label string, value func(c column) float64) {
+		// The writer keeps its first error, which Flush returns.
+		_, _ = fmt.Fprintf(table, "%s\t", label)
+		for _, c := range columns {
+			_, _ = fmt.Fprintf(table, "%.2f\t", value(c))
+		}
+		_, _ = fmt.Fprintln(table)
+	}
+	_, _ = fmt.Fprintf(table, "%s\t", series.Name)
+	for _, c := range columns {
+		_, _ = fmt.Fprintf(table, "%s\t", c.name)
+	}
+	_, _ = fmt.Fprintln(table)
+	sizes := make([]float64, len(points))
+	for i, point := range points {
+		sizes[i] = series.Size(point.Load)
+		line(fmt.Sprintf("%g", sizes[i]), func(c column) float64 { return c.value(point.rate) })
+	}
+	fits := func(c column) fit {
+		values := make([]float64, len(points))
+		for i, point := range points {
+			values[i] = c.value(point.rate)
+		}
+		return fitLine(sizes, values)
+	}
+	line("slope x1000", func(c column) float64 { return 1000 * fits(c).slope })
+	line(fmt.Sprintf("fit at %g", series.Target), func(c column) float64 { return fits(c).at(series.Target) })
+	_, _ = fmt.Fprintln(table)
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/experiment/slopes/slopes.go
@@ -0,0 +1,195 @@
+// Package slopes measures what a daemon uses for control, with real processes
+// and stand-ins, at several sizes of each kind of load.
+package slopes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// A Load is one size at which a daemon is measured.
+type Load struct {
+	// Daemons is the number of daemons; the one measured owns the shard.
+	Daemons int
+	// Workers is the number of workers of the shard.
+	Workers int
+	// Tasks is the number of tasks that run throughout.
+	Tasks int
+	// StartsPerSecond is the rate at which further tasks start and finish.
+	StartsPerSecond int
+	// ChangesPerSecond is the rate of configuration changes.
+	ChangesPerSecond float64
+}
+
+// A Series varies one dimension of the load.
+type Series struct {
+	Name  string
+	Size  func(l Load) float64
+	Loads []Load
+	// Target is the size of one daemon at the size of two years.
+	Target float64
+}
+
+// AllSeries are the series that the page on capacity is made from.
+func AllSeries() []Series {
+	return []Series{
+		{"daemons", func(l Load) float64 { return float64(l.Daemons) }, []Load{{Daemons: 2}, {Daemons: 4}, {Daemons: 8}}, 8},
+		{"workers", func(l Load) float64 { return float64(l.Workers) }, []Load{{Daemons: 2}, {Daemons: 2, Workers: 18}, {Daemons: 2, Workers: 36}, {Daemons: 2, Workers: 55}}, 55},
+		{"tasks", func(l Load) float64 { return float64(l.Tasks) }, []Load{{Daemons: 2, Workers: 55}, {Daemons: 2, Workers: 55, Tasks: 400}, {Daemons: 2, Workers: 55, Tasks: 800}, {Daemons: 2, Workers: 55, Tasks: 1610}}, 1610},
+		{"starts/s", func(l Load) float64 { return float64(l.StartsPerSecond) }, []Load{{Daemons: 2, Workers: 55}, {Daemons: 2, Workers: 55, StartsPerSecond: 11}, {Daemons: 2, Workers: 55, StartsPerSecond: 22}, {Daemons: 2, Workers: 55, StartsPerSecond: 44}}, 44},
+		{"changes/s", func(l Load) float64 { return l.ChangesPerSecond }, []Load{{Daemons: 2}, {Daemons: 2, ChangesPerSecond: 0.5}, {Daemons: 2, ChangesPerSecond: 1}, {Daemons: 2, ChangesPerSecond: 2}}, 0.03},
+	}
+}
+
+const (
+	// settle is the time between the begin of a load and its measurement.
+	settle = 8 * time.Second
+	// centre is the data centre whose shard is measured.
+	centre = "atl-a"
+	region = "north-ga"
+	// stirPeriod is the run time of the tasks that start and finish.
+	stirPeriod = 5 * time.Second
+	// stirCores are the processors of each such task, which bound how many run.
+	stirCores = 2
+	// coresPerWorker are those of the stand-in workers.
+	coresPerWorker = 32
+)
+
+// A Point is the use measured at one load.
+type Point struct {
+	Load Load
+	rate rate
+}
+
+// Measure runs one load for a time and returns what the owner of the shard
+// used.
+func Measure(ctx context.Context, load Load, duration time.Duration) (point Point, err error) {
+	b, err := newBench(ctx)
+	if err != nil {
+		return Point{}, err
+	}
+	defer b.close()
+	defer func() { err = errors.Join(err, b.failure(recover())) }()
+	cluster := harness.Start(b, harness.Options{
+		Sites: []harness.Site{{DataCentre: centre, Region: region, Daemons: load.Daemons, Workers: load.Workers}},
+	})
+	daemon := awaitOwner(b, cluster)
+	submit(b, daemon, load, duration)
+	stop := change(ctx, daemon, load.ChangesPerSecond)
+	defer stop()
+	pause(ctx, settle)
+	from, err := readUsage(ctx, daemon)
+	if err != nil {
+		return Point{}, err
+	}
+	pause(ctx, duration)
+	to, err := readUsage(ctx, daemon)
+	if err != nil {
+		return Point{}, err
+	}
+	return Point{Load: load, rate: rateOf(from, to)}, ctx.Err()
+}
+
+// awaitOwner waits until a daemon owns the shard and returns it.
+func awaitOwner(b *bench, cluster *harness.Cluster) (owner *harness.Daemon) {
+	harness.Eventually(b, time.Minute, "the shard has an owner", func() bool {
+		for _, daemon := range cluster.Daemons {
+			status, err := daemon.Operator().Status(b.ctx, &kumquatv1.StatusRequest{})
+			if err != nil || len(status.MissingShards) > 0 {
+				return false
+			}
+			for _, partition := range status.Daemons[0].Partitions {
+				if partition == "shard:"+centre {
+					owner = daemon
+				}
+			}
+		}
+		return owner != nil
+	})
+	return owner
+}
+
+// submit confirms the tasks of a load.
+func submit(b *bench, daemon *harness.Daemon, load Load, duration time.Duration) {
+	if load.Tasks > 0 {
+		confirm(b, daemon, "steady", load.Tasks, 0.25, time.Hour)
+	}
+	if load.StartsPerSecond == 0 {
+		return
+	}
+	// The rest of the processors is taken, so that just so many tasks run at a
+	// time that they start at the wanted rate.
+	running := load.StartsPerSecond * int(stirPeriod.Seconds())
+	free := load.Workers*coresPerWorker - running*stirCores - load.Tasks/4
+	if free >= coresPerWorker {
+		confirm(b, daemon, "ballast", free/coresPerWorker, coresPerWorker, time.Hour)
+	}
+	total := load.StartsPerSecond * int((duration + 2*settle).Seconds())
+	confirm(b, daemon, "stir", total, stirCores, stirPeriod)
+}
+
+// confirm plans and confirms an intent.
+func confirm(b *bench, daemon *harness.Daemon, name string, count int, cores float64, run time.Duration) {
+	document := fmt.Sprintf(`name: %s
+team: %s
+class: %s
+kind: runBy
+count: %d
+resources: {cores: %g, memoryGB: 0.1}
+within: 24h
+expectedRun: %s
+`, name, harness.Team, harness.Class, count, cores, run)
+	harness.Eventually(b, time.Minute, "intent "+name+" is confirmed", func() bool {
+		planned, err := daemon.Operator().Plan(b.ctx, &kumquatv1.PlanRequest{Document: document})
+		if err != nil {
+			return false
+		}
+		_, err = daemon.Operator().Confirm(b.ctx, &kumquatv1.ConfirmRequest{Plan: planned.Plan})
+		return err == nil
+	})
+}
+
+// change applies configurations at a rate until the returned function is
+// called.
+func change(ctx context.Context, daemon *harness.Daemon, perSecond float64) (stop func()) {
+	if perSecond == 0 {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+		defer ticker.Stop()
+		base := harness.DeclarationsOf([]harness.Site{{DataCentre: centre, Region: region}})
+		for number := 0; ; number++ {
+			document := fmt.Sprintf("%s# change %d\n", base, number)
+			// A change that fails shows as a lower rate of versions.
+			_, _ = daemon.Operator().Apply(ctx, &kumquatv1.ApplyRequest{Document: document, BaseVersion: -1})
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// pause waits or ends early with the context.
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -47,6 +47,7 @@
 	recorder *recorder.Ring
 	metrics  *counter.Set
 	clock    *hlc.Clock
+	meters   *meters
 
 	store      *storer.Client
 	watcher    *watcher.Watcher
@@ -66,7 +67,9 @@
 func New(set *settings.Settings, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
 	d.recorder = recorder.NewRing(set.Name, set.EventBytes, func() uint64 { return d.clock.Now(time.Now()) }, logger)
+	d.meters = newMeters(set)
 	d.store = storer.NewClient(storer.Options{
+		HTTP:        d.meters.client(d.meters.store),
 		Endpoint:    set.Store.Endpoint,
 		CallTimeout: storeCallTimeout,
 		Rate:        storeCallsPerSecond,
@@ -74,8 +77,8 @@
 		WatchIdle:   storeWatchIdle,
 		Recorder:    d.recorder,
 	})
-	d.dialer = dialer.New(set.Scheme(), dialer.NewClient(dialer.NewDialFunc(set.Reroute)))
-	d.agents = commander.NewClient(commander.Options{})
+	d.dialer = dialer.New(set.Scheme(), d.meters.client(d.meters.peers))
+	d.agents = commander.NewClient(commander.Options{HTTP: d.meters.client(d.meters.workers)})
 	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
 	d.addConfigurer()
 	d.addGroup()
@@ -85,7 +88,7 @@
 	d.addHosts()
 	d.responder = d.newResponder()
 	d.servers = newServers(d)
-	d.metrics.PublishRuntime()
+	d.publishMetrics()
 	return d, nil
 }
 
@@ -139,7 +142,7 @@
 // addHosts adds the reader of the platform's host list.
 func (d *Daemon) addHosts() {
 	d.hosts = hostwatcher.New(hostwatcher.Options{
-		Lister:   lister.NewClient(d.settings.HostList.Endpoint),
+		Lister:   lister.NewClient(d.settings.HostList.Endpoint, d.meters.client(d.meters.hostList)),
 		Interval: d.settings.HostList.PollInterval,
 		Recorder: d.recorder,
 		Now:      time.Now,
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/budgeter"
@@ -75,7 +74,6 @@
 	d.configurer.OnChange(r.setVersion)
 	d.group.OnWord(r.observe)
 	d.group.OnChange(r.setPeers)
-	d.metrics.Publish("requests", expvar.Func(func() any { return r.router.Counters() }))
 	return r
 }
 
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -27,7 +27,7 @@
 	list.SetHosts([]lister.Host{{Name: "r", State: lister.StateLive}})
 	server := httptest.NewServer(NewHandler(list))
 	defer server.Close()
-	client := lister.NewClient(server.URL)
+	client := lister.NewClient(server.URL, nil)
 	defer func() { _ = client.Close() }()
 	if err := list.SetState("r", lister.StateLeaving); err != nil {
 		t.Fatal(err)
