Keep partitions through store outages by pledges of other daemons

Cause: with the lease alone every daemon stopped acting 3.5 s into an outage. Change: daemons write a list of guarantors, ask them for pledges while their keep-alives go unanswered, and successors evict by closing the list and collecting blocks. A later process at the same address answers for a former one. Conclusion: an outage moves nothing; a daemon cut off from all still stops.

--- a/internal/process/owner/change.go
+++ b/internal/process/owner/change.go
@@ -16,6 +16,9 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 )
 
+// errLapsed reports a partition that was acquired while the lease lapsed.
+var errLapsed = errors.New("the lease lapsed meanwhile")
+
 // start decides on a partition and carries the action out in a worker. A
 // partition has one action at a time.
 func (o *Owner) start(ctx context.Context, p Partition, v view) {
@@ -75,6 +78,9 @@
 	if err != nil {
 		return err
 	}
+	if lease := o.settings.Group.Lease(); lease.Incarnation != record.Incarnation || !lease.Holds(time.Now()) {
+		return errLapsed // The next step acquires it under the next incarnation.
+	}
 	clean := former.Revision == 0 || former.Owner == "" && former.Clean
 	var acquiredAt time.Time
 	if !clean {
--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/hlc"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
@@ -58,6 +59,7 @@
 	group    *member.Group
 	config   *configurer.Configurer
 	owner    *owner.Owner
+	pledger  *pledger.Pledger
 	peer     kumquatv1.Peer
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -110,12 +112,15 @@
 		Dial: n.dial, Seeds: c.seeds(), Configuration: n.config.State,
 	})
 	n.config.Join(n.group)
+	n.pledger = pledger.New(pledger.Settings{
+		Store: store, Group: n.group, Recorder: recorder.Discard{}, Dial: n.dial,
+	})
 	n.owner = owner.New(owner.Settings{
 		Store: store, Watcher: n.watcher, Group: n.group, Starter: n.config,
-		Recorder: recorder.Discard{}, Declarations: n.config.Declarations,
+		Recorder: recorder.Discard{}, Evictor: n.pledger, Declarations: n.config.Declarations,
 		OnAcquire: n.acquired, OnLose: n.lost,
 	})
-	n.peer = responder.New(responder.Parts{Members: n.group, Configurations: n.config})
+	n.peer = responder.New(responder.Parts{Members: n.group, Configurations: n.config, Pledges: n.pledger})
 	c.mu.Lock()
 	c.nodes[address] = n
 	c.mu.Unlock()
@@ -124,6 +129,7 @@
 	n.done.Go(func() { _ = n.watcher.Run(ctx) })
 	n.done.Go(func() { _ = n.config.Run(ctx) })
 	n.done.Go(func() { n.groupErr <- n.group.Run(ctx) })
+	n.done.Go(func() { _ = n.pledger.Run(ctx) })
 	n.done.Go(func() { _ = n.owner.Run(ctx) })
 	return n
 }
@@ -236,6 +242,14 @@
 	return nil, errCut
 }
 
+func (unreachable) Pledge(context.Context, *kumquatv1.PledgeRequest) (*kumquatv1.PledgeResponse, error) {
+	return nil, errCut
+}
+
+func (unreachable) Block(context.Context, *kumquatv1.BlockRequest) (*kumquatv1.BlockResponse, error) {
+	return nil, errCut
+}
+
 // cutStore is a store that one daemon can be cut off from.
 type cutStore struct {
 	storer.Store
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"errors"
+	"maps"
 	"testing"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
 )
 
 func TestOwnerTakeover(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
 	time.Sleep(member.LeaseTTL + 2*time.Second) // Past the grace after a connection.
@@ -37,6 +42,7 @@
 }
 
 func TestOwnerCutOff(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
 	nodes[0].cutStore.Store(true)
@@ -48,7 +54,61 @@
 	c.await("the daemon to get its share again", func() bool { return c.isBalanced(nodes) })
 }
 
+func TestOwnerStoreOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	c.await("lists of guarantors", func() bool {
+		listing, err := c.store.List(t.Context(), pledger.Prefix)
+		return err == nil && len(listing.Entries) == 3
+	})
+	time.Sleep(settle)
+	before := epochs(nodes)
+	t.Run("everything is held through an outage longer than the leases", func(t *testing.T) {
+		c.store.SetFaults(keyvalue.Faults{Outage: true, LapseDuringOutage: true})
+		for end := time.Now().Add(2 * member.LeaseTTL); time.Now().Before(end); time.Sleep(pollPause) {
+			assertHeldAll(t, nodes, before)
+		}
+	})
+	t.Run("nothing moves after it", func(t *testing.T) {
+		c.store.SetFaults(keyvalue.Faults{})
+		for end := time.Now().Add(2 * member.LeaseTTL); time.Now().Before(end); time.Sleep(pollPause) {
+			assertHeldAll(t, nodes, before)
+		}
+	})
+	t.Run("a daemon cut off in an outage loses what it held", func(t *testing.T) {
+		c.store.SetFaults(keyvalue.Faults{Outage: true, LapseDuringOutage: true})
+		nodes[0].cutPeers.Store(true)
+		c.await("the lone daemon to stop acting", func() bool { return len(nodes[0].owner.Partitions()) == 0 })
+		c.store.SetFaults(keyvalue.Faults{})
+		nodes[0].cutStore.Store(true)
+		c.await("the others to take over", func() bool { return c.isBalanced(nodes[1:]) })
+	})
+}
+
+// settle is longer than the time after which partitions move for balance.
+const settle = 4 * time.Second
+
+// epochs returns the epochs of all partitions held.
+func epochs(nodes []*node) map[owner.Partition]owner.Epoch {
+	held := make(map[owner.Partition]owner.Epoch)
+	for _, n := range nodes {
+		for _, p := range n.owner.Partitions() {
+			held[p], _ = n.owner.Holds(p, time.Now())
+		}
+	}
+	return held
+}
+
+func assertHeldAll(t *testing.T, nodes []*node, want map[owner.Partition]owner.Epoch) {
+	t.Helper()
+	if got := epochs(nodes); !maps.Equal(got, want) {
+		t.Fatalf("held %d partitions, want %d with their epochs", len(got), len(want))
+	}
+}
+
 func TestIdentityClaimed(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	first := c.startAll(1)[0]
 	second := c.startAt(first.name, "elsewhere", "atl-a")
@@ -67,6 +127,7 @@
 }
 
 func TestConfiguration(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
 	t.Run("a data centre out is in force everywhere", func(t *testing.T) {
--- /dev/null
+++ b/internal/process/pledger/evict.go
@@ -0,0 +1,180 @@
+package pledger
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// evictTimeout bounds one attempt to evict.
+const evictTimeout = Lifetime + 3*time.Second
+
+// errRegistered reports an incarnation whose record is still in the store.
+var errRegistered = errors.New("incarnation is registered")
+
+// Evict returns nil once an incarnation of a daemon can't act any more: the
+// store shows that its record is gone, and enough of its guarantors are
+// blocked, or the longest extension has passed. It can be called again after
+// an error.
+func (p *Pledger) Evict(ctx context.Context, daemon string, number int64) (err error) {
+	defer func() { err = eris.Wrapf(err, "evicting incarnation %d of %s", number, daemon) }()
+	target := incarnation{daemon: daemon, number: number}
+	if p.isEvicted(target) {
+		return nil
+	}
+	key := daemon + "/" + strconv.FormatInt(number, 10)
+	_, err, _ = p.evictions.Do(key, func() (any, error) {
+		call, cancel := context.WithTimeout(ctx, evictTimeout)
+		defer cancel()
+		return nil, p.evict(call, target)
+	})
+	return err
+}
+
+func (p *Pledger) isEvicted(target incarnation) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.evicted[target]
+}
+
+func (p *Pledger) evict(ctx context.Context, target incarnation) error {
+	if err := p.checkGone(ctx, target); err != nil {
+		return err
+	}
+	list, err := p.closeList(ctx, target)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	p.mu.Lock()
+	if p.sought[target].IsZero() {
+		p.sought[target] = now
+	}
+	since := p.sought[target]
+	p.mu.Unlock()
+	waits := p.collect(ctx, target, list.Guarantors)
+	needed := BlocksNeeded(len(list.Guarantors))
+	if len(waits) < needed && now.Sub(since) < MaxExtension+extensionMargin {
+		return eris.Errorf("%d of %d blocks", len(waits), needed)
+	}
+	if len(waits) >= needed && needed > 0 {
+		if err := wait(ctx, waits[needed-1]); err != nil {
+			return err
+		}
+	}
+	p.mu.Lock()
+	p.evicted[target] = true
+	p.mu.Unlock()
+	p.settings.Recorder.Record(time.Now(), EventEvicted, recorder.Fields{
+		"daemon": target.daemon, "incarnation": strconv.FormatInt(target.number, 10),
+	})
+	return nil
+}
+
+// checkGone asks the store itself, since the watch may lag.
+func (p *Pledger) checkGone(ctx context.Context, target incarnation) error {
+	entry, err := p.settings.Store.Get(ctx, member.Key(target.daemon))
+	switch {
+	case errors.Is(err, errs.ErrNotFound):
+		return nil
+	case err != nil:
+		return err
+	case int64(entry.Revision) == target.number:
+		return errRegistered
+	default:
+		return nil
+	}
+}
+
+// closeList closes the incarnation's list, so that it can't get others.
+func (p *Pledger) closeList(ctx context.Context, target incarnation) (List, error) {
+	key := Key(target.daemon, target.number)
+	entry, err := p.settings.Store.Get(ctx, key)
+	var list List
+	switch {
+	case err == nil:
+		if list, err = parseList(entry); err != nil {
+			return List{}, err
+		}
+		if list.Closed {
+			return list, nil
+		}
+	case !errors.Is(err, errs.ErrNotFound):
+		return List{}, err
+	}
+	list = list.WithClosed(rand.Text())
+	_, err = p.swap(ctx, key, entry.Revision, list)
+	return list, err
+}
+
+// collect blocks the incarnation at its guarantors and returns, in ascending
+// order, how long the pledges of those that did still bind.
+func (p *Pledger) collect(ctx context.Context, target incarnation, guarantors []Guarantor) []time.Duration {
+	var (
+		mu    sync.Mutex
+		waits []time.Duration
+		calls sync.WaitGroup
+	)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, g := range guarantors {
+		calls.Go(func() {
+			remaining, ok := p.blockAt(ctx, target, g)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			waits = append(waits, remaining)
+		})
+	}
+	calls.Wait()
+	slices.Sort(waits)
+	return waits
+}
+
+func (p *Pledger) blockAt(ctx context.Context, target incarnation, g Guarantor) (time.Duration, bool) {
+	to := &kumquatv1.Incarnation{Daemon: g.Daemon, Number: g.Incarnation}
+	p.mu.Lock()
+	if p.isSelf(to) {
+		defer p.mu.Unlock()
+		return p.block(target, time.Now()), true
+	}
+	p.mu.Unlock()
+	resp, err := p.settings.Dial(g.Address).Block(ctx, &kumquatv1.BlockRequest{
+		From:      p.settings.Group.Self(),
+		Blocked:   &kumquatv1.Incarnation{Daemon: target.daemon, Number: target.number},
+		To:        to,
+		ToAddress: g.Address,
+	})
+	if err != nil || !resp.Blocked {
+		return 0, false
+	}
+	return time.Duration(resp.RemainingMillis) * time.Millisecond, true
+}
+
+// wait returns after a time, or with the context's error.
+func wait(ctx context.Context, pause time.Duration) error {
+	if pause <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/process/pledger/write.go
@@ -0,0 +1,84 @@
+package pledger
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+// write makes a list of guarantors durable. While the outcome is unknown both
+// the former and the new list need pledges.
+func (p *Pledger) write(ctx context.Context, guarantors []Guarantor) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	p.mu.Lock()
+	own := p.own
+	former := own.lists
+	own.lists = append(append([][]Guarantor{}, former...), guarantors)
+	expected := storer.Revision(own.revision)
+	p.mu.Unlock()
+
+	key := Key(p.settings.Group.Identity().Daemon, own.incarnation)
+	list := List{Guarantors: guarantors, Attempt: rand.Text()}
+	revision, err := p.swap(ctx, key, expected, list)
+	var unavailable *errs.StoreUnavailableError
+	p.mu.Lock()
+	switch {
+	case err == nil:
+		own.lists = [][]Guarantor{guarantors}
+		own.revision = int64(revision)
+	case errors.As(err, &unavailable):
+		own.lists = former
+	case errors.Is(err, errs.ErrConflict):
+		// Closed by a successor, or written by a delayed attempt.
+		own.lists = nil
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.reload(ctx, own, key)
+		return
+	}
+	p.settings.Recorder.Record(time.Now(), EventListWritten, recorder.Fields{
+		"incarnation": strconv.FormatInt(own.incarnation, 10),
+		"guarantors":  strconv.Itoa(len(guarantors)),
+	})
+}
+
+// reload takes a stored list that is newer than the known one. If there is
+// none, a write whose outcome is unknown may still arrive: then both lists
+// stay until the next write, which the delayed one would refuse.
+func (p *Pledger) reload(ctx context.Context, own *tenure, key string) {
+	entry, err := p.settings.Store.Get(ctx, key)
+	if err != nil {
+		return
+	}
+	list, err := parseList(entry)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if list.Closed {
+		own.closed = true
+		return
+	}
+	if int64(entry.Revision) > own.revision {
+		own.lists = [][]Guarantor{list.Guarantors}
+		own.revision = int64(entry.Revision)
+	}
+}
+
+func (p *Pledger) swap(ctx context.Context, key string, expected storer.Revision, list List) (storer.Revision, error) {
+	value, err := json.Marshal(list)
+	if err != nil {
+		return 0, err
+	}
+	return p.settings.Store.CompareAndSwap(ctx, storer.Swap{Key: key, Expected: expected, Value: value})
+}
