Give the daemon its keeper of pledges

Cause: the assembled daemon gave no pledges and relied on leases alone. Change: the pledger is the owner's evictor and answers peers.

--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/twitchtv/twirp"
-
 	"github.com/kumquatstack/kumquatstack/internal/process/administrator"
 	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
 	"github.com/kumquatstack/kumquatstack/internal/process/merger"
@@ -78,16 +76,3 @@
 	}
 	return sources
 }
-
-// noPledges answers pledges of a daemon that gives none.
-type noPledges struct{}
-
-// Pledge refuses.
-func (noPledges) Pledge(context.Context, *kumquatv1.PledgeRequest) (*kumquatv1.PledgeResponse, error) {
-	return &kumquatv1.PledgeResponse{Refusal: "this daemon gives no pledges", StoreProofAgeMillis: -1}, nil
-}
-
-// Block is not offered.
-func (noPledges) Block(context.Context, *kumquatv1.BlockRequest) (*kumquatv1.BlockResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "this daemon gives no pledges")
-}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/hostwatcher"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
 	"github.com/kumquatstack/kumquatstack/internal/process/settings"
@@ -53,6 +54,7 @@
 	watcher    *watcher.Watcher
 	configurer *configurer.Configurer
 	group      *member.Group
+	pledger    *pledger.Pledger
 	owner      *owner.Owner
 	dialer     *dialer.Dialer
 	agents     *commander.Client
@@ -82,6 +84,7 @@
 	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
 	d.addConfigurer()
 	d.addGroup()
+	d.addPledger()
 	d.addOwner()
 	d.requests = newRequests(d)
 	d.shards = newShards(d)
@@ -123,6 +126,16 @@
 	d.configurer.Join(d.group)
 }
 
+// addPledger adds the keeper of pledges between daemons.
+func (d *Daemon) addPledger() {
+	d.pledger = pledger.New(pledger.Settings{
+		Store:    d.store,
+		Group:    d.group,
+		Recorder: d.recorder,
+		Dial:     d.dialer.Peer,
+	})
+}
+
 // addOwner adds the decider on partitions.
 func (d *Daemon) addOwner() {
 	d.owner = owner.New(owner.Settings{
@@ -130,6 +143,7 @@
 		Watcher:      d.watcher,
 		Group:        d.group,
 		Starter:      d.configurer,
+		Evictor:      d.pledger,
 		Recorder:     d.recorder,
 		Declarations: d.configurer.Declarations,
 		StoreRegion:  d.settings.Store.Region,
@@ -154,7 +168,7 @@
 func (d *Daemon) newResponder() *responder.Responder {
 	return responder.New(responder.Parts{
 		Members:        d.group,
-		Pledges:        noPledges{},
+		Pledges:        d.pledger,
 		Configurations: d.configurer,
 		Claims:         d.requests.keeper,
 		Events:         d.recorder,
@@ -217,6 +231,7 @@
 	group.Go(func() error { return d.watcher.Run(work) })
 	group.Go(func() error { return d.configurer.Run(work) })
 	group.Go(func() error { return d.group.Run(work) })
+	group.Go(func() error { return d.pledger.Run(work) })
 	group.Go(func() error { return d.owner.Run(work) })
 	group.Go(func() error { return d.hosts.Run(work) })
 	group.Go(d.servers.serve)
