Wait for the owner before counting finished tasks in the rate test

Change: it waits until the owner has all tasks finished and then wants exactly that number from the workers, which is stricter.

--- a/internal/process/sharder/rate_test.go
+++ b/internal/process/sharder/rate_test.go
@@ -116,6 +116,7 @@
 		if writeRate > 12 {
 			t.Errorf("%.1f store writes/s, want at most 12", writeRate)
 		}
-		r.assertPromises(r.count(s.Sharder, finishedState))
+		r.untilCount(s.Sharder, finishedState, second*startsPerSecond)
+		r.assertPromises(second * startsPerSecond)
 	})
 }
