Encrypt connections between daemons, operators and callers

Settings with TLS files were accepted, but the daemon listened and dialled in plaintext. Peers and operators now show certificates to each other; the dial function encrypts, so that everything above it stays as it was.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
 	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
 	"github.com/kumquatstack/kumquatstack/internal/standin/hostlist"
 )
@@ -47,6 +48,8 @@
 	// RunnerArgs and WorkerArgs are further flags of the stand-ins.
 	RunnerArgs []string
 	WorkerArgs []string
+	// Authority issues the daemons' certificates; nil means plaintext.
+	Authority *certifier.Authority
 	// Unready leaves the daemons to the test: neither waited for nor configured.
 	Unready bool
 }
--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -42,25 +44,41 @@
 		}
 		seeds = append(seeds, other.Peers)
 	}
-	content, err := yaml.Marshal(map[string]any{
+	settings := map[string]any{
 		"name":       daemon.Name,
 		"dataCentre": daemon.DataCentre,
 		"region":     daemon.Region,
 		"listen": map[string]string{
 			"callers": daemon.Callers, "peers": daemon.Peers, "operators": daemon.Operators, "health": daemon.Health,
 		},
-		"store":     map[string]string{"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address)},
-		"hostList":  map[string]any{"endpoint": hostList, "pollInterval": "200ms"},
-		"seeds":     seeds,
-		"reroute":   reroute,
-		"plaintext": true,
-	})
+		"store":    map[string]string{"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address)},
+		"hostList": map[string]any{"endpoint": hostList, "pollInterval": "200ms"},
+		"seeds":    seeds,
+		"reroute":  reroute,
+	}
+	c.secure(settings, daemon)
+	content, err := yaml.Marshal(settings)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	return content
 }
 
+// secure adds the files of a certificate, or that there is none.
+func (c *Cluster) secure(settings map[string]any, daemon *Daemon) {
+	c.t.Helper()
+	if c.options.Authority == nil {
+		settings["plaintext"] = true
+		return
+	}
+	address := netip.MustParseAddrPort(daemon.Peers)
+	files, err := c.options.Authority.Issue(daemon.Name, net.IP(address.Addr().AsSlice()))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	settings["tls"] = map[string]string{"certificate": files.Certificate, "key": files.Key, "authority": files.Authority}
+}
+
 // write writes a file among the logs and returns its path.
 func (c *Cluster) write(name string, content []byte) (path string) {
 	c.t.Helper()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -47,6 +47,7 @@
 	settings *settings.Settings
 	recorder *recorder.Ring
 	metrics  *counter.Set
+	security security
 	clock    *hlc.Clock
 	meters   *meters
 
@@ -65,10 +66,16 @@
 	servers    *servers
 }
 
+// peerScheme is that of peers' addresses: encryption is below HTTP.
+const peerScheme = "http"
+
 // New assembles a daemon. It makes no connection yet.
-func New(set *settings.Settings, logger log.Interface) (*Daemon, error) {
-	d := &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
+func New(set *settings.Settings, logger log.Interface) (d *Daemon, err error) {
+	d = &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
 	d.recorder = recorder.NewRing(set.Name, set.EventBytes, func() uint64 { return d.clock.Now(time.Now()) }, logger)
+	if d.security, err = newSecurity(set); err != nil {
+		return nil, err
+	}
 	d.meters = newMeters(set)
 	d.store = storer.NewClient(storer.Options{
 		HTTP:        d.meters.client(d.meters.store),
@@ -79,7 +86,7 @@
 		WatchIdle:   storeWatchIdle,
 		Recorder:    d.recorder,
 	})
-	d.dialer = dialer.New(set.Scheme(), d.meters.client(d.meters.peers))
+	d.dialer = dialer.New(peerScheme, dialer.NewClient(d.security.dial(d.meters.peers.Dial(d.meters.dial))))
 	d.agents = commander.NewClient(commander.Options{HTTP: d.meters.client(d.meters.workers)})
 	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
 	d.addConfigurer()
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -42,7 +42,7 @@
 		Recorder:   d.recorder,
 	})
 	transport := forwarder.NewTransport()
-	transport.DialContext = dialer.NewDialFunc(d.settings.Reroute)
+	transport.DialContext = d.security.dial(dialer.NewDialFunc(d.settings.Reroute))
 	r.forwarder = forwarder.New(forwarder.Options{
 		Transport:  transport,
 		Daemon:     d.settings.Name,
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -27,8 +28,10 @@
 // A listener is one address that the daemon serves.
 type listener struct {
 	address string
-	server  *http.Server
-	socket  net.Listener
+	// config encrypts connections unless it is nil.
+	config *tls.Config
+	server *http.Server
+	socket net.Listener
 }
 
 // servers are the daemon's listeners.
@@ -44,16 +47,16 @@
 // newServers returns the listeners of a daemon whose parts are assembled.
 func newServers(d *Daemon) *servers {
 	s := &servers{daemon: d}
-	listen := d.settings.Listen
-	s.callers = newListener(listen.Callers, d.requests.router)
-	s.peers = newListener(listen.Peers, s.peerMux())
-	s.operators = newListener(listen.Operators, kumquatv1.NewOperatorServer(d.newAdministrator(), errorcoder.ServerOption()))
-	s.health = newListener(listen.Health, s.healthMux())
+	at := d.settings.Listen
+	s.callers = newListener(at.Callers, d.security.callers, d.requests.router)
+	s.peers = newListener(at.Peers, d.security.peers, s.peerMux())
+	s.operators = newListener(at.Operators, d.security.peers, kumquatv1.NewOperatorServer(d.newAdministrator(), errorcoder.ServerOption()))
+	s.health = newListener(at.Health, nil, s.healthMux())
 	return s
 }
 
-func newListener(address string, handler http.Handler) *listener {
-	return &listener{address: address, server: &http.Server{
+func newListener(address string, config *tls.Config, handler http.Handler) *listener {
+	return &listener{address: address, config: config, server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -104,6 +107,7 @@
 			s.closeSockets()
 			return eris.Wrapf(err, "listen on %s", l.address)
 		}
+		l.socket = listen(l.socket, l.config)
 	}
 	return nil
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -59,7 +59,7 @@
 	Peers string `yaml:"peers" validate:"required"`
 	// Operators reach the daemon with the tool here.
 	Operators string `yaml:"operators" validate:"required"`
-	// Health serves /healthz, /readyz and /debug/vars.
+	// Health serves /healthz, /readyz and /debug/vars, without TLS.
 	Health string `yaml:"health" validate:"required"`
 }
 
@@ -143,14 +143,6 @@
 	return &next
 }
 
-// Scheme returns the scheme of peer and operator addresses.
-func (s *Settings) Scheme() string {
-	if s.Plaintext {
-		return "http"
-	}
-	return "https"
-}
-
 // checkAddresses requires IP numbers with ports, no address listened on
 // twice, and advertised addresses that others can dial.
 func checkAddresses(s *Settings, report decoder.Report) {
