Fetch the host list only when it has changed

Cause: the list of a few hundred hosts was sent whole at every poll. Change: the client names the list it has and takes 'not modified' for an answer; a service without entity tags is read as before.

--- a/internal/connection/lister/client.go
+++ b/internal/connection/lister/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -28,6 +29,11 @@
 type Client struct {
 	endpoint string
 	http     *http.Client
+
+	mu sync.Mutex
+	// tag names the last list that was answered.
+	tag  string
+	last []Host
 }
 
 var _ Lister = (*Client)(nil)
@@ -55,21 +61,46 @@
 	if err != nil {
 		return nil, err
 	}
+	tag, last := c.remembered()
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+		return c.decode(response)
+	case http.StatusNotModified:
+		return last, nil
+	default:
 		return nil, fmt.Errorf("status %s", response.Status)
 	}
+}
+
+// decode reads a list and remembers it under its tag.
+func (c *Client) decode(response *http.Response) ([]Host, error) {
 	var listing Listing
 	if err := json.NewDecoder(io.LimitReader(response.Body, answerLimit)).Decode(&listing); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag = response.Header.Get("ETag")
+	c.last = listing.Hosts
 	return listing.Hosts, nil
 }
 
+// remembered returns the last list and its tag, which is empty if the service
+// gives none.
+func (c *Client) remembered() (string, []Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tag, c.last
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() error {
 	c.http.CloseIdleConnections()
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -1,6 +1,7 @@
 package hostlist
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -50,3 +51,39 @@
 		}
 	})
 }
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	list := New()
+	list.SetHosts([]lister.Host{{Name: "r", State: lister.StateLive}})
+	handler := NewHandler(list)
+	var status int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		status = recorder.Code
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	client := lister.NewClient(server.URL, nil)
+	defer func() { _ = client.Close() }()
+	for _, step := range []struct {
+		name   string
+		state  lister.HostState
+		status int
+	}{
+		{"first", lister.StateLive, http.StatusOK},
+		{"unchanged", lister.StateLive, http.StatusNotModified},
+		{"changed", lister.StateLeaving, http.StatusOK},
+		{"unchanged again", lister.StateLeaving, http.StatusNotModified},
+	} {
+		t.Run(step.name, func(t *testing.T) {
+			if err := list.SetState("r", step.state); err != nil {
+				t.Fatal(err)
+			}
+			assertState(t, client, step.state)
+			if status != step.status {
+				t.Errorf("status %d, want %d", status, step.status)
+			}
+		})
+	}
+}
--- a/internal/standin/hostlist/server.go
+++ b/internal/standin/hostlist/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
 	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
 )
@@ -24,9 +27,7 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		w.Header().Set("Content-Type", "application/json")
-		// A client that went away needs no answer.
-		_ = json.NewEncoder(w).Encode(lister.Listing{Hosts: hosts})
+		serveListing(w, r, lister.Listing{Hosts: hosts})
 	})
 	mux.Handle("POST "+controller.PathFaults, controller.Accept(func(faults Faults) error {
 		list.SetFaults(faults)
@@ -42,6 +43,24 @@
 	return mux
 }
 
+// serveListing answers with a list, or that the client's is still current.
+func serveListing(w http.ResponseWriter, r *http.Request, listing lister.Listing) {
+	body, err := json.Marshal(listing)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A client that went away needs no answer.
+	_, _ = w.Write(body)
+}
+
 // Main runs the stand-in program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var options struct {
