--- a/internal/experiment/slopes/slopes.go
+++ b/internal/experiment/slopes/slopes.go
@@ -52,8 +52,11 @@
 	// centre is the data centre whose shard is measured.
 	centre = "atl-a"
 	region = "north-ga"
-	// stirPeriod is the run time of the tasks that start and finish.
+	// stirPeriod is the mean run time of the tasks that start and finish.
 	stirPeriod = 5 * time.Second
+	// stirKinds is the number of different run times, so that the tasks do not
+	// all start together.
+	stirKinds = 11
 	// stirCores are the processors of each such task, which bound how many run.
 	stirCores = 2
 	// coresPerWorker are those of the stand-in workers.
@@ -69,12 +72,12 @@
 // Measure runs one load for a time and returns what the owner of the shard
 // used.
 func Measure(ctx context.Context, load Load, duration time.Duration) (point Point, err error) {
-	b, err := newBench(ctx)
+	b, err := harness.NewBench(ctx)
 	if err != nil {
 		return Point{}, err
 	}
-	defer b.close()
-	defer func() { err = errors.Join(err, b.failure(recover())) }()
+	defer b.Close()
+	defer func() { err = errors.Join(err, b.Failure(recover())) }()
 	cluster := harness.Start(b, harness.Options{
 		Sites: []harness.Site{{DataCentre: centre, Region: region, Daemons: load.Daemons, Workers: load.Workers}},
 	})
@@ -96,10 +99,10 @@
 }
 
 // awaitOwner waits until a daemon owns the shard and returns it.
-func awaitOwner(b *bench, cluster *harness.Cluster) (owner *harness.Daemon) {
+func awaitOwner(b *harness.Bench, cluster *harness.Cluster) (owner *harness.Daemon) {
 	harness.Eventually(b, time.Minute, "the shard has an owner", func() bool {
 		for _, daemon := range cluster.Daemons {
-			status, err := daemon.Operator().Status(b.ctx, &kumquatv1.StatusRequest{})
+			status, err := daemon.Operator().Status(b.Context(), &kumquatv1.StatusRequest{})
 			if err != nil || len(status.MissingShards) > 0 {
 				return false
 			}
@@ -115,7 +118,7 @@
 }
 
 // submit confirms the tasks of a load.
-func submit(b *bench, daemon *harness.Daemon, load Load, duration time.Duration) {
+func submit(b *harness.Bench, daemon *harness.Daemon, load Load, duration time.Duration) {
 	if load.Tasks > 0 {
 		confirm(b, daemon, "steady", load.Tasks, 0.25, time.Hour)
 	}
@@ -130,11 +133,14 @@
 		confirm(b, daemon, "ballast", free/coresPerWorker, coresPerWorker, time.Hour)
 	}
 	total := load.StartsPerSecond * int((duration + 2*settle).Seconds())
-	confirm(b, daemon, "stir", total, stirCores, stirPeriod)
+	for kind := range stirKinds {
+		run := stirPeriod + time.Duration(kind-stirKinds/2)*stirPeriod/stirKinds
+		confirm(b, daemon, fmt.Sprintf("stir-%d", kind), total/stirKinds+1, stirCores, run)
+	}
 }
 
 // confirm plans and confirms an intent.
-func confirm(b *bench, daemon *harness.Daemon, name string, count int, cores float64, run time.Duration) {
+func confirm(b *harness.Bench, daemon *harness.Daemon, name string, count int, cores float64, run time.Duration) {
 	document := fmt.Sprintf(`name: %s
 team: %s
 class: %s
@@ -145,11 +151,11 @@
 expectedRun: %s
 `, name, harness.Team, harness.Class, count, cores, run)
 	harness.Eventually(b, time.Minute, "intent "+name+" is confirmed", func() bool {
-		planned, err := daemon.Operator().Plan(b.ctx, &kumquatv1.PlanRequest{Document: document})
+		planned, err := daemon.Operator().Plan(b.Context(), &kumquatv1.PlanRequest{Document: document})
 		if err != nil {
 			return false
 		}
-		_, err = daemon.Operator().Confirm(b.ctx, &kumquatv1.ConfirmRequest{Plan: planned.Plan})
+		_, err = daemon.Operator().Confirm(b.Context(), &kumquatv1.ConfirmRequest{Plan: planned.Plan})
 		return err == nil
 	})
 }
--- /dev/null
+++ b/internal/harness/bench.go
@@ -0,0 +1,98 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+)
+
+// A Bench stands for the test that the harness expects, where a tool uses the
+// harness. It runs its clean-ups when it is closed.
+type Bench struct {
+	testing.TB
+	ctx       context.Context
+	directory string
+
+	mu       sync.Mutex
+	cleanups []func()
+}
+
+// A benchFailure is the panic of a Bench that cannot go on.
+type benchFailure struct{ message string }
+
+// NewBench returns a bench with a directory of its own.
+func NewBench(ctx context.Context) (b *Bench, err error) {
+	directory, err := os.MkdirTemp("", "kumquat-bench-")
+	if err != nil {
+		return nil, err
+	}
+	return &Bench{ctx: ctx, directory: directory}, nil
+}
+
+// Helper implements testing.TB.
+func (b *Bench) Helper() {}
+
+// Context implements testing.TB.
+func (b *Bench) Context() context.Context { return b.ctx }
+
+// TempDir implements testing.TB.
+func (b *Bench) TempDir() string { return b.directory }
+
+// Failed implements testing.TB.
+func (b *Bench) Failed() bool { return false }
+
+// Name implements testing.TB.
+func (b *Bench) Name() string { return "bench" }
+
+// Cleanup implements testing.TB.
+func (b *Bench) Cleanup(clean func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cleanups = append(b.cleanups, clean)
+}
+
+// Logf implements testing.TB; it drops the message.
+func (b *Bench) Logf(string, ...any) {}
+
+// Log implements testing.TB; it drops the message.
+func (b *Bench) Log(...any) {}
+
+// Errorf implements testing.TB.
+func (b *Bench) Errorf(format string, args ...any) { b.Fatalf(format, args...) }
+
+// Error implements testing.TB.
+func (b *Bench) Error(args ...any) { b.Fatal(args...) }
+
+// Fatalf implements testing.TB.
+func (b *Bench) Fatalf(format string, args ...any) { panic(benchFailure{fmt.Sprintf(format, args...)}) }
+
+// Fatal implements testing.TB.
+func (b *Bench) Fatal(args ...any) { panic(benchFailure{fmt.Sprint(args...)}) }
+
+// Failure returns the error of a Bench that could not go on. Other panics go
+// on.
+func (b *Bench) Failure(recovered any) error {
+	switch failure := recovered.(type) {
+	case nil:
+		return nil
+	case benchFailure:
+		return errors.New(failure.message)
+	default:
+		panic(recovered)
+	}
+}
+
+// Close runs the clean-ups, the last first.
+func (b *Bench) Close() {
+	b.mu.Lock()
+	cleanups := b.cleanups
+	b.mu.Unlock()
+	for i := len(cleanups) - 1; i >= 0; i-- {
+		cleanups[i]()
+	}
+	// A directory that stays behind does no harm.
+	_ = os.RemoveAll(b.directory)
+}
