Protect services from batch tasks beside them

Cause: services were placed by estimates that nothing had learnt, and nothing acted when a batch task slowed a service down.

--- a/internal/harness/records.go
+++ b/internal/harness/records.go
@@ -170,3 +170,11 @@
 		c.t.Fatal(err)
 	}
 }
+
+// SetWorkerModel sets how runs behave at all workers.
+func (c *Cluster) SetWorkerModel(model worker.Model) {
+	c.t.Helper()
+	for _, remote := range c.workers {
+		c.post(remote, controller.PathModel, worker.ModelRequest{Model: model})
+	}
+}
--- a/internal/process/daemon/events.go
+++ b/internal/process/daemon/events.go
@@ -21,4 +21,7 @@
 	EventServerFailed recorder.Number = 5006
 	// EventIntentUnreadable says that a confirmed intent can not be decoded.
 	EventIntentUnreadable recorder.Number = 5007
+	// EventAdviceRefused says that a shard did not throttle or evict tasks to
+	// protect a service.
+	EventAdviceRefused recorder.Number = 5008
 )
--- /dev/null
+++ b/internal/process/daemon/isolation.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/process/administrator"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/sharder"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/isolator"
+)
+
+// measurementBacklog is the number of workers' measurements that may wait.
+const measurementBacklog = 64
+
+// A measurement is what one worker reported of its tasks.
+type measurement struct {
+	now    time.Time
+	worker string
+	usages []commander.Usage
+}
+
+// isolation protects the services of one shard from its batch tasks. It lives
+// as long as the shard is open.
+//
+// Lock order: the shard's lock before mu.
+type isolation struct {
+	daemon  *Daemon
+	pending chan measurement
+
+	mu      sync.Mutex
+	learner *isolator.Learner
+	guard   *isolator.Guard
+	intents map[string]*kumquatv1.IntentRecord
+}
+
+func newIsolation(d *Daemon) *isolation {
+	learner := isolator.NewLearner()
+	return &isolation{
+		daemon:  d,
+		pending: make(chan measurement, measurementBacklog),
+		learner: learner,
+		guard:   isolator.NewGuard(learner),
+		intents: make(map[string]*kumquatv1.IntentRecord),
+	}
+}
+
+// observe queues a measurement. The shard calls it with its lock held, so it
+// does not wait: what does not fit is dropped, and the next one counts.
+func (i *isolation) observe(now time.Time, worker string, usages []commander.Usage) {
+	select {
+	case i.pending <- measurement{now, worker, usages}:
+	default:
+	}
+}
+
+// slowdown returns the estimate for a pair of classes, in percent.
+func (i *isolation) slowdown(service, batch string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.learner.Slowdown(service, batch)
+}
+
+// run has the shard follow the guard's advice until the context ends.
+func (i *isolation) run(ctx context.Context, shard *sharder.Sharder) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-i.pending:
+			i.follow(shard, m)
+		}
+	}
+}
+
+// follow learns from one measurement and acts on it.
+func (i *isolation) follow(shard *sharder.Sharder, m measurement) {
+	i.mu.Lock()
+	advice := i.guard.Observe(m.worker, i.readings(m.usages), m.now)
+	i.mu.Unlock()
+	if len(advice.Throttles)+len(advice.Evictions) == 0 {
+		return
+	}
+	if _, err := shard.Disturb(advice.Throttles, advice.Evictions); err != nil {
+		i.daemon.recorder.Record(m.now, EventAdviceRefused, recorder.Fields{"worker": m.worker, "reason": err.Error()})
+	}
+}
+
+// readings adds the tasks' classes to a worker's measurements.
+func (i *isolation) readings(usages []commander.Usage) []isolator.Reading {
+	readings := make([]isolator.Reading, 0, len(usages))
+	for _, usage := range usages {
+		intent, ok := i.intentOf(usage.ID.Task)
+		if !ok {
+			continue
+		}
+		readings = append(readings, isolator.Reading{
+			Task:            usage.ID.Task,
+			Class:           intent.Class,
+			LatencyCritical: i.isLatencyCritical(intent),
+			MilliCores:      usage.Resources.MilliCores,
+			SpeedPercent:    usage.SpeedPercent,
+			At:              usage.At,
+		})
+	}
+	return readings
+}
+
+// intentOf returns the intent of a task, "<intent>/<number>".
+func (i *isolation) intentOf(task string) (*kumquatv1.IntentRecord, bool) {
+	id, _, _ := strings.Cut(task, "/")
+	if known, ok := i.intents[id]; ok {
+		return known, true
+	}
+	entry, ok := i.daemon.watcher.Entry(administrator.IntentPrefix + id)
+	if !ok {
+		return nil, false
+	}
+	record := &kumquatv1.IntentRecord{}
+	if proto.Unmarshal(entry.Value, record) != nil {
+		return nil, false
+	}
+	i.intents[id] = record
+	return record, true
+}
+
+// isLatencyCritical reports whether the tasks of an intent are services.
+func (i *isolation) isLatencyCritical(intent *kumquatv1.IntentRecord) bool {
+	if intent.Kind == kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING {
+		return true
+	}
+	declared := i.daemon.configurer.Declarations()
+	if declared == nil {
+		return false
+	}
+	class, ok := declared.Class(intent.Class)
+	return ok && class.LatencyCritical
+}
--- a/internal/process/daemon/shards.go
+++ b/internal/process/daemon/shards.go
@@ -129,7 +129,11 @@
 
 // runOnce opens a shard and works on it until the context ends.
 func (s *shards) runOnce(ctx context.Context, shard *openShard, partition owner.Partition, epoch owner.Epoch) (err error) {
-	opened, err := sharder.Open(ctx, s.options(partition, epoch))
+	protection := newIsolation(s.daemon)
+	options := s.options(partition, epoch)
+	options.Slowdown = protection.slowdown
+	options.Observe = protection.observe
+	opened, err := sharder.Open(ctx, options)
 	if err != nil {
 		return err
 	}
@@ -141,6 +145,11 @@
 	for _, entry := range s.daemon.watcher.Entries(administrator.IntentPrefix) {
 		s.ingestInto(opened, entry.Value)
 	}
+	var background sync.WaitGroup
+	defer background.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	background.Go(func() { protection.run(ctx, opened) })
 	return opened.Run(ctx)
 }
 
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -116,6 +116,7 @@
 	5005: {Name: "daemon.shardOpened", Level: log.InfoLevel},
 	5006: {Name: "daemon.serverFailed", Level: log.InfoLevel},
 	5007: {Name: "daemon.intentUnreadable", Level: log.InfoLevel},
+	5008: {Name: "daemon.adviceRefused", Level: log.InfoLevel},
 	5100: {Name: "administrator.intentConfirmed", Level: log.InfoLevel},
 	5101: {Name: "administrator.intentCancelled", Level: log.InfoLevel},
 	5102: {Name: "administrator.confirmRefused", Level: log.InfoLevel},
