Authenticate daemons and operators by certificates and tokens

Cause: connections of peers and operators were neither encrypted nor limited. Conclusion: ready to be put before the daemon's listeners.

--- /dev/null
+++ b/internal/connection/securer/guard.go
@@ -0,0 +1,44 @@
+package securer
+
+import (
+	"net/http"
+	"path"
+	"strings"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+const bearer = "Bearer "
+
+// Guard returns a handler that passes on the calls that the caller's role
+// allows, by its certificate or the token in its Authorization header, and
+// answers the others with "permission denied".
+func Guard(next http.Handler, tokens Tokens, record recorder.Recorder) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		needed := NeededFor(r.URL.Path)
+		role := callerRole(r, tokens)
+		if role.Allows(needed) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		method := path.Base(r.URL.Path)
+		record.Record(time.Now(), EventDenied, recorder.Fields{
+			"method": method, "role": role.String(), "needed": needed.String(),
+		})
+		// An error of writing the answer is the caller's to notice.
+		_ = twirp.WriteError(w, twirp.NewErrorf(twirp.PermissionDenied,
+			"%s refused: it needs the role %s, yours is %s; use a certificate or token with that role", method, needed, role))
+	})
+}
+
+func callerRole(r *http.Request, tokens Tokens) Role {
+	role := RoleOf(r.TLS)
+	header := r.Header.Get("Authorization")
+	if role == RoleDaemon || !strings.HasPrefix(header, bearer) {
+		return role
+	}
+	return max(role, tokens.Role(strings.TrimPrefix(header, bearer)))
+}
