Guard peers' and operators' calls by role

The daemon's listeners now use the roles and the certificates that are read again when they change; the simpler configuration that stood beside it is gone. Forwarded requests are accepted from daemons alone. The tool shows a certificate or a token, which it never sends in plaintext.

A test runs an intent and requests through three daemons that way.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"os"
+	"strings"
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
@@ -30,6 +31,7 @@
 type client struct {
 	daemons []kumquatv1.Operator
 	globals *globalOptions
+	token   string
 }
 
 func (a *app) newClient() (c *client, err error) {
@@ -41,32 +43,60 @@
 			return nil, err
 		}
 	}
-	c = &client{globals: &a.globals}
+	token, err := a.token()
+	if err != nil {
+		return nil, err
+	}
+	c = &client{globals: &a.globals, token: token}
 	for _, address := range a.globals.Addresses {
 		c.daemons = append(c.daemons, kumquatv1.NewOperatorProtobufClient(scheme+"://"+address, &http.Client{Transport: transport}))
 	}
 	return c, nil
 }
 
+// token returns the operator's token, or "" if there is none.
+func (a *app) token() (string, error) {
+	if a.globals.TLS.TokenFile == "" {
+		return "", nil
+	}
+	if a.globals.Plaintext {
+		return "", &usageError{"a token is not sent in plaintext; leave --token-file or --plaintext out"}
+	}
+	content, err := a.system.ReadFile(a.globals.TLS.TokenFile)
+	return strings.TrimSpace(string(content)), err
+}
+
 // config returns the TLS configuration, or a *usageError if options are
 // missing.
 func (o tlsOptions) config() (config *tls.Config, err error) {
-	if o.Certificate == "" || o.Key == "" || o.Authority == "" {
-		return nil, &usageError{"--tls-certificate, --tls-key and --tls-authority are needed, or --plaintext"}
+	if o.Authority == "" || (o.Certificate == "" || o.Key == "") && o.TokenFile == "" {
+		return nil, &usageError{"--tls-authority is needed, and --tls-certificate with --tls-key, or --token-file; or --plaintext"}
 	}
-	certificate, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
-	if err != nil {
-		return nil, err
+	config = &tls.Config{MinVersion: tls.VersionTLS13}
+	if o.Certificate != "" {
+		certificate, err := tls.LoadX509KeyPair(o.Certificate, o.Key)
+		if err != nil {
+			return nil, err
+		}
+		config.Certificates = []tls.Certificate{certificate}
 	}
 	authority, err := os.ReadFile(o.Authority)
 	if err != nil {
 		return nil, err
 	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(authority) {
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(authority) {
 		return nil, eris.Errorf("%s holds no certificate", o.Authority)
 	}
-	return &tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: roots, MinVersion: tls.VersionTLS13}, nil
+	return config, nil
+}
+
+// authorised returns a context whose calls carry the operator's token.
+func (c *client) authorised(ctx context.Context) (context.Context, error) {
+	if c.token == "" {
+		return ctx, nil
+	}
+	return twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": {"Bearer " + c.token}})
 }
 
 // call makes a call at the daemons in turn until one gives an answer. All
@@ -114,6 +144,9 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { wrote.Store(true) },
 	})
+	if ctx, err = c.authorised(ctx); err != nil {
+		return nil, false, err
+	}
 	answer, err = method(daemon, ctx, request)
 	err = errorcoder.Decode(err)
 	return answer, wrote.Load() && !isUntouched(err), err
--- a/internal/cli/globals.go
+++ b/internal/cli/globals.go
@@ -17,5 +17,6 @@
 type tlsOptions struct {
 	Certificate string `long:"tls-certificate" env:"KUMQUAT_TLS_CERTIFICATE" value-name:"FILE" description:"Certificate of this operator"`
 	Key         string `long:"tls-key" env:"KUMQUAT_TLS_KEY" value-name:"FILE" description:"Key of the certificate"`
+	TokenFile   string `long:"token-file" env:"KUMQUAT_TOKEN_FILE" value-name:"FILE" description:"File with this operator's token, in place of a certificate"`
 	Authority   string `long:"tls-authority" env:"KUMQUAT_TLS_AUTHORITY" value-name:"FILE" description:"Authority that signs the daemons' certificates"`
 }
--- a/internal/cli/main_test.go
+++ b/internal/cli/main_test.go
@@ -1,6 +1,8 @@
 package cli
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"io"
 	"log"
@@ -8,14 +10,15 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/kumquatstack/kumquatstack/internal/process/settings"
-	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
+	"github.com/kumquatstack/kumquatstack/internal/connection/securer"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 )
 
 func TestMain(m *testing.M) {
@@ -59,25 +62,39 @@
 }
 
 // startTLS serves the fake daemon at $TLS_ADDRESS to operators with the
-// certificate in operator.pem.
+// certificate in operator.pem, the one in viewer.pem, or the token "secret".
 func startTLS(env *testscript.Env, fake *fakeOperator) error {
-	authority, err := certifier.New(env.WorkDir, time.Now())
+	now := time.Now()
+	authority, err := securer.NewTestAuthority(env.WorkDir, now)
 	if err != nil {
 		return err
 	}
-	daemon, err := authority.Issue("daemon")
+	roles := map[string]securer.Role{"operator": securer.RoleAdminister, "viewer": securer.RoleView}
+	for name, role := range roles {
+		if _, err := authority.Issue(name, role, now); err != nil {
+			return err
+		}
+	}
+	files, err := authority.Issue("daemon", securer.RoleDaemon, now)
 	if err != nil {
 		return err
 	}
-	if _, err := authority.Issue("operator"); err != nil {
+	daemon, err := securer.New(files, recorder.Discard{}, now)
+	if err != nil {
 		return err
 	}
-	set := &settings.Settings{TLS: settings.TLS(daemon)}
-	server := httptest.NewUnstartedServer(fake.handler())
-	server.Config.ErrorLog = log.New(io.Discard, "", 0)
-	if server.TLS, err = set.PeerTLS(); err != nil {
+	digest := sha256.Sum256([]byte("secret"))
+	list := filepath.Join(env.WorkDir, "tokens")
+	if err := os.WriteFile(list, []byte("confirm "+hex.EncodeToString(digest[:])), 0o600); err != nil {
 		return err
 	}
+	tokens, err := securer.LoadTokens(list)
+	if err != nil {
+		return err
+	}
+	server := httptest.NewUnstartedServer(securer.Guard(fake.handler(), tokens, recorder.Discard{}))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.TLS = daemon.OperatorConfig()
 	server.StartTLS()
 	env.Defer(server.Close)
 	env.Setenv("TLS_ADDRESS", server.Listener.Addr().String())
--- a/internal/connection/securer/authority.go
+++ b/internal/connection/securer/authority.go
@@ -55,8 +55,8 @@
 func (a *TestAuthority) path(name string) string { return filepath.Join(a.directory, name) }
 
 // Issue writes a certificate for a name with a role, valid for the loopback
-// address, and returns its files.
-func (a *TestAuthority) Issue(name string, role Role, now time.Time) (files Files, err error) {
+// address and further IP numbers, and returns its files.
+func (a *TestAuthority) Issue(name string, role Role, now time.Time, ips ...net.IP) (files Files, err error) {
 	defer func() { err = eris.Wrapf(err, "issuing a certificate for %s", name) }()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -69,7 +69,7 @@
 		NotAfter:     now.Add(24 * time.Hour),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses:  append([]net.IP{net.IPv4(127, 0, 0, 1)}, ips...),
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
--- a/internal/connection/securer/guard.go
+++ b/internal/connection/securer/guard.go
@@ -17,8 +17,17 @@
 // allows, by its certificate or the token in its Authorization header, and
 // answers the others with "permission denied".
 func Guard(next http.Handler, tokens Tokens, record recorder.Recorder) http.Handler {
+	return guard(next, tokens, record, NeededFor)
+}
+
+// GuardDaemons returns a handler that passes on the calls of daemons alone.
+func GuardDaemons(next http.Handler, record recorder.Recorder) http.Handler {
+	return guard(next, Tokens{}, record, func(string) Role { return RoleDaemon })
+}
+
+func guard(next http.Handler, tokens Tokens, record recorder.Recorder, neededFor func(path string) Role) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		needed := NeededFor(r.URL.Path)
+		needed := neededFor(r.URL.Path)
 		role := callerRole(r, tokens)
 		if role.Allows(needed) {
 			next.ServeHTTP(w, r)
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/connection/securer"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
-	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
 	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
 	"github.com/kumquatstack/kumquatstack/internal/standin/hostlist"
 )
@@ -49,7 +49,7 @@
 	RunnerArgs []string
 	WorkerArgs []string
 	// Authority issues the daemons' certificates; nil means plaintext.
-	Authority *certifier.Authority
+	Authority *securer.TestAuthority
 	// Unready leaves the daemons to the test: neither waited for nor configured.
 	Unready bool
 }
--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/kumquatstack/kumquatstack/internal/connection/securer"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -72,7 +73,7 @@
 		return
 	}
 	address := netip.MustParseAddrPort(daemon.Peers)
-	files, err := c.options.Authority.Issue(daemon.Name, net.IP(address.Addr().AsSlice()))
+	files, err := c.options.Authority.Issue(daemon.Name, securer.RoleDaemon, time.Now(), net.IP(address.Addr().AsSlice()))
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/integration/operating/tls_test.go
+++ b/internal/integration/operating/tls_test.go
@@ -2,24 +2,28 @@
 
 import (
 	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/cli"
+	"github.com/kumquatstack/kumquatstack/internal/connection/securer"
 	"github.com/kumquatstack/kumquatstack/internal/harness"
-	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
 )
 
-// TestEncrypted runs an intent and forwards work between daemons that accept
+// TestEncrypted runs an intent and carries requests through daemons that accept
 // only each other's certificates and the operators'.
 func TestEncrypted(t *testing.T) {
 	directory := t.TempDir()
-	authority, err := certifier.New(directory, time.Now())
+	authority, err := securer.NewTestAuthority(directory, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
-	files, err := authority.Issue("operator")
+	files, err := authority.Issue("operator", securer.RoleAdminister, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,6 +52,36 @@
 	if got := run(cluster.Daemons[0], "status", "--wait", "--for", patience.String(), "secret-casting"); got.code != 0 {
 		t.Errorf("code %d\n%s", got.code, got.stderr)
 	}
+	for _, daemon := range cluster.Daemons {
+		assertAnswers(t, daemon, files.Authority)
+	}
 	b.assertRuns(cluster.Daemons, 3, "status")
 	cluster.AssertNoBreach()
 }
+
+// assertAnswers sends a request to a daemon that shows a certificate.
+func assertAnswers(t *testing.T, daemon *harness.Daemon, authority string) {
+	t.Helper()
+	signers, err := os.ReadFile(authority)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AppendCertsFromPEM(signers)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}}
+	defer client.CloseIdleConnections()
+	harness.Eventually(t, patience, "a request is answered", func() bool {
+		req, err := http.NewRequest(http.MethodPost, "https://"+daemon.Callers+harness.PathIdempotent, strings.NewReader("print"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Kumquat-Deadline-Millis", "2000")
+		answer, err := client.Do(req)
+		if err != nil {
+			t.Log(err)
+			return false
+		}
+		defer answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	})
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -47,7 +47,7 @@
 	settings *settings.Settings
 	recorder *recorder.Ring
 	metrics  *counter.Set
-	security security
+	security *security
 	clock    *hlc.Clock
 	meters   *meters
 
@@ -73,7 +73,7 @@
 func New(set *settings.Settings, logger log.Interface) (d *Daemon, err error) {
 	d = &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
 	d.recorder = recorder.NewRing(set.Name, set.EventBytes, func() uint64 { return d.clock.Now(time.Now()) }, logger)
-	if d.security, err = newSecurity(set); err != nil {
+	if d.security, err = newSecurity(set, d.recorder, time.Now()); err != nil {
 		return nil, err
 	}
 	d.meters = newMeters(set)
--- a/internal/process/daemon/servers.go
+++ b/internal/process/daemon/servers.go
@@ -48,9 +48,9 @@
 func newServers(d *Daemon) *servers {
 	s := &servers{daemon: d}
 	at := d.settings.Listen
-	s.callers = newListener(at.Callers, d.security.callers, d.requests.router)
-	s.peers = newListener(at.Peers, d.security.peers, s.peerMux())
-	s.operators = newListener(at.Operators, d.security.peers, kumquatv1.NewOperatorServer(d.newAdministrator(), errorcoder.ServerOption()))
+	s.callers = d.security.callers(at.Callers, d.requests.router)
+	s.peers = d.security.peers(at.Peers, s.peerMux())
+	s.operators = d.security.operators(at.Operators, kumquatv1.NewOperatorServer(d.newAdministrator(), errorcoder.ServerOption()))
 	s.health = newListener(at.Health, nil, s.healthMux())
 	return s
 }
@@ -107,7 +107,7 @@
 			s.closeSockets()
 			return eris.Wrapf(err, "listen on %s", l.address)
 		}
-		l.socket = listen(l.socket, l.config)
+		l.socket = encrypt(l.socket, l.config)
 	}
 	return nil
 }
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -38,6 +38,9 @@
 	Reroute map[string]string `yaml:"reroute"`
 	// TLS names the files for encrypted connections.
 	TLS TLS `yaml:"tls"`
+	// Tokens names a file of operators' tokens: on each line a role (view,
+	// confirm or administer) and the token's SHA-256 digest in hexadecimal.
+	Tokens string `yaml:"tokens" validate:"omitempty,file"`
 	// Plaintext allows connections without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
@@ -213,6 +216,8 @@
 		}
 	}
 	switch {
+	case s.Plaintext && s.Tokens != "":
+		report("tokens", "tokens would be sent in plaintext", "tls in place of plaintext: true")
 	case s.Plaintext && given > 0:
 		report("plaintext", "TLS files are given too", "one of plaintext: true and tls")
 	case !s.Plaintext && given == 0:
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -46,6 +46,7 @@
 		"address used twice":    {"10.1.0.5:7002", "10.1.0.5:7001", 7, "listen.operators"},
 		"unreachable address":   {"10.1.0.5:7000", "0.0.0.0:7000", 9, "advertise.callers"},
 		"no TLS":                {"plaintext: true\n", "", 1, "tls"},
+		"tokens in plaintext":   {"plaintext: true", "plaintext: true\ntokens: settings.go", 15, "tokens"},
 		"store is no URL":       {"http://10.1.0.2:2379", "10.1.0.2:2379", 11, "store.endpoint"},
 		"unknown level":         {"plaintext: true", "plaintext: true\nlogLevel: loud", 15, "logLevel"},
 		"poll interval, a unit": {"hostList: {", "hostList: {pollInterval: 5 sec, ", 12, "hostList.pollInterval"},
