Explore the protocols of ownership and start authority exhaustively

Cause: pledges, blocks and proofs interact with late answers, restarts and drifting clocks in ways that tests of running daemons don't reach.

--- /dev/null
+++ b/internal/model/explore_test.go
@@ -0,0 +1,86 @@
+package model
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// maxStates bounds an exploration; a model that reaches it fails its test.
+const maxStates = 6_000_000
+
+// An exploration is the outcome of visiting all states that can be reached.
+type exploration[S comparable] struct {
+	states int
+	// trace leads from the start to the first forbidden state; it is empty if
+	// there is none.
+	trace []S
+	// complete tells that all states were visited.
+	complete bool
+}
+
+// explore visits all states that can be reached, breadth first, and stops at
+// the first forbidden one.
+func explore[S comparable](start S, next func(S, func(S)), isForbidden func(S) bool) exploration[S] {
+	index := map[S]int32{start: 0}
+	states := []S{start}
+	parents := []int32{-1}
+	for at := 0; at < len(states); at++ {
+		if isForbidden(states[at]) {
+			return exploration[S]{states: len(states), trace: path(states, parents, at)}
+		}
+		if len(states) > maxStates {
+			return exploration[S]{states: len(states)}
+		}
+		next(states[at], func(s S) {
+			if _, known := index[s]; known {
+				return
+			}
+			index[s] = int32(len(states))
+			states = append(states, s)
+			parents = append(parents, int32(at))
+		})
+	}
+	return exploration[S]{states: len(states), complete: true}
+}
+
+func path[S any](states []S, parents []int32, at int) []S {
+	var reversed []S
+	for i := int32(at); i >= 0; i = parents[i] {
+		reversed = append(reversed, states[i])
+	}
+	trace := make([]S, 0, len(reversed))
+	for i := len(reversed) - 1; i >= 0; i-- {
+		trace = append(trace, reversed[i])
+	}
+	return trace
+}
+
+// assertHolds requires that all states were visited and none is forbidden.
+func assertHolds[S comparable](t *testing.T, e exploration[S]) {
+	t.Helper()
+	t.Logf("%d states", e.states)
+	if len(e.trace) > 0 {
+		t.Errorf("forbidden state after\n%s", describe(e.trace))
+	} else if !e.complete {
+		t.Errorf("gave up after %d states", e.states)
+	}
+}
+
+// assertViolated requires that a forbidden state was found.
+func assertViolated[S comparable](t *testing.T, e exploration[S]) {
+	t.Helper()
+	if len(e.trace) == 0 {
+		t.Errorf("no forbidden state among %d; complete: %t", e.states, e.complete)
+		return
+	}
+	t.Logf("forbidden state after %d steps", len(e.trace)-1)
+}
+
+func describe[S any](trace []S) string {
+	var lines []string
+	for _, s := range trace {
+		lines = append(lines, fmt.Sprintf("%+v", s))
+	}
+	return strings.Join(lines, "\n")
+}
