--- /dev/null
+++ b/internal/integration/urgent/load_bench_test.go
@@ -0,0 +1,90 @@
+package urgent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+)
+
+const (
+	benchDaemons  = 8
+	benchRunners  = 10
+	benchSlots    = benchRunners * 8
+	benchService  = 50 * time.Millisecond
+	benchDuration = 10 * time.Second
+)
+
+// BenchmarkTailUnderLoad measures the response times of callers that arrive
+// at random, three times as often at half of the daemons as at the others.
+func BenchmarkTailUnderLoad(b *testing.B) {
+	cluster := harness.Start(b, harness.Options{
+		Sites: []harness.Site{
+			{DataCentre: "atl-a", Region: "north-ga", Daemons: benchDaemons / 2, Runners: benchRunners / 2},
+			{DataCentre: "ath-a", Region: "north-ga", Daemons: benchDaemons / 2, Runners: benchRunners / 2},
+		},
+		RunnerArgs: []string{"--mean", benchService.String(), "--sigma", "0.5"},
+	})
+	time.Sleep(3 * time.Second)
+	for _, percent := range []int{50, 80, 95} {
+		b.Run(fmt.Sprintf("%d percent", percent), func(b *testing.B) {
+			for range b.N {
+				measureLoad(b, cluster, float64(percent)/100)
+			}
+		})
+	}
+	cluster.AssertNoBreach()
+}
+
+// measureLoad offers one load and reports quantiles of the response times.
+func measureLoad(b *testing.B, cluster *harness.Cluster, load float64) {
+	b.Helper()
+	random := rand.New(rand.NewPCG(1, 0))
+	caller := harness.NewCaller()
+	defer caller.Close()
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	failed := 0
+	histogram := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	rate := load * benchSlots / benchService.Seconds()
+	begin := time.Now()
+	next := begin
+	for number := 0; next.Sub(begin) < benchDuration; number++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		daemon := cluster.Daemons[unevenDaemon(random)]
+		time.Sleep(time.Until(next))
+		due := next
+		calls.Go(func() {
+			call := harness.Call{ID: fmt.Sprintf("b%.2f-%d", load, number), Path: harness.PathOnce, Body: []byte("print"), Deadline: 2 * time.Second}
+			answer := caller.Do(context.Background(), daemon, call)
+			mu.Lock()
+			defer mu.Unlock()
+			if !answer.Whole() {
+				failed++
+				return
+			}
+			_ = histogram.RecordValue(time.Since(due).Microseconds())
+		})
+	}
+	calls.Wait()
+	for name, quantile := range map[string]float64{"p50-ms": 50, "p99-ms": 99, "p99.9-ms": 99.9} {
+		b.ReportMetric(float64(histogram.ValueAtQuantile(quantile))/1000, name)
+	}
+	b.ReportMetric(float64(histogram.TotalCount()), "answered")
+	b.ReportMetric(float64(failed), "failed")
+}
+
+// unevenDaemon draws a daemon: half of them get three times as many requests.
+func unevenDaemon(random *rand.Rand) int {
+	pick := random.IntN(2 * benchDaemons)
+	if pick < 3*benchDaemons/2 {
+		return pick / 3
+	}
+	return benchDaemons/2 + pick - 3*benchDaemons/2
+}
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -99,7 +99,7 @@
 	now := s.opts.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || !sl.runner.isUsable() || !s.mayUse(sl.runner, sl.up, now) {
+	if s.closed || !sl.runner.isUsable() || sl.runner.health.IsLeaving(now) || !s.mayUse(sl.runner, sl.up, now) {
 		return ErrNoAuthority
 	}
 	return nil
--- a/internal/process/slotter/slots_test.go
+++ b/internal/process/slotter/slots_test.go
@@ -177,10 +177,14 @@
 		b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(answerer.HeaderRunner, answerer.RunnerLeaving)
 		})
+		granted := b.mustAcquire(t)
 		if err := b.use(t.Context(), b.mustAcquire(t)); err != nil {
 			t.Fatal(err)
 		}
 		b.assertFree(t, 0)
+		if err := b.use(t.Context(), granted); exchanger.IsSent(err) || err == nil {
+			t.Errorf("a leaving runner got a request: %v", err)
+		}
 	})
 	t.Run("by their data centre", func(t *testing.T) {
 		b := newBench(t, quick)
--- a/internal/request/router/fixture_test.go
+++ b/internal/request/router/fixture_test.go
@@ -108,7 +108,7 @@
 	most   atomic.Int64
 }
 
-func newFakeRunner(t *testing.T, name string, handle http.HandlerFunc) *fakeRunner {
+func newFakeRunner(t testing.TB, name string, handle http.HandlerFunc) *fakeRunner {
 	t.Helper()
 	runner := &fakeRunner{name: name, handle: handle}
 	runner.Server = httptest.NewServer(runner)
@@ -168,7 +168,7 @@
 }
 
 // newCluster starts daemons. The first owns all runners unless changed.
-func newCluster(t *testing.T, names []string, runners ...*fakeRunner) *cluster {
+func newCluster(t testing.TB, names []string, runners ...*fakeRunner) *cluster {
 	t.Helper()
 	c := &cluster{
 		ownership: newOwnership(), keepers: make(map[string]*claimkeeper.Keeper),
@@ -189,7 +189,7 @@
 	return c
 }
 
-func (c *cluster) start(t *testing.T, name string, hosts []lister.Host) *fakeDaemon {
+func (c *cluster) start(t testing.TB, name string, hosts []lister.Host) *fakeDaemon {
 	t.Helper()
 	view := authority{ownership: c.ownership, daemon: name}
 	d := &fakeDaemon{name: name, journal: &memoryJournal{}}
@@ -224,7 +224,7 @@
 	return d
 }
 
-func assertClosed(t *testing.T, closers ...func() error) {
+func assertClosed(t testing.TB, closers ...func() error) {
 	t.Helper()
 	for _, closer := range closers {
 		if err := closer(); err != nil {
@@ -270,7 +270,7 @@
 }
 
 // call sends a request to a daemon. Fields alternate names and values.
-func call(t *testing.T, d *fakeDaemon, method, path, body string, fields ...string) reply {
+func call(t testing.TB, d *fakeDaemon, method, path, body string, fields ...string) reply {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, d.callers.URL+path, strings.NewReader(body))
 	if err != nil {
