--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/hostwatcher"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
 	"github.com/kumquatstack/kumquatstack/internal/process/settings"
@@ -47,11 +48,13 @@
 	recorder *recorder.Ring
 	metrics  *counter.Set
 	clock    *hlc.Clock
+	meters   *meters
 
 	store      *storer.Client
 	watcher    *watcher.Watcher
 	configurer *configurer.Configurer
 	group      *member.Group
+	pledger    *pledger.Pledger
 	owner      *owner.Owner
 	dialer     *dialer.Dialer
 	agents     *commander.Client
@@ -66,7 +69,9 @@
 func New(set *settings.Settings, logger log.Interface) (*Daemon, error) {
 	d := &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
 	d.recorder = recorder.NewRing(set.Name, set.EventBytes, func() uint64 { return d.clock.Now(time.Now()) }, logger)
+	d.meters = newMeters(set)
 	d.store = storer.NewClient(storer.Options{
+		HTTP:        d.meters.client(d.meters.store),
 		Endpoint:    set.Store.Endpoint,
 		CallTimeout: storeCallTimeout,
 		Rate:        storeCallsPerSecond,
@@ -74,18 +79,19 @@
 		WatchIdle:   storeWatchIdle,
 		Recorder:    d.recorder,
 	})
-	d.dialer = dialer.New(set.Scheme(), dialer.NewClient(dialer.NewDialFunc(set.Reroute)))
-	d.agents = commander.NewClient(commander.Options{})
+	d.dialer = dialer.New(set.Scheme(), d.meters.client(d.meters.peers))
+	d.agents = commander.NewClient(commander.Options{HTTP: d.meters.client(d.meters.workers)})
 	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
 	d.addConfigurer()
 	d.addGroup()
+	d.addPledger()
 	d.addOwner()
 	d.requests = newRequests(d)
 	d.shards = newShards(d)
 	d.addHosts()
 	d.responder = d.newResponder()
 	d.servers = newServers(d)
-	d.metrics.PublishRuntime()
+	d.publishMetrics()
 	return d, nil
 }
 
@@ -120,6 +126,16 @@
 	d.configurer.Join(d.group)
 }
 
+// addPledger adds the keeper of pledges between daemons.
+func (d *Daemon) addPledger() {
+	d.pledger = pledger.New(pledger.Settings{
+		Store:    d.store,
+		Group:    d.group,
+		Recorder: d.recorder,
+		Dial:     d.dialer.Peer,
+	})
+}
+
 // addOwner adds the decider on partitions.
 func (d *Daemon) addOwner() {
 	d.owner = owner.New(owner.Settings{
@@ -127,6 +143,7 @@
 		Watcher:      d.watcher,
 		Group:        d.group,
 		Starter:      d.configurer,
+		Evictor:      d.pledger,
 		Recorder:     d.recorder,
 		Declarations: d.configurer.Declarations,
 		StoreRegion:  d.settings.Store.Region,
@@ -139,7 +156,7 @@
 // addHosts adds the reader of the platform's host list.
 func (d *Daemon) addHosts() {
 	d.hosts = hostwatcher.New(hostwatcher.Options{
-		Lister:   lister.NewClient(d.settings.HostList.Endpoint),
+		Lister:   lister.NewClient(d.settings.HostList.Endpoint, d.meters.client(d.meters.hostList)),
 		Interval: d.settings.HostList.PollInterval,
 		Recorder: d.recorder,
 		Now:      time.Now,
@@ -151,7 +168,7 @@
 func (d *Daemon) newResponder() *responder.Responder {
 	return responder.New(responder.Parts{
 		Members:        d.group,
-		Pledges:        noPledges{},
+		Pledges:        d.pledger,
 		Configurations: d.configurer,
 		Claims:         d.requests.keeper,
 		Events:         d.recorder,
@@ -214,6 +231,7 @@
 	group.Go(func() error { return d.watcher.Run(work) })
 	group.Go(func() error { return d.configurer.Run(work) })
 	group.Go(func() error { return d.group.Run(work) })
+	group.Go(func() error { return d.pledger.Run(work) })
 	group.Go(func() error { return d.owner.Run(work) })
 	group.Go(func() error { return d.hosts.Run(work) })
 	group.Go(d.servers.serve)
