Eject runners on a lasting share of failures only

Cause: under mixed faults, with 6 % of the requests failing, all runners were soon ejected: two broken exchanges close together sufficed, and each probe that failed doubled the ejection. One request in twelve was not run for want of a runner. A peer that had died was chosen until its word was 5 s old, and an answer that broke before its header had left looked like a dead peer.

Claims that got no answer don't tell addresses.

--- a/internal/connection/forwarder/forwarder.go
+++ b/internal/connection/forwarder/forwarder.go
@@ -197,8 +197,11 @@
 // broken makes the error of a call whose peer gave no answer. Only if there
 // was no connection it is certain that the peer has not sent it on.
 func (f *Forwarder) broken(call *attempter.Call, peer Peer, connected bool, cause error) error {
+	now := f.opts.Now()
+	if now.Before(call.Deadline) && !errors.Is(cause, context.Canceled) {
+		f.peers.suspect(peer.Daemon)
+	}
 	if !connected {
-		f.peers.observe(peer.Daemon, call.Upstream, Load{SeenAt: f.opts.Now()})
 		return &attempter.Error{Outcome: answerer.OutcomeNotRun, Reason: "peer could not be reached", Cause: cause}
 	}
 	f.record(EventForwardBroken, call, peer)
--- a/internal/connection/forwarder/handler.go
+++ b/internal/connection/forwarder/handler.go
@@ -47,11 +47,14 @@
 	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
 	answer, err := h.execute(ctx, call)
+	if err == nil {
+		defer answer.Release()
+		err = answer.ReadShort()
+	}
 	if err != nil {
 		h.refuse(w, call.Upstream, asError(err))
 		return
 	}
-	defer answer.Release()
 	h.relay(w, call, answer)
 }
 
--- a/internal/connection/forwarder/peers.go
+++ b/internal/connection/forwarder/peers.go
@@ -56,6 +56,17 @@
 	p.loads[key] = load
 }
 
+// suspect forgets the loads of a peer until there is newer word of it.
+func (p *peers) suspect(daemon string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.loads {
+		if key.daemon == daemon {
+			delete(p.loads, key)
+		}
+	}
+}
+
 // choose picks a peer and counts the request as sent there.
 func (p *peers) choose(ask ask, now time.Time) (peer Peer, ok bool) {
 	p.mu.Lock()
--- a/internal/process/picker/health.go
+++ b/internal/process/picker/health.go
@@ -30,7 +30,7 @@
 	// slowStart is the time in which a returned runner gets its slots back.
 	slowStart = 5 * time.Second
 	// failureWeight is the weight of the newest outcome in the failure share.
-	failureWeight = 0.15
+	failureWeight = 0.1
 	// latencyWeight is the weight of the newest latency in its average.
 	latencyWeight = 0.1
 	// ejectionShare is the failure share above which a runner is ejected.
@@ -66,10 +66,8 @@
 	switch seen {
 	case Answered:
 		return h.withAnswer(latency, now)
-	case Failed:
-		return h.withFailure(failureWeight, now)
-	case Broken:
-		return h.withFailure(2*failureWeight, now)
+	case Failed, Broken:
+		return h.withFailure(now)
 	case Unreachable:
 		return h.withEjection(now)
 	default:
@@ -109,9 +107,9 @@
 	return h
 }
 
-// withFailure returns the health after a failure of some weight.
-func (h Health) withFailure(weight float64, now time.Time) Health {
-	h.failures += weight * (1 - h.failures)
+// withFailure returns the health after a failure.
+func (h Health) withFailure(now time.Time) Health {
+	h.failures += failureWeight * (1 - h.failures)
 	if h.probing || h.failures > ejectionShare {
 		return h.withEjection(now)
 	}
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -204,7 +204,7 @@
 	if !sl.sentAt.IsZero() || sl.seen != picker.Answered {
 		after = before.With(sl.seen, sl.latency, now)
 	}
-	if sl.seen == picker.Failed && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
+	if sl.seen != picker.Unreachable && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
 		after = before
 	}
 	if sl.leaving {
--- a/internal/request/attempter/answer.go
+++ b/internal/request/attempter/answer.go
@@ -1,6 +1,7 @@
 package attempter
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,9 @@
 // copyBuffer is the number of bytes of an answer that are held at a time.
 const copyBuffer = 32 << 10
 
+// shortAnswer is the size up to which an answer is read before it is passed on.
+const shortAnswer = 4 << 10
+
 // An Executor carries out calls.
 type Executor interface {
 	// Execute returns the runner's answer, or an *Error.
@@ -49,6 +53,22 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ReadShort reads the body of a short answer, so that it can't break off while
+// it is passed on. Its error is an *Error; the answer is released then.
+func (a *Answer) ReadShort() error {
+	resp := a.Response
+	if resp.ContentLength <= 0 || resp.ContentLength > shortAnswer {
+		return nil
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		a.Release()
+		return &Error{Outcome: answerer.OutcomeUnknown, Reason: "answer broke off", Runner: a.Runner, Cause: err}
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 // Relay writes an answer to a response writer. An error means that the answer
 // is not whole, so that the connection has to be broken.
 func Relay(w http.ResponseWriter, answer *Answer, request string) (err error) {
@@ -60,7 +80,7 @@
 	header.Set(answerer.HeaderOutcome, string(answerer.OutcomeAnswered))
 	header.Set(answerer.HeaderRequest, request)
 	w.WriteHeader(resp.StatusCode)
-	if err := copyBody(w, resp); err != nil {
+	if err := copyBody(w, resp.Body, resp.ContentLength); err != nil {
 		return err
 	}
 	for name, values := range resp.Trailer {
@@ -70,15 +90,15 @@
 }
 
 // copyBody copies the body, and flushes each part if the length is not known.
-func copyBody(w http.ResponseWriter, resp *http.Response) error {
-	if resp.ContentLength >= 0 {
-		_, err := io.CopyBuffer(onlyWriter{w}, resp.Body, make([]byte, min(copyBuffer, resp.ContentLength+1)))
+func copyBody(w http.ResponseWriter, body io.Reader, length int64) error {
+	if length >= 0 {
+		_, err := io.CopyBuffer(onlyWriter{w}, onlyReader{body}, make([]byte, min(copyBuffer, length+1)))
 		return err
 	}
 	flusher := http.NewResponseController(w)
 	buffer := make([]byte, copyBuffer)
 	for {
-		n, err := resp.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			if _, err := w.Write(buffer[:n]); err != nil {
 				return err
@@ -96,3 +116,6 @@
 
 // An onlyWriter hides all other methods of a writer.
 type onlyWriter struct{ io.Writer }
+
+// An onlyReader hides all other methods of a reader.
+type onlyReader struct{ io.Reader }
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -126,7 +126,7 @@
 // key is given back.
 func (c *Claimer) giveUp(claim *Claim, asked bool, cause error) {
 	claim.State = kumquatv1.ClaimState_CLAIM_STATE_UNAVAILABLE
-	claim.Reason = cause.Error()
+	claim.Reason = "the key's owner did not answer in time"
 	c.opts.Recorder.Record(c.opts.Now(), EventClaimUnavailable, recorder.Fields{
 		"partition": string(claimkeeper.PartitionOf(claim.key)), "reason": cause.Error(),
 	})
--- a/internal/request/router/execution.go
+++ b/internal/request/router/execution.go
@@ -27,7 +27,7 @@
 func (rt *Router) execute(ctx context.Context, call *attempter.Call, retryPercent int) (answer *attempter.Answer, err error) {
 	rt.budgets.Earn(call.Upstream, retryPercent)
 	pauses := retrier.NewPauses()
-	answer, err = rt.attempt(ctx, call)
+	answer, err = rt.attemptWhole(ctx, call)
 	for attempt := 1; attempt < maxAttempts && isWorthRetry(call, answer, err); attempt++ {
 		pause := pauses.NextBackOff()
 		if !rt.mayRetry(ctx, call, pause) {
@@ -39,7 +39,7 @@
 		}
 		rt.noteRetry(call)
 		sleep(ctx, pause)
-		answer, err = rt.attempt(ctx, call)
+		answer, err = rt.attemptWhole(ctx, call)
 		err = asRun(err)
 	}
 	return answer, err
@@ -95,6 +95,18 @@
 	return &attempter.Error{Outcome: answerer.OutcomeUnknown, Reason: "internal error", Cause: err}
 }
 
+// attemptWhole carries out a call once and reads a short answer to its end.
+func (rt *Router) attemptWhole(ctx context.Context, call *attempter.Call) (answer *attempter.Answer, err error) {
+	answer, err = rt.attempt(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if err := answer.ReadShort(); err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
 // attempt carries out a call once: on a free slot of this daemon, at a better
 // peer, or after waiting here.
 func (rt *Router) attempt(ctx context.Context, call *attempter.Call) (answer *attempter.Answer, err error) {
