Limit batch tasks by the slowdown they are estimated to cause

Change: the slowdown is learnt per core of a batch class and fades towards a prior; placement adds no batch task beyond an estimated 13 % and leaves it waiting; kumquat-experiment colocation compares policies on the stand-ins. Noisy tasks wait while quieter ones are there.

--- /dev/null
+++ b/internal/experiment/colocation/scenario.go
@@ -0,0 +1,138 @@
+// Package colocation compares placement policies on the worker stand-ins, in
+// virtual time, with the real decision functions: services and batch tasks of
+// several classes share workers while noisy tasks arrive in waves and a data
+// centre leaves and returns.
+package colocation
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+	"github.com/kumquatstack/kumquatstack/internal/standin/worker"
+	"github.com/kumquatstack/kumquatstack/internal/version/placer"
+)
+
+// A Site is the size of one user.
+type Site struct {
+	Name    string
+	Centres []string
+	Workers int
+	PerRack int
+}
+
+// Sites are the two users' sizes of today.
+func Sites() []Site {
+	return []Site{
+		{Name: "Peachtree", Centres: []string{"atl-a", "ath-a", "sav-a"}, Workers: 50, PerRack: 8},
+		{Name: "Sundarban", Centres: []string{"digha", "haldia", "sagar"}, Workers: 65, PerRack: 11},
+	}
+}
+
+// Times of a run, in virtual time.
+const (
+	length       = 30 * time.Minute
+	outFrom      = 12 * time.Minute
+	outUntil     = 18 * time.Minute
+	usageLag     = 3 * time.Second
+	usagePeriod  = 5 * time.Second
+	wavePeriod   = 5 * time.Minute
+	shortestTask = 20 * time.Second
+	medianTask   = 90 * time.Second
+	longestTask  = 10 * time.Minute
+	runLength    = 0.7 // standard deviation of the logarithm
+	foreverLease = 24 * time.Hour
+)
+
+// Sizes of tasks and workers.
+const (
+	workerMilliCores  = 32_000
+	workerMemoryBytes = 125 << 30
+	serviceMilliCores = 8_000
+	taskMemoryBytes   = 2 << 30
+	milliCores        = 1_000
+	// backlog is the batch work that waits at any time, in tasks per worker, so
+	// that throughput is bound by capacity.
+	backlog = 8
+	// noisyInWave and noisyElse are the shares of noisy tasks among arrivals.
+	noisyInWave = 0.6
+	noisyElse   = 0.1
+)
+
+// Classes of tasks.
+const (
+	classService = "order"
+	classNoisy   = "noisy"
+	classQuiet   = "quiet"
+)
+
+// model is how the classes slow each other, unknown to the policies.
+func model() worker.Model {
+	return worker.Model{Pairs: []worker.Pair{
+		{Class: classService, Neighbour: classNoisy, SlowdownPercent: 70},
+		{Class: classService, Neighbour: classQuiet, SlowdownPercent: 6},
+		{Class: classNoisy, Neighbour: classNoisy, SlowdownPercent: 10},
+	}}
+}
+
+// A job is one batch task from its arrival to its end.
+type job struct {
+	task       placer.Task
+	work       time.Duration
+	run        int32
+	checkpoint string
+	startedAt  time.Time
+	throttle   int
+}
+
+// A generator makes batch tasks from a seed.
+type generator struct {
+	random *rand.Rand
+	made   int
+}
+
+func newGenerator(seed uint64) *generator {
+	return &generator{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// next returns a task that arrives at a time.
+func (g *generator) next(at time.Duration, now time.Time) *job {
+	g.made++
+	share := noisyElse
+	if int(at/wavePeriod)%2 == 1 {
+		share = noisyInWave
+	}
+	class := classQuiet
+	if g.random.Float64() < share {
+		class = classNoisy
+	}
+	cores := int64(1 + g.random.IntN(8))
+	work := time.Duration(float64(medianTask) * math.Exp(runLength*g.random.NormFloat64()))
+	return &job{
+		task: placer.Task{
+			ID:        fmt.Sprintf("batch/%d", g.made),
+			Intent:    "batch",
+			Class:     class,
+			Size:      placer.Resources{MilliCores: cores * milliCores, MemoryBytes: taskMemoryBytes},
+			Submitted: now,
+		},
+		work: min(max(work, shortestTask), longestTask),
+	}
+}
+
+// start returns the command that starts a job.
+func (j *job) start() commander.Start {
+	return commander.Start{
+		ID:         j.id(),
+		Fence:      1,
+		Lease:      foreverLease,
+		Class:      j.task.Class,
+		Checkpoint: j.checkpoint,
+		Work:       j.work,
+		Resources:  commander.Resources(j.task.Size),
+	}
+}
+
+func (j *job) id() commander.RunID { return commander.RunID{Task: j.task.ID, Run: j.run} }
--- a/internal/experiment/main.go
+++ b/internal/experiment/main.go
@@ -27,6 +27,7 @@
 // subcommands lists the experiments; each has a file of its own.
 var subcommands = []subcommand{
 	{"slots", "compare ways of sharing the runners' slots", newSlotsCommand},
+	{"colocation", "compare placement policies for services beside batch tasks", newColocationCommand},
 	{"hops", "measure the latency that a daemon adds to a request", newHopsCommand},
 	{"slopes", "measure what a daemon uses for control at several sizes", newSlopesCommand},
 }
--- a/internal/process/daemon/isolation.go
+++ b/internal/process/daemon/isolation.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// slowdown returns the estimate for a pair of classes, in percent.
-func (i *isolation) slowdown(service, batch string) int {
+// slowdown returns the estimate for a pair of classes, in percent per core.
+func (i *isolation) slowdown(service, batch string) float64 {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.learner.Slowdown(service, batch)
+	return i.learner.Slowdown(service, batch, time.Now())
 }
 
 // run has the shard follow the guard's advice until the context ends.
--- a/internal/process/daemon/shards.go
+++ b/internal/process/daemon/shards.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/sharder"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/isolator"
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
@@ -132,6 +133,7 @@
 	protection := newIsolation(s.daemon)
 	options := s.options(partition, epoch)
 	options.Slowdown = protection.slowdown
+	options.SlowdownLimit = isolator.SlowdownLimit
 	options.Observe = protection.observe
 	opened, err := sharder.Open(ctx, options)
 	if err != nil {
--- a/internal/process/sharder/options.go
+++ b/internal/process/sharder/options.go
@@ -80,8 +80,12 @@
 	Now          func() time.Time
 	// Peers may be nil, which keeps all tasks in the shard.
 	Peers Peers
-	// Slowdown estimates interference for the policy; it may be nil.
-	Slowdown func(service, batch string) int
+	// Slowdown estimates interference for the policy, in percent per core of
+	// the batch class; it may be nil.
+	Slowdown func(service, batch string) float64
+	// SlowdownLimit is the estimated slowdown of a service, in percent, up to
+	// which batch tasks are added to its worker; zero sets no limit.
+	SlowdownLimit float64
 	// Observe receives each reading of a worker's usage; it may be nil.
 	Observe func(now time.Time, worker string, usages []commander.Usage)
 	// Poll is the time between two renewals of a worker's leases; zero means
--- a/internal/version/isolator/guard.go
+++ b/internal/version/isolator/guard.go
@@ -9,12 +9,15 @@
 )
 
 const (
+	// SlowdownLimit is the estimated slowdown of a service, in percent, up to
+	// which placement adds batch tasks to its worker.
+	SlowdownLimit = 13.0
 	// highSlowdown is the slowdown of a service, in percent, above which batch
 	// tasks have to give way.
-	highSlowdown = 10.0
+	highSlowdown = 15.0
 	// lowSlowdown is the slowdown below which they get processors back. The gap
 	// is the hysteresis that keeps the guard from switching on small changes.
-	lowSlowdown = 4.0
+	lowSlowdown = 6.0
 	// calmReadings is the number of low measurements in a row before a step back.
 	calmReadings = 4
 	// throttleStep is the percentage of processors withheld by one step.
@@ -122,7 +125,7 @@
 // tighten withholds processors from the batch task that slows the service
 // most, or evicts it if it has been throttled as far as possible.
 func (g *Guard) tighten(worker string, p *post, service string, readings []Reading, now time.Time) Advice {
-	tasks := g.byHarm(service, readings)
+	tasks := g.byHarm(service, readings, now)
 	if len(tasks) == 0 {
 		return Advice{}
 	}
@@ -140,7 +143,7 @@
 // loosen gives processors back to the throttled task that slows the service
 // least.
 func (g *Guard) loosen(worker string, p *post, service string, readings []Reading, now time.Time) Advice {
-	tasks := g.byHarm(service, readings)
+	tasks := g.byHarm(service, readings, now)
 	for i := len(tasks) - 1; i >= 0; i-- {
 		if held := p.throttles[tasks[i].Task]; held > 0 {
 			p.steppedAt = now
@@ -172,7 +175,7 @@
 }
 
 // byHarm returns the batch tasks, those that slow the service most first.
-func (g *Guard) byHarm(service string, readings []Reading) []Reading {
+func (g *Guard) byHarm(service string, readings []Reading, now time.Time) []Reading {
 	var tasks []Reading
 	for _, reading := range readings {
 		if !reading.LatencyCritical {
@@ -180,7 +183,7 @@
 		}
 	}
 	harm := func(r Reading) float64 {
-		return g.learner.estimate(service, r.Class) * float64(r.MilliCores)
+		return g.learner.Slowdown(service, r.Class, now) * float64(r.MilliCores)
 	}
 	slices.SortStableFunc(tasks, func(a, b Reading) int {
 		if order := cmp.Compare(harm(b), harm(a)); order != 0 {
--- a/internal/version/isolator/guard_test.go
+++ b/internal/version/isolator/guard_test.go
@@ -82,7 +82,7 @@
 		}
 	})
 	t.Run("the learner tells the classes apart", func(t *testing.T) {
-		if noisy, quiet := g.learner.estimate("order", "noisy"), g.learner.estimate("order", "quiet"); noisy < 2*quiet {
+		if noisy, quiet := g.learner.Slowdown("order", "noisy", start), g.learner.Slowdown("order", "quiet", start); noisy < 2*quiet {
 			t.Errorf("noisy %.2f and quiet %.2f percent per core, want noisy at least twice", noisy, quiet)
 		}
 	})
@@ -118,7 +118,7 @@
 				{Task: "s", Class: "order", LatencyCritical: true, SpeedPercent: rapid.IntRange(1, 100).Draw(rt, "speed")},
 				{Task: "b", Class: "noisy", MilliCores: rapid.Int64Range(0, 32000).Draw(rt, "milliCores"), SpeedPercent: 100},
 			})
-			if got := l.estimate("order", "noisy"); got < 0 || math.IsNaN(got) || math.IsInf(got, 0) {
+			if got := l.Slowdown("order", "noisy", start); got < 0 || math.IsNaN(got) || math.IsInf(got, 0) {
 				rt.Fatalf("estimate %g", got)
 			}
 		}
--- a/internal/version/isolator/learner.go
+++ b/internal/version/isolator/learner.go
@@ -4,7 +4,7 @@
 package isolator
 
 import (
-	"maps"
+	"math"
 	"time"
 )
 
@@ -21,8 +21,9 @@
 	fullSpeed = 100
 	// milliCoresPerCore converts thousandths of a core.
 	milliCoresPerCore = 1000.0
-	// sizeWeight is the share of the newest measurement in a mean size.
-	sizeWeight = 0.1
+	// halfLife is the time in which an estimate without new measurements moves
+	// half of its way back to the prior, so that a pair is tried again.
+	halfLife = 10 * time.Minute
 )
 
 // A Reading is one measurement of one task.
@@ -51,23 +52,34 @@
 	batch   string
 }
 
+// An estimate is the slowdown of one pair in percent per core.
+type estimate struct {
+	perCore float64
+	at      time.Time
+}
+
+// now returns what the estimate has become at a time.
+func (e estimate) now(now time.Time) float64 {
+	age := max(now.Sub(e.at), 0)
+	kept := math.Exp2(-float64(age) / float64(halfLife))
+	return priorPerCore + (e.perCore-priorPerCore)*kept
+}
+
 // A Learner estimates the slowdown of each pair as proportional to the
 // processors that the batch class uses on the worker. It is not safe for
 // concurrent use.
 type Learner struct {
-	perCore map[pair]float64
-	// cores is the mean use of a task of a batch class.
-	cores map[string]float64
+	estimates map[pair]estimate
 }
 
 // NewLearner returns a learner that has seen nothing.
 func NewLearner() *Learner {
-	return &Learner{perCore: make(map[pair]float64), cores: make(map[string]float64)}
+	return &Learner{estimates: make(map[pair]estimate)}
 }
 
 // Observe learns from the measurements of all tasks of one worker.
 func (l *Learner) Observe(readings []Reading) {
-	load := l.batchLoad(readings)
+	load := batchLoad(readings)
 	for _, reading := range readings {
 		if reading.LatencyCritical && reading.SpeedPercent > 0 {
 			l.correct(reading, load)
@@ -75,19 +87,13 @@
 	}
 }
 
-// batchLoad sums the cores in use by batch class and learns the tasks' sizes.
-func (l *Learner) batchLoad(readings []Reading) map[string]float64 {
+// batchLoad sums the cores in use by batch class.
+func batchLoad(readings []Reading) map[string]float64 {
 	load := make(map[string]float64)
 	for _, reading := range readings {
-		if reading.LatencyCritical {
-			continue
-		}
-		cores := float64(reading.MilliCores) / milliCoresPerCore
-		load[reading.Class] += cores
-		if known, ok := l.cores[reading.Class]; ok {
-			cores = known + sizeWeight*(cores-known)
+		if !reading.LatencyCritical {
+			load[reading.Class] += float64(reading.MilliCores) / milliCoresPerCore
 		}
-		l.cores[reading.Class] = cores
 	}
 	return load
 }
@@ -97,36 +103,24 @@
 func (l *Learner) correct(service Reading, load map[string]float64) {
 	expected, squares := 0.0, minCoresSquared
 	for class, cores := range load {
-		expected += l.estimate(service.Class, class) * cores
+		expected += l.Slowdown(service.Class, class, service.At) * cores
 		squares += cores * cores
 	}
 	miss := service.slowdown() - expected
 	for class, cores := range load {
-		key := pair{service.Class, class}
-		changed := l.estimate(service.Class, class) + learningRate*miss*cores/squares
-		l.perCore[key] = max(changed, 0)
+		if cores == 0 {
+			continue
+		}
+		changed := l.Slowdown(service.Class, class, service.At) + learningRate*miss*cores/squares
+		l.estimates[pair{service.Class, class}] = estimate{perCore: max(changed, 0), at: service.At}
 	}
 }
 
-// estimate returns the slowdown of a pair in percent per core.
-func (l *Learner) estimate(service, batch string) float64 {
-	if known, ok := l.perCore[pair{service, batch}]; ok {
-		return known
+// Slowdown returns the estimated slowdown of a service class by a batch class,
+// in percent per core that the batch class uses.
+func (l *Learner) Slowdown(service, batch string, now time.Time) float64 {
+	if known, ok := l.estimates[pair{service, batch}]; ok {
+		return known.now(now)
 	}
 	return priorPerCore
 }
-
-// Slowdown returns the estimated slowdown, in percent, of a service by one
-// task of a batch class.
-func (l *Learner) Slowdown(service, batch string) int {
-	cores, ok := l.cores[batch]
-	if !ok {
-		cores = 1
-	}
-	return int(l.estimate(service, batch) * cores)
-}
-
-// Clone returns a copy that does not change with the learner.
-func (l *Learner) Clone() *Learner {
-	return &Learner{perCore: maps.Clone(l.perCore), cores: maps.Clone(l.cores)}
-}
--- a/internal/version/placer/board.go
+++ b/internal/version/placer/board.go
@@ -16,16 +16,18 @@
 type slot struct {
 	worker    *Worker
 	free      Resources
-	classes   []classCount
+	classes   []classLoad
 	displaced map[string]bool
 	usable    bool
 }
 
-// A classCount is the number of residents of one class on a worker.
-type classCount struct {
-	class    string
-	critical bool
-	count    int
+// A classLoad is what the residents of one class use on a worker.
+type classLoad struct {
+	class      string
+	critical   bool
+	milliCores int64
+	// slowdown is the estimate for a service class, in percent.
+	slowdown float64
 }
 
 type spreadKey struct {
@@ -60,49 +62,97 @@
 	b.index[worker.Name] = i
 	for j := range worker.Residents {
 		resident := &worker.Residents[j]
-		s.countClass(resident.Class, resident.LatencyCritical, 1)
+		b.load(s, resident.Class, resident.LatencyCritical, resident.Committed().MilliCores)
 		if resident.Intent != "" {
 			b.spread[spreadKey{resident.Intent, worker.Rack}]++
 		}
 	}
 }
 
-// countClass adds to the number of residents of a class.
-func (s *slot) countClass(class string, critical bool, delta int) {
+// milliCoresPerCore converts thousandths of a core.
+const milliCoresPerCore = 1000
+
+// load adds to what a class uses on a slot, and updates the slowdown of the
+// services there.
+func (b *board) load(s *slot, class string, critical bool, milliCores int64) {
+	s.entry(class, critical).milliCores += milliCores
+	for i := range s.classes {
+		service := &s.classes[i]
+		if service.critical {
+			service.slowdown = b.slowdownOf(s, service.class)
+		}
+	}
+}
+
+// entry returns the load of a class on a slot.
+func (s *slot) entry(class string, critical bool) *classLoad {
 	for i := range s.classes {
-		if s.classes[i].class == class {
-			s.classes[i].count += delta
-			return
+		if s.classes[i].class == class && s.classes[i].critical == critical {
+			return &s.classes[i]
 		}
 	}
-	s.classes = append(s.classes, classCount{class: class, critical: critical, count: delta})
+	s.classes = append(s.classes, classLoad{class: class, critical: critical})
+	return &s.classes[len(s.classes)-1]
 }
 
-// slowdown estimates the percentage by which placing the task on the slot
-// slows the services there, or by which the residents slow the task itself.
-func (b *board) slowdown(s *slot, task *Task) int {
+// slowdownOf estimates by how many percent the batch residents of a slot slow
+// a service class.
+func (b *board) slowdownOf(s *slot, service string) float64 {
 	if b.snapshot.Slowdown == nil {
 		return 0
 	}
-	total := 0
+	total := 0.0
 	for i := range s.classes {
-		resident := &s.classes[i]
-		if resident.count == 0 || resident.critical == task.LatencyCritical {
-			continue
+		if batch := &s.classes[i]; !batch.critical {
+			total += b.snapshot.Slowdown(service, batch.class) * float64(batch.milliCores) / milliCoresPerCore
 		}
-		if task.LatencyCritical {
-			total += resident.count * b.snapshot.Slowdown(task.Class, resident.class)
-		} else {
-			total += resident.count * b.snapshot.Slowdown(resident.class, task.Class)
+	}
+	return total
+}
+
+// added estimates by how many percent a batch task would slow a service class.
+func (b *board) added(service string, task *Task) float64 {
+	if b.snapshot.Slowdown == nil {
+		return 0
+	}
+	return b.snapshot.Slowdown(service, task.Class) * float64(task.Size.MilliCores) / milliCoresPerCore
+}
+
+// slowdown estimates, in percent, how much the task would slow the services of
+// the slot in all, or the residents would slow the task if it is a service.
+func (b *board) slowdown(s *slot, task *Task) float64 {
+	if task.LatencyCritical {
+		return b.slowdownOf(s, task.Class)
+	}
+	total := 0.0
+	for i := range s.classes {
+		if service := &s.classes[i]; service.critical && service.milliCores > 0 {
+			total += b.added(service.class, task)
 		}
 	}
 	return total
 }
 
+// withinSlowdown reports whether a batch task keeps the services of a slot
+// within the limit. Urgent tasks and services are not limited.
+func (b *board) withinSlowdown(s *slot, task *Task) bool {
+	limit := b.snapshot.SlowdownLimit
+	if limit == 0 || rank(task) < batchRank {
+		return true
+	}
+	for i := range s.classes {
+		service := &s.classes[i]
+		if service.critical && service.milliCores > 0 && service.slowdown+b.added(service.class, task) > limit {
+			return false
+		}
+	}
+	return true
+}
+
 // bind commits a task to a slot.
 func (b *board) bind(s *slot, task *Task) {
 	s.free = s.free.Minus(task.Size)
-	s.countClass(task.Class, task.LatencyCritical, 1)
+	b.load(s, task.Class, task.LatencyCritical, task.Size.MilliCores)
 	b.spread[spreadKey{task.Intent, s.worker.Rack}]++
 	b.charge(task.Team, task.Size)
 }
@@ -129,9 +179,10 @@
 		s.displaced = make(map[string]bool)
 	}
 	s.displaced[resident.Task] = true
-	s.free = s.free.Plus(resident.freedBy(displacement))
+	freed := resident.freedBy(displacement)
+	s.free = s.free.Plus(freed)
+	b.load(s, resident.Class, resident.LatencyCritical, -freed.MilliCores)
 	if displacement.Throttle == 0 {
-		s.countClass(resident.Class, resident.LatencyCritical, -1)
 		b.charge(resident.Team, Resources{}.Minus(resident.Size))
 	}
 }
--- a/internal/version/placer/displace.go
+++ b/internal/version/placer/displace.go
@@ -25,7 +25,7 @@
 // displace makes room for an urgent or latency-critical task where the least
 // work is lost.
 func (p *scored) displace(b *board, task *Task) (Choice, bool) {
-	if !p.displaces || rank(task) > 1 {
+	if !p.displaces || rank(task) >= batchRank {
 		return Choice{}, false
 	}
 	var best *remedy
--- a/internal/version/placer/order.go
+++ b/internal/version/placer/order.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// batchRank is the rank of tasks that may wait.
+const batchRank = 2
+
 // rank orders tasks of different importance; lower is placed first.
 func rank(task *Task) int {
 	switch {
@@ -13,7 +16,7 @@
 	case task.Urgent:
 		return 1
 	default:
-		return 2
+		return batchRank
 	}
 }
 
--- a/internal/version/placer/placer.go
+++ b/internal/version/placer/placer.go
@@ -134,9 +134,12 @@
 type Snapshot struct {
 	Workers []Worker
 	Quotas  map[string]Quota
-	// Slowdown estimates, for a service class and a batch class on one worker,
-	// by how many percent the batch task slows the service.
-	Slowdown func(service, batch string) int
+	// Slowdown estimates by how many percent each core of a batch class slows a
+	// service class on the same worker; nil stands for no interference.
+	Slowdown func(service, batch string) float64
+	// SlowdownLimit is the estimated slowdown of a service, in percent, beyond
+	// which no batch task is added to its worker; zero sets no limit.
+	SlowdownLimit float64
 }
 
 // A Displacement is a resident that has to make room.
--- a/internal/version/placer/policy.go
+++ b/internal/version/placer/policy.go
@@ -41,7 +41,7 @@
 
 // slowdownStep is the difference of slowdowns, in percent, that placement
 // treats as equal.
-const slowdownStep = 5
+const slowdownStep = 1.0
 
 // NewProtective returns the policy that keeps services from being slowed,
 // spreads replicas over racks and packs batch tasks tightly.
@@ -72,7 +72,7 @@
 
 func protectiveScore(b *board, s *slot, task *Task) score {
 	rating := unawareScore(b, s, task)
-	rating.slowdown = b.slowdown(s, task) / slowdownStep
+	rating.slowdown = int(b.slowdown(s, task) / slowdownStep)
 	return rating
 }
 
@@ -114,7 +114,7 @@
 		d.Choices = append(d.Choices, choice)
 		return true
 	}
-	d.Rejections = append(d.Rejections, Rejection{Task: task.ID, Reason: "no worker has enough free capacity"})
+	d.Rejections = append(d.Rejections, Rejection{Task: task.ID, Reason: "no worker has enough free capacity without slowing a service too much"})
 	return false
 }
 
@@ -127,6 +127,9 @@
 		if !s.usable || !task.Size.Fits(s.free) || slices.Contains(task.Avoid, s.worker.Name) {
 			continue
 		}
+		if !b.withinSlowdown(s, task) {
+			continue
+		}
 		if p.first {
 			return s
 		}
--- a/internal/version/placer/policy_test.go
+++ b/internal/version/placer/policy_test.go
@@ -102,13 +102,36 @@
 func TestPlaceAvoidsDisturbance(t *testing.T) {
 	s := fleet(2)
 	s.Workers[0].Residents = []Resident{{Task: "svc", Class: "order", LatencyCritical: true, Size: size(20, 10)}}
-	s.Slowdown = func(service, batch string) int { return 40 }
+	s.Slowdown = func(service, batch string) float64 { return 10 }
 	d := NewProtective().Place(s, []Task{{ID: "b", Class: "render", Size: size(4, 4)}}, epoch)
 	if len(d.Choices) != 1 || d.Choices[0].Worker != "w001" {
 		t.Errorf("choices = %+v, want b on w001", d.Choices)
 	}
 }
 
+func TestPlaceKeepsSlowdownLimit(t *testing.T) {
+	s := fleet(1)
+	s.Workers[0].Residents = []Resident{{Task: "svc", Class: "order", LatencyCritical: true, Size: size(8, 10)}}
+	s.Slowdown = func(service, batch string) float64 { return 2 }
+	s.SlowdownLimit = 10
+	tasks := []Task{
+		{ID: "a", Class: "render", Size: size(3, 4)},
+		{ID: "b", Class: "render", Size: size(3, 4)},
+	}
+	t.Run("one task is within it, the second waits", func(t *testing.T) {
+		d := NewProtective().Place(s, tasks, epoch)
+		if len(d.Choices) != 1 || len(d.Rejections) != 1 || d.Rejections[0].Permanent {
+			t.Errorf("decision = %+v, want one choice and one that waits", d)
+		}
+	})
+	t.Run("urgent tasks are not limited", func(t *testing.T) {
+		tasks[0].Urgent, tasks[1].Urgent = true, true
+		if d := NewProtective().Place(s, tasks, epoch); len(d.Choices) != 2 {
+			t.Errorf("decision = %+v, want two choices", d)
+		}
+	})
+}
+
 func TestPlaceNeverExceedsCapacity(t *testing.T) {
 	policies := map[string]Policy{
 		"protective": NewProtective(), "firstFit": NewFirstFit(),
@@ -136,7 +159,7 @@
 
 func BenchmarkPlaceFromEmpty(b *testing.B) {
 	s := fleet(440)
-	s.Slowdown = func(service, batch string) int { return 3 }
+	s.Slowdown = func(service, batch string) float64 { return 0.5 }
 	tasks := make([]Task, 12000)
 	for i := range tasks {
 		tasks[i] = Task{ID: fmt.Sprint(i), Team: fmt.Sprint(i % 78), Class: fmt.Sprint(i % 5), Size: Resources{MilliCores: 1000, MemoryBytes: gigabyte}}
@@ -153,7 +176,7 @@
 			s.Workers[i].Residents = append(s.Workers[i].Residents, Resident{Task: fmt.Sprint(i, j), Class: fmt.Sprint(j % 5), Size: Resources{MilliCores: 900}})
 		}
 	}
-	s.Slowdown = func(service, batch string) int { return 3 }
+	s.Slowdown = func(service, batch string) float64 { return 0.5 }
 	for b.Loop() {
 		NewProtective().Place(s, []Task{{ID: "x", Size: size(1, 1)}}, epoch)
 	}
