--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -47,6 +47,10 @@
 	// RunnerArgs and WorkerArgs are further flags of the stand-ins.
 	RunnerArgs []string
 	WorkerArgs []string
+	// ProxyRunners puts links between daemons and runners too. A daemon frees a
+	// runner's slot when the runner closes its side of a connection; a proxy
+	// closes that side early, so that runners may see a ninth request.
+	ProxyRunners bool
 	// Unready leaves the daemons to the test: neither waited for nor configured.
 	Unready bool
 }
@@ -199,7 +203,9 @@
 func (c *Cluster) linkedHosts(daemon string) []lister.Host {
 	hosts := make([]lister.Host, 0, len(c.hosts))
 	for _, host := range c.hosts {
-		host.Address = c.Network.Link(daemon, host.Name, host.Address)
+		if host.Kind != lister.KindRunner || c.options.ProxyRunners {
+			host.Address = c.Network.Link(daemon, host.Name, host.Address)
+		}
 		hosts = append(hosts, host)
 	}
 	return hosts
