--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -13,6 +13,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
 	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
 	"github.com/kumquatstack/kumquatstack/internal/standin/hostlist"
 )
@@ -51,6 +52,8 @@
 	// runner's slot when the runner closes its side of a connection; a proxy
 	// closes that side early, so that runners may see a ninth request.
 	ProxyRunners bool
+	// Authority issues the daemons' certificates; nil means plaintext.
+	Authority *certifier.Authority
 	// Unready leaves the daemons to the test: neither waited for nor configured.
 	Unready bool
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/hostwatcher"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
 	"github.com/kumquatstack/kumquatstack/internal/process/settings"
@@ -46,12 +47,15 @@
 	settings *settings.Settings
 	recorder *recorder.Ring
 	metrics  *counter.Set
+	security security
 	clock    *hlc.Clock
+	meters   *meters
 
 	store      *storer.Client
 	watcher    *watcher.Watcher
 	configurer *configurer.Configurer
 	group      *member.Group
+	pledger    *pledger.Pledger
 	owner      *owner.Owner
 	dialer     *dialer.Dialer
 	agents     *commander.Client
@@ -62,11 +66,19 @@
 	servers    *servers
 }
 
+// peerScheme is that of peers' addresses: encryption is below HTTP.
+const peerScheme = "http"
+
 // New assembles a daemon. It makes no connection yet.
-func New(set *settings.Settings, logger log.Interface) (*Daemon, error) {
-	d := &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
+func New(set *settings.Settings, logger log.Interface) (d *Daemon, err error) {
+	d = &Daemon{settings: set, metrics: counter.New(), clock: &hlc.Clock{}}
 	d.recorder = recorder.NewRing(set.Name, set.EventBytes, func() uint64 { return d.clock.Now(time.Now()) }, logger)
+	if d.security, err = newSecurity(set); err != nil {
+		return nil, err
+	}
+	d.meters = newMeters(set)
 	d.store = storer.NewClient(storer.Options{
+		HTTP:        d.meters.client(d.meters.store),
 		Endpoint:    set.Store.Endpoint,
 		CallTimeout: storeCallTimeout,
 		Rate:        storeCallsPerSecond,
@@ -74,18 +86,19 @@
 		WatchIdle:   storeWatchIdle,
 		Recorder:    d.recorder,
 	})
-	d.dialer = dialer.New(set.Scheme(), dialer.NewClient(dialer.NewDialFunc(set.Reroute)))
-	d.agents = commander.NewClient(commander.Options{})
+	d.dialer = dialer.New(peerScheme, dialer.NewClient(d.security.dial(d.meters.peers.Dial(d.meters.dial))))
+	d.agents = commander.NewClient(commander.Options{HTTP: d.meters.client(d.meters.workers)})
 	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
 	d.addConfigurer()
 	d.addGroup()
+	d.addPledger()
 	d.addOwner()
 	d.requests = newRequests(d)
 	d.shards = newShards(d)
 	d.addHosts()
 	d.responder = d.newResponder()
 	d.servers = newServers(d)
-	d.metrics.PublishRuntime()
+	d.publishMetrics()
 	return d, nil
 }
 
@@ -120,6 +133,16 @@
 	d.configurer.Join(d.group)
 }
 
+// addPledger adds the keeper of pledges between daemons.
+func (d *Daemon) addPledger() {
+	d.pledger = pledger.New(pledger.Settings{
+		Store:    d.store,
+		Group:    d.group,
+		Recorder: d.recorder,
+		Dial:     d.dialer.Peer,
+	})
+}
+
 // addOwner adds the decider on partitions.
 func (d *Daemon) addOwner() {
 	d.owner = owner.New(owner.Settings{
@@ -127,6 +150,7 @@
 		Watcher:      d.watcher,
 		Group:        d.group,
 		Starter:      d.configurer,
+		Evictor:      d.pledger,
 		Recorder:     d.recorder,
 		Declarations: d.configurer.Declarations,
 		StoreRegion:  d.settings.Store.Region,
@@ -139,7 +163,7 @@
 // addHosts adds the reader of the platform's host list.
 func (d *Daemon) addHosts() {
 	d.hosts = hostwatcher.New(hostwatcher.Options{
-		Lister:   lister.NewClient(d.settings.HostList.Endpoint),
+		Lister:   lister.NewClient(d.settings.HostList.Endpoint, d.meters.client(d.meters.hostList)),
 		Interval: d.settings.HostList.PollInterval,
 		Recorder: d.recorder,
 		Now:      time.Now,
@@ -151,7 +175,7 @@
 func (d *Daemon) newResponder() *responder.Responder {
 	return responder.New(responder.Parts{
 		Members:        d.group,
-		Pledges:        noPledges{},
+		Pledges:        d.pledger,
 		Configurations: d.configurer,
 		Claims:         d.requests.keeper,
 		Events:         d.recorder,
@@ -214,6 +238,7 @@
 	group.Go(func() error { return d.watcher.Run(work) })
 	group.Go(func() error { return d.configurer.Run(work) })
 	group.Go(func() error { return d.group.Run(work) })
+	group.Go(func() error { return d.pledger.Run(work) })
 	group.Go(func() error { return d.owner.Run(work) })
 	group.Go(func() error { return d.hosts.Run(work) })
 	group.Go(d.servers.serve)
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/budgeter"
@@ -43,7 +42,7 @@
 		Recorder:   d.recorder,
 	})
 	transport := forwarder.NewTransport()
-	transport.DialContext = dialer.NewDialFunc(d.settings.Reroute)
+	transport.DialContext = d.security.dial(dialer.NewDialFunc(d.settings.Reroute))
 	r.forwarder = forwarder.New(forwarder.Options{
 		Transport:  transport,
 		Daemon:     d.settings.Name,
@@ -75,7 +74,6 @@
 	d.configurer.OnChange(r.setVersion)
 	d.group.OnWord(r.observe)
 	d.group.OnChange(r.setPeers)
-	d.metrics.Publish("requests", expvar.Func(func() any { return r.router.Counters() }))
 	return r
 }
 
