Tell both daemons of a heartbeat of each other's load

Only the daemon with the lower name asks, and only it took in the other's free slots. The asked daemon now takes in the load too, but no proof of configuration, as the heartbeat may have been under way for any time.

--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -72,7 +72,8 @@
 		Recorder:     d.recorder,
 	})
 	d.configurer.OnChange(r.setVersion)
-	d.group.OnWord(r.observe)
+	d.group.OnWord(func(word member.Word) { r.observe(word.Peer, word.Asked) })
+	d.group.OnHeard(r.observe)
 	d.group.OnChange(r.setPeers)
 	return r
 }
@@ -129,9 +130,9 @@
 }
 
 // observe takes over a peer's word of its load.
-func (r *requests) observe(word member.Word) {
-	for _, load := range word.Peer.State.GetUpstreams() {
-		r.forwarder.Observe(word.Peer.Daemon, load.Upstream, forwarder.LoadFromWire(load, word.Asked))
+func (r *requests) observe(peer member.Peer, at time.Time) {
+	for _, load := range peer.State.GetUpstreams() {
+		r.forwarder.Observe(peer.Daemon, load.Upstream, forwarder.LoadFromWire(load, at))
 	}
 }
 
--- a/internal/process/member/group.go
+++ b/internal/process/member/group.go
@@ -50,6 +50,7 @@
 	peers     map[string]Peer // by daemon name
 	asking    map[string]bool // by address
 	listeners []func(Word)
+	hearers   []func(peer Peer, at time.Time)
 	changed   []func()
 	calls     sync.WaitGroup
 }
@@ -85,6 +86,15 @@
 	g.listeners = append(g.listeners, listener)
 }
 
+// OnHeard registers a callback for heartbeats of other daemons, with the time
+// of their arrival. They may have been under way for any time, so that proofs
+// in them count for nothing. It must not block.
+func (g *Group) OnHeard(hearer func(peer Peer, at time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hearers = append(g.hearers, hearer)
+}
+
 // OnChange registers a callback for members that come, go or start leaving.
 // It must not block.
 func (g *Group) OnChange(changed func()) {
--- a/internal/process/member/heartbeat.go
+++ b/internal/process/member/heartbeat.go
@@ -84,7 +84,9 @@
 // Heartbeat implements the peer service.
 func (g *Group) Heartbeat(_ context.Context, req *kumquatv1.HeartbeatRequest) (*kumquatv1.HeartbeatResponse, error) {
 	now := time.Now()
-	g.hear(req, now)
+	if peer, ok := g.hear(req, now); ok {
+		g.tellHeard(peer, now)
+	}
 	return &kumquatv1.HeartbeatResponse{State: g.state(now)}, nil
 }
 
@@ -168,3 +170,12 @@
 		listener(word)
 	}
 }
+
+func (g *Group) tellHeard(peer Peer, at time.Time) {
+	g.mu.Lock()
+	hearers := append([]func(Peer, time.Time){}, g.hearers...)
+	g.mu.Unlock()
+	for _, hearer := range hearers {
+		hearer(peer, at)
+	}
+}
