--- a/internal/harness/records.go
+++ b/internal/harness/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +27,52 @@
 	return response.GetVersion()
 }
 
+// OwnerOf waits for the owner of a partition and returns it.
+func (c *Cluster) OwnerOf(partition string) (owner *Daemon) {
+	c.t.Helper()
+	Eventually(c.t, readyTimeout, partition+" has an owner", func() bool {
+		owner = c.findOwner(partition)
+		return owner != nil
+	})
+	return owner
+}
+
+// findOwner returns the daemon that says it owns a partition, or nil.
+func (c *Cluster) findOwner(partition string) *Daemon {
+	for _, asked := range c.Daemons {
+		response, err := asked.Operator().Status(c.t.Context(), &kumquatv1.StatusRequest{})
+		if err != nil {
+			continue
+		}
+		for _, status := range response.GetDaemons() {
+			if slices.Contains(status.GetPartitions(), partition) {
+				return c.daemon(status.GetIncarnation().GetDaemon())
+			}
+		}
+	}
+	return nil
+}
+
+// daemon returns a daemon by name, or nil.
+func (c *Cluster) daemon(name string) *Daemon {
+	for _, daemon := range c.Daemons {
+		if daemon.Name == name {
+			return daemon
+		}
+	}
+	return nil
+}
+
+// Others returns the daemons but one.
+func (c *Cluster) Others(daemon *Daemon) (others []*Daemon) {
+	for _, other := range c.Daemons {
+		if other != daemon {
+			others = append(others, other)
+		}
+	}
+	return others
+}
+
 // SetStoreFaults sets the faults of the store.
 func (c *Cluster) SetStoreFaults(faults keyvalue.Faults) {
 	c.t.Helper()
--- /dev/null
+++ b/internal/integration/batch_test.go
@@ -0,0 +1,236 @@
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/standin/judge"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+	"github.com/kumquatstack/kumquatstack/internal/standin/worker"
+)
+
+// shard is the partition of the tasks in the data centre of northGA.
+const shard = "shard:atl-a"
+
+// startGrace is the time within which starts in a data centre end after it
+// was taken out.
+const startGrace = 3 * time.Second
+
+// intentOf returns an intent of tasks that each take a run time.
+func intentOf(name string, count int, run time.Duration) string {
+	return fmt.Sprintf(`name: %s
+team: %s
+class: %s
+kind: runBy
+within: 1h
+count: %d
+resources: {cores: 4, memoryGB: 4}
+expectedRun: %s
+`, name, harness.Team, harness.Class, count, run)
+}
+
+// confirm plans and confirms an intent through one daemon.
+func confirm(t *testing.T, daemon *harness.Daemon, document string) {
+	t.Helper()
+	harness.Eventually(t, patience, "the intent is confirmed", func() bool {
+		planned, err := daemon.Operator().Plan(t.Context(), &kumquatv1.PlanRequest{Document: document})
+		if err != nil {
+			t.Logf("plan: %v", err)
+			return false
+		}
+		_, err = daemon.Operator().Confirm(t.Context(), &kumquatv1.ConfirmRequest{Plan: planned.GetPlan()})
+		if err != nil {
+			t.Logf("confirm: %v", err)
+		}
+		return err == nil
+	})
+}
+
+// awaitStarts waits until a number of runs has started.
+func awaitStarts(t *testing.T, cluster *harness.Cluster, starts int) {
+	t.Helper()
+	harness.Eventually(t, patience, fmt.Sprintf("%d starts", starts), func() bool {
+		started := 0
+		for _, record := range cluster.Records() {
+			if record.Kind == judge.KindStart {
+				started++
+			}
+		}
+		return started >= starts
+	})
+}
+
+// awaitFinished waits until a number of tasks has finished, and checks that
+// each finished once.
+func awaitFinished(t *testing.T, cluster *harness.Cluster, tasks int) {
+	t.Helper()
+	var finished map[string]int
+	harness.Eventually(t, 2*patience, fmt.Sprintf("%d finished tasks", tasks), func() bool {
+		finished = judge.Finished(cluster.Records())
+		return len(finished) >= tasks
+	})
+	for task, times := range finished {
+		if times != 1 {
+			t.Errorf("%s finished %d times", task, times)
+		}
+	}
+}
+
+// TestTasks runs an intent on undisturbed daemons.
+func TestTasks(t *testing.T) {
+	cluster := harness.Start(t, harness.Options{Sites: northGA})
+	confirm(t, cluster.Daemons[1], intentOf("survey", 30, time.Second))
+	awaitFinished(t, cluster, 30)
+	cluster.AssertNoBreach()
+}
+
+// TestTasksUnderFaults disturbs an intent while its tasks run.
+func TestTasksUnderFaults(t *testing.T) {
+	faults := []struct {
+		name    string
+		disturb func(t *testing.T, cluster *harness.Cluster)
+	}{
+		{"the shard's owner is killed", func(_ *testing.T, cluster *harness.Cluster) {
+			cluster.OwnerOf(shard).Kill()
+		}},
+		{"two daemons of three are killed", func(_ *testing.T, cluster *harness.Cluster) {
+			owner := cluster.OwnerOf(shard)
+			owner.Kill()
+			cluster.Others(owner)[0].Kill()
+		}},
+		{"the shard's owner pauses and wakes up", func(_ *testing.T, cluster *harness.Cluster) {
+			owner := cluster.OwnerOf(shard)
+			owner.Pause()
+			time.Sleep(8 * time.Second)
+			owner.Resume()
+		}},
+		{"the shard's owner is stopped", func(t *testing.T, cluster *harness.Cluster) {
+			owner := cluster.OwnerOf(shard)
+			owner.Terminate()
+			if err := owner.Wait(patience); err != nil {
+				t.Error(err)
+			}
+		}},
+		{"the store is out", func(_ *testing.T, cluster *harness.Cluster) {
+			cluster.SetStoreFaults(keyvalue.Faults{Outage: true})
+			time.Sleep(6 * time.Second)
+			cluster.SetStoreFaults(keyvalue.Faults{})
+		}},
+		{"the store loses answers", func(_ *testing.T, cluster *harness.Cluster) {
+			cluster.SetStoreFaults(keyvalue.Faults{LoseAnswersPercent: 30})
+		}},
+		{"workers lose answers", func(_ *testing.T, cluster *harness.Cluster) {
+			cluster.SetWorkerFaults(worker.FaultsRequest{Faults: worker.Faults{LoseAnswers: 20}})
+		}},
+		{"a worker is lost", func(_ *testing.T, cluster *harness.Cluster) {
+			cluster.CrashWorker("atl-a-worker-1")
+		}},
+		{"a worker fails everything", func(_ *testing.T, cluster *harness.Cluster) {
+			cluster.SetWorkerFaults(worker.FaultsRequest{Worker: "atl-a-worker-1", Faults: worker.Faults{FailAll: true}})
+		}},
+	}
+	for _, each := range faults {
+		t.Run(each.name, func(t *testing.T) {
+			cluster := harness.Start(t, harness.Options{Sites: northGA})
+			confirm(t, cluster.Daemons[2], intentOf("survey", 36, 4*time.Second))
+			awaitStarts(t, cluster, 10)
+			each.disturb(t, cluster)
+			awaitFinished(t, cluster, 36)
+			cluster.AssertNoBreach()
+		})
+	}
+}
+
+// TestDataCentreOut takes a data centre out while tasks are starting there and
+// brings it back.
+func TestDataCentreOut(t *testing.T) {
+	cluster := harness.Start(t, harness.Options{Sites: twoRegions})
+	confirm(t, cluster.Daemons[0], intentOf("survey", 60, 3*time.Second))
+	awaitStarts(t, cluster, 10)
+	set := func(out bool) time.Time {
+		request := &kumquatv1.SetDataCentreRequest{DataCentre: "sav-a", Out: out}
+		if _, err := cluster.Daemons[0].Operator().SetDataCentre(t.Context(), request); err != nil {
+			t.Fatal(err)
+		}
+		return time.Now()
+	}
+	assertStarts(t, cluster, "sav-a", time.Time{}, time.Now())
+	accepted := set(true)
+	time.Sleep(8 * time.Second)
+	returned := set(false)
+	confirm(t, cluster.Daemons[0], intentOf("second-survey", 60, time.Second))
+	awaitFinished(t, cluster, 120)
+	assertStarts(t, cluster, "atl-a", accepted, returned)
+	assertStarts(t, cluster, "sav-a", returned, time.Now())
+	for _, breach := range judge.LateStarts(cluster.Records(), "sav-a", accepted.Add(startGrace), returned.Add(-startGrace)) {
+		t.Errorf("%s: %s", breach.Subject, breach.Detail)
+	}
+	cluster.AssertNoBreach()
+}
+
+// assertStarts fails the test unless runs started in a data centre meanwhile.
+func assertStarts(t *testing.T, cluster *harness.Cluster, dataCentre string, from, until time.Time) {
+	t.Helper()
+	for _, record := range cluster.Records() {
+		if record.Kind == judge.KindStart && record.DataCentre == dataCentre && record.At.After(from) && record.At.Before(until) {
+			return
+		}
+	}
+	t.Errorf("nothing started in %s between %s and %s", dataCentre, from, until)
+}
+
+// TestConfiguration changes the declarations while daemons are cut off from
+// the store, and checks that versions never go back.
+func TestConfiguration(t *testing.T) {
+	cluster := harness.Start(t, harness.Options{Sites: northGA})
+	document := func(queue int) string {
+		return strings.Replace(harness.DeclarationsOf(northGA), "queueLength: 1000", fmt.Sprintf("queueLength: %d", queue), 1)
+	}
+	apply := func(daemon *harness.Daemon, document string) int64 {
+		var version int64
+		harness.Eventually(t, patience, "the change is accepted", func() bool {
+			request := &kumquatv1.ApplyRequest{Document: document, BaseVersion: -1}
+			response, err := daemon.Operator().Apply(t.Context(), request)
+			if err != nil {
+				t.Logf("apply: %v", err)
+				return false
+			}
+			version = response.GetVersion()
+			return true
+		})
+		return version
+	}
+	last := cluster.Daemons[0].Version(t.Context())
+	assertForward := func(t *testing.T, version int64) {
+		t.Helper()
+		if version <= last {
+			t.Errorf("version %d after %d", version, last)
+		}
+		last = version
+		cluster.AwaitVersion(version, cluster.Daemons...)
+		for _, daemon := range cluster.Daemons {
+			if got := daemon.Version(t.Context()); got < version {
+				t.Errorf("%s went back from %d to %d", daemon.Name, version, got)
+			}
+		}
+	}
+	t.Run("through each daemon", func(t *testing.T) {
+		for number, daemon := range cluster.Daemons {
+			assertForward(t, apply(daemon, document(number+1)))
+		}
+	})
+	t.Run("with lost answers", func(t *testing.T) {
+		cluster.SetStoreFaults(keyvalue.Faults{LoseAnswersPercent: 50})
+		assertForward(t, apply(cluster.Daemons[0], document(10)))
+		cluster.SetStoreFaults(keyvalue.Faults{})
+	})
+	t.Run("with one daemon cut from the store", func(t *testing.T) {
+		cluster.CutStore(cluster.Daemons[2])
+		assertForward(t, apply(cluster.Daemons[0], document(20)))
+		cluster.Network.Heal(harness.All)
+	})
+}
--- /dev/null
+++ b/internal/integration/key_test.go
@@ -0,0 +1,161 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+)
+
+// An order is one keyed request that a caller sends through several daemons.
+type order struct {
+	number  int
+	answers []harness.Answer
+}
+
+// placeOrders sends orders, each with one key through all daemons at the same
+// time, and returns their answers.
+func placeOrders(t *testing.T, cluster *harness.Cluster, orders int) []order {
+	t.Helper()
+	caller := harness.NewCaller()
+	defer caller.Close()
+	placed := make([]order, orders)
+	var group sync.WaitGroup
+	for number := range placed {
+		placed[number] = order{number: number, answers: make([]harness.Answer, len(cluster.Daemons))}
+		for attempt, daemon := range cluster.Daemons {
+			group.Go(func() {
+				placed[number].answers[attempt] = caller.Do(context.Background(), daemon, orderCall(number, attempt))
+			})
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	group.Wait()
+	return placed
+}
+
+// orderCall returns one attempt at an order; all attempts have one key.
+func orderCall(number, attempt int) harness.Call {
+	return harness.Call{
+		ID:       fmt.Sprintf("order-%d-%d", number, attempt),
+		Path:     harness.PathKeyed,
+		Key:      fmt.Sprintf("key-%d", number),
+		Body:     fmt.Appendf(nil, "order %d", number),
+		Deadline: deadline,
+		Service:  10 * time.Millisecond,
+	}
+}
+
+// assertOnce fails the test if an order ran more than once, if a whole answer
+// is not that of the order, or if its truth doesn't fit.
+func assertOnce(t *testing.T, placed []order, executions map[string]int) {
+	t.Helper()
+	outcomes := map[string]int{}
+	for _, each := range placed {
+		runs, whole, notRun := 0, 0, 0
+		for _, answer := range each.answers {
+			runs += executions[answer.Call.ID]
+			outcomes[fmt.Sprintf("status %d, outcome %q", answer.Status, answer.Outcome)]++
+			if answer.Whole() {
+				whole++
+				if !bytes.Equal(answer.Body, answer.Call.Body) {
+					t.Errorf("another answer: %s", answer)
+				}
+			}
+			if answer.Outcome == harness.OutcomeNotRun {
+				notRun++
+			}
+			if answer.Outcome == harness.OutcomeNotRun && executions[answer.Call.ID] > 0 {
+				t.Errorf("said not to have run, did: %s", answer)
+			}
+		}
+		if runs > 1 || (whole > 0 && runs == 0) || (notRun == len(each.answers) && runs > 0) {
+			t.Errorf("order %d ran %d times, %d whole answers, %d not run", each.number, runs, whole, notRun)
+		}
+	}
+	t.Logf("%v", outcomes)
+}
+
+// assertAnsweredOnce fails the test unless each order has a whole answer.
+func assertAnsweredOnce(t *testing.T, placed []order) {
+	t.Helper()
+	for _, each := range placed {
+		whole := 0
+		for _, answer := range each.answers {
+			if answer.Whole() {
+				whole++
+			}
+		}
+		if whole == 0 {
+			t.Errorf("order %d has no whole answer: %v", each.number, each.answers)
+		}
+	}
+}
+
+// TestKeys sends each key through three daemons at the same time.
+func TestKeys(t *testing.T) {
+	t.Run("undisturbed", func(t *testing.T) {
+		cluster := harness.Start(t, harness.Options{Sites: northGA})
+		awaitAnswers(t, cluster)
+		placed := placeOrders(t, cluster, 100)
+		assertOnce(t, placed, cluster.Executions())
+		assertAnsweredOnce(t, placed)
+		t.Run("repeated later", func(t *testing.T) {
+			caller := harness.NewCaller()
+			defer caller.Close()
+			for attempt, daemon := range cluster.Daemons {
+				call := orderCall(0, 10+attempt)
+				assertWhole(t, caller.Do(t.Context(), daemon, call))
+				if runs := cluster.Executions()[call.ID]; runs > 0 {
+					t.Errorf("%s ran again", call.ID)
+				}
+			}
+		})
+		cluster.AssertNoBreach()
+	})
+	t.Run("the store loses answers", func(t *testing.T) {
+		cluster := harness.Start(t, harness.Options{Sites: northGA})
+		awaitAnswers(t, cluster)
+		cluster.SetStoreFaults(keyvalue.Faults{LoseAnswersPercent: 30})
+		placed := placeOrders(t, cluster, 200)
+		cluster.SetStoreFaults(keyvalue.Faults{})
+		assertOnce(t, placed, cluster.Executions())
+		cluster.AssertNoBreach()
+	})
+	t.Run("the store is out", func(t *testing.T) {
+		cluster := harness.Start(t, harness.Options{Sites: northGA})
+		awaitAnswers(t, cluster)
+		cluster.SetStoreFaults(keyvalue.Faults{Outage: true})
+		placed := placeOrders(t, cluster, 50)
+		cluster.SetStoreFaults(keyvalue.Faults{})
+		assertOnce(t, placed, cluster.Executions())
+		cluster.AssertNoBreach()
+	})
+	t.Run("a daemon is killed and the caller repeats", func(t *testing.T) {
+		cluster := harness.Start(t, harness.Options{Sites: northGA})
+		awaitAnswers(t, cluster)
+		time.AfterFunc(400*time.Millisecond, cluster.Daemons[0].Kill)
+		placed := placeOrders(t, cluster, 200)
+		time.Sleep(5 * time.Second)
+		again := placeAgain(t, cluster.Daemons[1], placed)
+		assertOnce(t, again, cluster.Executions())
+		cluster.AssertNoBreach()
+	})
+}
+
+// placeAgain repeats all orders through one daemon and adds its answers.
+func placeAgain(t *testing.T, daemon *harness.Daemon, placed []order) []order {
+	t.Helper()
+	caller := harness.NewCaller()
+	defer caller.Close()
+	for number := range placed {
+		answer := caller.Do(t.Context(), daemon, orderCall(number, len(placed[number].answers)))
+		placed[number].answers = append(placed[number].answers, answer)
+	}
+	return placed
+}
