Say when a plan was made without some workers

A plan made seconds after a start said only that all tasks wait for capacity. It now names the data centres whose shard did not answer.

--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -100,6 +100,7 @@
 		}
 		plan.Placements = append(plan.Placements, &kumquatv1.Placement{Task: task, Worker: "w-1", DataCentre: "atl-a", Why: "fits best"})
 	}
+	plan.MissingShards = []string{"sav-a"}
 	plan.QuotaLimit = &kumquatv1.Resources{MilliCores: 100_000, MemoryBytes: 400_000_000_000}
 	plan.QuotaAfter = &kumquatv1.Resources{MilliCores: 2000 * int64(intent.Count)}
 	return &kumquatv1.PlanResponse{Plan: plan}, nil
--- a/internal/cli/plancmd.go
+++ b/internal/cli/plancmd.go
@@ -99,6 +99,9 @@
 
 func writePlan(w io.Writer, plan *kumquatv1.Plan, all bool) {
 	printf(w, "Plan for intent %s, on configuration version %d\n", plan.GetIntent(), plan.GetConfigurationVersion())
+	if missing := plan.GetMissingShards(); len(missing) > 0 {
+		printf(w, "INCOMPLETE: made without the workers of %s, whose owner did not answer\n", strings.Join(missing, ", "))
+	}
 	writeSpread(w, plan)
 	writePlacements(w, plan, all)
 	if len(plan.GetDisplacements()) > 0 {
@@ -139,6 +142,8 @@
 	slices.Sort(parts)
 	if len(parts) > 0 {
 		printf(w, "Starts now: %d (%s)\n", len(plan.GetPlacements()), strings.Join(parts, ", "))
+	} else {
+		printf(w, "Starts now: 0, as no worker has room\n")
 	}
 	if waiting := len(plan.GetWaiting()); waiting > 0 {
 		printf(w, "Waits for capacity: %d\n", waiting)
--- a/internal/process/administrator/plan.go
+++ b/internal/process/administrator/plan.go
@@ -49,7 +49,9 @@
 		Shards:   c.shards,
 		Policy:   a.settings.Policy,
 	}
-	return planner.Plan(request, a.settings.Now()), nil
+	plan := planner.Plan(request, a.settings.Now())
+	plan.MissingShards = c.missing
+	return plan, nil
 }
 
 // Confirm implements kumquatv1.Operator.
