--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/connection/securer"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
-	"github.com/kumquatstack/kumquatstack/internal/standin/certifier"
 	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
 	"github.com/kumquatstack/kumquatstack/internal/standin/hostlist"
 )
@@ -48,8 +48,12 @@
 	// RunnerArgs and WorkerArgs are further flags of the stand-ins.
 	RunnerArgs []string
 	WorkerArgs []string
+	// ProxyRunners puts links between daemons and runners too. A daemon frees a
+	// runner's slot when the runner closes its side of a connection; a proxy
+	// closes that side early, so that runners may see a ninth request.
+	ProxyRunners bool
 	// Authority issues the daemons' certificates; nil means plaintext.
-	Authority *certifier.Authority
+	Authority *securer.TestAuthority
 	// Unready leaves the daemons to the test: neither waited for nor configured.
 	Unready bool
 }
@@ -202,7 +206,9 @@
 func (c *Cluster) linkedHosts(daemon string) []lister.Host {
 	hosts := make([]lister.Host, 0, len(c.hosts))
 	for _, host := range c.hosts {
-		host.Address = c.Network.Link(daemon, host.Name, host.Address)
+		if host.Kind != lister.KindRunner || c.options.ProxyRunners {
+			host.Address = c.Network.Link(daemon, host.Name, host.Address)
+		}
 		hosts = append(hosts, host)
 	}
 	return hosts
