--- a/internal/process/daemon/shards.go
+++ b/internal/process/daemon/shards.go
@@ -17,12 +17,17 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/sharder"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/isolator"
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
 // openRetry is the pause after a shard's journal could not be opened.
 const openRetry = 500 * time.Millisecond
 
+// renewalPeriod is the time between two renewals of the leases at a worker, by
+// which ended runs are found.
+const renewalPeriod = 2 * time.Second
+
 // shards are the shards that this daemon owns.
 type shards struct {
 	daemon *Daemon
@@ -132,6 +137,7 @@
 	protection := newIsolation(s.daemon)
 	options := s.options(partition, epoch)
 	options.Slowdown = protection.slowdown
+	options.SlowdownLimit = isolator.SlowdownLimit
 	options.Observe = protection.observe
 	opened, err := sharder.Open(ctx, options)
 	if err != nil {
@@ -175,6 +181,7 @@
 		Recorder:     d.recorder,
 		Now:          time.Now,
 		Peers:        shardPeers{d},
+		Poll:         renewalPeriod,
 	}
 }
 
