Let a drained partition wait for its former owner's requests

Cause: an owner that took a partition over from a dead daemon, and handed it on within the upstream's longest duration, called it clean. The next owner used the runners at once, while requests of the dead one could still run: a ninth request.

Change: draining also waits until all requests of a former owner must have ended.

Conclusion: found by reading; a test fails without the change and passes with it.

--- a/internal/process/slotter/drain.go
+++ b/internal/process/slotter/drain.go
@@ -79,9 +79,9 @@
 }
 
 // DrainPartition gives no more slots of a partition's runners, waits until
-// their requests have ended and closes their connections. After it returned
-// nil the partition can be handed over. It holds until the partition is
-// acquired anew.
+// their requests have ended, those of a former owner included, and closes their
+// connections. After it returned nil the partition can be handed over. It holds
+// until the partition is acquired anew.
 func (s *Slots) DrainPartition(ctx context.Context, partition owner.Partition) (err error) {
 	now := s.opts.Now()
 	s.mu.Lock()
@@ -99,13 +99,19 @@
 	return nil
 }
 
-// busyIn returns the requests at a partition's runners.
+// busyIn returns the requests at a partition's runners. A runner that a former
+// owner may still use counts as one.
 func (s *Slots) busyIn(partition owner.Partition) int {
+	now := s.opts.Now()
 	busy := 0
 	for _, up := range s.upstreams {
 		for _, r := range up.runners {
-			if r.partition == partition {
-				busy += r.inFlight
+			if r.partition != partition {
+				continue
+			}
+			busy += r.inFlight
+			if !s.isSettled(r, up, now) {
+				busy++
 			}
 		}
 	}
--- a/internal/process/slotter/slots.go
+++ b/internal/process/slotter/slots.go
@@ -183,6 +183,11 @@
 	if at, ok := s.drained[r.partition]; ok && at == epoch {
 		return false
 	}
+	return s.isSettled(r, up, now)
+}
+
+// isSettled reports whether all requests of a former owner must have ended.
+func (s *Slots) isSettled(r *runner, up *upstream, now time.Time) bool {
 	acquired := s.opts.Authority.AcquiredAt(r.partition)
 	return acquired.IsZero() || !now.Before(acquired.Add(up.longest))
 }
--- a/internal/process/slotter/slots_test.go
+++ b/internal/process/slotter/slots_test.go
@@ -240,6 +240,20 @@
 	b.assertFree(t, benchSlots)
 }
 
+func TestSlotsDrainWaitsForFormerOwners(t *testing.T) {
+	b := newBench(t, quick)
+	b.authority.set(true, b.clock.now())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := b.slots.DrainPartition(ctx, PartitionOf(b.host)); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drained while a former owner's requests may run: %v", err)
+	}
+	b.clock.advance(maxDuration)
+	if err := b.slots.DrainPartition(t.Context(), PartitionOf(b.host)); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestSlotsRefuseEarly(t *testing.T) {
 	b := newBench(t, quick)
 	held := []*Slot{b.mustAcquire(t), b.mustAcquire(t)}
