Edit a data centre without losing comments, and accept quoted keys

A property test over layouts showed that a comment behind "out: true" was lost when a data centre came back, and that quoted keys, as in JSON, were refused as unknown. The edit now replaces the word in the text. 20,000 layouts pass.

--- a/internal/version/declarer/edit.go
+++ b/internal/version/declarer/edit.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 	"github.com/rotisserie/eris"
 
 	"github.com/kumquatstack/kumquatstack/internal/errs"
@@ -61,32 +64,50 @@
 	return 0, 0, false
 }
 
-// editOut sets the key "out" of the mapping at a path.
+// editOut sets the key "out" of the mapping at a path. It changes the text, as
+// the library drops comments when it replaces a node.
 func editOut(document []byte, path string, out bool) ([]byte, error) {
-	file, err := parser.ParseBytes(document, parser.ParseComments)
+	file, err := parser.ParseBytes(document, 0)
 	if err != nil {
 		return nil, err
 	}
-	present, err := yaml.PathString(path + ".out")
+	at, err := yaml.PathString(path)
 	if err != nil {
 		return nil, err
 	}
-	value, err := yaml.ValueToNode(out)
+	node, err := at.FilterFile(file)
 	if err != nil {
 		return nil, err
 	}
-	if node, findErr := present.FilterFile(file); findErr == nil && node != nil {
-		err = present.ReplaceWithNode(file, value)
-		return []byte(file.String()), err
+	mapping, ok := node.(*ast.MappingNode)
+	if !ok || len(mapping.Values) == 0 {
+		return nil, eris.Errorf("%s is not a mapping", path)
 	}
-	parent, err := yaml.PathString(path)
-	if err != nil {
-		return nil, err
+	for _, pair := range mapping.Values {
+		if pair.Key.GetToken().Value == "out" {
+			value := pair.Value.GetToken()
+			return splice(document, value.Position, len([]rune(value.Value)), strconv.FormatBool(out))
+		}
 	}
-	addition, err := parser.ParseBytes([]byte("out: "+strconv.FormatBool(out)+"\n"), 0)
-	if err != nil {
-		return nil, err
+	first := mapping.Values[0].Key.GetToken().Position
+	key := "out: " + strconv.FormatBool(out)
+	if mapping.IsFlowStyle {
+		return splice(document, first, 0, key+", ")
+	}
+	return splice(document, first, 0, key+"\n"+strings.Repeat(" ", first.Column-1))
+}
+
+// splice replaces a number of characters at a position.
+func splice(document []byte, at *token.Position, count int, text string) ([]byte, error) {
+	lines := strings.SplitAfter(string(document), "\n")
+	if at.Line > len(lines) {
+		return nil, eris.Errorf("there is no line %d", at.Line)
+	}
+	line := []rune(lines[at.Line-1])
+	begin := at.Column - 1
+	if begin+count > len(line) {
+		return nil, eris.Errorf("line %d has no column %d", at.Line, begin+count)
 	}
-	err = parent.MergeFromNode(file, addition.Docs[0].Body)
-	return []byte(file.String()), err
+	lines[at.Line-1] = string(line[:begin]) + text + string(line[begin+count:])
+	return []byte(strings.Join(lines, "")), nil
 }
--- a/internal/version/decoder/walker.go
+++ b/internal/version/decoder/walker.go
@@ -86,7 +86,7 @@
 		return
 	}
 	for _, pair := range values {
-		name := pair.Key.String()
+		name := pair.Key.GetToken().Value
 		child := join(key, name)
 		field, ok := fieldOf(kind, name)
 		if !ok {
@@ -106,7 +106,7 @@
 		return
 	}
 	for _, pair := range values {
-		w.node(pair.Value, kind.Elem(), join(key, pair.Key.String()))
+		w.node(pair.Value, kind.Elem(), join(key, pair.Key.GetToken().Value))
 	}
 }
 
