--- a/internal/cli/cancelcmd.go
+++ b/internal/cli/cancelcmd.go
@@ -35,6 +35,10 @@
 		return err
 	}
 	return a.print(answer, func(w io.Writer) {
+		if len(c.Tasks) == 0 {
+			printf(w, "intent %s is cancelled, %d tasks so far; kumquat status %[1]s shows the rest\n", c.Args.Intent, answer.GetCancelled())
+			return
+		}
 		printf(w, "%d tasks of intent %s cancelled\n", answer.GetCancelled(), c.Args.Intent)
 	})
 }
