Answer slow senders whose requests are refused

Cause: before a refusal leaves, package http reads what is left of the body. The read deadline was cleared by then, so a sender that stopped half-way kept its connection for ever and never saw the refusal.

Change: the deadline stays after a body that did not arrive, and every refusal of an unread body bounds the time for the rest.

--- a/internal/request/router/body.go
+++ b/internal/request/router/body.go
@@ -72,7 +72,10 @@
 	controller := http.NewResponseController(v.w)
 	_ = controller.SetReadDeadline(earlier(v.call.Deadline, now.Add(bodyTimeout)))
 	body, err := io.ReadAll(io.LimitReader(v.r.Body, reserve+1))
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		v.isRead = true
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return bad(http.StatusRequestTimeout, EventSlowSender, "body did not arrive in time")
@@ -94,14 +97,21 @@
 	v.call.Body = attempter.Body{Stream: v.stream, Length: length}
 }
 
-// discardBody reads what is left of a refused body within bounds.
+// hurry bounds the time in which package http reads what is left of a refused
+// body before it sends the refusal.
+func (v *visit) hurry() {
+	if v.r.ContentLength == 0 || v.isRead {
+		return
+	}
+	_ = http.NewResponseController(v.w).SetReadDeadline(v.router.opts.Now().Add(discardTimeout))
+}
+
+// discardBody reads what is left of a long refused body within bounds.
 func (v *visit) discardBody() {
-	if v.r.ContentLength <= maxKeptBody {
+	if v.r.ContentLength <= maxKeptBody || v.stream != nil {
 		return
 	}
-	controller := http.NewResponseController(v.w)
-	_ = controller.Flush()
-	_ = controller.SetReadDeadline(v.router.opts.Now().Add(discardTimeout))
+	_ = http.NewResponseController(v.w).Flush()
 	_, _ = io.CopyN(io.Discard, v.r.Body, maxDiscarded)
 }
 
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -88,6 +88,8 @@
 	call   *attempter.Call
 	target target
 	key    string
+	// isRead is true once a kept body has been read to its end.
+	isRead bool
 	// kept is the memory that is reserved for the body.
 	kept   int64
 	stream *streamBody
@@ -142,6 +144,7 @@
 		fields["upstream"] = v.call.Upstream
 	}
 	v.router.opts.Recorder.Record(v.router.opts.Now(), refusal.Event, fields)
+	v.hurry()
 	refusal.Write(v.w, v.id)
 	v.discardBody()
 }
