--- a/internal/integration/assert_test.go
+++ b/internal/integration/assert_test.go
@@ -26,6 +26,17 @@
 	{DataCentre: "sav-a", Region: "south-ga", Daemons: 2, Workers: 2, Runners: 2},
 }
 
+// together bounds the clusters that run at the same time in parallel subtests.
+var together = make(chan struct{}, 3)
+
+// parallel lets a subtest run beside its siblings, up to the bound.
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	together <- struct{}{}
+	t.Cleanup(func() { <-together })
+}
+
 // callOf returns a call whose body names it.
 func callOf(path string, service time.Duration) func(number int) harness.Call {
 	return func(number int) harness.Call {
--- a/internal/integration/batch_test.go
+++ b/internal/integration/batch_test.go
@@ -135,6 +135,7 @@
 	}
 	for _, each := range faults {
 		t.Run(each.name, func(t *testing.T) {
+			parallel(t)
 			cluster := harness.Start(t, harness.Options{Sites: northGA})
 			confirm(t, cluster.Daemons[2], intentOf("survey", 36, 4*time.Second))
 			awaitStarts(t, cluster, 10)
--- a/internal/integration/datacentre_test.go
+++ b/internal/integration/datacentre_test.go
@@ -92,6 +92,7 @@
 	}
 	for _, each := range faults {
 		t.Run(each.name, func(t *testing.T) {
+			parallel(t)
 			cluster := harness.Start(t, harness.Options{Sites: twoRegions})
 			confirm(t, cluster.Daemons[0], intentOf("survey", 800, time.Second))
 			awaitStarts(t, cluster, 20)
