--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
@@ -29,9 +30,17 @@
 
 // A client calls the first daemon of several that answers.
 type client struct {
-	daemons []kumquatv1.Operator
+	daemons []daemonClient
 	globals *globalOptions
 	token   string
+	// notice writes a line for people.
+	notice func(format string, args ...any)
+}
+
+// A daemonClient calls one daemon.
+type daemonClient struct {
+	kumquatv1.Operator
+	address string
 }
 
 func (a *app) newClient() (c *client, err error) {
@@ -47,9 +56,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c = &client{globals: &a.globals, token: token}
+	c = &client{globals: &a.globals, token: token, notice: a.notice}
 	for _, address := range a.globals.Addresses {
-		c.daemons = append(c.daemons, kumquatv1.NewOperatorProtobufClient(scheme+"://"+address, &http.Client{Transport: transport}))
+		operator := kumquatv1.NewOperatorProtobufClient(scheme+"://"+address, &http.Client{Transport: transport})
+		c.daemons = append(c.daemons, daemonClient{Operator: operator, address: address})
 	}
 	return c, nil
 }
@@ -111,7 +121,11 @@
 	var causes []error
 	sent := false
 	for _, daemon := range c.daemons {
+		stop := showProgress(progressInterval, func(waited time.Duration) {
+			c.notice("%s: no answer from %s for %s", op, daemon.address, waited)
+		})
 		answer, maybeSent, err := callOne(ctx, c, daemon, method, request)
+		stop()
 		if err == nil {
 			return answer, nil
 		}
@@ -135,7 +149,7 @@
 // callOne makes a call at one daemon and tells whether the daemon may have
 // received it and acted on it.
 func callOne[Request, Answer any](
-	ctx context.Context, c *client, daemon kumquatv1.Operator,
+	ctx context.Context, c *client, daemon daemonClient,
 	method func(kumquatv1.Operator, context.Context, *Request) (*Answer, error), request *Request,
 ) (answer *Answer, maybeSent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.globals.Timeout)
@@ -147,7 +161,7 @@
 	if ctx, err = c.authorised(ctx); err != nil {
 		return nil, false, err
 	}
-	answer, err = method(daemon, ctx, request)
+	answer, err = method(daemon.Operator, ctx, request)
 	err = errorcoder.Decode(err)
 	return answer, wrote.Load() && !isUntouched(err), err
 }
