--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -17,9 +17,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/system"
 )
 
-// Version is the version that the programs report.
-const Version = "0.1.0"
-
 // Main runs the tool and returns its exit code.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/cli/versioncmd.go
+++ b/internal/cli/versioncmd.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"runtime"
+
+	"github.com/kumquatstack/kumquatstack/internal/versioner"
 )
 
 // versionCmd prints the version.
@@ -13,11 +15,12 @@
 
 // A versionReport names the versions of the tool and its compiler.
 type versionReport struct {
-	Version string `json:"version"`
-	Go      string `json:"go"`
+	Version  string `json:"version"`
+	Revision string `json:"revision,omitempty"`
+	Go       string `json:"go"`
 }
 
 func (*versionCmd) run(_ context.Context, a *app) error {
-	v := versionReport{Version: Version, Go: runtime.Version()}
-	return a.printValue(v, func(w io.Writer) { printf(w, "kumquat %s (%s)\n", v.Version, v.Go) })
+	v := versionReport{Version: versioner.Version, Revision: versioner.Revision(), Go: runtime.Version()}
+	return a.printValue(v, func(w io.Writer) { printf(w, "kumquat %s %s (%s)\n", v.Version, v.Revision, v.Go) })
 }
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -17,11 +17,9 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/process/embedder"
 	"github.com/kumquatstack/kumquatstack/internal/process/settings"
+	"github.com/kumquatstack/kumquatstack/internal/versioner"
 )
 
-// Version is the version that the daemon reports.
-const Version = "0.1.0"
-
 // Exit codes of kumquatd.
 const (
 	exitOK       = 0
@@ -56,7 +54,7 @@
 		return report(stderr, err, exitUsage)
 	}
 	if opts.Version {
-		return report(stdout, fmt.Errorf("kumquatd %s", Version), exitOK)
+		return report(stdout, fmt.Errorf("kumquatd %s %s", versioner.Version, versioner.Revision()), exitOK)
 	}
 	if opts.Embedded != "" {
 		return runEmbedded(opts, stdout, stderr)
--- /dev/null
+++ b/internal/versioner/versioner.go
@@ -0,0 +1,29 @@
+// Package versioner tells the version of the programs.
+package versioner
+
+import "runtime/debug"
+
+// Version is the version that the programs report.
+const Version = "0.1.0"
+
+// Revision returns the commit that the program was built from, with "+" if
+// files differed from it, or "" if that is not known.
+func Revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	revision, changed := "", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			revision = setting.Value
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = "+"
+		}
+	}
+	if revision == "" {
+		return ""
+	}
+	return revision + changed
+}
