Eject a runner that always fails, whatever the others do

Cause: at most half of a daemon's runners were ejected for their answers, and a spared ejection also undid the failure count. With one or two runners a daemon, a runner that failed every request was never ejected: it took 213 of 1,513 requests. Change: a runner of which nearly every exchange fails is ejected regardless, and sparing it keeps its failure count. Conclusion: the rule of half protects against widespread failures only.

--- a/internal/process/picker/health.go
+++ b/internal/process/picker/health.go
@@ -35,6 +35,9 @@
 	latencyWeight = 0.1
 	// ejectionShare is the failure share above which a runner is ejected.
 	ejectionShare = 0.5
+	// hopelessShare is the failure share above which nothing is expected of a
+	// runner, so that it is ejected whatever others do.
+	hopelessShare = 0.9
 	// slowFactor is the multiple of the median latency that counts as slow.
 	slowFactor = 3
 	// minLatencySamples is the number of answers before latency counts.
@@ -128,6 +131,18 @@
 	return h
 }
 
+// WithoutEjection returns the health with its failures, but as little ejected
+// as before.
+func (h Health) WithoutEjection(before Health) Health {
+	h.ejections = before.ejections
+	h.ejectedUntil = before.ejectedUntil
+	h.probing = before.probing
+	return h
+}
+
+// IsHopeless reports whether nearly all recent exchanges have failed.
+func (h Health) IsHopeless() bool { return h.failures > hopelessShare }
+
 // IsEjected reports whether the runner gets nothing at the moment.
 func (h Health) IsEjected(now time.Time) bool { return now.Before(h.ejectedUntil) }
 
--- /dev/null
+++ b/internal/process/picker/hopeless_test.go
@@ -0,0 +1,36 @@
+package picker
+
+import (
+	"testing"
+	"time"
+)
+
+func TestHopeless(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	// spared is a runner that is never ejected, since others are already.
+	spared := func(outcomes func(n int) Observation) Health {
+		var h Health
+		for n := range 100 {
+			h = h.With(outcomes(n), time.Millisecond, now).WithoutEjection(Health{})
+		}
+		return h
+	}
+	t.Run("all exchanges fail", func(t *testing.T) {
+		assertHopeless(t, spared(func(int) Observation { return Failed }), true)
+	})
+	t.Run("two of three fail", func(t *testing.T) {
+		assertHopeless(t, spared(func(n int) Observation {
+			if n%3 == 0 {
+				return Answered
+			}
+			return Failed
+		}), false)
+	})
+}
+
+func assertHopeless(t *testing.T, h Health, want bool) {
+	t.Helper()
+	if h.IsEjected(time.Time{}) || h.IsHopeless() != want {
+		t.Errorf("hopeless %t, want %t", h.IsHopeless(), want)
+	}
+}
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -204,8 +204,9 @@
 	if !sl.sentAt.IsZero() || sl.seen != picker.Answered {
 		after = before.With(sl.seen, sl.latency, now)
 	}
-	if sl.seen != picker.Unreachable && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
-		after = before
+	spared := sl.seen != picker.Unreachable && !after.IsHopeless()
+	if spared && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
+		after = after.WithoutEjection(before)
 	}
 	if sl.leaving {
 		after = after.WithLeaving(now.Add(leavingHold))
