--- a/internal/cli/versioncmd.go
+++ b/internal/cli/versioncmd.go
@@ -22,5 +22,5 @@
 
 func (*versionCmd) run(_ context.Context, a *app) error {
 	v := versionReport{Version: versioner.Version, Revision: versioner.Revision(), Go: runtime.Version()}
-	return a.printValue(v, func(w io.Writer) { printf(w, "kumquat %s %s (%s)\n", v.Version, v.Revision, v.Go) })
+	return a.printValue(v, func(w io.Writer) { printf(w, "kumquat %s (%s)\n", versioner.Describe(), v.Go) })
 }
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -54,7 +54,7 @@
 		return report(stderr, err, exitUsage)
 	}
 	if opts.Version {
-		return report(stdout, fmt.Errorf("kumquatd %s %s", versioner.Version, versioner.Revision()), exitOK)
+		return report(stdout, errors.New("kumquatd "+versioner.Describe()), exitOK)
 	}
 	if opts.Embedded != "" {
 		return runEmbedded(opts, stdout, stderr)
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -6,6 +6,14 @@
 // Version is the version that the programs report.
 const Version = "0.1.0"
 
+// Describe returns the version, and the revision if it is known.
+func Describe() string {
+	if revision := Revision(); revision != "" {
+		return Version + " " + revision
+	}
+	return Version
+}
+
 // Revision returns the commit that the program was built from, with "+" if
 // files differed from it, or "" if that is not known.
 func Revision() string {
