Collect garbage earlier

Cause: a daemon with 1,610 tasks held 38.5 MB, of 32 MB allowed. Change: the heap may grow by 40 % between collections instead of 100 %.

--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -67,6 +68,18 @@
 	return run(opts.Settings, stderr)
 }
 
+// collectorPercent is how far the heap may grow beyond live memory between two
+// garbage collections, in percent. Entry hosts are small: memory is worth more
+// than the processor time of collections.
+const collectorPercent = 40
+
+// tuneCollector sets the garbage collector unless the environment does.
+func tuneCollector() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+}
+
 // run runs the daemon with a settings file.
 func run(path string, stderr io.Writer) int {
 	set, err := settings.Load(path)
@@ -75,6 +88,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	tuneCollector()
 	d, err := New(set, newLogger(stderr, set))
 	if err != nil {
 		return report(stderr, err, exitFailed)
