Test that a leaving runner gets no new request

With two real daemons and 200 requests a second, nothing new arrives three seconds after the list says that a runner leaves, no answer is cut, and requests return with it.

--- /dev/null
+++ b/internal/integration/leaving/leaving_test.go
@@ -0,0 +1,68 @@
+// Package leaving tests that runners on their way out get no new requests.
+package leaving
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+)
+
+const (
+	patience = 30 * time.Second
+	// grace is the time after which a leaving runner gets nothing new.
+	grace = 3 * time.Second
+	rate  = 200 // requests a second
+	// laterAnswers is the number of requests after the grace time.
+	laterAnswers = 600
+)
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+func callOf(number int) harness.Call {
+	return harness.Call{ID: fmt.Sprintf("r%d", number), Path: harness.PathIdempotent, Body: []byte("print"), Deadline: 5 * time.Second}
+}
+
+func TestLeavingRunnerGetsNothingNew(t *testing.T) {
+	cluster := harness.Start(t, harness.Options{
+		Sites:      []harness.Site{{DataCentre: "atl-a", Region: "north-ga", Daemons: 2, Runners: 3}},
+		RunnerArgs: []string{"--mean", "5ms"},
+	})
+	const leaving = "atl-a-runner-1"
+	load := harness.StartLoad(t, rate, callOf, harness.NewTarget(cluster.Daemons...).Choose)
+	harness.Eventually(t, patience, "the runner gets requests", func() bool { return requestsOf(t, cluster, leaving) > 20 })
+
+	cluster.SetHostState(leaving, lister.StateLeaving)
+	time.Sleep(grace)
+	before, answers := requestsOf(t, cluster, leaving), load.Count()
+	harness.Eventually(t, patience, "later requests are answered", func() bool { return load.Count() >= answers+laterAnswers })
+	t.Run("nothing new after the grace time", func(t *testing.T) {
+		if after := requestsOf(t, cluster, leaving); after != before {
+			t.Errorf("%d requests after the grace time", after-before)
+		}
+	})
+
+	cluster.SetHostState(leaving, lister.StateLive)
+	harness.Eventually(t, patience, "the runner gets requests again", func() bool { return requestsOf(t, cluster, leaving) > before })
+	for _, answer := range load.Stop() {
+		if !answer.Whole() && answer.Outcome != harness.OutcomeNotRun {
+			t.Errorf("cut or of unknown outcome: %v", answer)
+		}
+	}
+	cluster.AssertNoBreach()
+}
+
+// requestsOf returns how many requests have arrived at a runner.
+func requestsOf(t *testing.T, cluster *harness.Cluster, name string) int64 {
+	t.Helper()
+	for _, counts := range cluster.RunnerCounts() {
+		if counts.Runner == name {
+			return counts.Requests
+		}
+	}
+	t.Fatalf("no runner %s", name)
+	return 0
+}
