--- a/internal/experiment/slopes/usage.go
+++ b/internal/experiment/gauger/usage.go
@@ -1,4 +1,5 @@
-package slopes
+// Package gauger reads what the processes of real daemons use.
+package gauger
 
 import (
 	"context"
@@ -17,24 +18,24 @@
 // ticksPerSecond is the unit of processor times in /proc.
 const ticksPerSecond = 100
 
-// A usage is what a daemon has used since its start.
-type usage struct {
-	at time.Time
-	// cpu is the processor time.
-	cpu time.Duration
-	// memoryBytes is the resident memory now.
-	memoryBytes int64
-	// counters are the daemon's metrics.
-	counters map[counter.Name]int64
+// A Usage is what a daemon has used since its start.
+type Usage struct {
+	At time.Time
+	// CPU is the processor time.
+	CPU time.Duration
+	// MemoryBytes is the resident memory now.
+	MemoryBytes int64
+	// Counters are the daemon's metrics.
+	Counters map[counter.Name]int64
 }
 
-// readUsage reads what a daemon has used.
-func readUsage(ctx context.Context, daemon *harness.Daemon) (u usage, err error) {
-	u = usage{at: time.Now(), counters: make(map[counter.Name]int64)}
-	if u.cpu, err = readProcessorTime(daemon.PID()); err != nil {
+// Read reads what a daemon has used.
+func Read(ctx context.Context, daemon *harness.Daemon) (u Usage, err error) {
+	u = Usage{At: time.Now(), Counters: make(map[counter.Name]int64)}
+	if u.CPU, err = readProcessorTime(daemon.PID()); err != nil {
 		return u, err
 	}
-	if u.memoryBytes, err = readMemory(daemon.PID()); err != nil {
+	if u.MemoryBytes, err = readMemory(daemon.PID()); err != nil {
 		return u, err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+daemon.Health+"/debug/vars", http.NoBody)
@@ -51,9 +52,9 @@
 		return u, err
 	}
 	for name, raw := range all {
-		// Metrics that are no numbers are not counters.
+		// Metrics that are no numbers are not Counters.
 		if value, err := strconv.ParseInt(string(raw), 10, 64); err == nil {
-			u.counters[counter.Name(name)] = value
+			u.Counters[counter.Name(name)] = value
 		}
 	}
 	return u, nil
@@ -95,34 +96,37 @@
 	return resident * int64(os.Getpagesize()), nil
 }
 
-// A rate is what a daemon uses a second between two readings.
-type rate struct {
-	cpuPercent  float64
-	memoryBytes float64
-	perSecond   map[counter.Name]float64
+// A Rate is what a daemon uses a second between two readings.
+type Rate struct {
+	// CPUPercent is the processor time in percent of one core.
+	CPUPercent float64
+	// MemoryBytes is the resident memory at the end.
+	MemoryBytes float64
+	// PerSecond are the rates of the daemon's metrics.
+	PerSecond map[counter.Name]float64
 }
 
-// rateOf returns the rates between two readings.
-func rateOf(from, to usage) rate {
-	seconds := to.at.Sub(from.at).Seconds()
-	r := rate{
-		cpuPercent:  100 * (to.cpu - from.cpu).Seconds() / seconds,
-		memoryBytes: float64(to.memoryBytes),
-		perSecond:   make(map[counter.Name]float64),
+// RateOf returns the rates between two readings.
+func RateOf(from, to Usage) Rate {
+	seconds := to.At.Sub(from.At).Seconds()
+	r := Rate{
+		CPUPercent:  100 * (to.CPU - from.CPU).Seconds() / seconds,
+		MemoryBytes: float64(to.MemoryBytes),
+		PerSecond:   make(map[counter.Name]float64),
 	}
-	for name, value := range to.counters {
-		r.perSecond[name] = float64(value-from.counters[name]) / seconds
+	for name, value := range to.Counters {
+		r.PerSecond[name] = float64(value-from.Counters[name]) / seconds
 	}
 	return r
 }
 
-// bytesPerSecond sums the control traffic.
-func (r rate) bytesPerSecond() float64 {
-	return r.perSecond[counter.StoreBytes] + r.perSecond[counter.PeerBytes] +
-		r.perSecond[counter.WorkerBytes] + r.perSecond[counter.HostListBytes]
+// BytesPerSecond sums the control traffic in bytes a second.
+func (r Rate) BytesPerSecond() float64 {
+	return r.PerSecond[counter.StoreBytes] + r.PerSecond[counter.PeerBytes] +
+		r.PerSecond[counter.WorkerBytes] + r.PerSecond[counter.HostListBytes]
 }
 
-// storeCalls sums reads and writes.
-func (r rate) storeCalls() float64 {
-	return r.perSecond[counter.StoreReads] + r.perSecond[counter.StoreWrites]
+// StoreCalls sums reads and writes of the store a second.
+func (r Rate) StoreCalls() float64 {
+	return r.PerSecond[counter.StoreReads] + r.PerSecond[counter.StoreWrites]
 }
--- a/internal/experiment/hops/hops.go
+++ b/internal/experiment/hops/hops.go
@@ -18,6 +18,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/experiment/gauger"
 	"github.com/kumquatstack/kumquatstack/internal/harness"
 )
 
@@ -69,17 +70,43 @@
 	through := newWay("through a daemon", daemonURLs(cluster))
 	harness.Eventually(b, readyTimeout, "every daemon answers", func() bool { return through.allAnswer(ctx) })
 
-	for _, run := range []struct {
-		length time.Duration
-		count  bool
-	}{{warmUp, false}, {options.Duration, true}} {
-		var group sync.WaitGroup
-		for _, w := range []*way{straight, through} {
-			group.Go(func() { w.load(ctx, options.RequestsPerSecond, run.length, run.count) })
+	loadBoth(ctx, options.RequestsPerSecond, warmUp, false, straight, through)
+	before, err := processorTime(ctx, cluster)
+	if err != nil {
+		return err
+	}
+	loadBoth(ctx, options.RequestsPerSecond, options.Duration, true, straight, through)
+	after, err := processorTime(ctx, cluster)
+	if err != nil {
+		return err
+	}
+	if err := report(options.Out, straight, through); err != nil {
+		return err
+	}
+	perRequest := (after - before) / time.Duration(max(through.latencies.TotalCount(), 1))
+	_, err = fmt.Fprintf(options.Out, "processor time of all daemons: %s a request\n", perRequest)
+	return err
+}
+
+// loadBoth sends requests both ways at once.
+func loadBoth(ctx context.Context, perSecond int, length time.Duration, count bool, ways ...*way) {
+	var group sync.WaitGroup
+	for _, w := range ways {
+		group.Go(func() { w.load(ctx, perSecond, length, count) })
+	}
+	group.Wait()
+}
+
+// processorTime sums what the daemons have used.
+func processorTime(ctx context.Context, cluster *harness.Cluster) (total time.Duration, err error) {
+	for _, daemon := range cluster.Daemons {
+		used, err := gauger.Read(ctx, daemon)
+		if err != nil {
+			return 0, err
 		}
-		group.Wait()
+		total += used.CPU
 	}
-	return report(options.Out, straight, through)
+	return total, nil
 }
 
 // straightURLs returns the runners' addresses, each behind a link of the proxy
--- a/internal/experiment/slopes/report.go
+++ b/internal/experiment/slopes/report.go
@@ -5,6 +5,7 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/kumquatstack/kumquatstack/internal/experiment/gauger"
 	"github.com/kumquatstack/kumquatstack/internal/process/counter"
 )
 
@@ -44,18 +45,18 @@
 // A column is one measured quantity.
 type column struct {
 	name  string
-	value func(r rate) float64
+	value func(r gauger.Rate) float64
 }
 
 // columns are the quantities that are reported.
 var columns = []column{
-	{"CPU %", func(r rate) float64 { return r.cpuPercent }},
-	{"memory MB", func(r rate) float64 { return r.memoryBytes / megabyte }},
-	{"KB/s", func(r rate) float64 { return r.bytesPerSecond() / kilobyte }},
-	{"store KB/s", func(r rate) float64 { return r.perSecond[counter.StoreBytes] / kilobyte }},
-	{"workers KB/s", func(r rate) float64 { return r.perSecond[counter.WorkerBytes] / kilobyte }},
-	{"store calls/s", func(r rate) float64 { return r.storeCalls() }},
-	{"store writes/s", func(r rate) float64 { return r.perSecond[counter.StoreWrites] }},
+	{"CPU %", func(r gauger.Rate) float64 { return r.CPUPercent }},
+	{"memory MB", func(r gauger.Rate) float64 { return r.MemoryBytes / megabyte }},
+	{"KB/s", func(r gauger.Rate) float64 { return r.BytesPerSecond() / kilobyte }},
+	{"store KB/s", func(r gauger.Rate) float64 { return r.PerSecond[counter.StoreBytes] / kilobyte }},
+	{"workers KB/s", func(r gauger.Rate) float64 { return r.PerSecond[counter.WorkerBytes] / kilobyte }},
+	{"store calls/s", func(r gauger.Rate) float64 { return r.StoreCalls() }},
+	{"store writes/s", func(r gauger.Rate) float64 { return r.PerSecond[counter.StoreWrites] }},
 }
 
 // Report prints the points of a series and the line through them.
--- a/internal/experiment/slopes/slopes.go
+++ b/internal/experiment/slopes/slopes.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/experiment/gauger"
 	"github.com/kumquatstack/kumquatstack/internal/harness"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
@@ -66,7 +67,7 @@
 // A Point is the use measured at one load.
 type Point struct {
 	Load Load
-	rate rate
+	rate gauger.Rate
 }
 
 // Measure runs one load for a time and returns what the owner of the shard
@@ -86,16 +87,16 @@
 	stop := change(ctx, daemon, load.ChangesPerSecond)
 	defer stop()
 	pause(ctx, settle)
-	from, err := readUsage(ctx, daemon)
+	from, err := gauger.Read(ctx, daemon)
 	if err != nil {
 		return Point{}, err
 	}
 	pause(ctx, duration)
-	to, err := readUsage(ctx, daemon)
+	to, err := gauger.Read(ctx, daemon)
 	if err != nil {
 		return Point{}, err
 	}
-	return Point{Load: load, rate: rateOf(from, to)}, ctx.Err()
+	return Point{Load: load, rate: gauger.RateOf(from, to)}, ctx.Err()
 }
 
 // awaitOwner waits until a daemon owns the shard and returns it.
