Serve workers' reports compressed

Cause: each ended run is followed by a report of all runs of its worker, which made up much of the 1.3 KB of traffic a start. Change: reports are compressed as measurements are.

--- a/internal/standin/worker/compress.go
+++ b/internal/standin/worker/compress.go
@@ -8,10 +8,13 @@
 	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
 )
 
-// compressed serves lists of measurements compressed to clients that accept it.
+// isLong tells the paths whose answers list all runs of a worker.
+var isLong = map[string]bool{commander.PathUsage: true, commander.PathReport: true}
+
+// compressed serves long answers compressed to clients that accept it.
 func compressed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != commander.PathUsage || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		if !isLong[r.URL.Path] || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
 			next.ServeHTTP(w, r)
 			return
 		}
