Keep late writes of the store's stand-in from racing with their callers

Cause: a late write set the named result of a call that had returned. Change: the closures set a variable of their own. Measured: the race detector reported the write before and is silent after. Conclusion: late writes can be used in tests of several daemons.

--- a/internal/standin/keyvalue/fake.go
+++ b/internal/standin/keyvalue/fake.go
@@ -74,8 +74,9 @@
 }
 
 // CompareAndSwap implements storer.Store.
-func (f *Fake) CompareAndSwap(ctx context.Context, swap storer.Swap) (revision storer.Revision, err error) {
-	err = f.write(ctx, "compare-and-swap", func(now time.Time) error {
+func (f *Fake) CompareAndSwap(ctx context.Context, swap storer.Swap) (storer.Revision, error) {
+	var revision storer.Revision // Not a result: a late write sets it after the return.
+	err := f.write(ctx, "compare-and-swap", func(now time.Time) error {
 		outcome := f.table.Apply(now, Transaction{
 			Conditions: []Condition{{Key: swap.Key, Target: TargetModified, Equals: int64(swap.Expected)}},
 			Puts:       []Put{{Key: swap.Key, Value: swap.Value, Lease: swap.Lease}},
@@ -118,8 +119,9 @@
 }
 
 // Grant implements storer.Store.
-func (f *Fake) Grant(ctx context.Context, ttl time.Duration) (id storer.LeaseID, err error) {
-	err = f.write(ctx, "grant", func(now time.Time) error {
+func (f *Fake) Grant(ctx context.Context, ttl time.Duration) (storer.LeaseID, error) {
+	var id storer.LeaseID // Not a result: a late write sets it after the return.
+	err := f.write(ctx, "grant", func(now time.Time) error {
 		id = f.table.Grant(now, ttl)
 		return nil
 	})
@@ -130,9 +132,10 @@
 }
 
 // KeepAlive implements storer.Store.
-func (f *Fake) KeepAlive(ctx context.Context, id storer.LeaseID) (ttl time.Duration, err error) {
+func (f *Fake) KeepAlive(ctx context.Context, id storer.LeaseID) (time.Duration, error) {
+	var ttl time.Duration // Not a result: a late write sets it after the return.
 	f.box.count(func(c *Counts) { c.KeepAlives++ })
-	err = f.write(ctx, "keep-alive", func(now time.Time) error {
+	err := f.write(ctx, "keep-alive", func(now time.Time) error {
 		found, ok := f.table.KeepAlive(now, id)
 		if !ok {
 			return errs.ErrNotFound
