Survive lost answers, removed records and restarts of all daemons

Cause: tests with several daemons showed that a change found by reading back was answered before it was in force here, and that the end of a former lease ended its successor over and over. Change: the read-back version comes into force first; the notice of a removed record carries its incarnation. Lists of former incarnations are swept, and a watch that resumes within half a second counts as unbroken.

--- a/internal/process/configurer/apply.go
+++ b/internal/process/configurer/apply.go
@@ -80,6 +80,7 @@
 			return Result{}, errors.Join(err, lastErr)
 		}
 		if version, ok := stored.applied(attempt, entry.Revision); ok {
+			c.takeEntry(entry, "apply")
 			return c.accept(ctx, version)
 		}
 		if base != AnyVersion && base != int64(entry.Revision) {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -139,6 +139,8 @@
 		Store:    d.store,
 		Group:    d.group,
 		Recorder: d.recorder,
+		Watcher:  d.watcher,
+		InUse:    func(daemon string, incarnation int64) bool { return d.owner.References(daemon, incarnation) },
 		Dial:     d.dialer.Peer,
 	})
 }
--- a/internal/process/member/group.go
+++ b/internal/process/member/group.go
@@ -153,6 +153,7 @@
 	for _, change := range changes {
 		daemon := strings.TrimPrefix(change.Entry.Key, Prefix)
 		if daemon == g.settings.Identity.Daemon {
+			g.followOwn(change)
 			continue
 		}
 		if change.Deleted {
@@ -166,6 +167,13 @@
 	g.notify()
 }
 
+// followOwn ends the daemon's lease if its record was removed.
+func (g *Group) followOwn(change watcher.Change) {
+	if change.Deleted {
+		g.registrar.noteDeleted(int64(change.Entry.Revision))
+	}
+}
+
 func (g *Group) setMember(m Member, now time.Time) {
 	g.mu.Lock()
 	known := g.peers[m.Daemon]
@@ -185,7 +193,10 @@
 func (g *Group) setGone(daemon string, now time.Time) {
 	g.mu.Lock()
 	peer, ok := g.peers[daemon]
-	if ok {
+	switch {
+	case ok && peer.Leaving():
+		delete(g.peers, daemon) // A planned stop: it won't be heard again.
+	case ok:
 		g.peers[daemon] = peer.WithMember(peer.Member, false)
 	}
 	g.mu.Unlock()
--- a/internal/process/member/registrar.go
+++ b/internal/process/member/registrar.go
@@ -44,6 +44,9 @@
 	leaseID storer.LeaseID
 	ready   chan struct{}
 	isReady bool
+
+	// lost holds the incarnation whose record was seen to be gone.
+	lost chan int64
 }
 
 // NewRegistrar returns a registrar. onLease, if not nil, is told of each
@@ -56,6 +59,7 @@
 		record:   record,
 		onLease:  onLease,
 		ready:    make(chan struct{}),
+		lost:     make(chan int64, 1),
 	}
 }
 
@@ -176,13 +180,15 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case incarnation := <-g.lost:
+			if incarnation != g.Lease().Incarnation {
+				continue // Of a former lease.
+			}
+			g.endLease()
+			return
 		}
 		if err := g.renew(ctx); errors.Is(err, errs.ErrNotFound) {
-			lost := g.endLease()
-			g.record.Record(time.Now(), EventLeaseLost, recorder.Fields{
-				"daemon":      g.identity.Daemon,
-				"incarnation": strconv.FormatInt(lost.Incarnation, 10),
-			})
+			g.endLease()
 			return
 		}
 	}
@@ -217,12 +223,28 @@
 	}
 }
 
-// endLease notes that the lease has lapsed in the store.
-func (g *Registrar) endLease() Lease {
+// noteDeleted ends the lease if the store shows that its record is gone. It
+// returns at once.
+func (g *Registrar) noteDeleted(incarnation int64) {
+	if g.Lease().Incarnation != incarnation {
+		return
+	}
+	select {
+	case g.lost <- incarnation:
+	default:
+	}
+}
+
+// endLease notes that the lease or its record is gone from the store.
+func (g *Registrar) endLease() {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.lease = g.lease.WithRenewal(g.lease.Renewed, 0)
-	return g.lease
+	ended := g.lease.Incarnation
+	g.mu.Unlock()
+	g.record.Record(time.Now(), EventLeaseLost, recorder.Fields{
+		"daemon":      g.identity.Daemon,
+		"incarnation": strconv.FormatInt(ended, 10),
+	})
 }
 
 // Close gives the lease back, so that the others see the daemon gone at once.
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -230,6 +230,18 @@
 	return owned
 }
 
+// References reports whether an owner record names an incarnation.
+func (o *Owner) References(daemon string, number int64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, record := range o.records {
+		if record.Owner == daemon && record.Incarnation == number {
+			return true
+		}
+	}
+	return false
+}
+
 // authorised reports whether this daemon may act under an incarnation.
 func (o *Owner) authorised(number int64, now time.Time) bool {
 	lease := o.settings.Group.Lease()
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"maps"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
@@ -107,6 +110,51 @@
 	}
 }
 
+func TestOwnerRestart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	c.await("lists of guarantors", func() bool {
+		listing, err := c.store.List(t.Context(), pledger.Prefix)
+		return err == nil && len(listing.Entries) == 3
+	})
+	for _, n := range nodes {
+		n.kill()
+	}
+	var again []*node
+	for _, n := range nodes {
+		again = append(again, c.start(n.name, "atl-a"))
+	}
+	c.await("the restarted daemons to own all", func() bool { return c.isBalanced(again) })
+}
+
+func TestOwnerLostAnswers(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	c.store.SetFaults(keyvalue.Faults{LoseAnswersPercent: 30, LateWrites: 10})
+	joined := c.start("atl-a-4", "atl-a")
+	all := append([]*node{joined}, nodes...)
+	c.await("a balance in spite of lost answers", func() bool { return c.isBalanced(all) })
+	nodes[0].kill()
+	c.await("a takeover in spite of lost answers", func() bool { return c.isBalanced(append([]*node{joined}, nodes[1:]...)) })
+}
+
+func TestRecordRemoved(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	n := c.startAll(1)[0]
+	before := n.group.Lease().Incarnation
+	if err := c.store.Delete(t.Context(), member.Key(n.name), storer.Revision(before)); err != nil {
+		t.Fatal(err)
+	}
+	c.await("a new incarnation", func() bool {
+		lease := n.group.Lease()
+		return lease.Incarnation > before && lease.Holds(time.Now())
+	})
+	c.await("the partitions", func() bool { return c.isBalanced([]*node{n}) })
+}
+
 func TestIdentityClaimed(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
@@ -166,6 +214,62 @@
 	})
 }
 
+func TestConfigurationChanges(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(2)
+	base := nodes[0].config.Current().Number
+	changed := []byte(document + "teams:\n  - name: field-crews\n    weight: 2\n")
+	t.Run("an invalid document is refused", func(t *testing.T) {
+		var invalid *errs.DocumentError
+		if _, err := nodes[0].config.Apply(t.Context(), []byte("regions: 7"), base); !errors.As(err, &invalid) {
+			t.Errorf("error %v, want one about the document", err)
+		}
+	})
+	t.Run("the second of two racing operators is told what changed", func(t *testing.T) {
+		if _, err := nodes[0].config.Apply(t.Context(), changed, base); err != nil {
+			t.Fatal(err)
+		}
+		_, err := nodes[1].config.Apply(t.Context(), []byte(document), base)
+		var refused *errs.RefusedError
+		if !errors.As(err, &refused) || !strings.Contains(refused.Why, "field-crews") {
+			t.Errorf("error %v, want a refusal that names the change", err)
+		}
+	})
+	t.Run("the same document again changes nothing", func(t *testing.T) {
+		result, err := nodes[1].config.Apply(t.Context(), changed, configurer.AnyVersion)
+		if err != nil || !result.Unchanged || result.Version != nodes[0].config.Current().Number {
+			t.Errorf("result %+v, error %v, want the version in force unchanged", result, err)
+		}
+	})
+	t.Run("a change is made once in spite of lost answers", func(t *testing.T) {
+		c.store.SetFaults(keyvalue.Faults{LoseAnswersPercent: 50, LateWrites: 3})
+		for i := range 20 {
+			result, err := nodes[i%2].config.SetDataCentre(t.Context(), "ath-a", i%2 == 0)
+			var unknown *errs.UnknownOutcomeError
+			if errors.As(err, &unknown) {
+				continue
+			}
+			assertApplied(t, nodes[i%2], result, err)
+		}
+		c.store.SetFaults(keyvalue.Faults{})
+	})
+	t.Run("a daemon that starts in an outage learns the version from peers", func(t *testing.T) {
+		want := nodes[0].config.Current().Number
+		c.store.SetFaults(keyvalue.Faults{Outage: true})
+		late := c.start("atl-a-9", "atl-a")
+		c.await("the version", func() bool { return late.config.Current().Number == want })
+		assertMayStart(t, late, "atl-a", false)
+	})
+}
+
+func assertApplied(t *testing.T, n *node, result configurer.Result, err error) {
+	t.Helper()
+	if err != nil || result.Version > n.config.Current().Number {
+		t.Errorf("result %+v, error %v, version %d in force", result, err, n.config.Current().Number)
+	}
+}
+
 func assertConfirmed(t *testing.T, result configurer.Result) {
 	t.Helper()
 	if len(result.Unconfirmed) > 0 || result.Unchanged {
--- a/internal/process/pledger/pledger.go
+++ b/internal/process/pledger/pledger.go
@@ -12,6 +12,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -27,6 +28,8 @@
 	listDelay = time.Second
 	// listTimeout bounds one read or write of a list.
 	listTimeout = 2 * time.Second
+	// sweepInterval is the time between two looks for lists of no more use.
+	sweepInterval = 30 * time.Second
 )
 
 // Settings are what a Pledger needs.
@@ -34,6 +37,11 @@
 	Store    storer.Store
 	Group    *member.Group
 	Recorder recorder.Recorder
+	// Watcher and InUse serve to remove the lists of former incarnations:
+	// InUse reports whether an owner record names an incarnation. Both may be
+	// nil, then lists stay.
+	Watcher *watcher.Watcher
+	InUse   func(daemon string, incarnation int64) bool
 	// Dial returns the client of the daemon at an address.
 	Dial func(address string) kumquatv1.Peer
 }
@@ -64,6 +72,8 @@
 	wanted   []Guarantor
 	wantedAt time.Time
 	extended bool
+
+	sweptAt time.Time // used by Run alone
 }
 
 // New returns a pledger.
@@ -125,6 +135,10 @@
 	} else if list, ok := p.due(now); ok {
 		p.write(ctx, list)
 	}
+	if now.Sub(p.sweptAt) > sweepInterval {
+		p.sweptAt = now
+		p.sweep(ctx)
+	}
 	p.note(now)
 }
 
--- a/internal/process/watcher/events.go
+++ b/internal/process/watcher/events.go
@@ -7,6 +7,4 @@
 	EventWatchBroken recorder.Number = 3001
 	// EventListed is recorded when the watched keys were read as a whole; fields "revision", "keys".
 	EventListed recorder.Number = 3002
-	// EventWatchSilent is recorded when a read shows changes that the watch did not deliver.
-	EventWatchSilent recorder.Number = 3003
 )
--- a/internal/process/watcher/watcher.go
+++ b/internal/process/watcher/watcher.go
@@ -25,6 +25,9 @@
 	longPause   = 2 * time.Second
 	jitter      = 0.5
 	listTimeout = 2 * time.Second
+	// shortBreak is a break of the watch that doesn't count as one: no lease
+	// can have lapsed in it unnoticed.
+	shortBreak = 500 * time.Millisecond
 )
 
 // A Change is one changed key. Deleted keys carry their last known value.
@@ -50,7 +53,7 @@
 	isSynced    bool
 	connected   bool
 	since       time.Time
-	interrupt   context.CancelFunc
+	brokenAt    time.Time
 }
 
 type subscriber struct {
@@ -111,7 +114,7 @@
 func (w *Watcher) Synced() <-chan struct{} { return w.synced }
 
 // ConnectedFor returns how long the copy has followed the store without a
-// break; zero if it doesn't now.
+// break that matters; zero if it doesn't now.
 func (w *Watcher) ConnectedFor(now time.Time) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -145,10 +148,8 @@
 		}
 		reset()
 	}
-	watch, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w.connect(time.Now(), cancel)
-	return w.store.Watch(watch, w.prefix, w.Revision(), func(events []storer.Event) {
+	w.connect(time.Now())
+	return w.store.Watch(ctx, w.prefix, w.Revision(), func(events []storer.Event) {
 		reset()
 		w.take(events)
 	})
@@ -265,12 +266,11 @@
 	return w.isSynced
 }
 
-func (w *Watcher) connect(now time.Time, interrupt context.CancelFunc) {
+func (w *Watcher) connect(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.interrupt = interrupt
-	if !w.connected {
-		w.connected = true
+	w.connected = true
+	if w.brokenAt.IsZero() || now.Sub(w.brokenAt) > shortBreak {
 		w.since = now
 	}
 }
@@ -278,7 +278,7 @@
 func (w *Watcher) disconnect(now time.Time, cause error) {
 	w.mu.Lock()
 	w.connected = false
-	w.interrupt = nil
+	w.brokenAt = now
 	w.mu.Unlock()
 	w.record.Record(now, EventWatchBroken, recorder.Fields{"cause": cause.Error()})
 }
