--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -149,7 +149,7 @@
 	c.t.Helper()
 	var nodes []*node
 	for i := range n {
-		nodes = append(nodes, c.start(fmt.Sprintf("atl-a-%d", i+1), "atl-a"))
+		nodes = append(nodes, c.start(fmt.Sprintf("atl-a-%d", i+1), [...]string{"atl-a", "ath-a"}[i%2]))
 	}
 	if _, err := nodes[0].config.Apply(c.t.Context(), []byte(document), configurer.AnyVersion); err != nil {
 		c.t.Fatal(err)
