--- a/internal/integration/leaving/leaving_test.go
+++ b/internal/integration/leaving/leaving_test.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	leavingRunner = "atl-a-runner-1"
+
 	patience = 30 * time.Second
 	// grace is the time after which a leaving runner gets nothing new.
 	grace = 3 * time.Second
@@ -31,22 +33,21 @@
 		Sites:      []harness.Site{{DataCentre: "atl-a", Region: "north-ga", Daemons: 2, Runners: 3}},
 		RunnerArgs: []string{"--mean", "5ms"},
 	})
-	const leaving = "atl-a-runner-1"
 	load := harness.StartLoad(t, rate, callOf, harness.NewTarget(cluster.Daemons...).Choose)
-	harness.Eventually(t, patience, "the runner gets requests", func() bool { return requestsOf(t, cluster, leaving) > 20 })
+	harness.Eventually(t, patience, "the runner gets requests", func() bool { return requestsOf(t, cluster) > 20 })
 
-	cluster.SetHostState(leaving, lister.StateLeaving)
+	cluster.SetHostState(leavingRunner, lister.StateLeaving)
 	time.Sleep(grace)
-	before, answers := requestsOf(t, cluster, leaving), load.Count()
+	before, answers := requestsOf(t, cluster), load.Count()
 	harness.Eventually(t, patience, "later requests are answered", func() bool { return load.Count() >= answers+laterAnswers })
 	t.Run("nothing new after the grace time", func(t *testing.T) {
-		if after := requestsOf(t, cluster, leaving); after != before {
+		if after := requestsOf(t, cluster); after != before {
 			t.Errorf("%d requests after the grace time", after-before)
 		}
 	})
 
-	cluster.SetHostState(leaving, lister.StateLive)
-	harness.Eventually(t, patience, "the runner gets requests again", func() bool { return requestsOf(t, cluster, leaving) > before })
+	cluster.SetHostState(leavingRunner, lister.StateLive)
+	harness.Eventually(t, patience, "the runner gets requests again", func() bool { return requestsOf(t, cluster) > before })
 	for _, answer := range load.Stop() {
 		if !answer.Whole() && answer.Outcome != harness.OutcomeNotRun {
 			t.Errorf("cut or of unknown outcome: %v", answer)
@@ -55,14 +56,14 @@
 	cluster.AssertNoBreach()
 }
 
-// requestsOf returns how many requests have arrived at a runner.
-func requestsOf(t *testing.T, cluster *harness.Cluster, name string) int64 {
+// requestsOf returns how many requests have arrived at the leaving runner.
+func requestsOf(t *testing.T, cluster *harness.Cluster) int64 {
 	t.Helper()
 	for _, counts := range cluster.RunnerCounts() {
-		if counts.Runner == name {
+		if counts.Runner == leavingRunner {
 			return counts.Requests
 		}
 	}
-	t.Fatalf("no runner %s", name)
+	t.Fatal("the runner has no counts")
 	return 0
 }
