Make the fault tests catch a lost authority and a late start

Trials with mechanisms switched off showed two tests too gentle: with start authority always granted, no start came late, because the cut healed within the grace time; with ownership never lapsing, no runner was over its capacity, because few slots were busy.

--- a/internal/integration/datacentre_test.go
+++ b/internal/integration/datacentre_test.go
@@ -85,24 +85,30 @@
 			func(cluster *harness.Cluster) { cluster.SetStoreFaults(keyvalue.Faults{}) },
 		},
 		{
-			"the store goes out right after",
-			func(*harness.Cluster) {},
-			func(cluster *harness.Cluster) { cluster.SetStoreFaults(keyvalue.Faults{Outage: true}) },
+			"the store is out for the owner's region",
+			func(cluster *harness.Cluster) {
+				for _, daemon := range cluster.Daemons {
+					if daemon.DataCentre == away {
+						cluster.CutStore(daemon)
+					}
+				}
+			},
+			func(cluster *harness.Cluster) { cluster.Network.Heal(harness.All) },
 		},
 	}
 	for _, each := range faults {
 		t.Run(each.name, func(t *testing.T) {
 			parallel(t)
 			cluster := harness.Start(t, harness.Options{Sites: twoRegions})
-			confirm(t, cluster.Daemons[0], intentOf("survey", 800, time.Second))
+			confirm(t, cluster.Daemons[0], intentOf("survey", 1200, time.Second))
 			awaitStarts(t, cluster, 20)
 			awaitGuarantors(t, cluster, 1)
 			assertStarts(t, cluster, away, time.Time{}, time.Now())
 			each.before(cluster)
 			accepted := takeOut(t, cluster, true)
-			time.Sleep(2 * time.Second)
+			time.Sleep(startGrace + 3*time.Second)
 			each.after(cluster)
-			time.Sleep(6 * time.Second)
+			time.Sleep(3 * time.Second)
 			assertNoLateStart(t, cluster, accepted)
 			assertStarts(t, cluster, "atl-a", accepted, time.Now())
 			cluster.AssertNoBreach()
--- a/internal/integration/request_test.go
+++ b/internal/integration/request_test.go
@@ -80,6 +80,24 @@
 		awaitMore(t, load, 1000)
 		finish(t, cluster, load, 85)
 	})
+	t.Run("cut off from all but callers and runners", func(t *testing.T) {
+		cluster, load, _ := loadedWith(t, busyService)
+		isolated := cluster.Daemons[0].Name
+		cluster.Network.Cut(func(from, to string) bool { return from == isolated || to == isolated })
+		awaitMore(t, load, 4000)
+		cluster.Network.Heal(harness.All)
+		awaitMore(t, load, 300)
+		finish(t, cluster, load, 40)
+	})
+	t.Run("pause and wake up with busy runners", func(t *testing.T) {
+		cluster, load, target := loadedWith(t, busyService)
+		cluster.Daemons[0].Pause()
+		awaitMore(t, load, 2000)
+		cluster.Daemons[0].Resume()
+		target.Set(cluster.Daemons...)
+		awaitMore(t, load, 1000)
+		finish(t, cluster, load, 40)
+	})
 	t.Run("planned stop", func(t *testing.T) {
 		cluster, load, target := loaded(t)
 		leaving := cluster.Daemons[0]
@@ -138,13 +156,22 @@
 	}
 }
 
+// busyService is a service time that keeps most slots of four runners busy.
+const busyService = 90 * time.Millisecond
+
 // loaded starts three daemons and a load of requests that run at most once.
 func loaded(t *testing.T) (*harness.Cluster, *harness.Load, *harness.Target) {
+	t.Helper()
+	return loadedWith(t, 20*time.Millisecond)
+}
+
+// loadedWith is loaded with a service time.
+func loadedWith(t *testing.T, service time.Duration) (*harness.Cluster, *harness.Load, *harness.Target) {
 	t.Helper()
 	cluster := harness.Start(t, harness.Options{Sites: northGA})
 	awaitAnswers(t, cluster)
 	target := harness.NewTarget(cluster.Daemons...)
-	load := harness.StartLoad(t, 300, callOf(harness.PathOnce, 20*time.Millisecond), target.Choose)
+	load := harness.StartLoad(t, 300, callOf(harness.PathOnce, service), target.Choose)
 	awaitMore(t, load, 300)
 	return cluster, load, target
 }
