Measure all control loads at once at the size of two years

Cause: sums of slopes hide what loads share. Change: the series 'all' has eight daemons, 55 workers, 1,610 tasks and a change every half minute, at three rates of starts.

--- a/internal/experiment/slopes/slopes.go
+++ b/internal/experiment/slopes/slopes.go
@@ -36,17 +36,36 @@
 	Target float64
 }
 
-// AllSeries are the series that the page on capacity is made from.
+// AllSeries are the series that the page on capacity is made from. The last one
+// has all loads at once, at the size of two years.
 func AllSeries() []Series {
+	shard := Load{Daemons: 2, Workers: 55}
 	return []Series{
 		{"daemons", func(l Load) float64 { return float64(l.Daemons) }, []Load{{Daemons: 2}, {Daemons: 4}, {Daemons: 8}}, 8},
-		{"workers", func(l Load) float64 { return float64(l.Workers) }, []Load{{Daemons: 2}, {Daemons: 2, Workers: 18}, {Daemons: 2, Workers: 36}, {Daemons: 2, Workers: 55}}, 55},
-		{"tasks", func(l Load) float64 { return float64(l.Tasks) }, []Load{{Daemons: 2, Workers: 55}, {Daemons: 2, Workers: 55, Tasks: 400}, {Daemons: 2, Workers: 55, Tasks: 800}, {Daemons: 2, Workers: 55, Tasks: 1610}}, 1610},
-		{"starts/s", func(l Load) float64 { return float64(l.StartsPerSecond) }, []Load{{Daemons: 2, Workers: 55}, {Daemons: 2, Workers: 55, StartsPerSecond: 11}, {Daemons: 2, Workers: 55, StartsPerSecond: 22}, {Daemons: 2, Workers: 55, StartsPerSecond: 44}}, 44},
+		{"workers", func(l Load) float64 { return float64(l.Workers) }, []Load{{Daemons: 2}, {Daemons: 2, Workers: 18}, {Daemons: 2, Workers: 36}, shard}, 55},
+		{"tasks", func(l Load) float64 { return float64(l.Tasks) }, []Load{shard, shard.withTasks(400), shard.withTasks(800), shard.withTasks(1610)}, 1610},
+		{"starts/s", func(l Load) float64 { return float64(l.StartsPerSecond) }, []Load{shard, shard.withStarts(11), shard.withStarts(22), shard.withStarts(44)}, 44},
 		{"changes/s", func(l Load) float64 { return l.ChangesPerSecond }, []Load{{Daemons: 2}, {Daemons: 2, ChangesPerSecond: 0.5}, {Daemons: 2, ChangesPerSecond: 1}, {Daemons: 2, ChangesPerSecond: 2}}, 0.03},
+		{"all", func(l Load) float64 { return float64(l.StartsPerSecond) }, []Load{
+			{Daemons: 8, Workers: 55, Tasks: 1610, ChangesPerSecond: 0.03},
+			{Daemons: 8, Workers: 55, Tasks: 1610, StartsPerSecond: 11, ChangesPerSecond: 0.03},
+			{Daemons: 8, Workers: 55, Tasks: 1610, StartsPerSecond: 44, ChangesPerSecond: 0.03},
+		}, 44},
 	}
 }
 
+// withTasks returns a copy with tasks that run throughout.
+func (l Load) withTasks(tasks int) Load {
+	l.Tasks = tasks
+	return l
+}
+
+// withStarts returns a copy with a rate of starts.
+func (l Load) withStarts(perSecond int) Load {
+	l.StartsPerSecond = perSecond
+	return l
+}
+
 const (
 	// settle is the time between the begin of a load and its measurement.
 	settle = 8 * time.Second
