--- a/internal/process/sharder/reporting.go
+++ b/internal/process/sharder/reporting.go
@@ -65,8 +65,9 @@
 		s.recordTask(EventTaskAdopted, e, "")
 	}
 	e.sent, e.replayed = true, false
-	if e.removal != nil {
+	if e.removal != nil && e.removal.stopped {
 		e.removal.stopped = false
+		e.notBefore = now.Add(startRetry)
 	}
 	s.table.set(e, e.task.MarkStarted())
 }
--- a/internal/process/sharder/table.go
+++ b/internal/process/sharder/table.go
@@ -35,8 +35,10 @@
 	checkpointedAt time.Time
 	survived       bool
 	throttle       int
-	removal        *removal
-	reservation    *reservation
+	// throttleAt delays the next throttle after one that had no effect.
+	throttleAt  time.Time
+	removal     *removal
+	reservation *reservation
 	// notBefore delays the next start after failures.
 	notBefore time.Time
 	failures  int
