--- a/internal/process/sharder/acting.go
+++ b/internal/process/sharder/acting.go
@@ -21,8 +21,6 @@
 	startsBurst     = 200
 	// startRetry is the pause before a start that was not answered is repeated.
 	startRetry = 500 * time.Millisecond
-	// throttleRetry is the pause after a throttle that had no effect.
-	throttleRetry = 2 * time.Second
 	// maxStartAttempts is the number of starts that a reachable worker may fail
 	// to answer before the task is placed elsewhere.
 	maxStartAttempts = 5
@@ -42,7 +40,6 @@
 		}
 		s.stopStrays(w)
 		s.forget(w, now)
-		s.applyThrottles(w, now)
 		for _, e := range byRank(s.table.byWorker[w.name]) {
 			if w.commands >= commandsPerWorker {
 				break
@@ -347,20 +344,15 @@
 
 // setThrottle withholds a percentage of a task's processors. It reports
 // whether the command was sent.
-func (s *Sharder) setThrottle(w *worker, e *entry, percent int, now time.Time) bool {
-	if e.busy || e.throttle == percent || !e.task.Started || now.Before(e.throttleAt) {
+func (s *Sharder) setThrottle(w *worker, e *entry, percent int) bool {
+	if e.busy || e.throttle == percent || !e.task.Started {
 		return false
 	}
 	agent, id := w.agent, runID(e)
 	return s.command(w, e, func(ctx context.Context) error {
 		return agent.Throttle(ctx, s.fence(), id, percent)
-	}, func(now time.Time, err error) {
-		if e.task.Run != id.Run || !e.task.Assigned() {
-			return
-		}
-		if err != nil {
-			e.throttleAt = now.Add(throttleRetry)
-			w.wantReport()
+	}, func(_ time.Time, err error) {
+		if err != nil || e.task.Run != id.Run || !e.task.Assigned() {
 			return
 		}
 		e.throttle = percent
--- a/internal/process/sharder/options.go
+++ b/internal/process/sharder/options.go
@@ -80,8 +80,8 @@
 	Now          func() time.Time
 	// Peers may be nil, which keeps all tasks in the shard.
 	Peers Peers
-	// Unprotected leaves tasks alone that slow services down.
-	Unprotected bool
+	// Slowdown estimates interference for the policy; it may be nil.
+	Slowdown func(service, batch string) int
 	// Observe receives each reading of a worker's usage; it may be nil.
 	Observe func(now time.Time, worker string, usages []commander.Usage)
 	// Poll is the time between two renewals of a worker's leases; zero means
--- a/internal/process/sharder/placing.go
+++ b/internal/process/sharder/placing.go
@@ -86,7 +86,7 @@
 		LatencyCritical: e.rank() == 0,
 		Urgent:          e.rank() == 1,
 		Spread:          e.task.Spread,
-		Avoid:           s.avoided(e),
+		Avoid:           e.task.FailedWorkers,
 		Submitted:       e.task.Submitted,
 		Deadline:        e.task.Deadline,
 	}
@@ -95,7 +95,7 @@
 // snapshot returns the state that a placement works on.
 func (s *Sharder) snapshot(now time.Time) *placer.Snapshot {
 	declared := s.options.declarations()
-	snapshot := &placer.Snapshot{Quotas: quotas(declared), Slowdown: s.learner.Slowdown}
+	snapshot := &placer.Snapshot{Quotas: quotas(declared), Slowdown: s.options.Slowdown}
 	reserved := s.reserved()
 	for _, w := range s.workersByName() {
 		if !w.reachable() || !w.listed {
--- a/internal/process/sharder/reporting.go
+++ b/internal/process/sharder/reporting.go
@@ -65,9 +65,8 @@
 		s.recordTask(EventTaskAdopted, e, "")
 	}
 	e.sent, e.replayed = true, false
-	if e.removal != nil && e.removal.stopped {
+	if e.removal != nil {
 		e.removal.stopped = false
-		e.notBefore = now.Add(startRetry)
 	}
 	s.table.set(e, e.task.MarkStarted())
 }
--- a/internal/process/sharder/rig_test.go
+++ b/internal/process/sharder/rig_test.go
@@ -65,9 +65,6 @@
 	fakes map[string]*agent.Fake
 	// wrapStore replaces the store for owners if it is not nil.
 	wrapStore storer.Store
-	// policy and unprotected are those of owners; nil means the usual policy.
-	policy      placer.Policy
-	unprotected bool
 
 	mu       sync.Mutex
 	hosts    []lister.Host
@@ -150,13 +147,9 @@
 	if r.wrapStore != nil {
 		store = r.wrapStore
 	}
-	policy := r.policy
-	if policy == nil {
-		policy = placer.NewProtective()
-	}
 	s, err := Open(r.t.Context(), Options{
 		Shard: owner.Partition(shardOf(dc)), DataCentre: dc, Epoch: r.epoch, Store: store, Agents: agents,
-		Hosts: r.hostList, Declarations: r.declarations, Authority: g, Policy: policy, Unprotected: r.unprotected,
+		Hosts: r.hostList, Declarations: r.declarations, Authority: g, Policy: placer.NewProtective(),
 		Peers: &rigPeers{rig: r},
 	})
 	if err != nil {
--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -16,7 +16,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/version/blamer"
 	"github.com/kumquatstack/kumquatstack/internal/version/estimator"
-	"github.com/kumquatstack/kumquatstack/internal/version/interferer"
 )
 
 // A Sharder is the owner of one shard.
@@ -37,8 +36,6 @@
 	workers     map[string]*worker
 	ledger      *blamer.Ledger
 	sizes       *estimator.Estimator
-	learner     *interferer.Learner
-	controller  *interferer.Controller
 	quarantines map[string]*kumquatv1.Quarantine
 	// leaseBound is the longest lease that may be in force; it may be used once
 	// the append of that number is done.
@@ -83,8 +80,6 @@
 		moveLimiter:  rate.NewLimiter(movesPerSecond, movesBurst),
 		startLimiter: rate.NewLimiter(startsPerSecond, startsBurst),
 	}
-	s.learner = interferer.NewLearner()
-	s.controller = interferer.NewController(s.learner)
 	s.journal, err = journaler.Open(ctx, journaler.Options{
 		Store:     options.Store,
 		Partition: options.Shard,
--- a/internal/process/sharder/table.go
+++ b/internal/process/sharder/table.go
@@ -35,10 +35,8 @@
 	checkpointedAt time.Time
 	survived       bool
 	throttle       int
-	// throttleAt delays the next throttle after one that had no effect.
-	throttleAt  time.Time
-	removal     *removal
-	reservation *reservation
+	removal        *removal
+	reservation    *reservation
 	// notBefore delays the next start after failures.
 	notBefore time.Time
 	failures  int
--- a/internal/process/sharder/worker.go
+++ b/internal/process/sharder/worker.go
@@ -97,7 +97,6 @@
 	for name, w := range s.workers {
 		if !w.listed && len(s.table.byWorker[name]) == 0 {
 			delete(s.workers, name)
-			s.controller.Forget(name)
 		}
 	}
 }
@@ -331,7 +330,6 @@
 				s.sizes.Observe(e.task.ID, e.task.Intent, placer.Resources(usage.Resources), usage.At)
 			}
 		}
-		s.protect(w, usages, now)
 		if s.options.Observe != nil {
 			s.options.Observe(now, w.name, usages)
 		}
