--- a/internal/process/daemon/shards.go
+++ b/internal/process/daemon/shards.go
@@ -17,12 +17,17 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/sharder"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+	"github.com/kumquatstack/kumquatstack/internal/version/isolator"
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
 // openRetry is the pause after a shard's journal could not be opened.
 const openRetry = 500 * time.Millisecond
 
+// renewalPeriod is the time between two renewals of the leases at a worker, by
+// which ended runs are found.
+const renewalPeriod = 2 * time.Second
+
 // shards are the shards that this daemon owns.
 type shards struct {
 	daemon *Daemon
@@ -129,7 +134,12 @@
 
 // runOnce opens a shard and works on it until the context ends.
 func (s *shards) runOnce(ctx context.Context, shard *openShard, partition owner.Partition, epoch owner.Epoch) (err error) {
-	opened, err := sharder.Open(ctx, s.options(partition, epoch))
+	protection := newIsolation(s.daemon)
+	options := s.options(partition, epoch)
+	options.Slowdown = protection.slowdown
+	options.SlowdownLimit = isolator.SlowdownLimit
+	options.Observe = protection.observe
+	opened, err := sharder.Open(ctx, options)
 	if err != nil {
 		return err
 	}
@@ -141,6 +151,11 @@
 	for _, entry := range s.daemon.watcher.Entries(administrator.IntentPrefix) {
 		s.ingestInto(opened, entry.Value)
 	}
+	var background sync.WaitGroup
+	defer background.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	background.Go(func() { protection.run(ctx, opened) })
 	return opened.Run(ctx)
 }
 
@@ -166,6 +181,7 @@
 		Recorder:     d.recorder,
 		Now:          time.Now,
 		Peers:        shardPeers{d},
+		Poll:         renewalPeriod,
 	}
 }
 
--- a/internal/process/member/group.go
+++ b/internal/process/member/group.go
@@ -50,6 +50,7 @@
 	peers     map[string]Peer // by daemon name
 	asking    map[string]bool // by address
 	listeners []func(Word)
+	hearers   []func(peer Peer, at time.Time)
 	changed   []func()
 	calls     sync.WaitGroup
 }
@@ -85,6 +86,15 @@
 	g.listeners = append(g.listeners, listener)
 }
 
+// OnHeard registers a callback for heartbeats of other daemons, with the time
+// of their arrival. They may have been under way for any time, so that proofs
+// in them count for nothing. It must not block.
+func (g *Group) OnHeard(hearer func(peer Peer, at time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hearers = append(g.hearers, hearer)
+}
+
 // OnChange registers a callback for members that come, go or start leaving.
 // It must not block.
 func (g *Group) OnChange(changed func()) {
@@ -153,6 +163,7 @@
 	for _, change := range changes {
 		daemon := strings.TrimPrefix(change.Entry.Key, Prefix)
 		if daemon == g.settings.Identity.Daemon {
+			g.followOwn(change)
 			continue
 		}
 		if change.Deleted {
@@ -166,6 +177,13 @@
 	g.notify()
 }
 
+// followOwn ends the daemon's lease if its record was removed.
+func (g *Group) followOwn(change watcher.Change) {
+	if change.Deleted {
+		g.registrar.noteDeleted(int64(change.Entry.Revision))
+	}
+}
+
 func (g *Group) setMember(m Member, now time.Time) {
 	g.mu.Lock()
 	known := g.peers[m.Daemon]
@@ -185,7 +203,10 @@
 func (g *Group) setGone(daemon string, now time.Time) {
 	g.mu.Lock()
 	peer, ok := g.peers[daemon]
-	if ok {
+	switch {
+	case ok && peer.Leaving():
+		delete(g.peers, daemon) // A planned stop: it won't be heard again.
+	case ok:
 		g.peers[daemon] = peer.WithMember(peer.Member, false)
 	}
 	g.mu.Unlock()
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -38,6 +38,9 @@
 	Reroute map[string]string `yaml:"reroute"`
 	// TLS names the files for encrypted connections.
 	TLS TLS `yaml:"tls"`
+	// Tokens names a file of operators' tokens: on each line a role (view,
+	// confirm or administer) and the token's SHA-256 digest in hexadecimal.
+	Tokens string `yaml:"tokens" validate:"omitempty,file"`
 	// Plaintext allows connections without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// LogLevel is the lowest level that is logged.
@@ -59,7 +62,7 @@
 	Peers string `yaml:"peers" validate:"required"`
 	// Operators reach the daemon with the tool here.
 	Operators string `yaml:"operators" validate:"required"`
-	// Health serves /healthz, /readyz and /debug/vars.
+	// Health serves /healthz, /readyz and /debug/vars, without TLS.
 	Health string `yaml:"health" validate:"required"`
 }
 
@@ -143,14 +146,6 @@
 	return &next
 }
 
-// Scheme returns the scheme of peer and operator addresses.
-func (s *Settings) Scheme() string {
-	if s.Plaintext {
-		return "http"
-	}
-	return "https"
-}
-
 // checkAddresses requires IP numbers with ports, no address listened on
 // twice, and advertised addresses that others can dial.
 func checkAddresses(s *Settings, report decoder.Report) {
@@ -221,6 +216,8 @@
 		}
 	}
 	switch {
+	case s.Plaintext && s.Tokens != "":
+		report("tokens", "tokens would be sent in plaintext", "tls in place of plaintext: true")
 	case s.Plaintext && given > 0:
 		report("plaintext", "TLS files are given too", "one of plaintext: true and tls")
 	case !s.Plaintext && given == 0:
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -33,7 +33,6 @@
 	t.Run("advertised address given", func(t *testing.T) { assertEqual(t, set.Advertise.Peers, "10.1.0.9:9001") })
 	t.Run("advertised address defaults", func(t *testing.T) { assertEqual(t, set.Advertise.Callers, "10.1.0.5:7000") })
 	t.Run("poll interval defaults", func(t *testing.T) { assertEqual(t, set.HostList.PollInterval, time.Second) })
-	t.Run("scheme", func(t *testing.T) { assertEqual(t, set.Scheme(), "http") })
 }
 
 func TestParseFaults(t *testing.T) {
@@ -47,6 +46,7 @@
 		"address used twice":    {"10.1.0.5:7002", "10.1.0.5:7001", 7, "listen.operators"},
 		"unreachable address":   {"10.1.0.5:7000", "0.0.0.0:7000", 9, "advertise.callers"},
 		"no TLS":                {"plaintext: true\n", "", 1, "tls"},
+		"tokens in plaintext":   {"plaintext: true", "plaintext: true\ntokens: settings.go", 15, "tokens"},
 		"store is no URL":       {"http://10.1.0.2:2379", "10.1.0.2:2379", 11, "store.endpoint"},
 		"unknown level":         {"plaintext: true", "plaintext: true\nlogLevel: loud", 15, "logLevel"},
 		"poll interval, a unit": {"hostList: {", "hostList: {pollInterval: 5 sec, ", 12, "hostList.pollInterval"},
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -99,7 +99,7 @@
 	now := s.opts.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || !sl.runner.isUsable() || !s.mayUse(sl.runner, sl.up, now) {
+	if s.closed || !sl.runner.isUsable() || sl.runner.health.IsLeaving(now) || !s.mayUse(sl.runner, sl.up, now) {
 		return ErrNoAuthority
 	}
 	return nil
@@ -204,8 +204,9 @@
 	if !sl.sentAt.IsZero() || sl.seen != picker.Answered {
 		after = before.With(sl.seen, sl.latency, now)
 	}
-	if sl.seen == picker.Failed && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
-		after = before
+	spared := sl.seen != picker.Unreachable && !after.IsHopeless()
+	if spared && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
+		after = after.WithoutEjection(before)
 	}
 	if sl.leaving {
 		after = after.WithLeaving(now.Add(leavingHold))
--- a/internal/process/slotter/slots_test.go
+++ b/internal/process/slotter/slots_test.go
@@ -177,10 +177,14 @@
 		b := newBench(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(answerer.HeaderRunner, answerer.RunnerLeaving)
 		})
+		granted := b.mustAcquire(t)
 		if err := b.use(t.Context(), b.mustAcquire(t)); err != nil {
 			t.Fatal(err)
 		}
 		b.assertFree(t, 0)
+		if err := b.use(t.Context(), granted); exchanger.IsSent(err) || err == nil {
+			t.Errorf("a leaving runner got a request: %v", err)
+		}
 	})
 	t.Run("by their data centre", func(t *testing.T) {
 		b := newBench(t, quick)
@@ -236,6 +240,20 @@
 	b.assertFree(t, benchSlots)
 }
 
+func TestSlotsDrainWaitsForFormerOwners(t *testing.T) {
+	b := newBench(t, quick)
+	b.authority.set(true, b.clock.now())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := b.slots.DrainPartition(ctx, PartitionOf(b.host)); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("drained while a former owner's requests may run: %v", err)
+	}
+	b.clock.advance(maxDuration)
+	if err := b.slots.DrainPartition(t.Context(), PartitionOf(b.host)); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestSlotsRefuseEarly(t *testing.T) {
 	b := newBench(t, quick)
 	held := []*Slot{b.mustAcquire(t), b.mustAcquire(t)}
--- /dev/null
+++ b/internal/standin/worker/compress.go
@@ -0,0 +1,36 @@
+package worker
+
+import (
+	"compress/gzip"
+	"net/http"
+	"strings"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
+)
+
+// isLong tells the paths whose answers list all runs of a worker.
+var isLong = map[string]bool{commander.PathUsage: true, commander.PathReport: true}
+
+// compressed serves long answers compressed to clients that accept it.
+func compressed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isLong[r.URL.Path] || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Content-Encoding", "gzip")
+		compressor := gzip.NewWriter(w)
+		next.ServeHTTP(&compressedWriter{ResponseWriter: w, compressor: compressor}, r)
+		// A client that went away needs no answer.
+		_ = compressor.Close()
+	})
+}
+
+// A compressedWriter compresses the body of an answer.
+type compressedWriter struct {
+	http.ResponseWriter
+	compressor *gzip.Writer
+}
+
+// Write implements http.ResponseWriter.
+func (w *compressedWriter) Write(p []byte) (int, error) { return w.compressor.Write(p) }
