--- a/internal/process/sharder/acting.go
+++ b/internal/process/sharder/acting.go
@@ -1,18 +1,13 @@
 package sharder
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"fmt"
-	"slices"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
-	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
 const (
@@ -195,155 +190,6 @@
 	return ok
 }
 
-// takeOff takes a task off its worker: checkpoint, unless it is cancelled,
-// then stop; the report that follows tells how the run ended. Each step may be
-// repeated by a later owner.
-func (s *Sharder) takeOff(w *worker, e *entry, now time.Time) {
-	if e.removal == nil {
-		e.removal = &removal{}
-	}
-	if e.removal.stopped {
-		w.wantReport()
-		return
-	}
-	if now.Before(e.notBefore) {
-		return
-	}
-	if e.task.State == kumquatv1.TaskState_TASK_STATE_STOPPING || now.After(e.removal.checkpointBy) {
-		s.stop(w, e)
-		return
-	}
-	s.checkpoint(w, e)
-}
-
-// checkpoint saves a task's progress before it is stopped.
-func (s *Sharder) checkpoint(w *worker, e *entry) {
-	agent, id, deadline := w.agent, runID(e), e.removal.checkpointBy
-	s.command(w, e, func(ctx context.Context) error {
-		ctx, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		name, err := agent.Checkpoint(ctx, s.fence(), id)
-		if err == nil {
-			s.noteCheckpoint(e, id, name)
-		}
-		return checkpointError(err)
-	}, func(now time.Time, err error) {
-		if e.removal == nil || !e.task.Assigned() {
-			return
-		}
-		if e.checkpointedAt.IsZero() {
-			e.notBefore = now.Add(startRetry)
-			s.recordTask(EventCheckpointFailed, e, fmt.Sprint(err))
-			return
-		}
-		e.removal.checkpointBy = time.Time{}
-	})
-}
-
-// checkpointError keeps a failed checkpoint from counting as a lost worker: it
-// may fail or take too long at a worker that answers.
-func checkpointError(err error) error {
-	if err == nil || errors.Is(err, errs.ErrFenced) {
-		return err
-	}
-	return &noVerdictError{cause: err}
-}
-
-// noteCheckpoint keeps the name of a checkpoint of the present run.
-func (s *Sharder) noteCheckpoint(e *entry, id commander.RunID, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e.task.Run != id.Run || !e.task.Assigned() || name == "" {
-		return
-	}
-	e.checkpointedAt = s.options.Now()
-	next := e.task
-	next.Checkpoint = name
-	s.table.set(e, next)
-}
-
-// stop stops a task's present run. A stop of a run that the worker doesn't
-// know keeps a late start of it from having effect.
-func (s *Sharder) stop(w *worker, e *entry) {
-	agent, id := w.agent, runID(e)
-	s.command(w, e, func(ctx context.Context) error {
-		return agent.Stop(ctx, s.fence(), id)
-	}, func(now time.Time, err error) {
-		if e.removal == nil || e.task.Run != id.Run {
-			return
-		}
-		if err != nil && !errors.Is(err, errs.ErrNotFound) {
-			e.notBefore = now.Add(startRetry)
-			return
-		}
-		e.removal.stopped = true
-		w.wantReport()
-	})
-}
-
-// stopStrays stops runs that no task needs. They count against the worker's
-// capacity until a report no longer shows them.
-func (s *Sharder) stopStrays(w *worker) {
-	for id, stray := range w.strays {
-		if stray.stopping || w.commands >= commandsPerWorker {
-			continue
-		}
-		agent := w.agent
-		stray.stopping = s.call(w, func(ctx context.Context) error {
-			return agent.Stop(ctx, s.fence(), id)
-		}, func(_ time.Time, _ error) {
-			w.commands--
-			w.wantReport()
-		})
-		if stray.stopping {
-			w.commands++
-		}
-	}
-}
-
-// forget drops ended runs at the worker once their outcome is durable.
-func (s *Sharder) forget(w *worker, now time.Time) {
-	if w.forgetting {
-		return
-	}
-	var ids []commander.RunID
-	for id, after := range w.forgettable {
-		e := s.table.entries[id.Task]
-		if now.After(after) && (e == nil || e.settled()) {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) == 0 {
-		return
-	}
-	agent := w.agent
-	w.forgetting = s.call(w, func(ctx context.Context) error {
-		return agent.Forget(ctx, s.fence(), ids)
-	}, func(_ time.Time, err error) {
-		w.forgetting = false
-		if err != nil {
-			return
-		}
-		for _, id := range ids {
-			delete(w.forgettable, id)
-		}
-	})
-}
-
-// remove decides that a task leaves its worker, for another data centre if
-// target is not empty.
-func (s *Sharder) remove(e *entry, target, why string, now time.Time) {
-	if e.removal != nil || e.task.State != kumquatv1.TaskState_TASK_STATE_ASSIGNED {
-		return
-	}
-	e.removal = &removal{target: target}
-	if e.task.Started {
-		e.removal.checkpointBy = now.Add(checkpointTimeout)
-	}
-	e.checkpointedAt = time.Time{}
-	s.recordTask(EventEvicting, e, why)
-}
-
 // setThrottle withholds a percentage of a task's processors. It reports
 // whether the command was sent.
 func (s *Sharder) setThrottle(w *worker, e *entry, percent int) bool {
@@ -361,48 +207,3 @@
 		s.record(EventThrottled, recorder.Fields{"task": id.Task, "worker": w.name, "percent": itoa(int64(percent))})
 	})
 }
-
-// rank orders tasks: what must keep running, then urgent, then the rest.
-func (e *entry) rank() int {
-	switch e.task.Kind {
-	case kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING:
-		return 0
-	case kumquatv1.TaskKind_TASK_KIND_RUN_NOW:
-		return 1
-	default:
-		return 2
-	}
-}
-
-// byRank returns the entries of a group, important ones first.
-func byRank(group map[string]*entry) []*entry {
-	list := sorted(group)
-	slices.SortStableFunc(list, func(a, b *entry) int { return cmp.Compare(a.rank(), b.rank()) })
-	return list
-}
-
-// roomToStart reports whether the worker holds the task besides everything
-// that may run there.
-func (s *Sharder) roomToStart(w *worker, e *entry, now time.Time) bool {
-	used := s.size(e, now)
-	for _, other := range s.table.byWorker[w.name] {
-		if other != e && other.sent {
-			used = used.Plus(s.size(other, now))
-		}
-	}
-	return used.Plus(w.strayUse()).Fits(w.capacity())
-}
-
-// size returns the larger of a task's declared and learned use.
-func (s *Sharder) size(e *entry, now time.Time) placer.Resources {
-	return s.sizes.Size(e.task.ID, e.task.Intent, e.task.Declared, now)
-}
-
-// strayUse returns what runs outside the table may use.
-func (w *worker) strayUse() placer.Resources {
-	var used placer.Resources
-	for _, stray := range w.strays {
-		used = used.Plus(placer.Resources(stray.run.Resources))
-	}
-	return used
-}
--- a/internal/process/sharder/chaos_test.go
+++ b/internal/process/sharder/chaos_test.go
@@ -67,6 +67,8 @@
 	paused []*seat
 	lifts  []*gate
 	urgent int
+	// reachable keeps workers from being cut off.
+	reachable bool
 	// intents are all that were confirmed.
 	intents []*kumquatv1.IntentRecord
 }
@@ -110,6 +112,9 @@
 		}
 		return "wake one"
 	case 3:
+		if c.reachable {
+			return "nothing"
+		}
 		c.worker().SetFaults(agent.Faults{Unreachable: true, Hang: c.random.IntN(2) == 0})
 		return "cut a worker off"
 	case 4, 5:
@@ -163,13 +168,26 @@
 func TestChaos(t *testing.T) {
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runChaos(t, seed) })
+			synctest.Test(t, func(t *testing.T) { runChaos(t, seed, false) })
+		})
+	}
+}
+
+// While all workers can be reached, nothing runs again after it has finished.
+func TestChaosWithReachableWorkers(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := runChaos(t, seed, true)
+				c.assertPromises(200 + 3*c.urgent)
+			})
 		})
 	}
 }
 
-func runChaos(t *testing.T, seed uint64) {
+func runChaos(t *testing.T, seed uint64, reachable bool) *chaos {
 	c := &chaos{rig: newRig(t, 3), random: rand.New(rand.NewPCG(seed, 1)), seats: make(map[string]*seat), gates: make(map[string]*gate)}
+	c.reachable = reachable
 	c.seat("atl-a")
 	c.seat("ath-a")
 	defer func() {
@@ -195,6 +213,7 @@
 		return c.count(c.seats["atl-a"].Sharder, finishedState)+c.count(c.seats["ath-a"].Sharder, finishedState) == total
 	})
 	c.assertOnePlace()
+	return c
 }
 
 // assertOnePlace checks the promises that hold whatever fails. A task whose
