Renew leases less often while no run is about to end

Cause: a renewal a second for each worker, by which ended runs are found, took most of a shard's traffic although long tasks seldom end.

Change: leases are renewed every third of their length, and once a second only while a run is young, near its expected end, or just overdue.

--- a/internal/process/sharder/worker.go
+++ b/internal/process/sharder/worker.go
@@ -15,6 +15,14 @@
 // syncInterval is the time between two readings of the host list.
 const syncInterval = time.Second
 
+const (
+	// youngRun is the time in which a run is watched closely for a failure.
+	youngRun = 3 * time.Second
+	// overdueShare is the part of its expected time, as a divisor, for which a
+	// run that has not ended is watched closely.
+	overdueShare = 4
+)
+
 // A worker is what the owner knows of one worker.
 type worker struct {
 	name string
@@ -252,7 +260,7 @@
 // renew extends the leases of all runs of a worker that shall go on.
 func (s *Sharder) renew(w *worker, now time.Time, lease time.Duration) {
 	ids := s.renewable(w)
-	w.renewAt = now.Add(min(s.options.Poll, lease/3))
+	w.renewAt = now.Add(s.nextPoll(w, now, lease))
 	if len(ids) == 0 {
 		return
 	}
@@ -267,6 +275,7 @@
 		// The call may have been sent at any time until now.
 		s.extendLeases(ids, now, lease)
 		if err != nil {
+			w.renewAt = now.Add(min(s.options.Poll, lease/3))
 			return
 		}
 		if len(missing) > 0 {
@@ -276,6 +285,26 @@
 	})
 }
 
+// nextPoll returns the time until the next renewal: a third of the lease, or
+// less while runs are young or about to end.
+func (s *Sharder) nextPoll(w *worker, now time.Time, lease time.Duration) time.Duration {
+	longest := lease / 3
+	shortest := min(s.options.Poll, longest)
+	for _, e := range s.table.byWorker[w.name] {
+		if !e.sent || e.removal != nil {
+			continue
+		}
+		if e.runningSince.IsZero() || now.Sub(e.runningSince) < youngRun {
+			return shortest
+		}
+		left := e.runningSince.Add(e.task.ExpectedRun).Sub(now)
+		if e.task.ExpectedRun > 0 && left > -e.task.ExpectedRun/overdueShare {
+			longest = min(longest, max(left, shortest))
+		}
+	}
+	return longest
+}
+
 // extendLeases notes that leases may have been extended by a call that was
 // sent not later than a time.
 func (s *Sharder) extendLeases(ids []commander.RunID, sent time.Time, lease time.Duration) {
