Gather outcomes before a pass over a shard; keep fewer events

Cause: each answer of a worker woke a pass over all tasks of the shard; a profile showed a quarter of the processor time there and a third in garbage collection. Change: a pass waits 30 ms for further outcomes; 2 MB of events are kept by default instead of 4 MB.

--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -51,7 +51,7 @@
 	// DrainTimeout bounds a planned stop.
 	DrainTimeout time.Duration `yaml:"drainTimeout" default:"10m" validate:"min=1s,max=24h"`
 	// EventBytes bounds the memory of recorded events.
-	EventBytes int `yaml:"eventBytes" default:"4194304" validate:"min=65536,max=1073741824"`
+	EventBytes int `yaml:"eventBytes" default:"2097152" validate:"min=65536,max=1073741824"`
 }
 
 // Addresses are IP numbers with ports, for example "10.1.0.5:7000".
--- a/internal/process/sharder/options.go
+++ b/internal/process/sharder/options.go
@@ -25,6 +25,8 @@
 const (
 	// tick is the time between two passes of the loop when nothing happens.
 	tick = 100 * time.Millisecond
+	// passGap is the time for which outcomes are gathered before a pass.
+	passGap = 30 * time.Millisecond
 	// commitInterval is the least time between two journal commits.
 	commitInterval = 100 * time.Millisecond
 	// appendTimeout bounds one journal append.
--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -116,11 +116,22 @@
 		case <-s.base.Done():
 			return nil
 		case <-s.kick:
+			s.gather()
 		case <-timer.C:
 		}
 	}
 }
 
+// gather waits for further outcomes of commands, so that one pass serves many.
+func (s *Sharder) gather() {
+	pause := time.NewTimer(passGap)
+	defer pause.Stop()
+	select {
+	case <-s.base.Done():
+	case <-pause.C:
+	}
+}
+
 // Close stops the commands in flight, waits for them, and closes the journal.
 func (s *Sharder) Close() error {
 	s.cancel()
