--- a/internal/process/sharder/options.go
+++ b/internal/process/sharder/options.go
@@ -25,12 +25,18 @@
 const (
 	// tick is the time between two passes of the loop when nothing happens.
 	tick = 100 * time.Millisecond
+	// passGap is the time for which outcomes are gathered before a pass.
+	passGap = 30 * time.Millisecond
 	// commitInterval is the least time between two journal commits.
 	commitInterval = 100 * time.Millisecond
 	// appendTimeout bounds one journal append.
 	appendTimeout = 10 * time.Second
 	// callTimeout bounds one command to a worker.
 	callTimeout = 3 * time.Second
+	// startTimeout bounds the call that starts a run. It adds to the age of the
+	// proof on which the run starts, and both together stay below the time in
+	// which a change of configuration is accepted.
+	startTimeout = 800 * time.Millisecond
 	// checkpointTimeout bounds a checkpoint, retries included.
 	checkpointTimeout = 4 * time.Second
 	// poolSize bounds the commands in flight.
