Test that a daemon cut off from all starts nothing, and changes of owners

Change: a daemon cut off from the store alone is replaced only after it stopped; one cut off from all starts nothing in a data centre taken out meanwhile.

--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -179,6 +179,15 @@
 	}
 }
 
+// awaitLists waits until a number of daemons have lists of guarantors.
+func (c *cluster) awaitLists(n int) {
+	c.t.Helper()
+	c.await("lists of guarantors", func() bool {
+		listing, err := c.store.List(c.t.Context(), pledger.Prefix)
+		return err == nil && len(listing.Entries) == n
+	})
+}
+
 func (n *node) acquired(p owner.Partition, _ owner.Epoch) {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
@@ -313,5 +322,11 @@
 		}
 		cancel()
 	}()
-	return s.Store.Watch(ctx, prefix, after, deliver)
+	return s.Store.Watch(ctx, prefix, after, func(events []storer.Event) {
+		if s.cut.Load() {
+			cancel() // What is not delivered follows when the watch resumes.
+			return
+		}
+		deliver(events)
+	})
 }
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -12,7 +12,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/configurer"
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
-	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
 )
 
@@ -57,14 +56,28 @@
 	c.await("the daemon to get its share again", func() bool { return c.isBalanced(nodes) })
 }
 
+func TestOwnerCutFromStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(3)
+	c.awaitLists(3)
+	nodes[0].cutStore.Store(true)
+	lapsed := time.Now().Add(member.LeaseTTL)
+	c.await("the lease to lapse", func() bool { return time.Now().After(lapsed) })
+	if len(nodes[0].owner.Partitions()) == 0 {
+		t.Error("the daemon stopped acting though its peers pledge")
+	}
+	c.await("the others to take over", func() bool { return c.isBalanced(nodes[1:]) })
+	if held := nodes[0].owner.Partitions(); len(held) > 0 {
+		t.Errorf("the daemon still acts for %d partitions", len(held))
+	}
+}
+
 func TestOwnerStoreOutage(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.await("lists of guarantors", func() bool {
-		listing, err := c.store.List(t.Context(), pledger.Prefix)
-		return err == nil && len(listing.Entries) == 3
-	})
+	c.awaitLists(3)
 	time.Sleep(settle)
 	before := epochs(nodes)
 	t.Run("everything is held through an outage longer than the leases", func(t *testing.T) {
@@ -114,10 +127,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.await("lists of guarantors", func() bool {
-		listing, err := c.store.List(t.Context(), pledger.Prefix)
-		return err == nil && len(listing.Entries) == 3
-	})
+	c.awaitLists(3)
 	for _, n := range nodes {
 		n.kill()
 	}
@@ -198,19 +208,23 @@
 		assertConfirmed(t, result)
 		assertMayStart(t, nodes[2], "ath-a", false)
 	})
-	t.Run("a daemon cut off from all is named and loses its start authority", func(t *testing.T) {
+	t.Run("a daemon cut off from all is named and starts nothing", func(t *testing.T) {
+		if _, err := nodes[0].config.SetDataCentre(t.Context(), "ath-a", false); err != nil {
+			t.Fatal(err)
+		}
+		c.await("start authority", func() bool { return nodes[2].owner.MayStart("ath-a", time.Now()) })
 		nodes[2].cutPeers.Store(true)
-		result, err := nodes[0].config.SetDataCentre(t.Context(), "atl-a", false)
+		result, err := nodes[0].config.SetDataCentre(t.Context(), "ath-a", true)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if len(result.Unconfirmed) != 1 || result.Unconfirmed[0] != nodes[2].name {
 			t.Errorf("unconfirmed %v, want %s", result.Unconfirmed, nodes[2].name)
 		}
-		_, age := nodes[2].config.State(time.Now())
-		if age >= 0 && age <= configurer.ProofLifetime {
-			t.Errorf("proof of age %s remains", age)
+		if nodes[2].config.Declarations().IsOut("ath-a") {
+			t.Error("the daemon learned the version though it is cut off")
 		}
+		assertMayStart(t, nodes[2], "ath-a", false)
 	})
 }
 
