--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -190,6 +190,7 @@
 	nodes := c.startAll(3)
 	t.Run("a data centre out is in force everywhere", func(t *testing.T) {
 		c.await("start authority", func() bool { return nodes[2].owner.MayStart("atl-a", time.Now()) })
+		assertMayStart(t, nodes[2], "ath-a", true)
 		result, err := nodes[0].config.SetDataCentre(t.Context(), "atl-a", true)
 		if err != nil {
 			t.Fatal(err)
