--- a/internal/harness/network.go
+++ b/internal/harness/network.go
@@ -151,14 +151,26 @@
 // FreeAddress returns an address of a loopback host at which nothing listens.
 func FreeAddress(t testing.TB, host string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		t.Fatal(err)
+	const attempts = 100
+	for range attempts {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatalf("no free address of %s that was not given before", host)
+	return ""
 }
 
+// givenAddresses are those that FreeAddress has returned: a listener that is
+// not open yet does not keep its address from being found free again.
+var givenAddresses sync.Map
+
 // loopback returns an IP number of this machine for the daemon with a number,
 // so that its ports are not taken by outgoing connections of others.
 func loopback(process, number int) string {
--- a/internal/process/administrator/plan.go
+++ b/internal/process/administrator/plan.go
@@ -114,6 +114,7 @@
 		ConfirmedUnixMillis: now.UnixMilli(),
 		Plan:                plan.Id,
 		Document:            current.Document,
+		DataCentres:         current.DataCentres,
 		Spread:              current.Kind == kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING,
 	}
 }
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -157,6 +157,7 @@
 	// What is left when the context ends is cut off.
 	_ = r.router.Drain(ctx)
 	_ = r.slots.Drain(ctx)
+	_ = r.claimer.Drain(ctx)
 }
 
 // loseRunners ends the use of a partition of runners.
--- a/internal/version/planner/planner.go
+++ b/internal/version/planner/planner.go
@@ -53,6 +53,7 @@
 		Document:             request.Document,
 		ExpectedRunMillis:    intent.ExpectedRun.Milliseconds(),
 		PlannedUnixMillis:    now.UnixMilli(),
+		DataCentres:          intent.DataCentres,
 	}
 	if deadline := intent.DeadlineAt(now); !deadline.IsZero() {
 		plan.DeadlineUnixMillis = deadline.UnixMilli()
--- a/internal/version/planner/planner_test.go
+++ b/internal/version/planner/planner_test.go
@@ -51,6 +51,15 @@
 		assertCounts(t, plan, 4, 4, 0)
 		assertRanges(t, plan)
 	})
+	t.Run("keeps to the data centres that the intent names", func(t *testing.T) {
+		request := newRequest(8)
+		request.Intent.DataCentres = []string{"haldia"}
+		plan := Plan(request, noon)
+		assertCounts(t, plan, 4, 4, 0)
+		if len(plan.DataCentres) != 1 || len(plan.Shards) != 1 || plan.Shards[0].DataCentre != "haldia" {
+			t.Errorf("data centres %v and shards %v, want haldia alone", plan.DataCentres, plan.Shards)
+		}
+	})
 	t.Run("rejects what can never run", func(t *testing.T) {
 		request := newRequest(1)
 		request.Intent.Resources.Cores = 9
