Start no request that has less time left than the fastest runner takes

Cause: under three times the load, refused requests tried again until a slot came free a few milliseconds before their deadline; the exchange then broke and its outcome was unknown. The slots' owner knew no typical latency, since a median needs three runners. Ruled out before: late starts from the queue alone, and the ingress's timer. Change: a request is refused, not run, wherever it could take a slot with less time left than the fastest runner's latency.

--- a/internal/process/picker/pick.go
+++ b/internal/process/picker/pick.go
@@ -70,3 +70,15 @@
 	slices.Sort(latencies)
 	return latencies[len(latencies)/2]
 }
+
+// Fastest returns the least latency of the candidates, or zero if none is known.
+func Fastest(candidates []Candidate) time.Duration {
+	fastest := time.Duration(0)
+	for i := range candidates {
+		latency := candidates[i].Health.Latency()
+		if latency > 0 && (fastest == 0 || latency < fastest) {
+			fastest = latency
+		}
+	}
+	return fastest
+}
--- a/internal/process/slotter/acquire.go
+++ b/internal/process/slotter/acquire.go
@@ -45,7 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	up := s.upstreams[ask.Upstream]
-	if s.closed || up == nil || up.queue.Len() > 0 {
+	if s.closed || up == nil || up.queue.Len() > 0 || up.isTooLate(ask, now) {
 		return nil, false
 	}
 	slot = s.take(up, ask, now)
@@ -81,6 +81,10 @@
 		return nil, &errs.NotRunError{Reason: "no runner is known", RetryAfter: time.Second}
 	}
 	w.up = up
+	if up.isTooLate(w.ask, now) {
+		s.record(now, EventWaitTooLong, w.ask, "")
+		return nil, &errs.NotRunError{Reason: "too little time is left to run", RetryAfter: up.fastest}
+	}
 	if up.queue.Len() == 0 {
 		if slot := s.take(up, w.ask, now); slot != nil {
 			w.ready <- grant{slot: slot}
@@ -92,7 +96,7 @@
 	}
 	slots := s.capacity(up, now)
 	wait := queuer.ExpectedWait(up.queue.Ahead(up.queue.Rank(item, now)), slots, up.service)
-	if slots > 0 && now.Add(wait).After(w.ask.Deadline) {
+	if slots > 0 && now.Add(wait+up.fastest).After(w.ask.Deadline) {
 		s.record(now, EventWaitTooLong, w.ask, "")
 		return nil, &errs.NotRunError{Reason: "expected wait exceeds the deadline", RetryAfter: wait}
 	}
@@ -144,9 +148,9 @@
 	for up.queue.Len() > 0 && !s.closed {
 		entry := up.queue.First()
 		w := entry.Item.Value
-		if !now.Before(w.ask.Deadline) {
+		if up.isTooLate(w.ask, now) {
 			up.queue.Remove(entry)
-			w.refuse(&errs.NotRunError{Reason: "deadline passed while waiting for a slot", RetryAfter: time.Second})
+			w.refuse(&errs.NotRunError{Reason: "too little time is left to run", RetryAfter: time.Second})
 			continue
 		}
 		slot := s.take(up, w.ask, now)
--- a/internal/process/slotter/slots.go
+++ b/internal/process/slotter/slots.go
@@ -162,7 +162,9 @@
 	s.mu.Lock()
 	var stale []*exchanger.Conn
 	for _, up := range s.upstreams {
-		up.median = picker.Median(s.candidates(up, now))
+		candidates := s.candidates(up, now)
+		up.median = picker.Median(candidates)
+		up.fastest = picker.Fastest(candidates)
 		for _, r := range up.runners {
 			stale = append(stale, r.takeStale(s.mayUse(r, up, now), now)...)
 		}
--- a/internal/process/slotter/upstream.go
+++ b/internal/process/slotter/upstream.go
@@ -29,6 +29,8 @@
 	service time.Duration
 	// median is the typical latency of the runners; zero if unknown.
 	median time.Duration
+	// fastest is the latency of the fastest runner; zero if unknown.
+	fastest time.Duration
 	offset int
 	// candidates is reused between choices.
 	candidates []picker.Candidate
@@ -122,3 +124,10 @@
 func (up *upstream) noteService(used time.Duration) {
 	up.service += time.Duration(serviceWeight * float64(used-up.service))
 }
+
+// isTooLate reports whether a request has less time left than even the fastest
+// runner takes: it would occupy a slot for an answer that comes too late.
+// Nothing is too late but its deadline until runners have answered.
+func (up *upstream) isTooLate(ask Ask, now time.Time) bool {
+	return !now.Add(up.fastest).Before(ask.Deadline)
+}
