Give no answer to a request that the runner can't have whole

Cause: TestRouterRefusesSlowSenders failed in one of three runs: at the deadline of a caller that sent slowly, the connection to the runner was half-closed, and a runner that answered a half request at once had its answer passed on as if it were to the whole. Change: an answer that arrives after the request's source failed, or after the exchange ended before the request was written, is dropped; the outcome is unknown. Conclusion: a whole answer is always to the whole request.

--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -80,8 +80,12 @@
 	c.aborted = make(chan struct{})
 	c.stopped = false
 	c.stopAbort = context.AfterFunc(ctx, c.abort)
+	source := watchSource(req)
 	go c.write(req)
 	resp, err = c.readAnswer(req)
+	if err == nil && c.isRequestCut(ctx, source) {
+		err = ErrRequestCut
+	}
 	if err != nil {
 		c.failed = true
 		return nil, c.sendError(ctx, err)
@@ -91,6 +95,24 @@
 	return resp, nil
 }
 
+// isRequestCut reports whether the runner can't have the whole request, because
+// its source failed or the exchange ended before it was written. The answer to
+// such a request is no answer to the caller's.
+func (c *Conn) isRequestCut(ctx context.Context, source *sourceBody) bool {
+	if source.failed.Load() {
+		return true
+	}
+	if ctx.Err() == nil {
+		return false
+	}
+	select {
+	case <-c.written:
+		return c.writeErr != nil
+	default:
+		return true
+	}
+}
+
 // write sends the request and half-closes the connection if that fails.
 func (c *Conn) write(req *http.Request) {
 	defer close(c.written)
--- a/internal/connection/exchanger/errors.go
+++ b/internal/connection/exchanger/errors.go
@@ -9,6 +9,9 @@
 // connection, because it has neither a length nor chunks.
 var ErrUnframed = errors.New("answer has neither a length nor chunks")
 
+// ErrRequestCut reports an answer to a request that the runner can't have whole.
+var ErrRequestCut = errors.New("the request was cut off before the answer")
+
 // ErrProtocol reports an answer that breaks HTTP/1.1.
 var ErrProtocol = errors.New("answer breaks the protocol")
 
--- a/internal/process/slotter/upstream.go
+++ b/internal/process/slotter/upstream.go
@@ -31,7 +31,7 @@
 	median time.Duration
 	// fastest is the latency of the fastest runner; zero if unknown.
 	fastest time.Duration
-	offset int
+	offset  int
 	// candidates is reused between choices.
 	candidates []picker.Candidate
 }
