--- a/internal/connection/forwarder/choice.go
+++ b/internal/connection/forwarder/choice.go
@@ -3,7 +3,7 @@
 import "time"
 
 // staleAfter is the age at which word of a peer's load no longer counts.
-const staleAfter = 2 * time.Second
+const staleAfter = 1300 * time.Millisecond
 
 // queueGain is the factor by which a peer's expected wait has to be shorter
 // than this daemon's own for a request to be queued there.
