Use the shared pauses in the store's client; drop code without a user

Measured: linter clean; the tests of the packages concerned pass with the race detector, and those of requests and operators on real processes pass. Conclusion: behaviour is unchanged.

--- a/internal/connection/dialer/dialer.go
+++ b/internal/connection/dialer/dialer.go
@@ -35,9 +35,6 @@
 	}
 }
 
-// NewPlainClient returns an HTTP client for unencrypted peer connections.
-func NewPlainClient() *http.Client { return NewClient(NewDialFunc(nil)) }
-
 // Peer returns the client of the daemon at an address.
 func (d *Dialer) Peer(address string) kumquatv1.Peer {
 	d.mu.Lock()
--- a/internal/connection/storer/breaker.go
+++ b/internal/connection/storer/breaker.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
 )
 
 const (
@@ -14,7 +16,6 @@
 	breakerShortest = 100 * time.Millisecond
 	breakerLongest  = time.Second
 	// breakerJitter spreads the trials of many daemons.
-	breakerJitter = 0.5
 	// trialLimit is the time after which an unfinished trial is given up.
 	trialLimit = 10 * time.Second
 )
@@ -30,12 +31,7 @@
 }
 
 func newBreaker() *breaker {
-	interval := backoff.NewExponentialBackOff()
-	interval.InitialInterval = breakerShortest
-	interval.MaxInterval = breakerLongest
-	interval.RandomizationFactor = breakerJitter
-	interval.Reset()
-	return &breaker{interval: interval}
+	return &breaker{interval: pauser.NewBackoff(breakerShortest, breakerLongest)}
 }
 
 // allow reports whether a call may be made. While the circuit is open, it
--- a/internal/connection/storer/resolver.go
+++ b/internal/connection/storer/resolver.go
@@ -7,9 +7,8 @@
 	"fmt"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
 )
 
 // ErrUnchanged reports a key that is as it was before a write of unknown
@@ -56,7 +55,7 @@
 // ended first, *errs.UnknownOutcomeError. A swap that requires absence must
 // not name a key that others delete, as the repeat would create it again.
 func Commit(ctx context.Context, store Store, swap Swap) (Revision, error) {
-	pause := NewPause()
+	pauses := pauser.NewBackoff(pauseShortest, pauseLongest)
 	var unresolved error
 	for {
 		revision, err := store.CompareAndSwap(ctx, swap)
@@ -73,7 +72,7 @@
 			return 0, resolved
 		}
 		unresolved = err
-		if pause.Wait(ctx) != nil {
+		if !pauser.Sleep(ctx, pauses.NextBackOff()) {
 			return 0, unresolved
 		}
 	}
@@ -90,39 +89,8 @@
 	return err
 }
 
+// Pauses between two attempts of one swap.
 const (
 	pauseShortest = 20 * time.Millisecond
 	pauseLongest  = time.Second
-	pauseJitter   = 0.5
 )
-
-// A Pause spaces the attempts of one caller, growing and jittered, so that
-// many daemons don't return at once. It is not safe for concurrent use.
-type Pause struct {
-	interval *backoff.ExponentialBackOff
-}
-
-// NewPause returns a pause that starts short.
-func NewPause() *Pause {
-	interval := backoff.NewExponentialBackOff()
-	interval.InitialInterval = pauseShortest
-	interval.MaxInterval = pauseLongest
-	interval.RandomizationFactor = pauseJitter
-	interval.Reset()
-	return &Pause{interval: interval}
-}
-
-// Wait waits for the next interval and returns the context's error if it ends first.
-func (p *Pause) Wait(ctx context.Context) error {
-	timer := time.NewTimer(p.interval.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
-// Reset makes the next interval short again.
-func (p *Pause) Reset() { p.interval.Reset() }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
@@ -293,6 +292,3 @@
 	d.dialer.Close()
 	_ = d.agents.Close()
 }
-
-// Metrics returns the daemon's metrics.
-func (d *Daemon) Metrics() http.Handler { return d.metrics }
