Test that each daemon checks an operator's role itself

Operators' calls are not handed from daemon to daemon: the daemon that is asked checks the certificate or the token, and the peers' address takes the calls of daemons alone. That held, but only the tool's own test showed it, with a server that was assembled for it. TestEncrypted now tries certificates of each role, a known and an unknown token and a daemon's certificate at every real daemon, and an operator's certificate at the peers' address.

--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -54,6 +54,8 @@
 	ProxyRunners bool
 	// Authority issues the daemons' certificates; nil means plaintext.
 	Authority *securer.TestAuthority
+	// Tokens is the file of operators' tokens that the daemons know, if any.
+	Tokens string
 	// Unready leaves the daemons to the test: neither waited for nor configured.
 	Unready bool
 }
--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.options.Tokens != "" {
+		settings["tokens"] = c.options.Tokens
+	}
 	settings["tls"] = map[string]string{"certificate": files.Certificate, "key": files.Key, "authority": files.Authority}
 }
 
--- a/internal/integration/operating/tls_test.go
+++ b/internal/integration/operating/tls_test.go
@@ -2,17 +2,24 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
+	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/kumquatstack/kumquatstack/internal/cli"
 	"github.com/kumquatstack/kumquatstack/internal/connection/securer"
 	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
 // TestEncrypted runs an intent and carries requests through daemons that accept
@@ -31,13 +38,16 @@
 		{DataCentre: "atl-a", Region: "north-ga", Daemons: 2, Workers: 2, Runners: 1},
 		{DataCentre: "sav-a", Region: "south-ga", Daemons: 1, Workers: 2, Runners: 1},
 	}
-	cluster := harness.Start(t, harness.Options{Sites: sites, Authority: authority, Unready: true})
+	digest := sha256.Sum256([]byte("secret"))
+	tokens := filepath.Join(directory, "tokens")
+	if err := os.WriteFile(tokens, fmt.Appendf(nil, "confirm %x", digest), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cluster := harness.Start(t, harness.Options{Sites: sites, Authority: authority, Tokens: tokens, Unready: true})
 	b := &bench{Cluster: cluster, t: t, directory: directory}
 	declarations := b.write("declarations.yaml", harness.DeclarationsOf(sites))
 	run := func(daemon *harness.Daemon, args ...string) result {
-		var stdout, stderr bytes.Buffer
-		all := append([]string{"--timeout", "5s", "--address", daemon.Operators, "--tls-certificate", files.Certificate, "--tls-key", files.Key, "--tls-authority", files.Authority}, args...)
-		return result{cli.Main(all, strings.NewReader(""), &stdout, &stderr), stdout.String(), stderr.String()}
+		return runSecured(daemon, append(shows(files), args...)...)
 	}
 	harness.Eventually(t, patience, "declarations are accepted", func() bool {
 		return run(cluster.Daemons[0], "apply", "-f", declarations).code == 0
@@ -56,11 +66,83 @@
 		assertAnswers(t, daemon, files.Authority)
 	}
 	b.assertRuns(cluster.Daemons, 3, "status")
+	b.assertRoles(authority, files)
 	cluster.AssertNoBreach()
 }
 
-// assertAnswers sends a request to a daemon that shows a certificate.
-func assertAnswers(t *testing.T, daemon *harness.Daemon, authority string) {
+// runSecured runs the tool with encryption.
+func runSecured(daemon *harness.Daemon, args ...string) result {
+	var stdout, stderr bytes.Buffer
+	all := append([]string{"--timeout", "5s", "--address", daemon.Operators}, args...)
+	return result{cli.Main(all, strings.NewReader(""), &stdout, &stderr), stdout.String(), stderr.String()}
+}
+
+// shows returns the options for a certificate.
+func shows(files securer.Files) []string {
+	return []string{"--tls-certificate", files.Certificate, "--tls-key", files.Key, "--tls-authority", files.Authority}
+}
+
+// assertRoles checks that every daemon itself refuses what a certificate or a
+// token doesn't allow, also to operators who speak as peers.
+func (b *bench) assertRoles(authority *securer.TestAuthority, operator securer.Files) {
+	b.t.Helper()
+	issue := func(name string, role securer.Role) []string {
+		files, err := authority.Issue(name, role, time.Now())
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		return shows(files)
+	}
+	token := func(secret string) []string {
+		return []string{"--tls-authority", operator.Authority, "--token-file", b.write("token-"+secret, secret)}
+	}
+	viewer, peer := issue("viewer", securer.RoleView), issue("peer", securer.RoleDaemon)
+	confirmer, guesser := token("secret"), token("guess")
+	status, cancel, out := []string{"status"}, []string{"cancel", "secret-casting"}, []string{"datacentre", "out", "atl-a"}
+	for _, test := range []struct {
+		name          string
+		shown, called []string
+		want          int
+	}{
+		{"viewer looks", viewer, status, 0},
+		{"viewer cancels", viewer, cancel, 1},
+		{"confirmer cancels", confirmer, cancel, 0},
+		{"confirmer administers", confirmer, out, 1},
+		{"unknown token", guesser, status, 1},
+		{"viewer with unknown token", append(guesser, viewer...), cancel, 1},
+		{"daemon as operator", peer, status, 1},
+	} {
+		for _, daemon := range b.Daemons {
+			got := runSecured(daemon, append(test.shown, test.called...)...)
+			if got.code != test.want {
+				b.t.Errorf("%s at %s: code %d, want %d\n%s", test.name, daemon.Name, got.code, test.want, got.stderr)
+			}
+		}
+	}
+	for _, daemon := range b.Daemons {
+		b.assertNoPeer(daemon, operator)
+	}
+}
+
+// assertNoPeer checks that a daemon refuses an operator's call as a peer.
+func (b *bench) assertNoPeer(daemon *harness.Daemon, operator securer.Files) {
+	b.t.Helper()
+	certificate, err := tls.LoadX509KeyPair(operator.Certificate, operator.Key)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	client := clientOf(b.t, operator.Authority, certificate)
+	defer client.CloseIdleConnections()
+	_, err = kumquatv1.NewPeerProtobufClient("https://"+daemon.Peers, client).
+		CancelTasks(b.t.Context(), &kumquatv1.CancelTasksRequest{Shard: "shard:atl-a", Intent: "secret-casting"})
+	var answer twirp.Error
+	if !errors.As(err, &answer) || answer.Code() != twirp.PermissionDenied {
+		b.t.Errorf("%s answers an operator as a peer: %v", daemon.Name, err)
+	}
+}
+
+// clientOf returns a client that trusts an authority and shows certificates.
+func clientOf(t *testing.T, authority string, shown ...tls.Certificate) *http.Client {
 	t.Helper()
 	signers, err := os.ReadFile(authority)
 	if err != nil {
@@ -68,7 +150,14 @@
 	}
 	roots := x509.NewCertPool()
 	roots.AppendCertsFromPEM(signers)
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS13}}}
+	config := &tls.Config{RootCAs: roots, Certificates: shown, MinVersion: tls.VersionTLS13}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+}
+
+// assertAnswers sends a request to a daemon that shows a certificate.
+func assertAnswers(t *testing.T, daemon *harness.Daemon, authority string) {
+	t.Helper()
+	client := clientOf(t, authority)
 	defer client.CloseIdleConnections()
 	harness.Eventually(t, patience, "a request is answered", func() bool {
 		req, err := http.NewRequest(http.MethodPost, "https://"+daemon.Callers+harness.PathIdempotent, strings.NewReader("print"))
