Show the present versions, partitions and counts in status and cancel

status took other daemons' versions from their last heartbeats, so that right after a change they were older than what the change itself reported, and showed no partitions of others. It now asks the daemons and reads the owner records.

cancel counted what the shards that answered had taken in by then. It now counts all tasks of the intent that have not ended otherwise, and names data centres whose owner did not answer.

TestDataCentreOutAndIn compares the versions that all daemons show right after a change; it showed 0 beside the new one before the daemons had heard each other. TestCancelAtOnce cancels right after the confirmation.

--- a/internal/cli/cancelcmd.go
+++ b/internal/cli/cancelcmd.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
@@ -26,8 +27,7 @@
 		return err
 	}
 	if a.globals.DryRun {
-		a.notice("would cancel intent %s", c.Args.Intent)
-		return nil
+		return a.printDryRun("cancel intent %s", c.Args.Intent)
 	}
 	answer, err := call(ctx, client, changes, "cancel", kumquatv1.Operator.Cancel,
 		&kumquatv1.CancelRequest{Intent: c.Args.Intent, TaskIds: c.Tasks})
@@ -36,7 +36,10 @@
 	}
 	return a.print(answer, func(w io.Writer) {
 		if len(c.Tasks) == 0 {
-			printf(w, "intent %s is cancelled, %d tasks so far; kumquat status %[1]s shows the rest\n", c.Args.Intent, answer.GetCancelled())
+			if missing := answer.GetMissingShards(); len(missing) > 0 {
+				printf(w, "INCOMPLETE: no answer from the owner of %s, which cancels its tasks as soon as it can\n", strings.Join(missing, ", "))
+			}
+			printf(w, "intent %s is cancelled: %d tasks\n", c.Args.Intent, answer.GetCancelled())
 			return
 		}
 		printf(w, "%d tasks of intent %s cancelled\n", answer.GetCancelled(), c.Args.Intent)
--- a/internal/cli/confirmcmd.go
+++ b/internal/cli/confirmcmd.go
@@ -15,7 +15,7 @@
 type confirmCmd struct {
 	base
 	Wait bool          `long:"wait" description:"Wait until the tasks have ended"`
-	For  time.Duration `long:"for" default:"1h" value-name:"DURATION" description:"Longest time to wait with --wait"`
+	For  time.Duration `long:"for" default:"1h" validate:"min=1ms" value-name:"DURATION" description:"Longest time to wait with --wait"`
 	Args struct {
 		Plan string `positional-arg-name:"PLAN" description:"File written by kumquat plan --out; - is the standard input"`
 	} `positional-args:"yes" required:"yes"`
@@ -36,8 +36,7 @@
 		return err
 	}
 	if a.globals.DryRun {
-		a.notice("would confirm intent %s", plan.GetIntent())
-		return nil
+		return a.printDryRun("confirm intent %s", plan.GetIntent())
 	}
 	answer, err := call(ctx, client, changes, "confirm", kumquatv1.Operator.Confirm, &kumquatv1.ConfirmRequest{Plan: plan})
 	if err != nil {
@@ -53,7 +52,8 @@
 	if err != nil || !c.Wait {
 		return err
 	}
-	return waitForIntent(ctx, a, client, answer.GetIntent(), c.For)
+	_, err = waitForIntent(ctx, a, client, answer.GetIntent(), c.For)
+	return err
 }
 
 // readPlan reads a plan file. A faulty file is a *errs.DocumentError.
--- a/internal/cli/statuscmd.go
+++ b/internal/cli/statuscmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -17,7 +18,7 @@
 	Tasks   bool          `long:"tasks" description:"Show each task"`
 	Workers bool          `long:"workers" description:"Show each worker"`
 	Wait    bool          `long:"wait" description:"Wait until the tasks of the intent have ended"`
-	For     time.Duration `long:"for" default:"1h" value-name:"DURATION" description:"Longest time to wait with --wait"`
+	For     time.Duration `long:"for" default:"1h" validate:"min=1ms" value-name:"DURATION" description:"Longest time to wait with --wait"`
 	Args    struct {
 		Intent string `positional-arg-name:"INTENT" description:"Only this intent"`
 	} `positional-args:"yes"`
@@ -37,7 +38,11 @@
 		if c.Args.Intent == "" {
 			return &usageError{"--wait needs an INTENT"}
 		}
-		return waitForIntent(ctx, a, client, c.Args.Intent, c.For)
+		last, err := waitForIntent(ctx, a, client, c.Args.Intent, c.For)
+		if last != nil && a.globals.Output == outputJSON {
+			err = errors.Join(a.print(last, nil), err)
+		}
+		return err
 	}
 	answer, err := call(ctx, client, reads, "status", kumquatv1.Operator.Status,
 		&kumquatv1.StatusRequest{Intent: c.Args.Intent, IncludeTasks: c.Tasks})
@@ -130,8 +135,12 @@
 	printf(w, "Configuration version %d\n", status.GetConfigurationVersion())
 	t := newTable(w, "DAEMON", "DATA CENTRE", "ADDRESS", "VERSION", "STATE", "PARTITIONS")
 	for _, daemon := range status.GetDaemons() {
+		version := fmt.Sprint(daemon.GetConfigurationVersion())
+		if !daemon.GetReachable() {
+			version = "-" // The last one heard may be older than its newest.
+		}
 		t.row(daemon.GetIncarnation().GetDaemon(), daemon.GetDataCentre(), daemon.GetAddress(),
-			fmt.Sprint(daemon.GetConfigurationVersion()), daemonState(daemon), fmt.Sprint(len(daemon.GetPartitions())))
+			version, daemonState(daemon), fmt.Sprint(len(daemon.GetPartitions())))
 	}
 	flush(t)
 }
--- a/internal/cli/waiter.go
+++ b/internal/cli/waiter.go
@@ -17,30 +17,34 @@
 // endedStates are the names of states in which a task does nothing more.
 var endedStates = []string{"finished", "cancelled", "refused"}
 
-// waitForIntent waits until all tasks of an intent have ended and reports
-// progress. It returns an *incompleteError if some were refused or cancelled,
-// or the time has passed.
-func waitForIntent(ctx context.Context, a *app, c *client, intent string, longest time.Duration) error {
+// waitForIntent waits until all tasks of an intent have ended, reports
+// progress, and returns the last answer, nil if there was none. The error is an
+// *incompleteError if tasks were refused or cancelled, or the time has passed.
+func waitForIntent(ctx context.Context, a *app, c *client, intent string, longest time.Duration) (last *kumquatv1.StatusResponse, err error) {
 	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	last := ""
+	shown := ""
 	for {
 		answer, err := call(ctx, c, reads, "status", kumquatv1.Operator.Status, &kumquatv1.StatusRequest{Intent: intent})
+		if last == nil && isFinal(err) {
+			return last, err
+		}
 		if err == nil && len(answer.GetIntents()) > 0 {
+			last = answer
 			counts := answer.GetIntents()[0].GetCounts()
-			if progress := formatCounts(counts); progress != last {
+			if progress := formatCounts(counts); progress != shown {
 				a.notice("%s: %s", intent, progress)
-				last = progress
+				shown = progress
 			}
 			if len(answer.GetMissingShards()) == 0 && hasEnded(counts) {
-				return outcomeOf(intent, counts)
+				return last, outcomeOf(intent, counts)
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return &incompleteError{fmt.Sprintf("intent %s has not ended: %s", intent, last)}
+			return last, &incompleteError{fmt.Sprintf("intent %s has not ended: %s", intent, shown)}
 		case <-ticker.C:
 		}
 	}
--- a/internal/integration/operating/operating_test.go
+++ b/internal/integration/operating/operating_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/cli"
 	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
 )
 
@@ -108,6 +109,8 @@
 		status := b.assertRuns([]*harness.Daemon{daemon}, 0, "status", "--tasks", "night-casting")
 		assertContains(t, status.stdout, "finished 6")
 	}
+	unknown := b.assertRuns(first, 1, "status", "day-casting")
+	assertContains(t, unknown.stderr, "no intent of that name")
 	timeline := b.assertRuns(first, 0, "timeline", "--limit", "5000")
 	for _, daemon := range b.Daemons {
 		assertContains(t, timeline.stdout, daemon.Name)
@@ -115,6 +118,21 @@
 	b.AssertNoBreach()
 }
 
+// TestCancelAtOnce cancels before all shards have taken the intent in, and
+// again afterwards; both calls count all its tasks.
+func TestCancelAtOnce(t *testing.T) {
+	b := newBench(t)
+	document, plan := b.intent("short-casting")
+	b.assertRuns(b.Daemons[:1], 0, "plan", "-f", document, "--out", plan)
+	b.assertRuns(b.Daemons[1:2], 0, "confirm", plan)
+	const want = "short-casting is cancelled: 6 tasks"
+	assertContains(t, b.assertRuns(b.Daemons[2:], 0, "cancel", "short-casting").stdout, want)
+	b.assertRuns(b.Daemons[:1], 7, "status", "--wait", "--for", patience.String(), "short-casting")
+	assertContains(t, b.assertRuns(b.Daemons[:1], 0, "status", "short-casting").stdout, "cancelled 6")
+	assertContains(t, b.assertRuns(b.Daemons[:1], 0, "cancel", "short-casting").stdout, want)
+	b.AssertNoBreach()
+}
+
 // TestConfirmThroughPausedDaemon confirms through a daemon that stands still
 // and gets the call once it goes on, and then through another one.
 func TestConfirmThroughPausedDaemon(t *testing.T) {
@@ -180,6 +198,7 @@
 	b := newBench(t)
 	document, plan := b.intent("moved-casting")
 	b.assertRuns(b.Daemons[2:], 0, "datacentre", "out", "sav-a")
+	b.assertSameVersions()
 	harness.Eventually(t, patience, "the plan keeps to the other data centre", func() bool {
 		shown := b.assertRuns(b.Daemons[:1], 0, "plan", "-f", document, "--out", plan)
 		if strings.Contains(shown.stdout, "sav-a ") {
@@ -198,6 +217,24 @@
 	b.AssertNoBreach()
 }
 
+// assertSameVersions checks that every daemon shows one version for all.
+func (b *bench) assertSameVersions() {
+	b.t.Helper()
+	versions := map[int64]bool{}
+	for _, daemon := range b.Daemons {
+		status, err := daemon.Operator().Status(b.t.Context(), &kumquatv1.StatusRequest{})
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		for _, shown := range status.GetDaemons() {
+			versions[shown.GetConfigurationVersion()] = true
+		}
+	}
+	if len(versions) != 1 {
+		b.t.Errorf("versions %v are shown after a change that all have confirmed", versions)
+	}
+}
+
 // TestStoreOutage changes nothing while the store is out, says so, and goes on
 // when it is back.
 func TestStoreOutage(t *testing.T) {
--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 
 // Members tells which daemons there are, this one included.
 type Members interface {
-	Daemons(now time.Time) []*kumquatv1.DaemonStatus
+	Daemons(ctx context.Context, now time.Time) []*kumquatv1.DaemonStatus
 	Sources() []merger.Source
 }
 
@@ -82,6 +83,24 @@
 	missing []string
 }
 
+// statePrefix is what the names of states begin with; shards leave it out.
+const statePrefix = "TASK_STATE_"
+
+// counts returns the tasks by state, forgotten ones included. A task that was
+// handed to another shard is counted there.
+func (c census) counts() map[string]int32 {
+	counts := make(map[string]int32)
+	for _, shard := range c.shards {
+		for name, count := range shard.Counts {
+			state := statePrefix + strings.ToUpper(name)
+			if state != kumquatv1.TaskState_TASK_STATE_MOVED.String() && count > 0 {
+				counts[state] += count
+			}
+		}
+	}
+	return counts
+}
+
 // survey asks the owners of all declared shards at once.
 func (a *Administrator) survey(ctx context.Context, d *declarer.Declarations, req *kumquatv1.ShardStatusRequest) census {
 	centres := d.DataCentreNames()
--- a/internal/process/administrator/cancel.go
+++ b/internal/process/administrator/cancel.go
@@ -34,7 +34,25 @@
 		}
 		resp.Cancelled += cancelled
 	}
-	return resp, nil
+	if len(req.TaskIds) > 0 {
+		return resp, nil
+	}
+	return a.countCancelled(ctx, record)
+}
+
+// countCancelled returns how many tasks of a cancelled intent have not ended
+// otherwise, wherever they have moved to.
+func (a *Administrator) countCancelled(ctx context.Context, record *kumquatv1.IntentRecord) (*kumquatv1.CancelResponse, error) {
+	version, err := a.current()
+	if err != nil {
+		return nil, err
+	}
+	c := a.survey(ctx, version.Declarations, &kumquatv1.ShardStatusRequest{Intent: record.Id})
+	counts := c.counts()
+	left := countTasks(record) -
+		counts[kumquatv1.TaskState_TASK_STATE_FINISHED.String()] -
+		counts[kumquatv1.TaskState_TASK_STATE_REFUSED.String()]
+	return &kumquatv1.CancelResponse{Cancelled: left, MissingShards: c.missing}, nil
 }
 
 // recordCancellation marks a whole intent as cancelled. The cancellation of
@@ -67,11 +85,7 @@
 	if !errors.Is(err, errs.ErrNotFound) {
 		return err
 	}
-	return &errs.RefusedError{
-		What:   "cancellation of " + intent,
-		Why:    "no intent of that name was confirmed",
-		Remedy: "see the names with `kumquat status`",
-	}
+	return noSuchIntent("cancellation of ", intent)
 }
 
 // replace writes a changed record over the revision it was read at.
--- a/internal/process/administrator/plan.go
+++ b/internal/process/administrator/plan.go
@@ -34,6 +34,14 @@
 	if err != nil {
 		return nil, err
 	}
+	now := a.settings.Now()
+	if deadline := intent.DeadlineAt(now); !deadline.IsZero() && !deadline.After(now) {
+		return nil, &errs.RefusedError{
+			What:   "plan of " + intent.Name,
+			Why:    "its deadline, " + deadline.Format(time.RFC3339) + ", has passed",
+			Remedy: "set a later deadline, or within",
+		}
+	}
 	c := a.survey(ctx, version.Declarations, &kumquatv1.ShardStatusRequest{IncludeTasks: true})
 	if len(c.shards) == 0 {
 		return nil, &errs.RefusedError{
@@ -119,15 +127,19 @@
 	}
 }
 
-// recordConfirmed notes that an intent became durable.
-func (a *Administrator) recordConfirmed(record *kumquatv1.IntentRecord) {
-	tasks := int32(0)
+// countTasks returns the number of an intent's tasks over all shards.
+func countTasks(record *kumquatv1.IntentRecord) (tasks int32) {
 	for _, shard := range record.Shards {
 		tasks += shard.Count
 	}
+	return tasks
+}
+
+// recordConfirmed notes that an intent became durable.
+func (a *Administrator) recordConfirmed(record *kumquatv1.IntentRecord) {
 	a.settings.Recorder.Record(a.settings.Now(), EventIntentConfirmed, recorder.Fields{
 		"intent": record.Id,
 		"team":   record.Team,
-		"tasks":  strconv.Itoa(int(tasks)),
+		"tasks":  strconv.Itoa(int(countTasks(record))),
 	})
 }
--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/administrator"
@@ -36,8 +39,12 @@
 
 var _ administrator.Members = directory{}
 
-// Daemons implements administrator.Members.
-func (v directory) Daemons(now time.Time) []*kumquatv1.DaemonStatus {
+// versionTimeout bounds the question which version a peer has in force.
+const versionTimeout = 500 * time.Millisecond
+
+// Daemons implements administrator.Members. Peers are asked for their version,
+// as their heartbeats may be older than a change.
+func (v directory) Daemons(ctx context.Context, now time.Time) []*kumquatv1.DaemonStatus {
 	d := v.daemon
 	version, _ := d.configurer.State(now)
 	self := &kumquatv1.DaemonStatus{
@@ -52,9 +59,11 @@
 	for _, partition := range d.owner.Partitions() {
 		self.Partitions = append(self.Partitions, string(partition))
 	}
+	slices.Sort(self.Partitions)
 	daemons := []*kumquatv1.DaemonStatus{self}
+	var questions sync.WaitGroup
 	for _, peer := range d.group.Peers() {
-		daemons = append(daemons, &kumquatv1.DaemonStatus{
+		status := &kumquatv1.DaemonStatus{
 			Incarnation:          &kumquatv1.Incarnation{Daemon: peer.Daemon, Number: peer.Incarnation},
 			Address:              peer.Address,
 			DataCentre:           peer.DataCentre,
@@ -62,11 +71,29 @@
 			ConfigurationVersion: peer.State.GetConfigurationVersion(),
 			Reachable:            peer.Reachable(now),
 			Leaving:              peer.Leaving(),
-		})
+		}
+		for _, partition := range d.owner.PartitionsOf(peer.Daemon) {
+			status.Partitions = append(status.Partitions, string(partition))
+		}
+		daemons = append(daemons, status)
+		questions.Go(func() { v.askVersion(ctx, status) })
 	}
+	questions.Wait()
 	return daemons
 }
 
+// askVersion asks a peer for the version that it has in force; without an
+// answer the one of its last heartbeat stays.
+func (v directory) askVersion(ctx context.Context, status *kumquatv1.DaemonStatus) {
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	// A later version than any is known, so that the document isn't sent.
+	req := &kumquatv1.FetchConfigurationRequest{KnownVersion: math.MaxInt64}
+	if resp, err := v.daemon.dialer.Peer(status.Address).FetchConfiguration(ctx, req); err == nil {
+		status.ConfigurationVersion, status.Reachable = resp.Version, true
+	}
+}
+
 // Sources implements administrator.Members.
 func (v directory) Sources() []merger.Source {
 	d := v.daemon
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -230,6 +231,20 @@
 	return owned
 }
 
+// PartitionsOf returns the partitions whose records name a daemon, in order.
+func (o *Owner) PartitionsOf(daemon string) []Partition {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var owned []Partition
+	for p, record := range o.records {
+		if record.Owner == daemon {
+			owned = append(owned, p)
+		}
+	}
+	slices.Sort(owned)
+	return owned
+}
+
 // References reports whether an owner record names an incarnation.
 func (o *Owner) References(daemon string, number int64) bool {
 	o.mu.Lock()
