Check options before use, name the next step, and describe kumquatd

Options with impossible values reached the daemons or did nothing: they are now compared with the ranges in their tags, as documents are.

--- a/internal/cataloguer/render.go
+++ b/internal/cataloguer/render.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/kumquatstack/kumquatstack/internal/cli"
+	"github.com/kumquatstack/kumquatstack/internal/process/daemon"
 )
 
 // Paths of the generated files, relative to the root of the repository.
@@ -36,7 +37,7 @@
 		EventsPage:       eventsPage(events),
 		EventsTable:      eventsTable(events),
 		MetricsPage:      metricsPage(metrics),
-		CommandsPage:     cli.Reference(),
+		CommandsPage:     cli.Reference(daemon.NewParser()),
 		DeclarationsPage: declarations,
 		SettingsPage:     settings,
 	}, nil
--- a/internal/cli/applycmd.go
+++ b/internal/cli/applycmd.go
@@ -19,7 +19,7 @@
 type applyCmd struct {
 	base
 	File        string `short:"f" long:"file" required:"true" value-name:"FILE" description:"YAML file of the declarations; - is the standard input"`
-	BaseVersion int64  `long:"base-version" default:"-1" value-name:"N" description:"Refuse unless this version is in force, for example the one that kumquat diff showed"`
+	BaseVersion int64  `long:"base-version" default:"-1" validate:"min=-1" value-name:"N" description:"Refuse unless this version is in force, for example the one that kumquat diff showed"`
 	BringBack   bool   `long:"bring-back" description:"Allow the file to bring data centres back in service"`
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -5,8 +5,11 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -58,6 +61,9 @@
 	}
 	c = &client{globals: &a.globals, token: token, notice: a.notice}
 	for _, address := range a.globals.Addresses {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, &usageError{fmt.Sprintf("--address: %q is not an address (accepted: an IP number and a port, such as 10.1.0.5:7002)", address)}
+		}
 		operator := kumquatv1.NewOperatorProtobufClient(scheme+"://"+address, &http.Client{Transport: transport})
 		c.daemons = append(c.daemons, daemonClient{Operator: operator, address: address})
 	}
@@ -136,7 +142,7 @@
 		if isFinal(err) {
 			return nil, err
 		}
-		causes = append(causes, err)
+		causes = append(causes, fmt.Errorf("%s: %w", daemon.address, innermost(err)))
 		sent = sent || maybeSent
 	}
 	unreachable := &unreachableError{causes: causes}
@@ -166,6 +172,21 @@
 	return answer, wrote.Load() && !isUntouched(err), err
 }
 
+// innermost returns the cause of a call that failed on its way, without what
+// the libraries between say of it, and any other error as it is.
+func innermost(err error) error {
+	var dialled *net.OpError
+	var requested *url.Error
+	switch {
+	case errors.As(err, &dialled):
+		return dialled.Err
+	case errors.As(err, &requested):
+		return requested.Err
+	default:
+		return err
+	}
+}
+
 // isFinal tells whether an error is the system's answer, which another daemon
 // would repeat.
 func isFinal(err error) bool {
--- a/internal/cli/datacentrecmd.go
+++ b/internal/cli/datacentrecmd.go
@@ -46,8 +46,7 @@
 		return err
 	}
 	if a.globals.DryRun {
-		a.notice("would set data centre %s: out %t", name, out)
-		return nil
+		return a.printDryRun("set data centre %s: out %t", name, out)
 	}
 	answer, err := call(ctx, client, changes, "data centre change", kumquatv1.Operator.SetDataCentre,
 		&kumquatv1.SetDataCentreRequest{DataCentre: name, Out: out})
--- a/internal/cli/diffcmd.go
+++ b/internal/cli/diffcmd.go
@@ -63,7 +63,7 @@
 			return nil, err
 		}
 	}
-	found.Changes = declarer.Diff(found.inForce, wanted)
+	found.Changes = append([]declarer.Change{}, declarer.Diff(found.inForce, wanted)...)
 	return found, nil
 }
 
--- a/internal/cli/globals.go
+++ b/internal/cli/globals.go
@@ -6,7 +6,7 @@
 type globalOptions struct {
 	Addresses []string      `short:"a" long:"address" env:"KUMQUAT_ADDRESS" env-delim:"," value-name:"IP:PORT" description:"Operators' address of a daemon; given several times, they are tried in turn" default:"127.0.0.1:7002"`
 	Output    string        `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"Form of the output"`
-	Timeout   time.Duration `long:"timeout" default:"30s" value-name:"DURATION" description:"Time to wait for one daemon"`
+	Timeout   time.Duration `long:"timeout" default:"30s" validate:"min=1ms" value-name:"DURATION" description:"Time to wait for one daemon"`
 	Plaintext bool          `long:"plaintext" env:"KUMQUAT_PLAINTEXT" description:"Connect without TLS"`
 	TLS       tlsOptions    `group:"TLS Options"`
 	DryRun    bool          `long:"dry-run" description:"Write no files and change nothing"`
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -53,16 +53,23 @@
 		if len(rest) > 0 {
 			return &usageError{fmt.Sprintf("unexpected argument %q", rest[0])}
 		}
+		if err := checkOptions(&a.globals, cmd); err != nil {
+			return err
+		}
 		a.wrapSystem()
 		return cmd.run(ctx, a)
 	}
 	_, err := parser.ParseArgs(args)
+	if wantsJSON(args) {
+		// Parsing ends at the first fault, which may stand before this option.
+		a.globals.Output = outputJSON
+	}
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
 		return a.printHelp(help)
 	}
 	if err != nil {
-		a.printError(err)
+		a.printError(err, helpOf(parser))
 	}
 	return codeOf(err)
 }
--- a/internal/cli/main_test.go
+++ b/internal/cli/main_test.go
@@ -11,7 +11,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,8 +36,9 @@
 		Dir:   "testdata",
 		Setup: startFake,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits": exits,
-			"fault": fault,
+			"exits":  exits,
+			"fault":  fault,
+			"faulty": faulty,
 		},
 	})
 }
@@ -126,3 +129,29 @@
 		ts.Fatalf("%v exits with code %d, want %d", args[1:], got, want)
 	}
 }
+
+// faulty KIND OLD NEW WANT puts a fault into KIND.yaml and expects that the
+// file is refused as a whole, with an error that matches WANT.
+func faulty(ts *testscript.TestScript, _ bool, args []string) {
+	kind, old, want := args[0], args[1], args[3]
+	changed := strings.NewReplacer(`\n`, "\n", `\t`, "\t").Replace(args[2])
+	document := ts.ReadFile(kind + ".yaml")
+	if !strings.Contains(document, old) {
+		ts.Fatalf("%s.yaml doesn't hold %q", kind, old)
+	}
+	edited := []byte(strings.Replace(document, old, changed, 1))
+	ts.Check(os.WriteFile(ts.MkAbs("faulty.yaml"), edited, 0o600))
+	exits(ts, false, []string{"2", "kumquat", "check", "--" + kind, "faulty.yaml"})
+	got := ts.ReadFile("stderr")
+	if !regexp.MustCompile(want).MatchString(got) || !strings.Contains(got, "next: ") {
+		ts.Fatalf("%q doesn't match %q with a next step", got, want)
+	}
+	if kind != "declarations" {
+		return
+	}
+	exits(ts, false, []string{"2", "kumquat", "apply", "-f", "faulty.yaml"})
+	fake := ts.Value(fakeKey{}).(*fakeOperator)
+	if fake.document != "" {
+		ts.Fatalf("a part of %q was applied", edited)
+	}
+}
--- a/internal/cli/plancmd.go
+++ b/internal/cli/plancmd.go
@@ -127,6 +127,19 @@
 	if millis := plan.GetExpectedFinishUnixMillis(); millis > 0 {
 		printf(w, "Expected finish: %s\n", formatMillis(millis))
 	}
+	writeDeadline(w, plan)
+}
+
+// writeDeadline writes the deadline and whether it is expected to be missed.
+func writeDeadline(w io.Writer, plan *kumquatv1.Plan) {
+	deadline := plan.GetDeadlineUnixMillis()
+	switch {
+	case deadline <= 0:
+	case plan.GetExpectedFinishUnixMillis() > deadline:
+		printf(w, "Deadline:        %s, which the expected finish MISSES\n", formatMillis(deadline))
+	default:
+		printf(w, "Deadline:        %s\n", formatMillis(deadline))
+	}
 }
 
 // writeSpread writes how many tasks go to each data centre.
--- a/internal/cli/printer.go
+++ b/internal/cli/printer.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"strings"
 	"text/tabwriter"
 
+	"github.com/jessevdk/go-flags"
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
@@ -58,10 +60,20 @@
 	}
 }
 
+// printDryRun tells what a command would do.
+func (a *app) printDryRun(format string, args ...any) error {
+	text := fmt.Sprintf("would "+format, args...)
+	if a.globals.Output == outputJSON {
+		return a.printValue(map[string]string{"dryRun": text}, nil)
+	}
+	a.notice("%s", text)
+	return nil
+}
+
 // marshalMessage returns a message as indented JSON that is the same each
-// time.
+// time; keys without a value are there too.
 func marshalMessage(message proto.Message) ([]byte, error) {
-	compact, err := protojson.Marshal(message)
+	compact, err := protojson.MarshalOptions{EmitDefaultValues: true}.Marshal(message)
 	if err != nil {
 		return nil, err
 	}
@@ -101,12 +113,17 @@
 	What     string                 `json:"what,omitempty"`
 	Why      string                 `json:"why,omitempty"`
 	Remedy   string                 `json:"remedy,omitempty"`
+	Document string                 `json:"document,omitempty"`
 	Problems []errs.DocumentProblem `json:"problems,omitempty"`
 }
 
-// report describes an error for people and machines.
-func report(err error) errorReport {
+// report describes an error for people and machines; help is the call that
+// shows the options.
+func report(err error, help string) errorReport {
 	var (
+		parse       *flags.Error
+		usage       *usageError
+		file        *fs.PathError
 		refused     *errs.RefusedError
 		faulty      *errs.DocumentError
 		unknown     *errs.UnknownOutcomeError
@@ -122,7 +139,7 @@
 	case errors.As(err, &refused):
 		r.What, r.Why, r.Remedy = refused.What, refused.Why, refused.Remedy
 	case errors.As(err, &faulty):
-		r.Problems = faulty.Problems
+		r.Document, r.Problems = faulty.Name, faulty.Problems
 		r.Message = faulty.Error()
 		r.Remedy = "correct the document; nothing of it has taken effect"
 	case errors.As(err, &unavailable):
@@ -132,13 +149,20 @@
 		r.Remedy = "nothing has changed; check --address and that the daemons run"
 	case errors.As(err, &answer):
 		r.Message = answer.Msg()
+	case errors.As(err, &usage):
+		r.Message = usage.Error()
+		r.Remedy = "see " + help
+	case errors.As(err, &parse):
+		r.Remedy = "see " + help
+	case errors.As(err, &file):
+		r.Remedy = "check the path and who may access it"
 	}
 	return r
 }
 
 // printError writes an error to the standard error output.
-func (a *app) printError(err error) {
-	r := report(err)
+func (a *app) printError(err error, help string) {
+	r := report(err, help)
 	var out bytes.Buffer
 	switch {
 	case r.ExitCode == exitDifferent:
--- a/internal/cli/reference.go
+++ b/internal/cli/reference.go
@@ -7,26 +7,44 @@
 	"github.com/jessevdk/go-flags"
 )
 
-// Reference returns the reference of all commands in Markdown.
-func Reference() string {
+// exitCodesTitle stands before the exit codes in the help of a program.
+const exitCodesTitle = "Exit codes:\n"
+
+// Reference returns the reference of all commands, and of the daemon's command
+// line, in Markdown.
+func Reference(daemon *flags.Parser) string {
 	parser := (&app{}).newParser()
 	var page strings.Builder
-	page.WriteString("# Commands\n\nThis page is made from the tool's help by `make generate`.\n\n")
-	page.WriteString("## Exit codes\n\n| code | meaning |\n|---|---|\n")
-	for _, line := range strings.Split(exitCodesHelp, "\n")[1:] {
-		code, meaning, _ := strings.Cut(line, " ")
-		fmt.Fprintf(&page, "| %s | %s |\n", code, meaning)
-	}
+	page.WriteString("# Commands\n\nThis page is made from the help of `kumquat` and `kumquatd` by `make generate`.\n")
+	writeExitCodes(&page, "kumquat", parser)
 	page.WriteString("\nErrors go to the standard error output, with `--output json` as one JSON object\n" +
-		"`{\"error\": {\"exitCode\", \"message\", \"what\", \"why\", \"remedy\", \"problems\"}}`.\n")
+		"`{\"error\": {\"exitCode\", \"message\", \"what\", \"why\", \"remedy\", \"document\", \"problems\"}}`;\n" +
+		"a problem has `line`, `key`, `message` and `accepted`. What doesn't apply is left out.\n" +
+		"JSON on the standard output always has the same keys; 64-bit numbers are strings.\n")
 	page.WriteString("\n## Options of all commands\n")
 	for _, group := range parser.Groups() {
 		writeGroup(&page, group)
 	}
 	writeCommands(&page, "kumquat", parser.Commands())
+	text, _, _ := strings.Cut(daemon.LongDescription, "\n\n")
+	fmt.Fprintf(&page, "\n## kumquatd\n\n%s\n", text)
+	for _, group := range daemon.Groups() {
+		writeGroup(&page, group)
+	}
+	writeExitCodes(&page, "kumquatd", daemon)
 	return page.String()
 }
 
+// writeExitCodes writes the exit codes that a program's help lists.
+func writeExitCodes(page *strings.Builder, program string, parser *flags.Parser) {
+	fmt.Fprintf(page, "\n## Exit codes of %s\n\n| code | meaning |\n|---|---|\n", program)
+	_, codes, _ := strings.Cut(parser.LongDescription, exitCodesTitle)
+	for line := range strings.Lines(codes) {
+		code, meaning, _ := strings.Cut(strings.TrimSpace(line), " ")
+		fmt.Fprintf(page, "| %s | %s |\n", code, meaning)
+	}
+}
+
 func writeGroup(page *strings.Builder, group *flags.Group) {
 	writeOptions(page, group.Options())
 	for _, nested := range group.Groups() {
@@ -53,6 +71,9 @@
 	}
 	page.WriteString("\n| option | default | meaning |\n|---|---|---|\n")
 	for _, option := range options {
+		if option.LongName == "help" {
+			continue
+		}
 		name := "`--" + option.LongName + "`"
 		if option.ShortName != 0 {
 			name = fmt.Sprintf("`-%c`, %s", option.ShortName, name)
--- a/internal/cli/timelinecmd.go
+++ b/internal/cli/timelinecmd.go
@@ -16,8 +16,8 @@
 // timelineCmd shows the events of all daemons.
 type timelineCmd struct {
 	base
-	Since time.Duration `long:"since" value-name:"DURATION" description:"Only events of this long ago and later"`
-	Limit int32         `long:"limit" default:"200" value-name:"N" description:"Largest number of events"`
+	Since time.Duration `long:"since" validate:"min=0" value-name:"DURATION" description:"Only events of this long ago and later"`
+	Limit int32         `long:"limit" default:"200" validate:"min=1" value-name:"N" description:"Largest number of events"`
 	HTML  string        `long:"html" value-name:"FILE" description:"Draw the time line as one self-contained page"`
 	Args  struct {
 		Terms []string `positional-arg-name:"FIELD=VALUE" description:"Only events with this field: task, intent, request, worker, runner, dataCentre, partition, daemon, version, number, event"`
--- a/internal/cli/topcmd.go
+++ b/internal/cli/topcmd.go
@@ -12,8 +12,8 @@
 // topCmd watches workers and daemons.
 type topCmd struct {
 	base
-	Interval time.Duration `long:"interval" default:"2s" value-name:"DURATION" description:"Time between two looks"`
-	Count    int           `long:"count" default:"0" value-name:"N" description:"Number of looks; 0 looks until interrupted"`
+	Interval time.Duration `long:"interval" default:"2s" validate:"min=100ms" value-name:"DURATION" description:"Time between two looks"`
+	Count    int           `long:"count" default:"0" validate:"min=0" value-name:"N" description:"Number of looks; 0 looks until interrupted"`
 }
 
 func (c *topCmd) run(ctx context.Context, a *app) error {
@@ -21,9 +21,6 @@
 	if err != nil {
 		return err
 	}
-	if c.Interval <= 0 {
-		return &usageError{"--interval has to be more than 0"}
-	}
 	ticker := time.NewTicker(c.Interval)
 	defer ticker.Stop()
 	for look := 1; ; look++ {
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -29,41 +29,75 @@
 	exitSettings = 3
 )
 
+// description stands in the help and in the reference.
+const description = `kumquatd takes callers' requests and decides on tasks, one daemon on each entry host.
+SIGTERM or SIGINT stops it in order: the balancer is told, requests end, and other daemons take over.
+
+Exit codes:
+0 ended in order
+1 the daemon or the embedded run failed
+2 bad options
+3 faulty settings`
+
 // options are the daemon's command line.
 type options struct {
-	Settings string        `short:"s" long:"settings" value-name:"FILE" description:"settings file of this daemon"`
-	Embedded string        `long:"embedded" value-name:"DIRECTORY" description:"run the daemons of a directory with stand-ins of the platform in this process, and show requests and tasks"`
-	Duration time.Duration `long:"duration" value-name:"TIME" default:"20s" description:"length of an embedded run"`
-	Log      string        `long:"log" value-name:"FILE" description:"file for the daemons' logs of an embedded run"`
-	Version  bool          `long:"version" description:"print the version and exit"`
+	Settings string        `short:"s" long:"settings" value-name:"FILE" description:"Settings file of this daemon"`
+	Embedded string        `long:"embedded" value-name:"DIRECTORY" description:"Run the daemons of a directory with stand-ins of the platform in this process, and show requests and tasks"`
+	Duration time.Duration `long:"duration" value-name:"DURATION" default:"20s" description:"Length of an embedded run"`
+	Log      string        `long:"log" value-name:"FILE" description:"File for the daemons' logs of an embedded run"`
+	Version  bool          `long:"version" description:"Print the version and exit"`
+}
+
+// NewParser returns the parser of the daemon's command line.
+func NewParser() *flags.Parser { return newParser(&options{}) }
+
+func newParser(opts *options) *flags.Parser {
+	parser := flags.NewNamedParser("kumquatd", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	if _, err := parser.AddGroup("Options", "", opts); err != nil {
+		panic(err) // The options are constant.
+	}
+	return parser
 }
 
-// Main runs the daemon until SIGTERM or SIGINT and returns its exit code: 0
-// after a planned stop, 1 if the daemon failed, 2 for a faulty command line, 3
-// for faulty settings.
+// Main runs the daemon until SIGTERM or SIGINT and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var opts options
-	parser := flags.NewNamedParser("kumquatd", flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
-		return report(stderr, err, exitFailed)
+	rest, err := newParser(&opts).ParseArgs(args)
+	var help *flags.Error
+	switch {
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+		return report(stdout, err, exitOK)
+	case err == nil:
+		err = opts.check(rest)
 	}
-	if _, err := parser.ParseArgs(args); err != nil {
-		var flagError *flags.Error
-		if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
-			return report(stdout, err, exitOK)
-		}
-		return report(stderr, err, exitUsage)
+	if err != nil {
+		return report(stderr, fmt.Errorf("kumquatd: %w\n  next: see kumquatd --help", err), exitUsage)
 	}
-	if opts.Version {
+	switch {
+	case opts.Version:
 		return report(stdout, errors.New("kumquatd "+versioner.Describe()), exitOK)
-	}
-	if opts.Embedded != "" {
+	case opts.Embedded != "":
 		return runEmbedded(opts, stdout, stderr)
+	default:
+		return run(opts.Settings, stderr)
 	}
-	if opts.Settings == "" {
-		return report(stderr, errors.New("no settings file given; use --settings FILE or --embedded DIRECTORY"), exitUsage)
+}
+
+// check refuses options that don't go together.
+func (o options) check(rest []string) error {
+	switch {
+	case len(rest) > 0:
+		return fmt.Errorf("unexpected argument %q", rest[0])
+	case o.Duration <= 0:
+		return fmt.Errorf("--duration: %s is out of range (accepted: more than 0)", o.Duration)
+	case o.Settings != "" && o.Embedded != "":
+		return errors.New("--settings and --embedded are given (accepted: one of them)")
+	case o.Settings == "" && o.Embedded == "" && !o.Version:
+		return errors.New("no settings are given (accepted: --settings FILE, or --embedded DIRECTORY)")
+	default:
+		return nil
 	}
-	return run(opts.Settings, stderr)
 }
 
 // collectorPercent is how far the heap may grow beyond live memory between two
@@ -82,17 +116,17 @@
 func run(path string, stderr io.Writer) int {
 	set, err := settings.Load(path)
 	if err != nil {
-		return report(stderr, err, exitSettings)
+		return report(stderr, fmt.Errorf("kumquatd: %w\n  next: correct the settings; kumquat check --settings %s checks them", err, path), exitSettings)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	tuneCollector()
 	d, err := New(set, newLogger(stderr, set))
 	if err != nil {
-		return report(stderr, err, exitFailed)
+		return fail(stderr, err)
 	}
 	if err := d.Run(ctx); err != nil {
-		return report(stderr, err, exitFailed)
+		return fail(stderr, err)
 	}
 	return exitOK
 }
@@ -120,13 +154,13 @@
 	if opts.Log != "" {
 		file, err := os.Create(opts.Log)
 		if err != nil {
-			return report(stderr, err, exitFailed)
+			return fail(stderr, err)
 		}
 		defer func() { _ = file.Close() }()
 		embedded.Log = file
 	}
 	if err := embedder.Run(ctx, embedded); err != nil {
-		return report(stderr, err, exitFailed)
+		return fail(stderr, err)
 	}
 	return exitOK
 }
@@ -140,6 +174,11 @@
 	return (&log.Logger{Handler: json.New(w), Level: level}).WithField("daemon", set.Name)
 }
 
+// fail reports why the daemon or the embedded run ended.
+func fail(stderr io.Writer, err error) int {
+	return report(stderr, fmt.Errorf("kumquatd: %w", err), exitFailed)
+}
+
 // report prints a message and returns the exit code.
 func report(w io.Writer, message error, code int) int {
 	// Nothing is left to do if the message can't be written.
--- a/internal/version/decoder/decoder.go
+++ b/internal/version/decoder/decoder.go
@@ -107,7 +107,11 @@
 		f.add(0, "", err.Error(), "")
 		return
 	}
-	f.add(located.GetToken().Position.Line, "", located.GetMessage(), "")
+	accepted := "YAML that is indented with spaces"
+	if strings.Contains(located.GetMessage(), "already defined") {
+		accepted = "each key once"
+	}
+	f.add(located.GetToken().Position.Line, "", located.GetMessage(), accepted)
 }
 
 // err returns the problems by line as an error, or nil if there are none.
--- a/internal/version/decoder/walker.go
+++ b/internal/version/decoder/walker.go
@@ -154,10 +154,10 @@
 		accepted = "true or false"
 		ok = node.Type() == ast.BoolType
 	case reflect.Int, reflect.Int32, reflect.Int64:
-		accepted = "a whole number"
+		accepted = "a whole number such as 2"
 		ok = node.Type() == ast.IntegerType && fitsInt(node, kind)
 	case reflect.Float64:
-		accepted = "a number"
+		accepted = "a number such as 2 or 0.5"
 		ok = isFinite(node)
 	}
 	if !ok {
