Compare the daemons with one perfect queue on real processes

Cause: real processes were measured against the quantiles of the service time alone, so that the distance to one perfect queue was not shown, and stalls had no time line. Change: kumquat-experiment tails offers one seeded trace in turn to real daemons behind an uneven balancer, to a queue by deadline that knows all slots, and to a random runner; with a killed, a joining daemon or a sick runner on request. It prints what daemons recorded around stalls. The harness's caller takes an address. Tests of the order of the queue and of the quantiles' ratio pass with the race detector.

--- a/internal/experiment/main.go
+++ b/internal/experiment/main.go
@@ -29,6 +29,7 @@
 	{"slots", "compare ways of sharing the runners' slots", newSlotsCommand},
 	{"colocation", "compare placement policies for services beside batch tasks", newColocationCommand},
 	{"hops", "measure the latency that a daemon adds to a request", newHopsCommand},
+	{"tails", "compare callers' response times with those of a perfect queue", newTailsCommand},
 	{"slopes", "measure what a daemon uses for control at several sizes", newSlopesCommand},
 }
 
--- /dev/null
+++ b/internal/experiment/tails/stalls.go
@@ -0,0 +1,93 @@
+package tails
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/harness"
+)
+
+const (
+	// stallExcess is the time beyond the perfect queue's answer that makes an
+	// answer a stall.
+	stallExcess = 500 * time.Millisecond
+	// stallGap is the time without a stalled request that ends a stall.
+	stallGap = time.Second
+	// stallLines bounds the events that are shown of a stall.
+	stallLines = 80
+)
+
+// A stall is a group of requests that were answered much later than by the
+// perfect queue, or not.
+type stall struct {
+	from, to time.Time
+	requests int
+}
+
+// findStalls compares the samples of one trace.
+func findStalls(samples, bound []sample) (stalls []stall) {
+	for n, s := range samples {
+		isLost := s.outcome > outcomeLate && bound[n].outcome <= outcomeLate
+		if !isLost && s.latency < bound[n].latency+stallExcess {
+			continue
+		}
+		if len(stalls) == 0 || s.sentAt.Sub(stalls[len(stalls)-1].to) > stallGap {
+			stalls = append(stalls, stall{from: s.sentAt})
+		}
+		last := &stalls[len(stalls)-1]
+		last.requests++
+		last.to = s.sentAt.Add(s.latency)
+	}
+	return stalls
+}
+
+// An event is a line of a daemon's log.
+type event struct {
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+	at      time.Time
+}
+
+// showStall prints a stall and what the daemons recorded around it.
+func showStall(out io.Writer, s stall, cluster []*harness.Daemon) error {
+	_, err := fmt.Fprintf(out, "stall of %d requests from %s to %s\n", s.requests, s.from.Format(time.StampMilli), s.to.Format(time.StampMilli))
+	if err != nil {
+		return err
+	}
+	var events []event
+	for _, daemon := range cluster {
+		events = append(events, eventsBetween(daemon.Log(), s.from.Add(-2*stallGap), s.to)...)
+	}
+	slices.SortFunc(events, func(a, b event) int { return a.at.Compare(b.at) })
+	for _, e := range events[:min(len(events), stallLines)] {
+		if _, err := fmt.Fprintf(out, "  %s %s %v\n", e.at.Format(time.StampMilli), e.Message, e.Fields); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// eventsBetween returns the events of a log, those of single requests left out.
+func eventsBetween(log []byte, from, to time.Time) (events []event) {
+	for line := range bytes.Lines(log) {
+		var e event
+		if json.Unmarshal(line, &e) != nil || strings.HasPrefix(e.Message, "router.") {
+			continue
+		}
+		at, _ := e.Fields["at"].(string)
+		var err error
+		if e.at, err = time.Parse(time.RFC3339Nano, at); err != nil || e.at.Before(from) || e.at.After(to) {
+			continue
+		}
+		for _, known := range []string{"at", "event", "recordedBy"} {
+			delete(e.Fields, known)
+		}
+		events = append(events, e)
+	}
+	return events
+}
--- a/internal/harness/caller.go
+++ b/internal/harness/caller.go
@@ -82,11 +82,16 @@
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
 // Do sends one request to a daemon and waits for the answer.
-func (c *Caller) Do(ctx context.Context, daemon *Daemon, call Call) (answer Answer) {
+func (c *Caller) Do(ctx context.Context, daemon *Daemon, call Call) Answer {
+	return c.DoAt(ctx, daemon.Callers, call)
+}
+
+// DoAt sends one request to an address and waits for the answer.
+func (c *Caller) DoAt(ctx context.Context, address string, call Call) (answer Answer) {
 	answer.Call = call
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline+answerGrace)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon.Callers+call.Path, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		answer.Err = err
 		return answer
