Throttle batch tasks before evicting them for urgent work

Cause: placement proposed throttles to make room for urgent tasks, but the shard evicted at once, because the worker must hold what it was given; plans named throttles that never came.

Change: a throttle frees only what a task uses beyond its declared processors, so the declared sizes at a worker never exceed it. The shard counts what a task yields once the worker has answered, lifts the throttle when the full sizes fit again, and takes over throttles that it finds. A lost answer of a throttle is repeated. Plans work on the measured sizes and the throttles of the shards.

--- a/internal/process/sharder/acting.go
+++ b/internal/process/sharder/acting.go
@@ -21,6 +21,9 @@
 	maxStartAttempts = 5
 	// roomTimeout bounds how long an assigned task waits for room at its worker.
 	roomTimeout = 5 * time.Second
+	// unknownThrottle stands for a throttle that is being lowered: what the
+	// worker withholds in the meantime is not counted on.
+	unknownThrottle = -1
 )
 
 // act commands what the durable state asks for.
@@ -60,6 +63,8 @@
 		s.takeOff(w, e, now)
 	case !e.task.Started:
 		s.start(w, e, now)
+	case !now.Before(e.notBefore):
+		s.setThrottle(w, e)
 	}
 }
 
@@ -190,17 +195,26 @@
 	return ok
 }
 
-// setThrottle withholds a percentage of a task's processors. It reports
-// whether the command was sent.
-func (s *Sharder) setThrottle(w *worker, e *entry, percent int) bool {
+// setThrottle has the worker withhold the percentage of a task's processors that
+// is wanted. It reports whether the command was sent.
+func (s *Sharder) setThrottle(w *worker, e *entry) bool {
+	percent := max(e.calmed, e.yielded)
 	if e.busy || e.throttle == percent || !e.task.Started {
 		return false
 	}
+	if percent < e.throttle {
+		e.throttle = unknownThrottle
+	}
 	agent, id := w.agent, runID(e)
 	return s.command(w, e, func(ctx context.Context) error {
 		return agent.Throttle(ctx, s.fence(), id, percent)
-	}, func(_ time.Time, err error) {
-		if err != nil || e.task.Run != id.Run || !e.task.Assigned() {
+	}, func(now time.Time, err error) {
+		if e.task.Run != id.Run || !e.task.Assigned() {
+			return
+		}
+		if err != nil {
+			e.notBefore = now.Add(startRetry)
+			w.wantReport()
 			return
 		}
 		e.throttle = percent
--- a/internal/process/sharder/disturbing.go
+++ b/internal/process/sharder/disturbing.go
@@ -24,7 +24,11 @@
 	for _, displacement := range throttles {
 		e, ok := s.table.byWorker[displacement.Worker][displacement.Task]
 		w, known := s.workers[displacement.Worker]
-		if ok && known && e.rank() > 0 && s.setThrottle(w, e, displacement.Throttle) {
+		if !ok || !known || e.rank() == 0 {
+			continue
+		}
+		e.calmed = displacement.Throttle
+		if s.setThrottle(w, e) {
 			accepted++
 		}
 	}
--- a/internal/process/sharder/placing.go
+++ b/internal/process/sharder/placing.go
@@ -135,8 +135,8 @@
 	return view
 }
 
-// resident returns an assigned task as the policy sees it. A throttle doesn't
-// make a task smaller: what it leaves free is not given to others.
+// resident returns an assigned task as the policy sees it. A throttle for the
+// sake of services doesn't make a task smaller: it may be lifted at any time.
 func (s *Sharder) resident(e *entry, now time.Time) placer.Resident {
 	resident := placer.Resident{
 		Task:            e.task.ID,
@@ -146,6 +146,8 @@
 		LatencyCritical: e.rank() == 0,
 		Urgent:          e.rank() == 1,
 		Size:            s.size(e, now),
+		Declared:        e.task.Declared,
+		Throttle:        e.yields(),
 		Pinned:          e.removal != nil || e.task.State == kumquatv1.TaskState_TASK_STATE_STOPPING || e.task.Run >= maxRuns,
 	}
 	if since := later(e.checkpointedAt, e.runningSince); !since.IsZero() {
@@ -211,7 +213,7 @@
 	used := w.strayUse()
 	for _, e := range s.table.byWorker[w.name] {
 		if e != except {
-			used = used.Plus(s.size(e, now))
+			used = used.Plus(s.committed(e, now))
 		}
 	}
 	for _, e := range s.held {
@@ -222,20 +224,34 @@
 	return used
 }
 
-// makeRoom evicts tasks and holds the worker for another one. Where the policy
-// would throttle, as few tasks as will do are evicted instead, because the
-// worker has to hold the full sizes of its tasks.
+// makeRoom throttles or evicts tasks and holds the worker for another one. What
+// throttled tasks yield counts once the worker has answered.
 func (s *Sharder) makeRoom(e *entry, w *worker, displacements []placer.Displacement, now time.Time) {
 	e.reservation = &reservation{worker: w.name, until: now.Add(reservationTimeout)}
 	s.held[e.task.ID] = e
 	missing := s.used(w, nil, now).Minus(w.capacity()).Max(placer.Resources{})
 	for _, displacement := range displacements {
 		resident, ok := s.table.byWorker[w.name][displacement.Task]
-		if !ok || missing == (placer.Resources{}) {
-			continue
+		switch {
+		case !ok || missing == (placer.Resources{}):
+		case displacement.Throttle > 0:
+			resident.yielded = displacement.Throttle
+		default:
+			s.remove(resident, "", "makes room for "+e.task.ID, now)
+			missing = missing.Minus(s.committed(resident, now)).Max(placer.Resources{})
+		}
+	}
+}
+
+// liftThrottles gives tasks back what they yielded where the worker has room for
+// their full sizes again.
+func (s *Sharder) liftThrottles(now time.Time) {
+	for name, w := range s.workers {
+		for _, e := range sorted(s.table.byWorker[name]) {
+			if e.yielded > 0 && s.used(w, e, now).Plus(s.size(e, now)).Fits(w.capacity()) {
+				e.yielded = 0
+			}
 		}
-		s.remove(resident, "", "makes room for "+e.task.ID, now)
-		missing = missing.Minus(s.size(resident, now)).Max(placer.Resources{})
 	}
 }
 
@@ -302,7 +318,7 @@
 	used := w.strayUse()
 	for _, e := range s.table.byWorker[w.name] {
 		if e.removal == nil && e.task.State == kumquatv1.TaskState_TASK_STATE_ASSIGNED {
-			used = used.Plus(s.size(e, now))
+			used = used.Plus(s.committed(e, now))
 		}
 	}
 	return used.Minus(w.capacity()).Max(placer.Resources{})
@@ -322,7 +338,7 @@
 			continue
 		}
 		s.remove(e, "", "the worker's tasks are larger than declared", now)
-		excess = excess.Minus(s.size(e, now)).Max(placer.Resources{})
+		excess = excess.Minus(s.committed(e, now)).Max(placer.Resources{})
 	}
 }
 
--- a/internal/process/sharder/reporting.go
+++ b/internal/process/sharder/reporting.go
@@ -62,6 +62,7 @@
 		e.runningSince = now
 	}
 	if e.replayed {
+		e.yielded = run.ThrottlePercent
 		s.recordTask(EventTaskAdopted, e, "")
 	}
 	e.sent, e.replayed = true, false
--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -157,6 +157,7 @@
 		s.evacuate(now)
 		s.rebalance(now)
 		s.drain(now)
+		s.liftThrottles(now)
 		s.place(now)
 		s.relieve(now)
 		s.act(now)
--- a/internal/process/sharder/sizing.go
+++ b/internal/process/sharder/sizing.go
@@ -34,7 +34,7 @@
 	used := s.size(e, now)
 	for _, other := range s.table.byWorker[w.name] {
 		if other != e && other.sent {
-			used = used.Plus(s.size(other, now))
+			used = used.Plus(s.committed(other, now))
 		}
 	}
 	return used.Plus(w.strayUse()).Fits(w.capacity())
@@ -45,6 +45,17 @@
 	return s.sizes.Size(e.task.ID, e.task.Intent, e.task.Declared, now)
 }
 
+// committed returns what a task may use of its worker. What it yields to others
+// counts once the worker withholds it.
+func (s *Sharder) committed(e *entry, now time.Time) placer.Resources {
+	resident := s.resident(e, now)
+	return resident.Committed()
+}
+
+// yields returns the percentage of its processors that the worker withholds from
+// a task so that others have room.
+func (e *entry) yields() int { return max(min(e.throttle, e.yielded), 0) }
+
 // strayUse returns what runs outside the table may use.
 func (w *worker) strayUse() placer.Resources {
 	var used placer.Resources
--- a/internal/process/sharder/status.go
+++ b/internal/process/sharder/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
@@ -32,7 +33,7 @@
 	s.countForgotten(response.Counts, request.GetIntent())
 	if request.GetIncludeTasks() {
 		for _, e := range sorted(group) {
-			response.Tasks = append(response.Tasks, e.task.Proto(string(s.options.Shard)))
+			response.Tasks = append(response.Tasks, s.taskStatus(e, s.options.Now()))
 		}
 	}
 	for _, w := range s.workersByName() {
@@ -41,6 +42,16 @@
 	return response
 }
 
+// taskStatus returns a task with its size as placement sees it.
+func (s *Sharder) taskStatus(e *entry, now time.Time) *kumquatv1.Task {
+	status := e.task.Proto(string(s.options.Shard))
+	if e.task.Assigned() {
+		status.Size = protoOf(s.size(e, now))
+		status.ThrottlePercent = int32(e.yields())
+	}
+	return status
+}
+
 // countForgotten adds the forgotten tasks of one intent, or of all.
 func (s *Sharder) countForgotten(counts map[string]int32, intent string) {
 	for id, known := range s.table.intents {
--- a/internal/process/sharder/table.go
+++ b/internal/process/sharder/table.go
@@ -34,9 +34,14 @@
 	// checkpointedAt is the time of the last checkpoint.
 	checkpointedAt time.Time
 	survived       bool
-	throttle       int
-	removal        *removal
-	reservation    *reservation
+	// throttle is the percentage of processors that the worker withholds.
+	throttle int
+	// calmed is the percentage to withhold for the sake of services, and
+	// yielded the one to withhold so that others have room.
+	calmed      int
+	yielded     int
+	removal     *removal
+	reservation *reservation
 	// notBefore delays the next start after failures.
 	notBefore time.Time
 	failures  int
@@ -142,7 +147,7 @@
 	e.leaseUntil, e.runningSince, e.checkpointedAt = time.Time{}, time.Time{}, time.Time{}
 	e.waitingSince = time.Time{}
 	e.roomBy = time.Time{}
-	e.throttle, e.attempts = 0, 0
+	e.throttle, e.calmed, e.yielded, e.attempts = 0, 0, 0, 0
 	e.removal, e.reservation = nil, nil
 }
 
--- a/internal/version/placer/displace.go
+++ b/internal/version/placer/displace.go
@@ -70,18 +70,34 @@
 	return found
 }
 
-// throttleRemedy makes room by throttling alone, or returns nil.
+// throttleTo returns the percentage to withhold from a resident so that it uses
+// no more processors than declared, as far as the bound allows.
+func throttleTo(resident *Resident) int {
+	size, excess := resident.Size.MilliCores, resident.Size.MilliCores-resident.Declared.MilliCores
+	if size <= 0 || excess <= 0 {
+		return 0
+	}
+	return int(min((excess*fullPercent+size-1)/size, maxThrottle))
+}
+
+// throttleRemedy makes room by throttling alone, or returns nil. Memory and
+// accelerators can't be withheld, and processors only beyond what was declared.
 func throttleRemedy(s *slot, task *Task) *remedy {
 	missing := task.Size.Minus(s.free)
 	if missing.MemoryBytes > 0 || missing.Accelerators > 0 {
 		return nil
 	}
 	r := &remedy{slot: s}
-	for _, resident := range candidates(s) {
-		if resident.Throttle >= maxThrottle {
+	residents := candidates(s)
+	slices.SortStableFunc(residents, func(a, b *Resident) int {
+		return cmp.Compare(b.Size.MilliCores-b.Declared.MilliCores, a.Size.MilliCores-a.Declared.MilliCores)
+	})
+	for _, resident := range residents {
+		percent := throttleTo(resident)
+		if percent <= resident.Throttle {
 			continue
 		}
-		displacement := Displacement{Task: resident.Task, Worker: s.worker.Name, Throttle: maxThrottle}
+		displacement := Displacement{Task: resident.Task, Worker: s.worker.Name, Throttle: percent}
 		missing = missing.Minus(resident.freedBy(displacement))
 		r.residents = append(r.residents, resident)
 		r.displacements = append(r.displacements, displacement)
--- a/internal/version/placer/placer.go
+++ b/internal/version/placer/placer.go
@@ -58,7 +58,10 @@
 	Urgent          bool
 	// Size is the larger of declared and learned use.
 	Size Resources
-	// Throttle is the percentage of processors that is withheld.
+	// Declared is the declared size. A throttle frees nothing of it, because
+	// the worker was given that much.
+	Declared Resources
+	// Throttle is the percentage of processors that is withheld to make room.
 	Throttle int
 	// Progress is the time since the last checkpoint, lost by an eviction.
 	Progress time.Duration
@@ -81,7 +84,8 @@
 // Committed returns what the resident may use under its throttle.
 func (r *Resident) Committed() Resources {
 	committed := r.Size
-	committed.MilliCores = committed.MilliCores * int64(fullPercent-r.Throttle) / fullPercent
+	throttled := committed.MilliCores * int64(fullPercent-r.Throttle) / fullPercent
+	committed.MilliCores = max(throttled, min(r.Declared.MilliCores, r.Size.MilliCores))
 	return committed
 }
 
--- a/internal/version/placer/policy_test.go
+++ b/internal/version/placer/policy_test.go
@@ -84,6 +84,19 @@
 		s.Workers[0].Residents = []Resident{{Task: "b", Size: size(32, 10)}}
 		assertDisplaced(t, NewProtective().Place(s, urgent, epoch), Displacement{Task: "b", Worker: "w000", Throttle: maxThrottle})
 	})
+	t.Run("withholds only what was not declared", func(t *testing.T) {
+		s := fleet(1)
+		s.Workers[0].Residents = []Resident{
+			{Task: "small", Size: size(12, 10), Declared: size(11, 10)},
+			{Task: "large", Size: size(20, 10), Declared: size(15, 10)},
+		}
+		assertDisplaced(t, NewProtective().Place(s, urgent, epoch), Displacement{Task: "large", Worker: "w000", Throttle: 25})
+	})
+	t.Run("evicts where that is not enough", func(t *testing.T) {
+		s := fleet(1)
+		s.Workers[0].Residents = []Resident{{Task: "b", Size: size(32, 10), Declared: size(31, 10)}}
+		assertDisplaced(t, NewProtective().Place(s, urgent, epoch), Displacement{Task: "b", Worker: "w000"})
+	})
 	t.Run("evicts the least progress when memory is missing", func(t *testing.T) {
 		s := fleet(1)
 		s.Workers[0].Residents = []Resident{
@@ -141,7 +154,7 @@
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(rt *rapid.T) {
 				s := fleet(rapid.IntRange(1, 5).Draw(rt, "workers"))
-				s.Workers[0].Residents = []Resident{{Task: "old", Size: size(20, 100)}}
+				s.Workers[0].Residents = []Resident{{Task: "old", Size: size(20, 100), Declared: size(15, 100)}}
 				var tasks []Task
 				for i := range rapid.IntRange(0, 60).Draw(rt, "tasks") {
 					tasks = append(tasks, Task{
--- a/internal/version/planner/planner_test.go
+++ b/internal/version/planner/planner_test.go
@@ -60,6 +60,20 @@
 			t.Errorf("data centres %v and shards %v, want haldia alone", plan.DataCentres, plan.Shards)
 		}
 	})
+	t.Run("names what would be throttled", func(t *testing.T) {
+		request := newRequest(1)
+		request.Intent.Kind = declarer.KindRunNow
+		request.Intent.DataCentres = []string{"digha"}
+		request.Shards[0].Workers = request.Shards[0].Workers[:1]
+		request.Shards[0].Tasks = []*kumquatv1.Task{{
+			Id: "survey/0", Worker: "digha-0", State: kumquatv1.TaskState_TASK_STATE_ASSIGNED,
+			Declared: &kumquatv1.Resources{MilliCores: 4000}, Size: &kumquatv1.Resources{MilliCores: 8000},
+		}}
+		plan := Plan(request, noon)
+		if got := plan.Displacements; len(got) != 1 || got[0].Task != "survey/0" || got[0].Action != "throttle" {
+			t.Errorf("displacements %v, want a throttle of survey/0", got)
+		}
+	})
 	t.Run("rejects what can never run", func(t *testing.T) {
 		request := newRequest(1)
 		request.Intent.Resources.Cores = 9
--- a/internal/version/planner/snapshot.go
+++ b/internal/version/planner/snapshot.go
@@ -45,7 +45,7 @@
 			}
 			residents[task.Worker] = append(residents[task.Worker], newResident(task))
 			if quota, ok := quotas[task.Team]; ok {
-				quota.Used = quota.Used.Plus(sizeOf(task.Declared))
+				quota.Used = quota.Used.Plus(residentSize(task))
 				quotas[task.Team] = quota
 			}
 		}
@@ -78,11 +78,18 @@
 		Class:           task.Class,
 		LatencyCritical: task.Kind == kumquatv1.TaskKind_TASK_KIND_KEEP_RUNNING,
 		Urgent:          task.Kind == kumquatv1.TaskKind_TASK_KIND_RUN_NOW,
-		Size:            sizeOf(task.Declared),
+		Size:            residentSize(task),
+		Declared:        sizeOf(task.Declared),
+		Throttle:        int(task.ThrottlePercent),
 		Pinned:          task.State == kumquatv1.TaskState_TASK_STATE_STOPPING,
 	}
 }
 
+// residentSize returns the size of a task as its shard sees it.
+func residentSize(task *kumquatv1.Task) placer.Resources {
+	return sizeOf(task.Declared).Max(sizeOf(task.Size))
+}
+
 func newQuotas(d *declarer.Declarations) map[string]placer.Quota {
 	quotas := make(map[string]placer.Quota, len(d.Teams))
 	for _, team := range d.Teams {
