Give each caller of an eviction an error of its own

Cause: takeovers of several partitions share one eviction and so its error; each wraps it, and eris appends to the stack of the error that it wraps. The race detector reported the two writes in a test in which evictions fail for seconds (TestRelease, which follows). Change: each caller gets the error in a wrapping of its own. After: TestRelease and TestReleaseRefused pass with -race; both were red for the race before.

--- a/internal/process/pledger/evict.go
+++ b/internal/process/pledger/evict.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -41,6 +42,10 @@
 		defer cancel()
 		return nil, p.evict(call, target)
 	})
+	if err != nil {
+		// All callers share the error, and eris changes its own when it wraps them.
+		err = fmt.Errorf("evict: %w", err)
+	}
 	return err
 }
 
