Let operators release what dead daemons own

Cause: when an owner and half of its guarantors die at once and return under other names, nobody can prove that the owner has stopped; its partitions waited for 91 minutes and operators could do nothing. Change: kumquat release shows which incarnations of the named daemons still own partitions, with the danger and an id, and with that id marks their closed lists of guarantors as dead, so that successors need no blocks. They still ask for blocks and wait for the pledges that they learn of. It needs the role administer, and is refused while one of the incarnations is registered or was heard in the last 4 s by any member or guarantor, and unless all of these that aren't named answer. Conclusion: the way around the proof is an explicit word of an operator.

--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -182,6 +182,15 @@
 	return &kumquatv1.SetDataCentreResponse{Version: f.version, Unconfirmed: []string{"sav-a-1"}}, nil
 }
 
+func (f *fakeOperator) Release(_ context.Context, req *kumquatv1.ReleaseRequest) (*kumquatv1.ReleaseResponse, error) {
+	if req.Plan != "" && req.Plan != "p1" {
+		return nil, &errs.RefusedError{What: "the release", Why: "it has changed", Remedy: "look at it again"}
+	}
+	return &kumquatv1.ReleaseResponse{Plan: "p1", Released: req.Plan != "", Incarnations: []*kumquatv1.DeadIncarnation{{
+		Incarnation: &kumquatv1.Incarnation{Daemon: req.Daemons[0], Number: 7}, Partitions: []string{"claims:3"},
+	}}}, nil
+}
+
 func (f *fakeOperator) Timeline(_ context.Context, req *kumquatv1.TimelineRequest) (*kumquatv1.TimelineResponse, error) {
 	answer := &kumquatv1.TimelineResponse{Missing: []string{"sav-a-1"}}
 	for i, daemon := range []string{"atl-a-1", "atl-a-2"} {
--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -108,6 +108,7 @@
 		{"diff", "Show what apply would change", &diffCmd{}},
 		{"check", "Check documents without a daemon", &checkCmd{}},
 		{"datacentre", "Take a data centre out of service or bring it back", &dataCentreCmd{}},
+		{"release", "Let the partitions of dead daemons be taken over", &releaseCmd{}},
 		{"timeline", "Show the events of all daemons", &timelineCmd{}},
 		{"top", "Watch workers and daemons", &topCmd{}},
 		{"version", "Print the version", &versionCmd{}},
--- a/internal/connection/securer/securer_test.go
+++ b/internal/connection/securer/securer_test.go
@@ -121,6 +121,7 @@
 		{"a viewer doesn't confirm", viewer, operatorPath + "Confirm", "", http.StatusForbidden},
 		{"a confirmer confirms", confirmer, operatorPath + "Confirm", "", http.StatusOK},
 		{"a confirmer doesn't administer", confirmer, operatorPath + "Apply", "", http.StatusForbidden},
+		{"a confirmer doesn't release", confirmer, operatorPath + "Release", "", http.StatusForbidden},
 		{"a token administers", viewer, operatorPath + "SetDataCentre", secret, http.StatusOK},
 		{"a wrong token doesn't", viewer, operatorPath + "SetDataCentre", secret + "!", http.StatusForbidden},
 		{"an unknown call needs the largest role", confirmer, operatorPath + "Erase", "", http.StatusForbidden},
--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -39,8 +39,14 @@
 	Sources() []merger.Source
 }
 
+// A Releaser records that daemons are dead.
+type Releaser interface {
+	Release(ctx context.Context, req *kumquatv1.ReleaseRequest) (*kumquatv1.ReleaseResponse, error)
+}
+
 // Settings are what an Administrator needs.
 type Settings struct {
+	Releaser       Releaser
 	Store          storer.Store
 	Configurations Configurations
 	Members        Members
@@ -123,6 +129,11 @@
 	return answer
 }
 
+// Release implements kumquatv1.Operator.
+func (a *Administrator) Release(ctx context.Context, req *kumquatv1.ReleaseRequest) (*kumquatv1.ReleaseResponse, error) {
+	return a.settings.Releaser.Release(ctx, req)
+}
+
 // Timeline implements kumquatv1.Operator.
 func (a *Administrator) Timeline(ctx context.Context, req *kumquatv1.TimelineRequest) (*kumquatv1.TimelineResponse, error) {
 	return merger.Merge(ctx, a.settings.Members.Sources(), req), nil
--- a/internal/process/configurer/configurer_test.go
+++ b/internal/process/configurer/configurer_test.go
@@ -50,6 +50,11 @@
 			c.hear(word(now.Add(-ProofLifetime/2), 1, ProofLifetime/2))
 		}, false},
 		{"not on a peer's word that it has none", func(c *Configurer) { c.hear(word(now, 1, -time.Millisecond)) }, false},
+		{"not when a peer has a later version", func(c *Configurer) {
+			c.prove(Proof{At: now})
+			c.fetching = true // The peer can't be asked for it here.
+			c.hear(word(now, 2, 0))
+		}, false},
 		{"not once out", func(c *Configurer) { c.prove(Proof{At: now}); _ = c.offer(2, []byte(takenOut), "test") }, false},
 		{"not after a version that can't be read", func(c *Configurer) {
 			c.prove(Proof{At: now})
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/releaser"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
 	"github.com/kumquatstack/kumquatstack/internal/process/settings"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
@@ -189,6 +190,9 @@
 // newAdministrator returns the answerer of the operators' tool.
 func (d *Daemon) newAdministrator() *administrator.Administrator {
 	return administrator.New(administrator.Settings{
+		Releaser: releaser.New(releaser.Settings{
+			Store: d.store, Group: d.group, Pledger: d.pledger, Dial: d.dialer.Peer,
+		}),
 		Store:          d.store,
 		Configurations: configurations{d.configurer},
 		Members:        directory{d},
--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/pledger"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/releaser"
 	"github.com/kumquatstack/kumquatstack/internal/process/responder"
 	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
@@ -61,6 +62,7 @@
 	config   *configurer.Configurer
 	owner    *owner.Owner
 	pledger  *pledger.Pledger
+	releaser *releaser.Releaser
 	peer     kumquatv1.Peer
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
@@ -117,6 +119,7 @@
 		Store: store, Group: n.group, Recorder: recorder.Discard{}, Dial: n.dial, Watcher: n.watcher,
 		InUse: func(daemon string, number int64) bool { return n.owner.References(daemon, number) },
 	})
+	n.releaser = releaser.New(releaser.Settings{Store: store, Group: n.group, Pledger: n.pledger, Dial: n.dial})
 	n.owner = owner.New(owner.Settings{
 		Store: store, Watcher: n.watcher, Group: n.group, Starter: n.config,
 		Recorder: recorder.Discard{}, Evictor: n.pledger, Declarations: n.config.Declarations,
@@ -179,12 +182,12 @@
 	}
 }
 
-// awaitLists waits until a number of daemons have lists of guarantors.
-func (c *cluster) awaitLists(n int) {
+// awaitLists waits until the daemons have lists of guarantors.
+func (c *cluster) awaitLists(nodes []*node) {
 	c.t.Helper()
 	c.await("lists of guarantors", func() bool {
 		listing, err := c.store.List(c.t.Context(), pledger.Prefix)
-		return err == nil && len(listing.Entries) == n
+		return err == nil && len(listing.Entries) == len(nodes)
 	})
 }
 
@@ -254,6 +257,10 @@
 	return nil, errCut
 }
 
+func (unreachable) Heard(context.Context, *kumquatv1.HeardRequest) (*kumquatv1.HeardResponse, error) {
+	return nil, errCut
+}
+
 func (unreachable) Pledge(context.Context, *kumquatv1.PledgeRequest) (*kumquatv1.PledgeResponse, error) {
 	return nil, errCut
 }
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -60,7 +60,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.awaitLists(3)
+	c.awaitLists(nodes)
 	nodes[0].cutStore.Store(true)
 	lapsed := time.Now().Add(member.LeaseTTL)
 	c.await("the lease to lapse", func() bool { return time.Now().After(lapsed) })
@@ -77,7 +77,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.awaitLists(3)
+	c.awaitLists(nodes)
 	time.Sleep(settle)
 	before := epochs(nodes)
 	t.Run("everything is held through an outage longer than the leases", func(t *testing.T) {
@@ -127,7 +127,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.awaitLists(3)
+	c.awaitLists(nodes)
 	for _, n := range nodes {
 		n.kill()
 	}
--- /dev/null
+++ b/internal/process/pledger/dead.go
@@ -0,0 +1,75 @@
+package pledger
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+// declareTries bounds the attempts while others change the same list.
+const declareTries = 5
+
+// Guarantors returns the stored guarantors of an incarnation.
+func (p *Pledger) Guarantors(ctx context.Context, daemon string, number int64) (guarantors []Guarantor, err error) {
+	defer func() { err = eris.Wrapf(err, "guarantors of incarnation %d of %s", number, daemon) }()
+	list, _, err := p.load(ctx, Key(daemon, number))
+	return list.Guarantors, err
+}
+
+// DeclareDead records durably, on an operator's word, that an incarnation
+// whose record is gone has ended: its guarantors need not block it any more.
+func (p *Pledger) DeclareDead(ctx context.Context, daemon string, number int64) (err error) {
+	defer func() { err = eris.Wrapf(err, "declaring incarnation %d of %s dead", number, daemon) }()
+	if err := p.checkGone(ctx, incarnation{daemon: daemon, number: number}); err != nil {
+		return err
+	}
+	for range declareTries {
+		err = p.declare(ctx, Key(daemon, number))
+		if !errors.Is(err, errs.ErrConflict) {
+			break
+		}
+	}
+	if err != nil {
+		return err
+	}
+	p.settings.Recorder.Record(time.Now(), EventDeclaredDead, recorder.Fields{
+		"daemon": daemon, "incarnation": strconv.FormatInt(number, 10),
+	})
+	return nil
+}
+
+// declare marks a list. An incarnation without one has no guarantors.
+func (p *Pledger) declare(ctx context.Context, key string) error {
+	list, revision, err := p.load(ctx, key)
+	if err != nil || revision == 0 || list.Dead {
+		return err
+	}
+	value, err := json.Marshal(list.WithDead(rand.Text()))
+	if err != nil {
+		return err
+	}
+	_, err = storer.Commit(ctx, p.settings.Store, storer.Swap{Key: key, Expected: revision, Value: value})
+	return err
+}
+
+// load reads a list; an absent one is empty at revision zero.
+func (p *Pledger) load(ctx context.Context, key string) (List, storer.Revision, error) {
+	entry, err := p.settings.Store.Get(ctx, key)
+	if errors.Is(err, errs.ErrNotFound) {
+		return List{}, 0, nil
+	}
+	if err != nil {
+		return List{}, 0, err
+	}
+	list, err := parseList(entry)
+	return list, entry.Revision, err
+}
--- a/internal/process/pledger/events.go
+++ b/internal/process/pledger/events.go
@@ -13,4 +13,6 @@
 	EventBlocked recorder.Number = 3404
 	// EventEvicted is recorded when an incarnation provably can't act any more; fields "daemon", "incarnation".
 	EventEvicted recorder.Number = 3405
+	// EventDeclaredDead is recorded when an operator vouches for the end of an incarnation; fields "daemon", "incarnation".
+	EventDeclaredDead recorder.Number = 3406
 )
--- a/internal/process/pledger/evict.go
+++ b/internal/process/pledger/evict.go
@@ -71,14 +71,12 @@
 	since := p.sought[target]
 	p.mu.Unlock()
 	waits := p.collect(ctx, target, list.Guarantors)
-	needed := BlocksNeeded(len(list.Guarantors))
+	needed := list.needed()
 	if len(waits) < needed && now.Sub(since) < MaxExtension+extensionMargin {
 		return eris.Errorf("%d of %d blocks", len(waits), needed)
 	}
-	if len(waits) >= needed && needed > 0 {
-		if !pauser.Sleep(ctx, waits[needed-1]) {
-			return ctx.Err()
-		}
+	if !pauser.Sleep(ctx, longest(waits, list)) {
+		return ctx.Err()
 	}
 	p.mu.Lock()
 	p.evicted[target] = true
@@ -89,6 +87,21 @@
 	return nil
 }
 
+// longest returns how long to wait for pledges, given in ascending order, to
+// run out. Without enough of them the longest extension has passed. An
+// operator's word doesn't shorten the wait for those that are known.
+func longest(waits []time.Duration, list List) time.Duration {
+	needed := list.needed()
+	switch {
+	case list.Dead && len(waits) > 0:
+		return waits[len(waits)-1]
+	case needed == 0 || len(waits) < needed:
+		return 0
+	default:
+		return waits[needed-1]
+	}
+}
+
 // checkGone asks the store itself, since the watch may lag.
 func (p *Pledger) checkGone(ctx context.Context, target incarnation) error {
 	entry, err := p.settings.Store.Get(ctx, member.Key(target.daemon))
@@ -107,21 +120,12 @@
 // closeList closes the incarnation's list, so that it can't get others.
 func (p *Pledger) closeList(ctx context.Context, target incarnation) (List, error) {
 	key := Key(target.daemon, target.number)
-	entry, err := p.settings.Store.Get(ctx, key)
-	var list List
-	switch {
-	case err == nil:
-		if list, err = parseList(entry); err != nil {
-			return List{}, err
-		}
-		if list.Closed {
-			return list, nil
-		}
-	case !errors.Is(err, errs.ErrNotFound):
-		return List{}, err
+	list, revision, err := p.load(ctx, key)
+	if err != nil || list.Closed {
+		return list, err
 	}
 	list = list.WithClosed(rand.Text())
-	_, err = p.swap(ctx, key, entry.Revision, list)
+	_, err = p.swap(ctx, key, revision, list)
 	return list, err
 }
 
--- a/internal/process/pledger/list.go
+++ b/internal/process/pledger/list.go
@@ -41,6 +41,8 @@
 	Guarantors []Guarantor `json:"guarantors"`
 	// Closed lists are not changed any more: a successor collects blocks.
 	Closed bool `json:"closed,omitempty"`
+	// Dead tells that an operator vouches for the incarnation's end.
+	Dead bool `json:"dead,omitempty"`
 	// Attempt is unique to the write, to recognise it after a lost answer.
 	Attempt string `json:"attempt"`
 }
@@ -52,6 +54,20 @@
 	return l
 }
 
+// WithDead returns a copy that is closed and needs no blocks.
+func (l List) WithDead(attempt string) List {
+	l.Dead = true
+	return l.WithClosed(attempt)
+}
+
+// needed returns how many guarantors have to block the list's incarnation.
+func (l List) needed() int {
+	if l.Dead {
+		return 0
+	}
+	return BlocksNeeded(len(l.Guarantors))
+}
+
 // PledgesNeeded returns how many of n guarantors have to pledge for their
 // asker to go on. With no guarantors it can't.
 func PledgesNeeded(n int) int { return n/2 + 1 }
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -102,6 +102,7 @@
 	3403: {Name: "pledger.extensionEnded", Level: log.InfoLevel},
 	3404: {Name: "pledger.blocked", Level: log.InfoLevel},
 	3405: {Name: "pledger.evicted", Level: log.InfoLevel},
+	3406: {Name: "pledger.declaredDead", Level: log.InfoLevel},
 	3501: {Name: "securer.reloaded", Level: log.InfoLevel},
 	3502: {Name: "securer.reloadFailed", Level: log.InfoLevel},
 	3503: {Name: "securer.denied", Level: log.InfoLevel},
--- /dev/null
+++ b/internal/process/releaser/plan.go
@@ -0,0 +1,96 @@
+package releaser
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
+)
+
+// plan returns the incarnations of the named daemons that still own
+// partitions though they are no members. It reads the store itself.
+func (r *Releaser) plan(ctx context.Context, daemons []string) ([]*kumquatv1.DeadIncarnation, error) {
+	members, err := r.members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	listing, err := r.settings.Store.List(ctx, owner.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	found := make(map[string]*kumquatv1.DeadIncarnation)
+	for _, entry := range listing.Entries {
+		partition, record, err := owner.ParseRecord(entry)
+		if err != nil {
+			return nil, err
+		}
+		if !slices.Contains(daemons, record.Owner) {
+			continue
+		}
+		m, registered := members[record.Owner]
+		if registered && m.Incarnation == record.Incarnation {
+			return nil, refusal(record.Owner+" is registered", "wait until its lease has lapsed, 4 s after its end")
+		}
+		if registered && m.Token == record.Token {
+			continue // The same process under a later incarnation.
+		}
+		key := fmt.Sprintf("%s/%d", record.Owner, record.Incarnation)
+		if found[key] == nil {
+			found[key] = &kumquatv1.DeadIncarnation{
+				Incarnation: &kumquatv1.Incarnation{Daemon: record.Owner, Number: record.Incarnation},
+			}
+		}
+		found[key].Partitions = append(found[key].Partitions, string(partition))
+	}
+	return sorted(found), nil
+}
+
+// members returns the registered daemons by name.
+func (r *Releaser) members(ctx context.Context) (map[string]member.Member, error) {
+	listing, err := r.settings.Store.List(ctx, member.Prefix)
+	if err != nil {
+		return nil, err
+	}
+	members := make(map[string]member.Member, len(listing.Entries))
+	for _, entry := range listing.Entries {
+		m, err := member.Parse(entry)
+		if err != nil {
+			return nil, err
+		}
+		members[m.Daemon] = m
+	}
+	return members, nil
+}
+
+func sorted(found map[string]*kumquatv1.DeadIncarnation) []*kumquatv1.DeadIncarnation {
+	dead := make([]*kumquatv1.DeadIncarnation, 0, len(found))
+	for _, each := range found {
+		slices.Sort(each.Partitions)
+		dead = append(dead, each)
+	}
+	slices.SortFunc(dead, func(a, b *kumquatv1.DeadIncarnation) int {
+		return cmp.Or(
+			cmp.Compare(a.Incarnation.Daemon, b.Incarnation.Daemon),
+			cmp.Compare(a.Incarnation.Number, b.Incarnation.Number),
+		)
+	})
+	return dead
+}
+
+// idOf returns the id of a plan. Partitions don't count, because they change
+// hands while a repeated call is under way.
+func idOf(dead []*kumquatv1.DeadIncarnation) string {
+	var text strings.Builder
+	for _, each := range dead {
+		fmt.Fprintf(&text, "%s/%d\n", each.Incarnation.Daemon, each.Incarnation.Number)
+	}
+	return strconv.FormatUint(xxhash.Sum64String(text.String()), 16)
+}
--- a/internal/process/responder/responder.go
+++ b/internal/process/responder/responder.go
@@ -10,9 +10,10 @@
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
-// Members answers heartbeats.
+// Members answers heartbeats and tells whose it got.
 type Members interface {
 	Heartbeat(ctx context.Context, req *kumquatv1.HeartbeatRequest) (*kumquatv1.HeartbeatResponse, error)
+	Heard(ctx context.Context, req *kumquatv1.HeardRequest) (*kumquatv1.HeardResponse, error)
 }
 
 // Pledges answers calls about pledges.
