--- a/internal/cli/diffcmd.go
+++ b/internal/cli/diffcmd.go
@@ -68,6 +68,10 @@
 }
 
 func (d *difference) write(w io.Writer) {
+	if d.inForce == nil {
+		printf(w, "no declarations are in force yet; all of the file is new\n")
+		return
+	}
 	switch len(d.Changes) {
 	case 0:
 		printf(w, "no differences to version %d\n", d.BaseVersion)
--- a/internal/process/embedder/embedder.go
+++ b/internal/process/embedder/embedder.go
@@ -62,6 +62,9 @@
 	}
 	defer platform.close()
 
+	if err := announce(options, len(sets)); err != nil {
+		return err
+	}
 	daemons, daemonsCtx := errgroup.WithContext(ctx)
 	stopCtx, stop := context.WithCancel(daemonsCtx)
 	defer stop()
@@ -83,6 +86,16 @@
 	return platform.report(options.Out)
 }
 
+// announce tells what is about to run.
+func announce(options Options, daemons int) error {
+	_, err := fmt.Fprintf(options.Out, `%d daemons of %s start in this process, with stand-ins of the platform:
+%d workers and %d runners in each data centre; a runner takes %s on average for a request.
+Then %d urgent requests are sent every second for %s, while the tasks of its intents run.
+`, daemons, options.Directory, options.HostsPerDataCentre, options.HostsPerDataCentre, runnerMean,
+		options.RequestsPerSecond, options.Duration)
+	return err
+}
+
 // loadSettings reads the settings of all daemons of a directory.
 func loadSettings(directory string) ([]*settings.Settings, error) {
 	paths, err := filepath.Glob(filepath.Join(directory, "daemons", "*.yaml"))
