--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -52,7 +52,10 @@
 		"listen": map[string]string{
 			"callers": daemon.Callers, "peers": daemon.Peers, "operators": daemon.Operators, "health": daemon.Health,
 		},
-		"store":    map[string]string{"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address)},
+		"store": map[string]string{
+			"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address),
+			"region":   c.regionOf(storeName),
+		},
 		"hostList": map[string]any{"endpoint": hostList, "pollInterval": "200ms"},
 		"seeds":    seeds,
 		"reroute":  reroute,
--- a/internal/process/claimkeeper/keeper_test.go
+++ b/internal/process/claimkeeper/keeper_test.go
@@ -225,10 +225,11 @@
 	h, d := &holder{}, newDisk()
 	h.give("a")
 	a, b := newTestKeeper(t, h, d, "a"), newTestKeeper(t, h, d, "b")
-	claimUntilOwned(t, a, claimAs("t1"))
-	second := claimAs("t2")
-	second.DeadlineUnixMillis = time.Now().Add(time.Minute).UnixMilli()
 	now := time.Now()
+	first, second := claimAs("t1"), claimAs("t2")
+	first.DeadlineUnixMillis = now.Add(2 * time.Minute).UnixMilli()
+	second.DeadlineUnixMillis = first.GetDeadlineUnixMillis()
+	claimUntilOwned(t, a, first)
 	_, progress := a.claimOnce(t.Context(), a.find(second.GetKey(), now), second, now)
 	h.give("b")
 	if !progress.await(t.Context(), now, now.Add(time.Minute)) {
@@ -237,7 +238,7 @@
 	if _, err := a.Claim(t.Context(), second); !errors.Is(err, errs.ErrNotOwner) {
 		t.Errorf("error = %v", err)
 	}
-	claimUntilOwned(t, b, claimAs("t1"))
+	claimUntilOwned(t, b, first)
 	complete(t, b, &kumquatv1.CompleteRequest{Key: "charms/1", Token: "t1", Result: &kumquatv1.StoredResult{Status: 200}})
 	assertState(t, claimUntilOwned(t, b, second), kumquatv1.ClaimState_CLAIM_STATE_COMPLETED)
 }
--- a/internal/process/journaler/journal_test.go
+++ b/internal/process/journaler/journal_test.go
@@ -215,10 +215,12 @@
 // that it wrote.
 func TestStaleOwnerAfterCompaction(t *testing.T) {
 	store := keyvalue.NewFake()
-	stale, _ := openAs(t, store, 1)
-	mustAppend(t, stale, "a")
-	stalePosition := stale.Position()
-	for epoch := owner.Epoch(2); epoch < 5; epoch++ {
+	appender, _ := openAs(t, store, 1)
+	mustAppend(t, appender, "a")
+	snapshotter, _ := openAs(t, store, 2)
+	mustAppend(t, snapshotter, "b")
+	position := snapshotter.Position()
+	for epoch := owner.Epoch(3); epoch < 6; epoch++ {
 		j, _ := openAs(t, store, epoch)
 		mustAppend(t, j, fmt.Sprint(epoch))
 		if err := j.Snapshot(t.Context(), j.Position(), recordsOf("all")); err != nil {
@@ -226,10 +228,10 @@
 		}
 	}
 	t.Run("its snapshot is refused", func(t *testing.T) {
-		assertFenced(t, stale.Snapshot(t.Context(), stalePosition, recordsOf("stale")))
+		assertFenced(t, snapshotter.Snapshot(t.Context(), position, recordsOf("stale")))
 	})
 	t.Run("its append is refused", func(t *testing.T) {
-		assertFenced(t, stale.Append(t.Context(), removed("b")))
+		assertFenced(t, appender.Append(t.Context(), removed("b")))
 	})
 	t.Run("the state is the successor's", func(t *testing.T) {
 		assertReplays(t, store, 9, "all")
