Have no expired ticker in the sharder's loop

Cause: one test run died of a segmentation fault in the Go runtime (maybeRunChan, goroutine in a synctest bubble). With the race detector the timers of one bubble share a context, and selecting an expired ticker in two threads uses it from both. The sharder's ticker expired whenever a pass was followed by a gathering pause.

Ruled out: own code below unsafe or cgo; there is none in these tests.

Change: each wait has a timer of its own, which can't have expired.

Not shown: that the fault is gone; it was seen once in many runs.

--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -108,20 +108,27 @@
 		s.cancel()
 		err = errors.Join(err, s.wait())
 	}()
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for {
-		if s.pass(s.options.Now()) {
-			return errs.ErrFenced
-		}
-		select {
-		case <-s.base.Done():
+	for !s.pass(s.options.Now()) {
+		if !s.await() {
 			return nil
-		case <-s.kick:
-			s.gather()
-		case <-timer.C:
 		}
 	}
+	return errs.ErrFenced
+}
+
+// await waits until there is something to decide on and reports whether the
+// sharder still runs.
+func (s *Sharder) await() bool {
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	select {
+	case <-s.base.Done():
+		return false
+	case <-s.kick:
+		s.gather()
+	case <-timer.C:
+	}
+	return true
 }
 
 // gather waits for further outcomes of commands, so that one pass serves many.
