Let a plan wait while shards change their owner

Cause: TestConfirmThroughPausedDaemon red once on a busy machine: the plan was refused with "no owner of a shard answers", since it came right after the start. An operator meets the same for seconds after a daemon's death.

--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -8,6 +8,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/merger"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -16,8 +17,14 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
-// shardTimeout bounds one question to the owner of a shard.
-const shardTimeout = 3 * time.Second
+const (
+	// shardTimeout bounds one question to the owner of a shard.
+	shardTimeout = 3 * time.Second
+	// ownerGrace is the time after which a shard whose owner died has another.
+	ownerGrace = 6 * time.Second
+	// surveyPause is the time between two surveys while no shard answers.
+	surveyPause = 200 * time.Millisecond
+)
 
 // A Change is the outcome of an accepted change of the declarations.
 type Change struct {
@@ -103,6 +110,19 @@
 	return c
 }
 
+// surveyPatiently repeats a survey in which no shard answers for as long as a
+// shard may be without an owner.
+func (a *Administrator) surveyPatiently(ctx context.Context, d *declarer.Declarations, req *kumquatv1.ShardStatusRequest) census {
+	ctx, cancel := context.WithTimeout(ctx, ownerGrace)
+	defer cancel()
+	for {
+		c := a.survey(ctx, d, req)
+		if len(c.shards) > 0 || !pauser.Sleep(ctx, surveyPause) {
+			return c
+		}
+	}
+}
+
 // askShard returns nil if the owner of a shard doesn't answer.
 func (a *Administrator) askShard(ctx context.Context, centre string, req *kumquatv1.ShardStatusRequest) *kumquatv1.ShardStatusResponse {
 	partition := owner.ShardOf(centre)
--- a/internal/process/administrator/plan.go
+++ b/internal/process/administrator/plan.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := a.survey(ctx, version.Declarations, &kumquatv1.ShardStatusRequest{IncludeTasks: true})
+	c := a.surveyPatiently(ctx, version.Declarations, &kumquatv1.ShardStatusRequest{IncludeTasks: true})
 	if len(c.shards) == 0 {
 		return nil, &errs.RefusedError{
 			What:   "plan of " + intent.Name,
