Let renewals carry ends and what to forget; send fewer headers

Cause: each end of a task took a report of all runs of its worker and a call of its own that let the worker forget it, and each call carried headers that nobody reads.

Change: a worker's answer to a renewal holds the runs that have ended, and the next renewal names those it may forget; the call to forget is gone. A renewal of an unchanged set names no new set. Runs are written as one string, empty fields are left out, and empty answers are 204. The client asks for compression only where answers are long, and the stand-in sends no header that isn't needed.

--- a/internal/connection/commander/agent.go
+++ b/internal/connection/commander/agent.go
@@ -3,6 +3,10 @@
 
 import (
 	"context"
+	"encoding"
+	"fmt"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -10,17 +14,45 @@
 // refuses commands with a fence lower than the highest it has seen.
 type Fence int64
 
-// A RunID names one run of one task.
+// A RunID names one run of one task. It is written as "<task>#<run>".
 type RunID struct {
-	Task string `json:"task"`
-	Run  int32  `json:"run"`
+	Task string
+	Run  int32
+}
+
+var (
+	_ encoding.TextMarshaler   = RunID{}
+	_ encoding.TextUnmarshaler = (*RunID)(nil)
+)
+
+// runMark separates the task from the run in a written RunID.
+const runMark = "#"
+
+// MarshalText implements encoding.TextMarshaler.
+func (r RunID) MarshalText() ([]byte, error) {
+	return strconv.AppendInt([]byte(r.Task+runMark), int64(r.Run), 10), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (r *RunID) UnmarshalText(text []byte) error {
+	written := string(text)
+	mark := strings.LastIndex(written, runMark)
+	if mark < 0 {
+		return fmt.Errorf("run %q has no number", written)
+	}
+	run, err := strconv.ParseInt(written[mark+len(runMark):], 10, 32)
+	if err != nil {
+		return fmt.Errorf("run %q: %w", written, err)
+	}
+	*r = RunID{Task: written[:mark], Run: int32(run)}
+	return nil
 }
 
 // Resources are amounts of processor, memory and accelerators.
 type Resources struct {
-	MilliCores   int64 `json:"milliCores"`
-	MemoryBytes  int64 `json:"memoryBytes"`
-	Accelerators int64 `json:"accelerators"`
+	MilliCores   int64 `json:"milliCores,omitempty"`
+	MemoryBytes  int64 `json:"memoryBytes,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
 }
 
 // A Start asks a worker to run a task under a lease.
@@ -53,14 +85,32 @@
 type Run struct {
 	ID         RunID     `json:"id"`
 	State      RunState  `json:"state"`
-	Class      string    `json:"class"`
-	Team       string    `json:"team"`
-	Resources  Resources `json:"resources"`
+	Class      string    `json:"class,omitempty"`
+	Team       string    `json:"team,omitempty"`
+	Resources  Resources `json:"resources,omitzero"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
 	Result     []byte    `json:"result,omitempty"`
 	Reason     string    `json:"reason,omitempty"`
 	// ThrottlePercent is the share of its processors that is withheld.
-	ThrottlePercent int `json:"throttlePercent"`
+	ThrottlePercent int `json:"throttlePercent,omitempty"`
+}
+
+// A Renewal extends the leases of runs, and lets the worker forget others that
+// have ended.
+type Renewal struct {
+	Fence  Fence
+	IDs    []RunID
+	Lease  time.Duration
+	Forget []RunID
+}
+
+// A Renewed is a worker's answer to a Renewal.
+type Renewed struct {
+	// Ended are runs of the renewal that have ended, without what their start
+	// said of them.
+	Ended []Run
+	// Unknown are runs of the renewal that the worker doesn't know.
+	Unknown []RunID
 }
 
 // A Report lists the runs of a worker, ended ones included until forgotten.
@@ -88,15 +138,13 @@
 	// Start starts a run; a repeated start of the same run has no effect.
 	Start(ctx context.Context, start Start) error
 	// Renew extends the leases of runs and returns those the worker doesn't run.
-	Renew(ctx context.Context, fence Fence, ids []RunID, lease time.Duration) ([]RunID, error)
+	Renew(ctx context.Context, renewal Renewal) (Renewed, error)
 	// Checkpoint saves a run's progress and returns the checkpoint's name.
 	Checkpoint(ctx context.Context, fence Fence, id RunID) (string, error)
 	// Throttle withholds a percentage of a run's processors.
 	Throttle(ctx context.Context, fence Fence, id RunID, percent int) error
 	// Stop ends a run; after it returns nil the run has stopped.
 	Stop(ctx context.Context, fence Fence, id RunID) error
-	// Forget drops ended runs from the report.
-	Forget(ctx context.Context, fence Fence, ids []RunID) error
 	// Report lists the worker's runs and raises its fence.
 	Report(ctx context.Context, fence Fence) (Report, error)
 	// Usage returns lagging measurements.
--- a/internal/connection/commander/client.go
+++ b/internal/connection/commander/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -25,7 +27,8 @@
 
 // Options configure a Client. Zero fields have defaults.
 type Options struct {
-	HTTP *http.Client
+	// Dial opens the connections; nil dials directly.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// CallTimeout bounds each call whose context has no earlier deadline.
 	CallTimeout time.Duration
 }
@@ -34,6 +37,7 @@
 // is safe for concurrent use.
 type Client struct {
 	options Options
+	http    *http.Client
 }
 
 var (
@@ -46,16 +50,16 @@
 	if options.CallTimeout == 0 {
 		options.CallTimeout = defaultCallTimeout
 	}
-	if options.HTTP == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		options.HTTP = &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: idlePerWorker,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		}}
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{options: options}
+	// Compression is asked for where it pays, see exchange.
+	return &Client{options: options, http: &http.Client{Transport: &http.Transport{
+		DialContext:         options.Dial,
+		MaxIdleConnsPerHost: idlePerWorker,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}}
 }
 
 // Agent implements Dialer. It makes no call.
@@ -65,7 +69,7 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() error {
-	c.options.HTTP.CloseIdleConnections()
+	c.http.CloseIdleConnections()
 	return nil
 }
 
@@ -83,13 +87,12 @@
 
 // Renew implements Agent. All runs travel in one call, and only the changes
 // since the last call if the worker remembers that one.
-func (a *agent) Renew(ctx context.Context, fence Fence, ids []RunID, lease time.Duration) ([]RunID, error) {
-	request := a.renewed.request(fence, ids, lease)
-	answer, err := a.renew(ctx, request, ids)
+func (a *agent) Renew(ctx context.Context, renewal Renewal) (Renewed, error) {
+	answer, err := a.renew(ctx, a.renewed.request(renewal), renewal.IDs)
 	if err == nil && answer.UnknownBase {
-		answer, err = a.renew(ctx, wholeRequest(fence, ids, lease, request.Set), ids)
+		answer, err = a.renew(ctx, a.renewed.request(renewal), renewal.IDs)
 	}
-	return answer.NotRunning, err
+	return Renewed{Ended: answer.Ended, Unknown: answer.Unknown}, err
 }
 
 // renew makes one call and remembers the set if it was answered.
@@ -99,7 +102,7 @@
 		return RenewResponse{}, err
 	}
 	if !answer.UnknownBase {
-		a.renewed.remember(request.Set, ids)
+		a.renewed.remember(cmp.Or(request.Set, request.Base), ids)
 	}
 	return answer, nil
 }
@@ -123,11 +126,6 @@
 	return a.post(ctx, PathStop, RunRequest{Fence: fence, ID: id}, nil)
 }
 
-// Forget implements Agent.
-func (a *agent) Forget(ctx context.Context, fence Fence, ids []RunID) error {
-	return a.post(ctx, PathForget, ForgetRequest{Fence: fence, IDs: ids}, nil)
-}
-
 // Report implements Agent.
 func (a *agent) Report(ctx context.Context, fence Fence) (report Report, err error) {
 	if err := a.post(ctx, PathReport, ReportRequest{Fence: fence}, &report); err != nil {
@@ -167,25 +165,43 @@
 	if err != nil {
 		return err
 	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := a.client.options.HTTP.Do(request)
+	// Without a value, the library's own name is not sent either.
+	request.Header.Set("User-Agent", "")
+	if path == PathReport || path == PathUsage {
+		request.Header.Set("Accept-Encoding", "gzip")
+	}
+	response, err := a.client.http.Do(request)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
-	if err != nil {
+	content, err := read(response)
+	switch {
+	case err != nil:
 		return err
-	}
-	if response.StatusCode != http.StatusOK {
+	case response.StatusCode == http.StatusNoContent:
+		return nil
+	case response.StatusCode != http.StatusOK:
 		return failure(response.StatusCode, content)
-	}
-	if answer == nil {
+	case answer == nil:
 		return nil
 	}
 	return json.Unmarshal(content, answer)
 }
 
+// read returns the body of an answer, which may be compressed.
+func read(response *http.Response) ([]byte, error) {
+	body := io.Reader(response.Body)
+	if response.Header.Get("Content-Encoding") == "gzip" {
+		decompressor, err := gzip.NewReader(response.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = decompressor
+	}
+	return io.ReadAll(io.LimitReader(body, answerLimit))
+}
+
 // failure returns the error that an answer other than 200 stands for.
 func failure(status int, content []byte) error {
 	var problem Problem
--- a/internal/connection/commander/messages.go
+++ b/internal/connection/commander/messages.go
@@ -3,14 +3,14 @@
 import "time"
 
 // Paths of the agent's HTTP protocol. All but PathUsage take a POST with a
-// JSON body.
+// JSON body. Answers are JSON, or 204 without a body where nothing is to be
+// said; no header is needed in either direction beyond those of HTTP itself.
 const (
 	PathStart      = "/v1/start"
 	PathRenew      = "/v1/renew"
 	PathCheckpoint = "/v1/checkpoint"
 	PathThrottle   = "/v1/throttle"
 	PathStop       = "/v1/stop"
-	PathForget     = "/v1/forget"
 	PathReport     = "/v1/report"
 	PathUsage      = "/v1/usage"
 )
@@ -26,13 +26,17 @@
 	IDs []RunID `json:"ids,omitempty"`
 	// Dropped are the runs of the base that the set lacks.
 	Dropped []RunID `json:"dropped,omitempty"`
-	// Set names the resulting set for the next call.
+	// Forget are ended runs to drop from the report and from the base.
+	Forget []RunID `json:"forget,omitempty"`
+	// Set names the resulting set for the next call; empty keeps the base and
+	// its name.
 	Set string `json:"set,omitempty"`
 }
 
 // A RenewResponse lists the runs that the worker doesn't run.
 type RenewResponse struct {
-	NotRunning []RunID `json:"notRunning,omitempty"`
+	Ended   []Run   `json:"ended,omitempty"`
+	Unknown []RunID `json:"unknown,omitempty"`
 	// UnknownBase says that nothing was renewed, since the worker doesn't know
 	// the base; the whole set has to be sent.
 	UnknownBase bool `json:"unknownBase,omitempty"`
@@ -50,12 +54,6 @@
 	Checkpoint string `json:"checkpoint"`
 }
 
-// A ForgetRequest is the body of PathForget.
-type ForgetRequest struct {
-	Fence Fence   `json:"fence"`
-	IDs   []RunID `json:"ids"`
-}
-
 // A ReportRequest is the body of PathReport.
 type ReportRequest struct {
 	Fence Fence `json:"fence"`
--- a/internal/connection/commander/renewedset.go
+++ b/internal/connection/commander/renewedset.go
@@ -2,10 +2,14 @@
 
 import (
 	"crypto/rand"
+	"maps"
 	"sync"
-	"time"
 )
 
+// nameLength is the number of characters of a set's name, five bits each. A name
+// has to differ only from that of the set before.
+const nameLength = 8
+
 // A renewedSet is the set of runs that a worker was last asked to renew, under
 // a name that is used once. It is safe for concurrent use.
 type renewedSet struct {
@@ -14,35 +18,39 @@
 	ids  map[RunID]bool
 }
 
-// request returns the shortest request that renews a set.
-func (r *renewedSet) request(fence Fence, ids []RunID, lease time.Duration) RenewRequest {
+// request returns the shortest request for a renewal.
+func (r *renewedSet) request(renewal Renewal) RenewRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name := rand.Text()
+	name := rand.Text()[:nameLength]
 	if r.name == "" {
-		return wholeRequest(fence, ids, lease, name)
+		return wholeRequest(renewal, name)
 	}
-	request := RenewRequest{Fence: fence, Lease: lease, Base: r.name, Set: name}
-	wanted := setOf(ids)
-	for _, id := range ids {
+	request := RenewRequest{Fence: renewal.Fence, Lease: renewal.Lease, Base: r.name, Forget: renewal.Forget}
+	wanted := setOf(renewal.IDs)
+	forgotten := setOf(renewal.Forget)
+	for _, id := range renewal.IDs {
 		if !r.ids[id] {
 			request.IDs = append(request.IDs, id)
 		}
 	}
 	for id := range r.ids {
-		if !wanted[id] {
+		if !wanted[id] && !forgotten[id] {
 			request.Dropped = append(request.Dropped, id)
 		}
 	}
-	if len(request.IDs)+len(request.Dropped) > len(ids) {
-		return wholeRequest(fence, ids, lease, name)
+	if len(request.IDs)+len(request.Dropped) > len(renewal.IDs) {
+		return wholeRequest(renewal, name)
+	}
+	if !maps.Equal(wanted, r.ids) {
+		request.Set = name
 	}
 	return request
 }
 
 // wholeRequest returns the request that names every run.
-func wholeRequest(fence Fence, ids []RunID, lease time.Duration, name string) RenewRequest {
-	return RenewRequest{Fence: fence, Lease: lease, IDs: ids, Set: name}
+func wholeRequest(renewal Renewal, name string) RenewRequest {
+	return RenewRequest{Fence: renewal.Fence, Lease: renewal.Lease, IDs: renewal.IDs, Forget: renewal.Forget, Set: name}
 }
 
 // remember notes that the worker knows a set.
--- a/internal/experiment/colocation/world.go
+++ b/internal/experiment/colocation/world.go
@@ -167,7 +167,7 @@
 				w.result.lost++
 			}
 		}
-		_ = m.worker.Forget(now, commander.ForgetRequest{Fence: 1, IDs: ended})
+		_, _ = m.worker.Renew(now, commander.Renewal{Fence: 1, Forget: ended})
 	}
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -88,7 +88,7 @@
 		Recorder:    d.recorder,
 	})
 	d.dialer = dialer.New(peerScheme, dialer.NewClient(d.security.dial(d.meters.peers.Dial(d.meters.dial))))
-	d.agents = commander.NewClient(commander.Options{HTTP: d.meters.client(d.meters.workers)})
+	d.agents = commander.NewClient(commander.Options{Dial: d.meters.workers.Dial(d.meters.dial)})
 	d.watcher = watcher.New(d.store, controlPrefix, d.recorder)
 	d.addConfigurer()
 	d.addGroup()
--- a/internal/process/sharder/acting.go
+++ b/internal/process/sharder/acting.go
@@ -37,7 +37,6 @@
 			continue
 		}
 		s.stopStrays(w)
-		s.forget(w, now)
 		for _, e := range byRank(s.table.byWorker[w.name]) {
 			if w.commands >= commandsPerWorker {
 				break
--- a/internal/process/sharder/crash_test.go
+++ b/internal/process/sharder/crash_test.go
@@ -84,12 +84,12 @@
 	return name, err
 }
 
-func (a *tappedAgent) Renew(ctx context.Context, fence commander.Fence, ids []commander.RunID, lease time.Duration) (missing []commander.RunID, err error) {
+func (a *tappedAgent) Renew(ctx context.Context, renewal commander.Renewal) (renewed commander.Renewed, err error) {
 	err = a.tap.around("renew", func() (err error) {
-		missing, err = a.Agent.Renew(ctx, fence, ids, lease)
+		renewed, err = a.Agent.Renew(ctx, renewal)
 		return err
 	})
-	return missing, err
+	return renewed, err
 }
 
 func (a *tappedAgent) Report(ctx context.Context, fence commander.Fence) (report commander.Report, err error) {
--- a/internal/process/sharder/rate_test.go
+++ b/internal/process/sharder/rate_test.go
@@ -56,15 +56,11 @@
 	return a.Agent.Start(ctx, start)
 }
 
-func (a *meteredAgent) Renew(ctx context.Context, fence commander.Fence, ids []commander.RunID, lease time.Duration) ([]commander.RunID, error) {
-	missing, err := a.Agent.Renew(ctx, fence, ids, lease)
-	a.meter.count(commander.RenewRequest{Fence: fence, IDs: ids, Lease: lease}, commander.RenewResponse{NotRunning: missing})
-	return missing, err
-}
-
-func (a *meteredAgent) Forget(ctx context.Context, fence commander.Fence, ids []commander.RunID) error {
-	a.meter.count(commander.ForgetRequest{Fence: fence, IDs: ids})
-	return a.Agent.Forget(ctx, fence, ids)
+func (a *meteredAgent) Renew(ctx context.Context, renewal commander.Renewal) (commander.Renewed, error) {
+	renewed, err := a.Agent.Renew(ctx, renewal)
+	a.meter.count(commander.RenewRequest{Fence: renewal.Fence, IDs: renewal.IDs, Lease: renewal.Lease, Forget: renewal.Forget},
+		commander.RenewResponse{Ended: renewed.Ended, Unknown: renewed.Unknown})
+	return renewed, err
 }
 
 func (a *meteredAgent) Report(ctx context.Context, fence commander.Fence) (commander.Report, error) {
--- a/internal/process/sharder/stopping.go
+++ b/internal/process/sharder/stopping.go
@@ -117,11 +117,9 @@
 	}
 }
 
-// forget drops ended runs at the worker once their outcome is durable.
-func (s *Sharder) forget(w *worker, now time.Time) {
-	if w.forgetting {
-		return
-	}
+// forgettable returns the ended runs whose outcome is durable, so that the worker
+// may forget them.
+func (s *Sharder) forgettable(w *worker, now time.Time) []commander.RunID {
 	var ids []commander.RunID
 	for id, after := range w.forgettable {
 		e := s.table.entries[id.Task]
@@ -129,21 +127,7 @@
 			ids = append(ids, id)
 		}
 	}
-	if len(ids) == 0 {
-		return
-	}
-	agent := w.agent
-	w.forgetting = s.call(w, func(ctx context.Context) error {
-		return agent.Forget(ctx, s.fence(), ids)
-	}, func(_ time.Time, err error) {
-		w.forgetting = false
-		if err != nil {
-			return
-		}
-		for _, id := range ids {
-			delete(w.forgettable, id)
-		}
-	})
+	return ids
 }
 
 // remove decides that a task leaves its worker, for another data centre if
--- a/internal/process/sharder/worker.go
+++ b/internal/process/sharder/worker.go
@@ -48,7 +48,6 @@
 	// forgettable are ended runs with the time after which the worker may
 	// forget them, once their outcome is durable.
 	forgettable map[commander.RunID]time.Time
-	forgetting  bool
 	// probing is true while a quarantined worker has a task to prove itself.
 	probing bool
 }
@@ -257,18 +256,21 @@
 // wantReport asks for a report as soon as possible.
 func (w *worker) wantReport() { w.reportAt = time.Time{} }
 
-// renew extends the leases of all runs of a worker that shall go on.
+// renew extends the leases of all runs of a worker that shall go on, and lets it
+// forget ended ones.
 func (s *Sharder) renew(w *worker, now time.Time, lease time.Duration) {
-	ids := s.renewable(w)
+	renewal := commander.Renewal{Fence: s.fence(), IDs: s.renewable(w), Lease: lease, Forget: s.forgettable(w, now)}
 	w.renewAt = now.Add(s.nextPoll(w, now, lease))
-	if len(ids) == 0 {
+	if len(renewal.IDs)+len(renewal.Forget) == 0 {
 		return
 	}
+	ids := renewal.IDs
 	s.extendLeases(ids, now, lease)
+	since := s.table.sequence
 	agent := w.agent
-	var missing []commander.RunID
+	var renewed commander.Renewed
 	w.renewing = s.call(w, func(ctx context.Context) (err error) {
-		missing, err = agent.Renew(ctx, s.fence(), ids, lease)
+		renewed, err = agent.Renew(ctx, renewal)
 		return err
 	}, func(now time.Time, err error) {
 		w.renewing = false
@@ -278,9 +280,13 @@
 			w.renewAt = now.Add(min(s.options.Poll, lease/3))
 			return
 		}
-		if len(missing) > 0 {
+		for _, id := range renewal.Forget {
+			delete(w.forgettable, id)
+		}
+		if len(renewed.Unknown) > 0 {
 			w.wantReport()
 		}
+		s.applyEnded(w, renewed.Ended, since, now)
 		s.noteSurvivors(w, ids, now)
 	})
 }
--- a/internal/standin/worker/fake.go
+++ b/internal/standin/worker/fake.go
@@ -96,15 +96,15 @@
 }
 
 // Renew implements commander.Agent.
-func (f *Fake) Renew(ctx context.Context, fence commander.Fence, ids []commander.RunID, lease time.Duration) (missing []commander.RunID, err error) {
+func (f *Fake) Renew(ctx context.Context, renewal commander.Renewal) (renewed commander.Renewed, err error) {
 	err = f.command(ctx, func(now time.Time) (err error) {
-		missing, err = f.Worker.Renew(now, commander.RenewRequest{Fence: fence, IDs: ids, Lease: lease})
+		renewed, err = f.Worker.Renew(now, renewal)
 		return err
 	})
 	if err != nil {
-		return nil, err
+		return commander.Renewed{}, err
 	}
-	return missing, nil
+	return renewed, nil
 }
 
 // Checkpoint implements commander.Agent.
@@ -139,13 +139,6 @@
 	})
 }
 
-// Forget implements commander.Agent.
-func (f *Fake) Forget(ctx context.Context, fence commander.Fence, ids []commander.RunID) error {
-	return f.command(ctx, func(now time.Time) error {
-		return f.Worker.Forget(now, commander.ForgetRequest{Fence: fence, IDs: ids})
-	})
-}
-
 // Report implements commander.Agent.
 func (f *Fake) Report(ctx context.Context, fence commander.Fence) (commander.Report, error) {
 	if err := f.enter(ctx); err != nil {
--- a/internal/standin/worker/renewedsets.go
+++ b/internal/standin/worker/renewedsets.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -25,11 +26,11 @@
 			return nil, false
 		}
 		kept := slices.DeleteFunc(slices.Clone(s.ids), func(id commander.RunID) bool {
-			return slices.Contains(request.Dropped, id)
+			return slices.Contains(request.Dropped, id) || slices.Contains(request.Forget, id)
 		})
 		ids = append(kept, request.IDs...)
 	}
-	s.name = request.Set
+	s.name = cmp.Or(request.Set, request.Base)
 	s.ids = ids
 	return ids, true
 }
--- a/internal/standin/worker/renewedsets_test.go
+++ b/internal/standin/worker/renewedsets_test.go
@@ -61,7 +61,7 @@
 			}
 			elapsed.Add(int64(pause))
 			// The lost answer fails the call; the renewal has taken effect.
-			_, _ = agent.Renew(t.Context(), 1, ids, lease)
+			_, _ = agent.Renew(t.Context(), commander.Renewal{Fence: 1, IDs: ids, Lease: lease})
 			elapsed.Add(int64(pause))
 			assertRunning(t, fake, step.want)
 		})
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -24,8 +24,11 @@
 		if !ok {
 			return commander.RenewResponse{UnknownBase: true}, nil
 		}
-		missing, err := fake.Renew(r.Context(), renew.Fence, ids, renew.Lease)
-		return commander.RenewResponse{NotRunning: missing}, err
+		renewed, err := fake.Renew(r.Context(), commander.Renewal{Fence: renew.Fence, IDs: ids, Lease: renew.Lease, Forget: renew.Forget})
+		if err != nil || len(renewed.Ended)+len(renewed.Unknown) == 0 {
+			return nil, err
+		}
+		return commander.RenewResponse{Ended: renewed.Ended, Unknown: renewed.Unknown}, nil
 	}))
 	mux.Handle("POST "+commander.PathCheckpoint, handle(func(r *http.Request, run commander.RunRequest) (any, error) {
 		name, err := fake.Checkpoint(r.Context(), run.Fence, run.ID)
@@ -37,9 +40,6 @@
 	mux.Handle("POST "+commander.PathStop, handle(func(r *http.Request, run commander.RunRequest) (any, error) {
 		return nil, fake.Stop(r.Context(), run.Fence, run.ID)
 	}))
-	mux.Handle("POST "+commander.PathForget, handle(func(r *http.Request, forget commander.ForgetRequest) (any, error) {
-		return nil, fake.Forget(r.Context(), forget.Fence, forget.IDs)
-	}))
 	mux.Handle("POST "+commander.PathReport, handle(func(r *http.Request, report commander.ReportRequest) (any, error) {
 		return fake.Report(r.Context(), report.Fence)
 	}))
@@ -68,7 +68,8 @@
 func answer(w http.ResponseWriter, result any, err error) {
 	switch {
 	case err == nil && result == nil:
-		write(w, http.StatusOK, struct{}{})
+		strip(w)
+		w.WriteHeader(http.StatusNoContent)
 	case err == nil:
 		write(w, http.StatusOK, result)
 	case errors.Is(err, errs.ErrFenced):
@@ -82,8 +83,15 @@
 	}
 }
 
+// strip leaves out the headers that the protocol doesn't need.
+func strip(w http.ResponseWriter) {
+	for _, name := range []string{"Content-Type", "Date"} {
+		w.Header()[name] = nil
+	}
+}
+
 func write(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
+	strip(w)
 	w.WriteHeader(status)
 	// A client that went away needs no answer.
 	_ = json.NewEncoder(w).Encode(body)
--- a/internal/standin/worker/server_test.go
+++ b/internal/standin/worker/server_test.go
@@ -37,10 +37,10 @@
 	id := commander.RunID{Task: "a", Run: 1}
 	assertOK(t, agent.Start(t.Context(), start("a", 1, 4, time.Hour)))
 	assertState(t, fake.Worker, fake.Now(), commander.RunRunning)
-	missing, err := agent.Renew(t.Context(), 1, []commander.RunID{id, {Task: "b", Run: 2}}, time.Minute)
+	renewed, err := agent.Renew(t.Context(), commander.Renewal{Fence: 1, IDs: []commander.RunID{id, {Task: "b", Run: 2}}, Lease: time.Minute})
 	assertOK(t, err)
-	if len(missing) != 1 || missing[0].Task != "b" {
-		t.Fatalf("missing %v", missing)
+	if len(renewed.Unknown) != 1 || renewed.Unknown[0].Task != "b" {
+		t.Fatalf("answer %+v", renewed)
 	}
 	assertOK(t, agent.Throttle(t.Context(), 1, id, 50))
 	usages, err := agent.Usage(t.Context())
@@ -56,7 +56,16 @@
 	if len(report.Runs) != 1 || report.Runs[0].Checkpoint != checkpoint || report.Runs[0].State != commander.RunStopped {
 		t.Fatalf("report %+v", report)
 	}
-	assertOK(t, agent.Forget(t.Context(), 2, []commander.RunID{id}))
+	renewed, err = agent.Renew(t.Context(), commander.Renewal{Fence: 2, IDs: []commander.RunID{id}, Lease: time.Minute})
+	assertOK(t, err)
+	if len(renewed.Ended) != 1 || renewed.Ended[0].ID != id || renewed.Ended[0].State != commander.RunStopped {
+		t.Fatalf("answer %+v, want the stopped run", renewed)
+	}
+	_, err = agent.Renew(t.Context(), commander.Renewal{Fence: 2, Lease: time.Minute, Forget: []commander.RunID{id}})
+	assertOK(t, err)
+	if report, err = agent.Report(t.Context(), 2); err != nil || len(report.Runs) != 0 {
+		t.Fatalf("report %+v, %v, want no run", report, err)
+	}
 	t.Run("a lower fence is refused", func(t *testing.T) {
 		if err := agent.Stop(t.Context(), 1, id); !errors.Is(err, errs.ErrFenced) {
 			t.Fatalf("error %v, want fenced", err)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -152,23 +152,37 @@
 	}
 }
 
-// Renew extends leases and returns the runs that don't run here.
-func (w *Worker) Renew(now time.Time, request commander.RenewRequest) (missing []commander.RunID, err error) {
+// Renew drops the runs to forget, extends leases, and returns the runs that
+// don't run here.
+func (w *Worker) Renew(now time.Time, renewal commander.Renewal) (renewed commander.Renewed, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	if err := w.raise(request.Fence); err != nil {
-		return nil, err
+	if err := w.raise(renewal.Fence); err != nil {
+		return commander.Renewed{}, err
 	}
-	for _, id := range request.IDs {
+	w.forget(renewal.Forget)
+	for _, id := range renewal.IDs {
 		found, ok := w.runs[id]
-		if !ok || found.state != commander.RunRunning {
-			missing = append(missing, id)
-			continue
+		switch {
+		case !ok:
+			renewed.Unknown = append(renewed.Unknown, id)
+		case found.state != commander.RunRunning:
+			renewed.Ended = append(renewed.Ended, found.outcome())
+		default:
+			found.deadline = now.Add(renewal.Lease)
+		}
+	}
+	return renewed, nil
+}
+
+// forget drops ended runs. The lock has to be held.
+func (w *Worker) forget(ids []commander.RunID) {
+	for _, id := range ids {
+		if found, ok := w.runs[id]; ok && found.state != commander.RunRunning {
+			delete(w.runs, id)
 		}
-		found.deadline = now.Add(request.Lease)
 	}
-	return missing, nil
 }
 
 // Checkpoint saves the progress of a run.
@@ -227,22 +241,6 @@
 	return nil
 }
 
-// Forget drops ended runs.
-func (w *Worker) Forget(now time.Time, request commander.ForgetRequest) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.advance(now)
-	if err := w.raise(request.Fence); err != nil {
-		return err
-	}
-	for _, id := range request.IDs {
-		if found, ok := w.runs[id]; ok && found.state != commander.RunRunning {
-			delete(w.runs, id)
-		}
-	}
-	return nil
-}
-
 // Report lists the runs and raises the fence.
 func (w *Worker) Report(now time.Time, fence commander.Fence) (report commander.Report, err error) {
 	w.mu.Lock()
@@ -336,6 +334,11 @@
 	}
 }
 
+// outcome returns how the run ended.
+func (r *run) outcome() commander.Run {
+	return commander.Run{ID: r.start.ID, State: r.state, Checkpoint: r.checkpoint, Result: r.result, Reason: r.reason}
+}
+
 // result returns what a finished run leaves behind.
 func resultOf(r *run) []byte {
 	result := struct {
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -81,9 +81,9 @@
 		worker := New(Options{Name: "w", Capacity: capacity})
 		mustStart(t, worker, at(0), start("a", 1, 4, 0))
 		ids := []commander.RunID{{Task: "a", Run: 1}, {Task: "b", Run: 1}}
-		missing, err := worker.Renew(at(50), commander.RenewRequest{Fence: 1, IDs: ids, Lease: time.Minute})
-		if err != nil || len(missing) != 1 || missing[0].Task != "b" {
-			t.Fatalf("missing %v, error %v", missing, err)
+		renewed, err := worker.Renew(at(50), commander.Renewal{Fence: 1, IDs: ids, Lease: time.Minute})
+		if err != nil || len(renewed.Unknown) != 1 || renewed.Unknown[0].Task != "b" {
+			t.Fatalf("answer %v, error %v", renewed, err)
 		}
 		assertState(t, worker, at(109), commander.RunRunning)
 	})
