Wait for a silent worker's results before tasks run again

Cause: a run that finished at a worker that was cut off ran again as soon as its lease had provably lapsed, even where the worker was back a moment later with the result.

Change: a batch task whose worker went silent starts again only when the worker has reported, the platform no longer lists it, or 15 s have passed since the lease had lapsed. Services and urgent tasks do not wait.

--- a/internal/process/sharder/placing.go
+++ b/internal/process/sharder/placing.go
@@ -65,6 +65,9 @@
 	})
 	var tasks []placer.Task
 	for _, e := range list {
+		if s.mayHaveFinished(e, now) {
+			continue
+		}
 		if e.waitingSince.IsZero() {
 			e.waitingSince = now
 		}
--- a/internal/process/sharder/reporting.go
+++ b/internal/process/sharder/reporting.go
@@ -19,6 +19,9 @@
 	// lateStartMargin is how long a worker remembers the stop of a run whose
 	// start was not answered, so that a late start has no effect.
 	lateStartMargin = time.Minute
+	// resultTimeout bounds how long a batch task whose worker went silent waits
+	// for the worker's report before it runs again.
+	resultTimeout = 15 * time.Second
 )
 
 // applyReport compares a worker's report with the table. Entries that were
@@ -45,6 +48,22 @@
 	}
 }
 
+// applyEnded applies the ends that a worker named in its answer to a renewal.
+// What was commanded since is left to a report.
+func (s *Sharder) applyEnded(w *worker, ended []commander.Run, since uint64, now time.Time) {
+	for _, run := range ended {
+		e := s.table.entries[run.ID.Task]
+		if e == nil || !s.isPresentRun(w, e, run.ID) {
+			continue
+		}
+		if e.busy || e.touched > since {
+			w.wantReport()
+			continue
+		}
+		s.endRun(e, run, now)
+	}
+}
+
 // isPresentRun reports whether a run is the one that the entry's task has
 // assigned to the worker.
 func (s *Sharder) isPresentRun(w *worker, e *entry, id commander.RunID) bool {
@@ -259,7 +278,20 @@
 			if e.task.Started || (!w.listed && s.listSeen) {
 				s.recordTask(EventTaskLapsed, e, "")
 				s.endRun(e, commander.Run{ID: runID(e), State: commander.RunLapsed, Reason: "worker lost"}, now)
+				e.lostAt, e.lostSince = name, now
 			}
 		}
 	}
 }
+
+// mayHaveFinished reports whether a batch task waits for word of its last run,
+// which may have finished at a worker that no longer answers. The worker keeps
+// the result, and is asked for it when it is back.
+func (s *Sharder) mayHaveFinished(e *entry, now time.Time) bool {
+	w, ok := s.workers[e.lostAt]
+	if ok && w.listed && e.rank() == batchRank && now.Sub(e.lostSince) < resultTimeout && !w.reportedAt.After(e.lostSince) {
+		return true
+	}
+	e.lostAt = ""
+	return false
+}
--- a/internal/process/sharder/sharder_test.go
+++ b/internal/process/sharder/sharder_test.go
@@ -53,6 +53,25 @@
 	}
 }
 
+func TestFinishedUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 40, 12*time.Second))
+		time.Sleep(5 * time.Second)
+		r.fakes["atl-a-w0"].SetFaults(agent.Faults{Unreachable: true, Hang: true})
+		until(t, "the runs of the silent worker are given up", func() bool { return r.count(s.Sharder, assignedState) == 0 })
+		time.Sleep(10 * time.Second)
+		r.fakes["atl-a-w0"].SetFaults(agent.Faults{})
+		r.untilCount(s.Sharder, finishedState, 40)
+		r.assertPromises(40)
+		if starts := r.starts("casts/"); starts != 40 {
+			t.Errorf("%d starts of 40 tasks that finished", starts)
+		}
+	})
+}
+
 func TestHostLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 2)
--- a/internal/process/sharder/sizing.go
+++ b/internal/process/sharder/sizing.go
@@ -9,6 +9,9 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
+// batchRank is the rank of tasks that may wait.
+const batchRank = 2
+
 // rank orders tasks: what must keep running, then urgent, then the rest.
 func (e *entry) rank() int {
 	switch e.task.Kind {
@@ -17,7 +20,7 @@
 	case kumquatv1.TaskKind_TASK_KIND_RUN_NOW:
 		return 1
 	default:
-		return 2
+		return batchRank
 	}
 }
 
--- a/internal/process/sharder/table.go
+++ b/internal/process/sharder/table.go
@@ -54,6 +54,10 @@
 	refusedSince time.Time
 	// waitingSince is the time since which the task waits in this shard.
 	waitingSince time.Time
+	// lostAt is the worker at which the last run may have finished unseen, and
+	// lostSince the time at which its lease had provably lapsed.
+	lostAt    string
+	lostSince time.Time
 }
 
 // A removal is the course of taking a task off its worker.
--- a/internal/process/sharder/worker.go
+++ b/internal/process/sharder/worker.go
@@ -32,6 +32,8 @@
 	agent  commander.Agent
 	// reported is true once the worker has reported under this epoch.
 	reported bool
+	// reportedAt is the time of the last report.
+	reportedAt time.Time
 	// failures counts the calls in a row that were not answered.
 	failures    int
 	lastContact time.Time
@@ -249,6 +251,7 @@
 			return
 		}
 		w.reportAt = now.Add(reportInterval)
+		w.reportedAt = now
 		s.applyReport(w, report, since, now)
 	})
 }
