--- a/internal/cli/main.go
+++ b/internal/cli/main.go
@@ -53,16 +53,23 @@
 		if len(rest) > 0 {
 			return &usageError{fmt.Sprintf("unexpected argument %q", rest[0])}
 		}
+		if err := checkOptions(&a.globals, cmd); err != nil {
+			return err
+		}
 		a.wrapSystem()
 		return cmd.run(ctx, a)
 	}
 	_, err := parser.ParseArgs(args)
+	if wantsJSON(args) {
+		// Parsing ends at the first fault, which may stand before this option.
+		a.globals.Output = outputJSON
+	}
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
 		return a.printHelp(help)
 	}
 	if err != nil {
-		a.printError(err)
+		a.printError(err, helpOf(parser))
 	}
 	return codeOf(err)
 }
@@ -108,6 +115,7 @@
 		{"diff", "Show what apply would change", &diffCmd{}},
 		{"check", "Check documents without a daemon", &checkCmd{}},
 		{"datacentre", "Take a data centre out of service or bring it back", &dataCentreCmd{}},
+		{"release", "Let the partitions of dead daemons be taken over", &releaseCmd{}},
 		{"timeline", "Show the events of all daemons", &timelineCmd{}},
 		{"top", "Watch workers and daemons", &topCmd{}},
 		{"version", "Print the version", &versionCmd{}},
