Set up the shard tests once

Nine tests of faults_test.go began with the same four lines; withOwner runs them in a bubble with an owner. The checks are the same: 27 lines less.

--- a/internal/process/sharder/faults_test.go
+++ b/internal/process/sharder/faults_test.go
@@ -14,10 +14,7 @@
 )
 
 func TestStoreOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 100, 20*time.Second))
 		r.untilCount(s.Sharder, assignedState, 64)
 		time.Sleep(2 * time.Second)
@@ -104,10 +101,7 @@
 		}
 	}
 	t.Run("10,000 tasks before and after their start", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			r := newRig(t, 2)
-			s := r.own("atl-a", nil)
-			defer s.kill()
+		withOwner(t, func(t *testing.T, r *rig, s *seat) {
 			s.Ingest(intentOf("casts", "atl-a", 10000, time.Hour))
 			r.untilCount(s.Sharder, assignedState, 64)
 			time.Sleep(3 * time.Second)
@@ -120,10 +114,7 @@
 		})
 	})
 	t.Run("during the start", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			r := newRig(t, 2)
-			s := r.own("atl-a", nil)
-			defer s.kill()
+		withOwner(t, func(t *testing.T, r *rig, s *seat) {
 			for _, fake := range r.fakes {
 				fake.SetFaults(agent.Faults{DelayMillis: 500})
 			}
@@ -138,10 +129,7 @@
 		})
 	})
 	t.Run("before the intent is known", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			r := newRig(t, 2)
-			s := r.own("atl-a", nil)
-			defer s.kill()
+		withOwner(t, func(t *testing.T, r *rig, s *seat) {
 			cancelAll(t, r, s, 0)
 			s.Ingest(intentOf("casts", "atl-a", 20, time.Hour))
 			time.Sleep(5 * time.Second)
@@ -214,10 +202,7 @@
 		"hangs": {HangCheckpoints: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, 2)
-				s := r.own("atl-a", nil)
-				defer s.kill()
+			withOwner(t, func(t *testing.T, r *rig, s *seat) {
 				s.Ingest(intentOf("casts", "atl-a", 10, 30*time.Second))
 				time.Sleep(5 * time.Second)
 				for _, fake := range r.fakes {
@@ -248,10 +233,7 @@
 }
 
 func TestUrgentMakesRoom(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 80, 60*time.Second))
 		time.Sleep(5 * time.Second)
 		urgent := intentOf("cleanup", "atl-a", 3, 5*time.Second)
@@ -340,10 +322,7 @@
 }
 
 func TestLeavingHost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 20, 60*time.Second))
 		time.Sleep(5 * time.Second)
 		r.mu.Lock()
@@ -362,10 +341,7 @@
 }
 
 func TestStartAuthority(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 10, time.Minute))
 		time.Sleep(5 * time.Second)
 		s.grant.set(true, false)
@@ -381,10 +357,7 @@
 }
 
 func TestAuthorityInterrupted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 10, 30*time.Second))
 		time.Sleep(5 * time.Second)
 		s.grant.set(false, false)
--- a/internal/process/sharder/rig_test.go
+++ b/internal/process/sharder/rig_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/commander"
@@ -73,6 +74,18 @@
 	owners   map[string]*Sharder
 }
 
+// withOwner runs a test in a bubble, on a platform with two workers in each data
+// centre and an owner of atl-a.
+func withOwner(t *testing.T, test func(t *testing.T, r *rig, s *seat)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		test(t, r, s)
+	})
+}
+
 // newRig returns a platform with workers in two data centres of one region.
 func newRig(t *testing.T, workersPerDC int) *rig {
 	t.Helper()
