--- a/internal/process/picker/consecutive_test.go
+++ b/internal/process/picker/consecutive_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func TestHopeless(t *testing.T) {
+func TestFailsConsecutively(t *testing.T) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	// spared is a runner that is never ejected, since others are already.
 	spared := func(outcomes func(n int) Observation) Health {
@@ -16,10 +16,10 @@
 		return h
 	}
 	t.Run("all exchanges fail", func(t *testing.T) {
-		assertHopeless(t, spared(func(int) Observation { return Failed }), true)
+		assertFailsConsecutively(t, spared(func(int) Observation { return Failed }), true)
 	})
 	t.Run("two of three fail", func(t *testing.T) {
-		assertHopeless(t, spared(func(n int) Observation {
+		assertFailsConsecutively(t, spared(func(n int) Observation {
 			if n%3 == 0 {
 				return Answered
 			}
@@ -28,9 +28,9 @@
 	})
 }
 
-func assertHopeless(t *testing.T, h Health, want bool) {
+func assertFailsConsecutively(t *testing.T, h Health, want bool) {
 	t.Helper()
-	if h.IsEjected(time.Time{}) || h.IsHopeless() != want {
-		t.Errorf("hopeless %t, want %t", h.IsHopeless(), want)
+	if h.IsEjected(time.Time{}) || h.FailsConsecutively() != want {
+		t.Errorf("fails consecutively %t, want %t", h.FailsConsecutively(), want)
 	}
 }
--- a/internal/process/picker/health.go
+++ b/internal/process/picker/health.go
@@ -35,9 +35,9 @@
 	latencyWeight = 0.1
 	// ejectionShare is the failure share above which a runner is ejected.
 	ejectionShare = 0.5
-	// hopelessStreak is the number of failures in a row after which nothing is
-	// expected of a runner, so that it is ejected whatever others do.
-	hopelessStreak = 8
+	// maxConsecutiveFailures is the number of failures in a row after which a
+	// runner is ejected whatever others do.
+	maxConsecutiveFailures = 8
 	// slowFactor is the multiple of the median latency that counts as slow.
 	slowFactor = 3
 	// minLatencySamples is the number of answers before latency counts.
@@ -48,8 +48,8 @@
 type Health struct {
 	// failures is the weighted share of recent failures.
 	failures float64
-	// streak is the number of failures since the last answer.
-	streak int
+	// consecutive is the number of failures since the last answer.
+	consecutive int
 	// ejections counts ejections since the last lasting recovery.
 	ejections int
 	// ejectedUntil is the end of the ejection; zero if not ejected.
@@ -95,7 +95,7 @@
 // withAnswer returns the health after a good answer.
 func (h Health) withAnswer(latency time.Duration, now time.Time) Health {
 	h.failures *= 1 - failureWeight
-	h.streak = 0
+	h.consecutive = 0
 	if h.probing {
 		h.probing = false
 		h.returnedAt = now
@@ -116,8 +116,8 @@
 // withFailure returns the health after a failure.
 func (h Health) withFailure(now time.Time) Health {
 	h.failures += failureWeight * (1 - h.failures)
-	h.streak++
-	if h.probing || h.failures > ejectionShare || h.IsHopeless() {
+	h.consecutive++
+	if h.probing || h.failures > ejectionShare || h.FailsConsecutively() {
 		return h.withEjection(now)
 	}
 	return h
@@ -144,8 +144,8 @@
 	return h
 }
 
-// IsHopeless reports whether many exchanges in a row have failed.
-func (h Health) IsHopeless() bool { return h.streak >= hopelessStreak }
+// FailsConsecutively reports whether many exchanges in a row have failed.
+func (h Health) FailsConsecutively() bool { return h.consecutive >= maxConsecutiveFailures }
 
 // IsEjected reports whether the runner gets nothing at the moment.
 func (h Health) IsEjected(now time.Time) bool { return now.Before(h.ejectedUntil) }
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -204,7 +204,7 @@
 	if !sl.sentAt.IsZero() || sl.seen != picker.Answered {
 		after = before.With(sl.seen, sl.latency, now)
 	}
-	spared := sl.seen != picker.Unreachable && !after.IsHopeless()
+	spared := sl.seen != picker.Unreachable && !after.FailsConsecutively()
 	if spared && after.IsEjected(now) && s.isMostlyEjected(sl.up, now) {
 		after = after.WithoutEjection(before)
 	}
