--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint fmt generate
+.PHONY: build demo test race lint fmt generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,6 +9,12 @@
 test:
 	go test -race -count=1 -p 4 -timeout 20m ./...
 
+# Integration tests whose daemons are built with the race detector, too.
+race:
+	KUMQUAT_RACE=1 GORACE=halt_on_error=1 go test -count=1 -p 1 -timeout 10m \
+		-run 'TestPromisesHoldUnderMixedFaults|TestOperatorsRace|TestDataCentreOutAndIn' \
+		./internal/integration/urgent ./internal/integration/operating
+
 lint:
 	golangci-lint run ./...
 
