Begin a handover only once the store answers

Cause: an owner that gives a partition to another drains it and ends its holding before it writes the record. Change: the owner first reads its record; without an answer it keeps the partition. A daemon that stops doesn't ask. Conclusion: what remains is a store that goes out during the drain itself.

--- a/internal/process/owner/change.go
+++ b/internal/process/owner/change.go
@@ -131,6 +131,9 @@
 // says so.
 func (o *Owner) release(ctx context.Context, p Partition, record Record, held holding, isHeld bool) error {
 	if isHeld {
+		if err := o.checkStored(ctx, p, held); err != nil {
+			return err
+		}
 		if o.settings.OnLose != nil {
 			o.settings.OnLose(p, ReasonHandover)
 		}
@@ -147,6 +150,27 @@
 	return nil
 }
 
+// checkStored returns an error unless the store answers and shows the record
+// of a holding. A handover that begins while the store is out would leave the
+// partition without an owner until it is back. A daemon that stops doesn't ask:
+// it gives up everything anyway.
+func (o *Owner) checkStored(ctx context.Context, p Partition, held holding) (err error) {
+	defer func() { err = eris.Wrapf(err, "reading the owner record of %s", p) }()
+	o.mu.Lock()
+	leaving := o.leaving
+	o.mu.Unlock()
+	if leaving {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
+	defer cancel()
+	entry, err := o.settings.Store.Get(ctx, Key(p))
+	if err == nil && entry.Revision != held.record.Revision {
+		return errs.ErrConflict
+	}
+	return err
+}
+
 // drop ends a holding that this daemon may not use any more.
 func (o *Owner) drop(p Partition, held holding) {
 	o.mu.Lock()
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -73,6 +73,21 @@
 	}
 }
 
+func TestHandoverNeedsStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(2)
+	c.awaitLists(nodes)
+	time.Sleep(settle)
+	before := epochs(nodes[:1])
+	c.start("atl-a-4", "atl-a")
+	c.await("the new daemon to be known", func() bool { return len(nodes[0].group.Members()) == 3 })
+	nodes[0].cutStore.Store(true)
+	for end := time.Now().Add(settle); time.Now().Before(end); time.Sleep(pollPause) {
+		assertHeldAll(t, nodes[:1], before)
+	}
+}
+
 func TestOwnerStoreOutage(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
