Leave partitions to the daemons of their region at a start

Cause: TestRegionCut was red when the daemons of the store's region registered first: they took the far region's runners at once and were to hand them back after 2 s without change. In the red run that was examined they had acquired these partitions 14 times; the cut came 0.9 s before the handover, so that the far region's runners had no owner there from the cut on until it healed. It was not the registration after the cut, which had been suspected. In two green runs examined they had acquired none. Change: partitions of another region are acquired, or taken over, only when the members have been unchanged for 2 s; then that region has no daemons. A takeover by another region, when all daemons of one are gone, comes 2 s later.

--- a/internal/process/owner/step.go
+++ b/internal/process/owner/step.go
@@ -28,11 +28,19 @@
 	lease     member.Lease
 	members   map[string]member.Member
 	plan      map[Partition]string
+	regions   map[Partition]string // whose daemons should own it
 	connected time.Duration
 	stable    bool
 	leaving   bool
 }
 
+// isHome reports whether this daemon is of the region that should own a
+// partition. Those of others leave it time to register.
+func (v view) isHome(p Partition) bool {
+	region := v.regions[p]
+	return region == "" || region == v.self.Region
+}
+
 // step looks at all partitions and starts what has to be done.
 func (o *Owner) step(ctx context.Context, now time.Time) {
 	declared := o.settings.Declarations()
@@ -77,7 +85,12 @@
 			current[p] = record.Owner
 		}
 	}
-	v.plan = Assign(o.places(declared), candidates, current)
+	places := o.places(declared)
+	v.plan = Assign(places, candidates, current)
+	v.regions = make(map[Partition]string, len(places))
+	for _, place := range places {
+		v.regions[place.Partition] = place.Region
+	}
 	return v
 }
 
@@ -148,7 +161,11 @@
 		return actionRelease
 	case !wanted || !v.lease.Holds(v.now):
 		return actionNone
-	case !known, record.Owner == "", mine:
+	case mine:
+		return actionAcquire
+	case !v.isHome(p) && !v.stable:
+		return actionNone
+	case !known, record.Owner == "":
 		return actionAcquire
 	case isGone(record, v.members) && o.isReplaceable(record, v):
 		return actionTakeOver
