--- a/internal/experiment/main.go
+++ b/internal/experiment/main.go
@@ -31,6 +31,7 @@
 	{"hops", "measure the latency that a daemon adds to a request", newHopsCommand},
 	{"tails", "compare callers' response times with those of a perfect queue", newTailsCommand},
 	{"slopes", "measure what a daemon uses for control at several sizes", newSlopesCommand},
+	{"mutants", "switch mechanisms off and see whether their tests fail", newMutantsCommand},
 }
 
 // Main runs the tool and returns its exit code.
