Drop intents of which nothing is left, and keep what was learnt

Cause: a shard kept the record of every intent for ever, since a record of it in the store may be read again; learnt sizes and slowdowns were lost with the owner. A throttled task, measured by a new owner, seemed small, so that its throttle was lifted early and tasks were evicted.

What is measured under a throttle no longer counts for processors.

The records in the store under ctl/intents are still never deleted.

--- a/internal/process/daemon/isolation.go
+++ b/internal/process/daemon/isolation.go
@@ -40,6 +40,8 @@
 	intents map[string]*kumquatv1.IntentRecord
 }
 
+var _ sharder.Interference = (*isolation)(nil)
+
 func newIsolation(d *Daemon) *isolation {
 	learner := isolator.NewLearner()
 	return &isolation{
@@ -67,6 +69,20 @@
 	return i.learner.Slowdown(service, batch, time.Now())
 }
 
+// Estimates implements sharder.Interference.
+func (i *isolation) Estimates() []isolator.Estimate {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.learner.Estimates()
+}
+
+// Restore implements sharder.Interference.
+func (i *isolation) Restore(known []isolator.Estimate) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.learner.Restore(known)
+}
+
 // run has the shard follow the guard's advice until the context ends.
 func (i *isolation) run(ctx context.Context, shard *sharder.Sharder) {
 	for {
--- a/internal/process/daemon/shards.go
+++ b/internal/process/daemon/shards.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/administrator"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
@@ -141,6 +142,7 @@
 	options.Slowdown = protection.slowdown
 	options.SlowdownLimit = isolator.SlowdownLimit
 	options.Observe = protection.observe
+	options.Interference = protection
 	opened, err := sharder.Open(ctx, options)
 	if err != nil {
 		return err
@@ -151,7 +153,7 @@
 	defer shard.set(nil)
 	// Intents confirmed from here on arrive by the watch.
 	for _, entry := range s.daemon.watcher.Entries(administrator.IntentPrefix) {
-		s.ingestInto(opened, entry.Value)
+		s.ingestInto(opened, entry)
 	}
 	var background sync.WaitGroup
 	defer background.Wait()
@@ -204,18 +206,19 @@
 			continue
 		}
 		for _, shard := range opened {
-			s.ingestInto(shard, change.Entry.Value)
+			s.ingestInto(shard, change.Entry)
 		}
 	}
 }
 
 // ingestInto hands one durable intent to a shard.
-func (s *shards) ingestInto(shard *sharder.Sharder, value []byte) {
+func (s *shards) ingestInto(shard *sharder.Sharder, entry storer.Entry) {
 	record := &kumquatv1.IntentRecord{}
-	if err := proto.Unmarshal(value, record); err != nil {
+	if err := proto.Unmarshal(entry.Value, record); err != nil {
 		s.daemon.recorder.Record(time.Now(), EventIntentUnreadable, recorder.Fields{"reason": err.Error()})
 		return
 	}
+	record.Revision = int64(entry.Revision)
 	shard.Ingest(record)
 }
 
--- a/internal/process/sharder/acting.go
+++ b/internal/process/sharder/acting.go
@@ -217,6 +217,9 @@
 			return
 		}
 		e.throttle = percent
+		if percent == 0 {
+			e.liftedAt = now
+		}
 		s.record(EventThrottled, recorder.Fields{"task": id.Task, "worker": w.name, "percent": itoa(int64(percent))})
 	})
 }
--- a/internal/process/sharder/calls.go
+++ b/internal/process/sharder/calls.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
@@ -19,6 +21,8 @@
 	movedRetention = 24 * time.Hour
 	// expireInterval is the time between two looks for what can be forgotten.
 	expireInterval = time.Minute
+	// intentRetention is how long an intent is kept after its tasks.
+	intentRetention = 24 * time.Hour
 )
 
 // Ingest takes in the shard's tasks of a confirmed intent. It may be repeated;
@@ -31,12 +35,14 @@
 	id := intent.GetId()
 	known, ok := s.table.intents[id]
 	if ok {
+		s.noteRevision(known, intent.GetRevision())
 		if intent.GetCancelledUnixMillis() != 0 && !known.GetCancelled() {
 			s.cancelIntent(id)
 		}
 		return
 	}
-	if !s.concerns(intent) {
+	dropped := intent.GetRevision() > 0 && intent.GetRevision() <= s.taken
+	if dropped || !s.concerns(intent) {
 		return
 	}
 	kept := shardIntentOf(intent)
@@ -50,6 +56,16 @@
 	s.wake()
 }
 
+// noteRevision completes an intent that was cancelled before it was taken in.
+func (s *Sharder) noteRevision(known *kumquatv1.ShardIntent, revision int64) {
+	if revision == 0 || known.GetIntent().GetRevision() != 0 {
+		return
+	}
+	next := proto.CloneOf(known)
+	next.Intent.Revision = revision
+	s.table.intents[known.GetIntent().GetId()] = next
+}
+
 // concerns reports whether an intent has tasks in this shard.
 func (s *Sharder) concerns(intent *kumquatv1.IntentRecord) bool {
 	for _, share := range intent.GetShards() {
@@ -182,10 +198,14 @@
 func (s *Sharder) cancelIntent(id string) int {
 	known := s.table.intents[id]
 	if known == nil {
-		known = &kumquatv1.ShardIntent{Intent: &kumquatv1.IntentRecord{Id: id}}
+		known = &kumquatv1.ShardIntent{
+			Intent:              &kumquatv1.IntentRecord{Id: id},
+			ForgottenUnixMillis: s.options.Now().UnixMilli(),
+		}
 	}
 	if !known.GetCancelled() {
-		next := &kumquatv1.ShardIntent{Intent: known.GetIntent(), Cancelled: true, Forgotten: known.GetForgotten()}
+		next := proto.CloneOf(known)
+		next.Cancelled = true
 		s.table.intents[id] = next
 		s.flusher.extras = append(s.flusher.extras, intentRecord(next))
 	}
@@ -231,11 +251,35 @@
 	s.expiredAt = now
 	for id, group := range s.table.byIntent {
 		if expired(group, now) {
-			s.forgetIntent(id, group)
+			s.forgetIntent(id, group, now)
+		}
+	}
+	for id, known := range s.table.intents {
+		if s.outlived(known, now) {
+			s.dropIntent(id, known.GetIntent().GetRevision())
 		}
 	}
 }
 
+// outlived reports whether an intent need not be kept any more: nothing is left
+// of it for long, and the store's record of it can be told from a new one.
+func (s *Sharder) outlived(known *kumquatv1.ShardIntent, now time.Time) bool {
+	since := known.GetForgottenUnixMillis()
+	if since == 0 || known.GetIntent().GetRevision() == 0 || len(s.table.byIntent[known.GetIntent().GetId()]) > 0 {
+		return false
+	}
+	return now.Sub(time.UnixMilli(since)) >= intentRetention
+}
+
+// dropIntent drops an intent. By now the shard has taken in all intents up to its
+// revision, since the store's changes arrive in order; so their records mean
+// nothing new, should they be read again.
+func (s *Sharder) dropIntent(id string, revision int64) {
+	delete(s.table.intents, id)
+	s.taken = max(s.taken, revision)
+	s.flusher.extras = append(s.flusher.extras, removedIntentRecord(id, revision))
+}
+
 // expired reports whether all tasks of a group can be forgotten.
 func expired(group map[string]*entry, now time.Time) bool {
 	for _, e := range group {
@@ -251,7 +295,7 @@
 }
 
 // forgetIntent drops the tasks of an intent and keeps their numbers.
-func (s *Sharder) forgetIntent(id string, group map[string]*entry) {
+func (s *Sharder) forgetIntent(id string, group map[string]*entry, now time.Time) {
 	known, ok := s.table.intents[id]
 	forgotten := make(map[string]int32)
 	maps.Copy(forgotten, known.GetForgotten())
@@ -268,11 +312,22 @@
 	if !ok {
 		return
 	}
-	next := &kumquatv1.ShardIntent{Intent: known.GetIntent(), Cancelled: known.GetCancelled(), Forgotten: forgotten}
+	next := &kumquatv1.ShardIntent{
+		Intent:              known.GetIntent(),
+		Cancelled:           known.GetCancelled(),
+		Forgotten:           forgotten,
+		ForgottenUnixMillis: now.UnixMilli(),
+	}
 	s.table.intents[id] = next
 	s.flusher.extras = append(s.flusher.extras, intentRecord(next))
 }
 
+func removedIntentRecord(id string, revision int64) *kumquatv1.Record {
+	return &kumquatv1.Record{Change: &kumquatv1.Record_RemovedIntent{
+		RemovedIntent: &kumquatv1.RemovedIntent{Intent: id, Revision: revision},
+	}}
+}
+
 func removalRecord(task string) *kumquatv1.Record {
 	return &kumquatv1.Record{Change: &kumquatv1.Record_RemovedTask{RemovedTask: task}}
 }
--- a/internal/process/sharder/faults_test.go
+++ b/internal/process/sharder/faults_test.go
@@ -269,30 +269,38 @@
 }
 
 func TestUrgentThrottlesFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		for _, fake := range r.fakes {
-			fake.SetModel(time.Now(), agent.Model{UsagePercent: map[string]int{"casting": 200}})
-		}
-		s := r.own("atl-a", nil)
-		defer s.kill()
-		s.Ingest(intentOf("casts", "atl-a", 64, time.Hour))
-		time.Sleep(time.Minute)
-		before := r.starts("casts/")
-		urgent := intentOf("cleanup", "atl-a", 2, 20*time.Second)
-		urgent.Kind, urgent.Class = kumquatv1.TaskKind_TASK_KIND_RUN_NOW, "cleaning"
-		urgent.Resources.MilliCores = 8000
-		s.Ingest(urgent)
-		time.Sleep(8 * time.Second)
-		if started, throttled := r.starts("cleanup/"), r.throttled(s); started != 2 || throttled != 16 {
-			t.Errorf("%d urgent tasks started within 8 s with %d tasks throttled, want 2 and 16", started, throttled)
-		}
-		time.Sleep(time.Minute)
-		if again, throttled := r.starts("casts/")-before, r.throttled(s); again != 0 || throttled != 0 {
-			t.Errorf("%d tasks started again and %d are throttled after it, want none", again, throttled)
-		}
-		r.assertPromises(2)
-	})
+	for name, ownerDies := range map[string]bool{"one owner": false, "the owner dies meanwhile": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, 2)
+				for _, fake := range r.fakes {
+					fake.SetModel(time.Now(), agent.Model{UsagePercent: map[string]int{"casting": 200}})
+				}
+				s := r.own("atl-a", nil)
+				defer func() { s.kill() }()
+				s.Ingest(intentOf("casts", "atl-a", 64, time.Hour))
+				time.Sleep(time.Minute)
+				before := r.starts("casts/")
+				urgent := intentOf("cleanup", "atl-a", 2, 20*time.Second)
+				urgent.Kind, urgent.Class = kumquatv1.TaskKind_TASK_KIND_RUN_NOW, "cleaning"
+				urgent.Resources.MilliCores = 8000
+				s.Ingest(urgent)
+				time.Sleep(8 * time.Second)
+				if started, throttled := r.starts("cleanup/"), r.throttled(s); started != 2 || throttled != 16 {
+					t.Errorf("%d urgent tasks started within 8 s with %d tasks throttled, want 2 and 16", started, throttled)
+				}
+				if ownerDies {
+					s.kill()
+					s = r.own("atl-a", nil)
+				}
+				time.Sleep(time.Minute)
+				if again, throttled := r.starts("casts/")-before, r.throttled(s); again != 0 || throttled != 0 {
+					t.Errorf("%d tasks started again and %d are throttled after it, want none", again, throttled)
+				}
+				r.assertPromises(2)
+			})
+		})
+	}
 }
 
 // throttled returns the number of throttled runs at all workers.
--- a/internal/process/sharder/options.go
+++ b/internal/process/sharder/options.go
@@ -92,6 +92,8 @@
 	// SlowdownLimit is the estimated slowdown of a service, in percent, up to
 	// which batch tasks are added to its worker; zero sets no limit.
 	SlowdownLimit float64
+	// Interference is kept in the journal for later owners; it may be nil.
+	Interference Interference
 	// Observe receives each reading of a worker's usage; it may be nil.
 	Observe func(now time.Time, worker string, usages []commander.Usage)
 	// Poll is the time between two renewals of a worker's leases; zero means
--- a/internal/process/sharder/replay.go
+++ b/internal/process/sharder/replay.go
@@ -28,6 +28,11 @@
 		s.replayQuarantine(change.Quarantine)
 	case *kumquatv1.Record_LeaseBound:
 		s.leaseBound = time.Duration(change.LeaseBound.GetLeaseMillis()) * time.Millisecond
+	case *kumquatv1.Record_RemovedIntent:
+		delete(s.table.intents, change.RemovedIntent.GetIntent())
+		s.taken = max(s.taken, change.RemovedIntent.GetRevision())
+	case *kumquatv1.Record_Estimates:
+		s.replayEstimates(change.Estimates)
 	}
 }
 
@@ -130,7 +135,10 @@
 	if s.leaseBound > 0 {
 		records = append(records, leaseRecord(s.leaseBound))
 	}
-	return records
+	if s.taken > 0 {
+		records = append(records, removedIntentRecord("", s.taken))
+	}
+	return append(records, estimatesRecord(s.estimates()))
 }
 
 // initial returns a task's state before its first change.
--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -53,7 +53,13 @@
 	rebalanceAt time.Time
 	relievedAt  time.Time
 	expiredAt   time.Time
-	syncedAt    time.Time
+	estimatedAt time.Time
+	// estimated is what the journal holds of what was learnt.
+	estimated *kumquatv1.Estimates
+	// taken is the revision up to which all intents were taken in, if some have
+	// been dropped since.
+	taken    int64
+	syncedAt time.Time
 	// listSeen is true once the platform's host list has been read.
 	listSeen     bool
 	mover        mover
@@ -162,6 +168,7 @@
 		s.relieve(now)
 		s.act(now)
 		s.expire(now)
+		s.keepEstimates(now)
 	}
 	s.flush()
 	return false
--- a/internal/process/sharder/sharder_test.go
+++ b/internal/process/sharder/sharder_test.go
@@ -72,6 +72,37 @@
 	})
 }
 
+func TestIntentsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		s := r.own("atl-a", nil)
+		old := intentOf("old", "atl-a", 3, time.Second)
+		old.Revision = 5
+		s.Ingest(old)
+		r.untilCount(s.Sharder, finishedState, 3)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.expire(time.Now().Add(time.Hour))
+		s.expire(time.Now().Add(time.Hour + intentRetention))
+		kept := len(s.table.intents)
+		s.mu.Unlock()
+		if kept != 0 {
+			t.Errorf("%d intents are kept", kept)
+		}
+		time.Sleep(time.Second)
+		s.kill()
+
+		second := r.own("atl-a", nil)
+		defer second.kill()
+		next := intentOf("next", "atl-a", 3, time.Second)
+		next.Revision = 6
+		second.Ingest(old)
+		second.Ingest(next)
+		r.untilCount(second.Sharder, finishedState, 3)
+		r.assertPromises(6)
+	})
+}
+
 func TestHostLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 2)
--- a/internal/process/sharder/table.go
+++ b/internal/process/sharder/table.go
@@ -36,6 +36,9 @@
 	survived       bool
 	// throttle is the percentage of processors that the worker withholds.
 	throttle int
+	// liftedAt is the time at which the worker last answered that it withholds
+	// nothing any more.
+	liftedAt time.Time
 	// calmed is the percentage to withhold for the sake of services, and
 	// yielded the one to withhold so that others have room.
 	calmed      int
@@ -151,6 +154,7 @@
 	e.leaseUntil, e.runningSince, e.checkpointedAt = time.Time{}, time.Time{}, time.Time{}
 	e.waitingSince = time.Time{}
 	e.roomBy = time.Time{}
+	e.liftedAt = time.Time{}
 	e.throttle, e.calmed, e.yielded, e.attempts = 0, 0, 0, 0
 	e.removal, e.reservation = nil, nil
 }
--- a/internal/process/sharder/worker.go
+++ b/internal/process/sharder/worker.go
@@ -350,6 +350,16 @@
 	return b
 }
 
+// observe learns a task's size from a measurement. What was measured under a
+// throttle doesn't show how many processors the task would use.
+func (s *Sharder) observe(e *entry, usage commander.Usage, now time.Time) {
+	use := placer.Resources(usage.Resources)
+	if e.throttle != 0 || !usage.At.After(e.liftedAt) {
+		use.MilliCores = max(use.MilliCores, s.size(e, now).MilliCores)
+	}
+	s.sizes.Observe(e.task.ID, e.task.Intent, use, usage.At)
+}
+
 // readUsage reads the lagging measurements of a worker.
 func (s *Sharder) readUsage(w *worker, now time.Time) {
 	w.usageAt = now.Add(usageInterval)
@@ -365,7 +375,7 @@
 		}
 		for _, usage := range usages {
 			if e, ok := s.table.entries[usage.ID.Task]; ok && e.task.Run == usage.ID.Run {
-				s.sizes.Observe(e.task.ID, e.task.Intent, placer.Resources(usage.Resources), usage.At)
+				s.observe(e, usage, now)
 			}
 		}
 		if s.options.Observe != nil {
--- a/internal/version/estimator/estimator.go
+++ b/internal/version/estimator/estimator.go
@@ -2,6 +2,8 @@
 package estimator
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
@@ -70,6 +72,30 @@
 	return declared.Max(e.intents[intent].decayed(now))
 }
 
+// A Peak is the largest use seen lately of an intent's tasks.
+type Peak struct {
+	Intent string
+	Size   placer.Resources
+	At     time.Time
+}
+
+// Peaks returns the peaks of all intents, by name.
+func (e *Estimator) Peaks() []Peak {
+	var peaks []Peak
+	for intent, known := range e.intents {
+		peaks = append(peaks, Peak{Intent: intent, Size: known.size, At: known.at})
+	}
+	slices.SortFunc(peaks, func(a, b Peak) int { return cmp.Compare(a.Intent, b.Intent) })
+	return peaks
+}
+
+// Restore takes over peaks that another estimator saw.
+func (e *Estimator) Restore(peaks []Peak) {
+	for _, known := range peaks {
+		e.intents[known.Intent] = peak{size: known.Size, at: known.At}
+	}
+}
+
 // Forget drops what is known of a task.
 func (e *Estimator) Forget(task string) { delete(e.tasks, task) }
 
--- a/internal/version/isolator/learner.go
+++ b/internal/version/isolator/learner.go
@@ -4,7 +4,9 @@
 package isolator
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -65,6 +67,15 @@
 	return priorPerCore + (e.perCore-priorPerCore)*kept
 }
 
+// An Estimate is what a Learner knows of one pair of classes.
+type Estimate struct {
+	Service string
+	Batch   string
+	// PerCore is the slowdown in percent per core that the batch class uses.
+	PerCore float64
+	At      time.Time
+}
+
 // A Learner estimates the slowdown of each pair as proportional to the
 // processors that the batch class uses on the worker. It is not safe for
 // concurrent use.
@@ -77,6 +88,25 @@
 	return &Learner{estimates: make(map[pair]estimate)}
 }
 
+// Estimates returns what was learnt, in a fixed order.
+func (l *Learner) Estimates() []Estimate {
+	var known []Estimate
+	for of, learnt := range l.estimates {
+		known = append(known, Estimate{Service: of.service, Batch: of.batch, PerCore: learnt.perCore, At: learnt.at})
+	}
+	slices.SortFunc(known, func(a, b Estimate) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Batch, b.Batch))
+	})
+	return known
+}
+
+// Restore takes over what another learner knew.
+func (l *Learner) Restore(known []Estimate) {
+	for _, of := range known {
+		l.estimates[pair{of.Service, of.Batch}] = estimate{perCore: of.PerCore, at: of.At}
+	}
+}
+
 // Observe learns from the measurements of all tasks of one worker.
 func (l *Learner) Observe(readings []Reading) {
 	load := batchLoad(readings)
