--- a/internal/harness/settings.go
+++ b/internal/harness/settings.go
@@ -52,7 +52,10 @@
 		"listen": map[string]string{
 			"callers": daemon.Callers, "peers": daemon.Peers, "operators": daemon.Operators, "health": daemon.Health,
 		},
-		"store":    map[string]string{"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address)},
+		"store": map[string]string{
+			"endpoint": "http://" + c.Network.Link(daemon.Name, storeName, c.store.Address),
+			"region":   c.regionOf(storeName),
+		},
 		"hostList": map[string]any{"endpoint": hostList, "pollInterval": "200ms"},
 		"seeds":    seeds,
 		"reroute":  reroute,
@@ -77,6 +80,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if c.options.Tokens != "" {
+		settings["tokens"] = c.options.Tokens
+	}
 	settings["tls"] = map[string]string{"certificate": files.Certificate, "key": files.Key, "authority": files.Authority}
 }
 
