Set up the tests of urgent requests once

Four tests started two sites and three warmed up or ended with a load in the same lines. The checks are the same; 10 lines less.

--- a/internal/integration/urgent/cut_test.go
+++ b/internal/integration/urgent/cut_test.go
@@ -14,16 +14,9 @@
 // TestRegionsLoseEachOther cuts the link between two regions. Requests without
 // a key go on in both, those with a key on the store's side; nothing runs twice or beyond a runner's slots.
 func TestRegionsLoseEachOther(t *testing.T) {
-	cluster := harness.Start(t, harness.Options{
-		Sites: []harness.Site{
-			{DataCentre: "atl-a", Region: "north-ga", Daemons: 3, Runners: 3},
-			{DataCentre: "sav-a", Region: "south-ga", Daemons: 3, Runners: 3},
-		},
-		RunnerArgs: []string{"--mean", "5ms"},
-	})
-	warm := startLoad(cluster, t)
-	awaitCount(t, warm, 800)
-	warm.Stop()
+	cluster := startSites(t, harness.Site{Daemons: 3, Runners: 3},
+		harness.Site{DataCentre: "sav-a", Region: "south-ga", Daemons: 3, Runners: 3}, "--mean", "5ms")
+	warmUp(cluster, t, 800)
 
 	cluster.CutRegion("south-ga")
 	during := startLoad(cluster, t)
@@ -36,9 +29,7 @@
 	assertTruth(t, answers, cluster.Executions())
 
 	cluster.Network.Heal(harness.All)
-	after := startLoad(cluster, t)
-	awaitCount(t, after, 400)
-	assertTruth(t, after.Stop(), cluster.Executions())
+	assertTruth(t, warmUp(cluster, t, 400), cluster.Executions())
 	cluster.AssertNoBreach()
 }
 
--- a/internal/integration/urgent/mixed_test.go
+++ b/internal/integration/urgent/mixed_test.go
@@ -59,13 +59,8 @@
 func keyOf(number int) string { return fmt.Sprintf("key-%d", number/8) }
 
 func TestPromisesHoldUnderMixedFaults(t *testing.T) {
-	cluster := harness.Start(t, harness.Options{
-		Sites: []harness.Site{
-			{DataCentre: "atl-a", Region: "north-ga", Daemons: 3, Runners: 4},
-			{DataCentre: "ath-a", Region: "north-ga", Daemons: 2, Runners: 3},
-		},
-		RunnerArgs: []string{"--mean", "10ms", "--sigma", "0.5"},
-	})
+	cluster := startSites(t, harness.Site{Daemons: 3, Runners: 4},
+		harness.Site{DataCentre: "ath-a", Region: "north-ga", Daemons: 2, Runners: 3}, "--mean", "10ms", "--sigma", "0.5")
 	target := harness.NewTarget(cluster.Daemons...)
 	load := harness.StartLoad(t, rate, callOf, target.Choose)
 	count := requestCount(t)
@@ -93,6 +88,14 @@
 	assertTruth(t, answers, cluster.Executions())
 }
 
+// startSites starts daemons and runners in atl-a and at a second site, with
+// arguments of the runners.
+func startSites(t *testing.T, first, second harness.Site, runnerArgs ...string) *harness.Cluster {
+	t.Helper()
+	first.DataCentre, first.Region = "atl-a", "north-ga"
+	return harness.Start(t, harness.Options{Sites: []harness.Site{first, second}, RunnerArgs: runnerArgs})
+}
+
 // awaitCount waits until the load has so many answers.
 func awaitCount(t *testing.T, load *harness.Load, count int) {
 	t.Helper()
--- a/internal/integration/urgent/outage_test.go
+++ b/internal/integration/urgent/outage_test.go
@@ -16,16 +16,9 @@
 // TestStoreOutage takes the store away for longer than leases last. Requests
 // without a key go on; those with a key are not run, and say so.
 func TestStoreOutage(t *testing.T) {
-	cluster := harness.Start(t, harness.Options{
-		Sites: []harness.Site{
-			{DataCentre: "atl-a", Region: "north-ga", Daemons: 2, Runners: 2},
-			{DataCentre: "ath-a", Region: "north-ga", Daemons: 1, Runners: 2},
-		},
-		RunnerArgs: []string{"--mean", "5ms"},
-	})
-	warm := startLoad(cluster, t)
-	awaitCount(t, warm, 500)
-	warm.Stop()
+	cluster := startSites(t, harness.Site{Daemons: 2, Runners: 2},
+		harness.Site{DataCentre: "ath-a", Region: "north-ga", Daemons: 1, Runners: 2}, "--mean", "5ms")
+	warmUp(cluster, t, 500)
 
 	cluster.SetStoreFaults(keyvalue.Faults{Outage: true, LapseDuringOutage: true})
 	during := startLoad(cluster, t)
@@ -80,6 +73,14 @@
 	}, target.Choose)
 }
 
+// warmUp sends requests until so many are answered.
+func warmUp(cluster *harness.Cluster, t *testing.T, count int) []harness.Answer {
+	t.Helper()
+	load := startLoad(cluster, t)
+	awaitCount(t, load, count)
+	return load.Stop()
+}
+
 // assertShare checks that a share of some answers holds.
 func assertShare(t *testing.T, answers []harness.Answer, least float64, counts, holds func(harness.Answer) bool) {
 	t.Helper()
--- a/internal/integration/urgent/stop_test.go
+++ b/internal/integration/urgent/stop_test.go
@@ -11,13 +11,8 @@
 // TestPlannedStopCutsNothing stops one daemon under load, as a balancer sees
 // it: new requests go elsewhere once the daemon is no longer ready.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	cluster := harness.Start(t, harness.Options{
-		Sites: []harness.Site{
-			{DataCentre: "atl-a", Region: "north-ga", Daemons: 2, Runners: 3},
-			{DataCentre: "ath-a", Region: "north-ga", Daemons: 1, Runners: 3},
-		},
-		RunnerArgs: []string{"--mean", "150ms", "--sigma", "0.5"},
-	})
+	cluster := startSites(t, harness.Site{Daemons: 2, Runners: 3},
+		harness.Site{DataCentre: "ath-a", Region: "north-ga", Daemons: 1, Runners: 3}, "--mean", "150ms", "--sigma", "0.5")
 	target := harness.NewTarget(cluster.Daemons...)
 	load := harness.StartLoad(t, 100, func(number int) harness.Call {
 		call := callOf(number)
