--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -79,6 +80,9 @@
 		questions.Go(func() { v.askVersion(ctx, status) })
 	}
 	questions.Wait()
+	slices.SortFunc(daemons, func(x, y *kumquatv1.DaemonStatus) int {
+		return cmp.Compare(x.Incarnation.Daemon, y.Incarnation.Daemon)
+	})
 	return daemons
 }
 
