Switch off mechanisms of the daemons, too, and mend two tests

Cause: mutants reached only the code that a test links, not the daemons that it starts; and two of three further mechanisms could be missing without a test seeing it (planned stop without time for the balancer, broken answers in chunks).

Change: the overlay holds for all builds of a test. In the test of the planned stop the balancer looks every second; the test of cut answers has long ones in chunks.

--- a/internal/experiment/mutants/runner.go
+++ b/internal/experiment/mutants/runner.go
@@ -88,9 +88,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, testTimeout)
 	defer cancel()
-	command := exec.CommandContext(ctx, "go", "test", "-count=1", "-vet=off", "-overlay="+overlay,
+	command := exec.CommandContext(ctx, "go", "test", "-count=1", "-vet=off",
 		"-run", "^("+mutant.Test+")$", mutant.Package)
 	command.Dir = root
+	command.Env = append(os.Environ(), "GOFLAGS=-overlay="+overlay) // Holds for the daemons that tests build, too.
 	output, err := command.CombinedOutput()
 	verdict, detail = judge(output, err)
 	return verdict, detail, nil
--- a/internal/integration/urgent/stop_test.go
+++ b/internal/integration/urgent/stop_test.go
@@ -8,6 +8,10 @@
 	"github.com/kumquatstack/kumquatstack/internal/harness"
 )
 
+// balancerPeriod is the time between two looks of the balancer, well within the
+// time that a stopping daemon gives it.
+const balancerPeriod = time.Second
+
 // TestPlannedStopCutsNothing stops one daemon under load, as a balancer sees
 // it: new requests go elsewhere once the daemon is no longer ready.
 func TestPlannedStopCutsNothing(t *testing.T) {
@@ -28,6 +32,7 @@
 	stopped := cluster.Daemons[1]
 	stopped.Terminate()
 	harness.Eventually(t, 20*time.Second, "the balancer is told", func() bool { return !stopped.Ready(t.Context()) })
+	time.Sleep(balancerPeriod)
 	target.Set(cluster.Daemons[0], cluster.Daemons[2])
 	if err := stopped.Wait(time.Minute); err != nil {
 		t.Errorf("the daemon did not stop: %v", err)
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -127,20 +127,31 @@
 }
 
 func TestRouterBreaksCutAnswers(t *testing.T) {
-	runner := newFakeRunner(t, "charm-1", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", "100")
-		_, _ = io.WriteString(w, "half")
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	})
-	c := newCluster(t, []string{"atl-a-1", "atl-a-2"}, runner)
-	for _, d := range c.daemons {
-		t.Run("through "+d.name, func(t *testing.T) {
-			got := call(t, d, http.MethodPost, "/charms/7", "print", inTime...)
-			if got.err == nil && got.outcome() != answerer.OutcomeUnknown {
-				t.Errorf("cut answer looks whole: %d %q", got.status, got.body)
+	const longBytes = 1 << 20
+	for _, answer := range []struct {
+		name, length string
+		body         string
+	}{
+		{"short", "100", "half"},
+		{"long in chunks", "", strings.Repeat("x", longBytes)},
+	} {
+		runner := newFakeRunner(t, "charm-1", func(w http.ResponseWriter, _ *http.Request) {
+			if answer.length != "" {
+				w.Header().Set("Content-Length", answer.length)
 			}
+			_, _ = io.WriteString(w, answer.body)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
 		})
+		c := newCluster(t, []string{"atl-a-1", "atl-a-2"}, runner)
+		for _, d := range c.daemons {
+			t.Run(answer.name+" through "+d.name, func(t *testing.T) {
+				got := call(t, d, http.MethodPost, "/charms/7", "print", inTime...)
+				if got.err == nil && got.outcome() != answerer.OutcomeUnknown {
+					t.Errorf("cut answer looks whole: %d, %d bytes", got.status, len(got.body))
+				}
+			})
+		}
 	}
 }
 
