Let no request wait at a daemon without a usable runner

Cause: a request that waited in a daemon's queue stayed there until its deadline when the daemon's last runners moved to another or were closed for the former owner's requests; a forwarded one even began to wait there. Its caller got 504 "notRun", or an answer up to maxDuration late. Change: a queue without usable slots gives its requests back, and refuses new ones, with ErrNoRunner; the router looks again for a daemon with slots. Conclusion: one way to stall for as long as the deadline is closed. That it was the cause of the stalls on record is not shown.

--- a/internal/process/slotter/acquire.go
+++ b/internal/process/slotter/acquire.go
@@ -10,6 +10,9 @@
 	"github.com/kumquatstack/kumquatstack/internal/request/queuer"
 )
 
+// ErrNoRunner reports that this daemon has no runner that it may use now.
+var ErrNoRunner error = &errs.NotRunError{Reason: "no runner can be used here", RetryAfter: time.Second}
+
 // An Ask asks for a slot of an upstream.
 type Ask struct {
 	Upstream string
@@ -80,6 +83,10 @@
 	if s.closed || up == nil {
 		return nil, &errs.NotRunError{Reason: "no runner is known", RetryAfter: time.Second}
 	}
+	slots := s.capacity(up, now)
+	if slots == 0 {
+		return nil, ErrNoRunner
+	}
 	w.up = up
 	if up.isTooLate(w.ask, now) {
 		s.record(now, EventWaitTooLong, w.ask, "")
@@ -94,13 +101,12 @@
 	item := queuer.Item[*waiter]{
 		Value: w, Caller: w.ask.Caller, Deadline: w.ask.Deadline, MissCost: w.ask.MissCost,
 	}
-	slots := s.capacity(up, now)
 	wait := queuer.ExpectedWait(up.queue.Ahead(up.queue.Rank(item, now)), slots, up.service)
-	if slots > 0 && now.Add(wait+up.fastest).After(w.ask.Deadline) {
+	if now.Add(wait + up.fastest).After(w.ask.Deadline) {
 		s.record(now, EventWaitTooLong, w.ask, "")
 		return nil, &errs.NotRunError{Reason: "expected wait exceeds the deadline", RetryAfter: wait}
 	}
-	gap := up.service * time.Duration(up.queue.Callers()+1) / time.Duration(max(1, slots))
+	gap := up.service * time.Duration(up.queue.Callers()+1) / time.Duration(slots)
 	entry, displaced, err := up.queue.Push(item, gap, now)
 	if displaced != nil {
 		s.refuseFull(displaced.Item.Value, wait, now)
@@ -143,8 +149,12 @@
 	}
 }
 
-// dispatch grants free slots to the first requests of a queue.
+// dispatch grants free slots to the first requests of a queue. Without a
+// runner that may be used nothing waits here, because others may have slots.
 func (s *Slots) dispatch(up *upstream, now time.Time) {
+	if up.queue.Len() > 0 && s.capacity(up, now) == 0 {
+		up.refuseAll(ErrNoRunner)
+	}
 	for up.queue.Len() > 0 && !s.closed {
 		entry := up.queue.First()
 		w := entry.Item.Value
--- a/internal/process/slotter/slots.go
+++ b/internal/process/slotter/slots.go
@@ -12,6 +12,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/exchanger"
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/picker"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -202,7 +203,7 @@
 	s.end()
 	var idle []*exchanger.Conn
 	for _, up := range s.upstreams {
-		up.refuseAll("daemon is stopping")
+		up.refuseAll(&errs.NotRunError{Reason: "daemon is stopping", RetryAfter: time.Second})
 		for _, r := range up.runners {
 			idle = append(idle, r.takeIdle()...)
 		}
--- a/internal/process/slotter/upstream.go
+++ b/internal/process/slotter/upstream.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
-	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/picker"
 	"github.com/kumquatstack/kumquatstack/internal/request/queuer"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
@@ -113,10 +112,10 @@
 }
 
 // refuseAll ends all waiting.
-func (up *upstream) refuseAll(reason string) {
+func (up *upstream) refuseAll(reason error) {
 	for entry := up.queue.First(); entry != nil; entry = up.queue.First() {
 		up.queue.Remove(entry)
-		entry.Item.Value.refuse(&errs.NotRunError{Reason: reason, RetryAfter: time.Second})
+		entry.Item.Value.refuse(reason)
 	}
 }
 
--- a/internal/request/attempter/local.go
+++ b/internal/request/attempter/local.go
@@ -95,7 +95,9 @@
 	if errors.As(err, &refused) {
 		failed.Reason = refused.Reason
 		failed.RetryAfter = refused.RetryAfter
-		failed.Cause = nil
+	}
+	if refused != nil && !errors.Is(err, slotter.ErrNoRunner) {
+		failed.Cause = nil // The reason says it all.
 	}
 	return failed
 }
--- a/internal/request/router/execution.go
+++ b/internal/request/router/execution.go
@@ -10,6 +10,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/forwarder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/slotter"
 	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
 	"github.com/kumquatstack/kumquatstack/internal/request/attempter"
 	"github.com/kumquatstack/kumquatstack/internal/request/retrier"
@@ -109,26 +110,33 @@
 	return answer, nil
 }
 
-// attempt carries out a call once: on a free slot of this daemon, at a better
-// peer, or after waiting here.
+// attempt carries out a call once. It looks again where to while neither this
+// daemon nor one that it knows has a runner.
 func (rt *Router) attempt(ctx context.Context, call *attempter.Call) (answer *attempter.Answer, err error) {
 	for {
-		if slot, ok := rt.opts.Slots.TryAcquire(attempter.AskFor(call)); ok {
-			return rt.local.ExecuteOn(ctx, call, slot)
-		}
-		answer, err = rt.opts.Forwarder.Execute(ctx, call)
-		if err == nil || !isPassable(call, err) {
+		answer, err = rt.attemptHere(ctx, call)
+		if !errors.Is(err, slotter.ErrNoRunner) {
 			return answer, err
 		}
-		if rt.opts.Slots.Load(call.Upstream, rt.opts.Now()).Slots > 0 {
-			return rt.local.Execute(ctx, call)
-		}
 		if err := rt.awaitHome(ctx); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// attemptHere carries out a call on a free slot of this daemon, at a better
+// peer, or after waiting here.
+func (rt *Router) attemptHere(ctx context.Context, call *attempter.Call) (answer *attempter.Answer, err error) {
+	if slot, ok := rt.opts.Slots.TryAcquire(attempter.AskFor(call)); ok {
+		return rt.local.ExecuteOn(ctx, call, slot)
+	}
+	answer, err = rt.opts.Forwarder.Execute(ctx, call)
+	if err == nil || !isPassable(call, err) {
+		return answer, err
+	}
+	return rt.local.Execute(ctx, call)
+}
+
 // isPassable reports whether a call may still be carried out here after the
 // peers gave an error.
 func isPassable(call *attempter.Call, err error) bool {
--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/slotter"
 	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
 )
 
@@ -216,3 +217,33 @@
 		t.Error("runner was not told")
 	}
 }
+
+func TestRouterServesWaitingRequestsAfterAMove(t *testing.T) {
+	release := make(chan struct{})
+	runner := newFakeRunner(t, "charm-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Hold") != "" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	c := newCluster(t, []string{"atl-a-1", "atl-a-2"}, runner)
+	former, heir := c.daemons[0], c.daemons[1]
+	var callers sync.WaitGroup
+	for range testSlots {
+		callers.Go(func() { call(t, former, http.MethodPost, "/charms/7", "", append(inTime, "Hold", "yes")...) })
+	}
+	for runner.now.Load() < testSlots {
+		time.Sleep(time.Millisecond)
+	}
+	callers.Go(func() {
+		got := call(t, former, http.MethodPost, "/charms/7", "print", inTime...)
+		assertReply(t, got, http.StatusOK, answerer.OutcomeAnswered)
+	})
+	for former.slots.Load("charms", time.Now()).Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.ownership.give(heir.name, slotter.PartitionOf(runner.host()))
+	close(release)
+	c.introduce()
+	callers.Wait()
+}
