--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -60,7 +60,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.awaitLists(3)
+	c.awaitLists(nodes)
 	nodes[0].cutStore.Store(true)
 	lapsed := time.Now().Add(member.LeaseTTL)
 	c.await("the lease to lapse", func() bool { return time.Now().After(lapsed) })
@@ -73,11 +73,26 @@
 	}
 }
 
+func TestHandoverNeedsStore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	nodes := c.startAll(2)
+	c.awaitLists(nodes)
+	time.Sleep(settle)
+	before := epochs(nodes[:1])
+	c.start("atl-a-4", "atl-a")
+	c.await("the new daemon to be known", func() bool { return len(nodes[0].group.Members()) == 3 })
+	nodes[0].cutStore.Store(true)
+	for end := time.Now().Add(settle); time.Now().Before(end); time.Sleep(pollPause) {
+		assertHeldAll(t, nodes[:1], before)
+	}
+}
+
 func TestOwnerStoreOutage(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.awaitLists(3)
+	c.awaitLists(nodes)
 	time.Sleep(settle)
 	before := epochs(nodes)
 	t.Run("everything is held through an outage longer than the leases", func(t *testing.T) {
@@ -127,7 +142,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	nodes := c.startAll(3)
-	c.awaitLists(3)
+	c.awaitLists(nodes)
 	for _, n := range nodes {
 		n.kill()
 	}
--- a/internal/process/sharder/acting.go
+++ b/internal/process/sharder/acting.go
@@ -37,7 +37,6 @@
 			continue
 		}
 		s.stopStrays(w)
-		s.forget(w, now)
 		for _, e := range byRank(s.table.byWorker[w.name]) {
 			if w.commands >= commandsPerWorker {
 				break
@@ -218,6 +217,9 @@
 			return
 		}
 		e.throttle = percent
+		if percent == 0 {
+			e.liftedAt = now
+		}
 		s.record(EventThrottled, recorder.Fields{"task": id.Task, "worker": w.name, "percent": itoa(int64(percent))})
 	})
 }
--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -53,7 +53,13 @@
 	rebalanceAt time.Time
 	relievedAt  time.Time
 	expiredAt   time.Time
-	syncedAt    time.Time
+	estimatedAt time.Time
+	// estimated is what the journal holds of what was learnt.
+	estimated *kumquatv1.Estimates
+	// taken is the revision up to which all intents were taken in, if some have
+	// been dropped since.
+	taken    int64
+	syncedAt time.Time
 	// listSeen is true once the platform's host list has been read.
 	listSeen     bool
 	mover        mover
@@ -108,20 +114,27 @@
 		s.cancel()
 		err = errors.Join(err, s.wait())
 	}()
-	timer := time.NewTicker(tick)
-	defer timer.Stop()
-	for {
-		if s.pass(s.options.Now()) {
-			return errs.ErrFenced
-		}
-		select {
-		case <-s.base.Done():
+	for !s.pass(s.options.Now()) {
+		if !s.await() {
 			return nil
-		case <-s.kick:
-			s.gather()
-		case <-timer.C:
 		}
 	}
+	return errs.ErrFenced
+}
+
+// await waits until there is something to decide on and reports whether the
+// sharder still runs.
+func (s *Sharder) await() bool {
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
+	select {
+	case <-s.base.Done():
+		return false
+	case <-s.kick:
+		s.gather()
+	case <-timer.C:
+	}
+	return true
 }
 
 // gather waits for further outcomes of commands, so that one pass serves many.
@@ -162,6 +175,7 @@
 		s.relieve(now)
 		s.act(now)
 		s.expire(now)
+		s.keepEstimates(now)
 	}
 	s.flush()
 	return false
--- a/internal/process/sharder/sharder_test.go
+++ b/internal/process/sharder/sharder_test.go
@@ -53,6 +53,56 @@
 	}
 }
 
+func TestFinishedUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2)
+		s := r.own("atl-a", nil)
+		defer s.kill()
+		s.Ingest(intentOf("casts", "atl-a", 40, 12*time.Second))
+		time.Sleep(5 * time.Second)
+		r.fakes["atl-a-w0"].SetFaults(agent.Faults{Unreachable: true, Hang: true})
+		until(t, "the runs of the silent worker are given up", func() bool { return r.count(s.Sharder, assignedState) == 0 })
+		time.Sleep(10 * time.Second)
+		r.fakes["atl-a-w0"].SetFaults(agent.Faults{})
+		r.untilCount(s.Sharder, finishedState, 40)
+		r.assertPromises(40)
+		if starts := r.starts("casts/"); starts != 40 {
+			t.Errorf("%d starts of 40 tasks that finished", starts)
+		}
+	})
+}
+
+func TestIntentsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1)
+		s := r.own("atl-a", nil)
+		old := intentOf("old", "atl-a", 3, time.Second)
+		old.Revision = 5
+		s.Ingest(old)
+		r.untilCount(s.Sharder, finishedState, 3)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.expire(time.Now().Add(time.Hour))
+		s.expire(time.Now().Add(time.Hour + intentRetention))
+		kept := len(s.table.intents)
+		s.mu.Unlock()
+		if kept != 0 {
+			t.Errorf("%d intents are kept", kept)
+		}
+		time.Sleep(time.Second)
+		s.kill()
+
+		second := r.own("atl-a", nil)
+		defer second.kill()
+		next := intentOf("next", "atl-a", 3, time.Second)
+		next.Revision = 6
+		second.Ingest(old)
+		second.Ingest(next)
+		r.untilCount(second.Sharder, finishedState, 3)
+		r.assertPromises(6)
+	})
+}
+
 func TestHostLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 2)
