--- a/internal/request/router/router_test.go
+++ b/internal/request/router/router_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/slotter"
 	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
 )
 
@@ -127,20 +128,31 @@
 }
 
 func TestRouterBreaksCutAnswers(t *testing.T) {
-	runner := newFakeRunner(t, "charm-1", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", "100")
-		_, _ = io.WriteString(w, "half")
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
-	})
-	c := newCluster(t, []string{"atl-a-1", "atl-a-2"}, runner)
-	for _, d := range c.daemons {
-		t.Run("through "+d.name, func(t *testing.T) {
-			got := call(t, d, http.MethodPost, "/charms/7", "print", inTime...)
-			if got.err == nil && got.outcome() != answerer.OutcomeUnknown {
-				t.Errorf("cut answer looks whole: %d %q", got.status, got.body)
+	const longBytes = 1 << 20
+	for _, answer := range []struct {
+		name, length string
+		body         string
+	}{
+		{"short", "100", "half"},
+		{"long in chunks", "", strings.Repeat("x", longBytes)},
+	} {
+		runner := newFakeRunner(t, "charm-1", func(w http.ResponseWriter, _ *http.Request) {
+			if answer.length != "" {
+				w.Header().Set("Content-Length", answer.length)
 			}
+			_, _ = io.WriteString(w, answer.body)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
 		})
+		c := newCluster(t, []string{"atl-a-1", "atl-a-2"}, runner)
+		for _, d := range c.daemons {
+			t.Run(answer.name+" through "+d.name, func(t *testing.T) {
+				got := call(t, d, http.MethodPost, "/charms/7", "print", inTime...)
+				if got.err == nil && got.outcome() != answerer.OutcomeUnknown {
+					t.Errorf("cut answer looks whole: %d, %d bytes", got.status, len(got.body))
+				}
+			})
+		}
 	}
 }
 
@@ -216,3 +228,33 @@
 		t.Error("runner was not told")
 	}
 }
+
+func TestRouterServesWaitingRequestsAfterAMove(t *testing.T) {
+	release := make(chan struct{})
+	runner := newFakeRunner(t, "charm-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Hold") != "" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	c := newCluster(t, []string{"atl-a-1", "atl-a-2"}, runner)
+	former, heir := c.daemons[0], c.daemons[1]
+	var callers sync.WaitGroup
+	for range testSlots {
+		callers.Go(func() { call(t, former, http.MethodPost, "/charms/7", "", append(inTime, "Hold", "yes")...) })
+	}
+	for runner.now.Load() < testSlots {
+		time.Sleep(time.Millisecond)
+	}
+	callers.Go(func() {
+		got := call(t, former, http.MethodPost, "/charms/7", "print", inTime...)
+		assertReply(t, got, http.StatusOK, answerer.OutcomeAnswered)
+	})
+	for former.slots.Load("charms", time.Now()).Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.ownership.give(heir.name, slotter.PartitionOf(runner.host()))
+	close(release)
+	c.introduce()
+	callers.Wait()
+}
