--- a/internal/integration/operating/operating_test.go
+++ b/internal/integration/operating/operating_test.go
@@ -126,6 +126,8 @@
 	b.assertRuns(b.Daemons[:1], 0, "plan", "-f", document, "--out", plan)
 	b.assertRuns(b.Daemons[1:2], 0, "confirm", plan)
 	const want = "short-casting is cancelled: 6 tasks"
+	none := b.assertRuns(b.Daemons[:1], 1, "cancel", "short-casting", "--task", "short-casting/6")
+	assertContains(t, none.stderr, "from short-casting/0 to short-casting/5")
 	assertContains(t, b.assertRuns(b.Daemons[2:], 0, "cancel", "short-casting").stdout, want)
 	b.assertRuns(b.Daemons[:1], 7, "status", "--wait", "--for", patience.String(), "short-casting")
 	assertContains(t, b.assertRuns(b.Daemons[:1], 0, "status", "short-casting").stdout, "cancelled 6")
@@ -214,6 +216,13 @@
 	b.assertRuns(b.Daemons[1:2], 0, "datacentre", "in", "sav-a")
 	stale := b.assertRuns(b.Daemons[:1], 1, "confirm", plan)
 	assertContains(t, stale.stderr, "next:")
+	fewer := b.write("fewer.yaml", harness.DeclarationsOf([]harness.Site{{DataCentre: "atl-a", Region: "north-ga"}}))
+	refused = b.assertRuns(b.Daemons[:1], 1, "apply", "-f", fewer)
+	assertContains(t, refused.stderr, "removal of data centre sav-a refused\n  why:  it is in service")
+	b.assertRuns(b.Daemons[:1], 0, "datacentre", "out", "sav-a")
+	harness.Eventually(t, patience, "the empty data centre is removed", func() bool {
+		return b.kumquat(b.Daemons[:1], "apply", "-f", fewer).code == 0
+	})
 	b.AssertNoBreach()
 }
 
--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// declarationsDocumentName stands for the declarations' file in errors.
+	declarationsDocumentName = "declarations"
 	// shardTimeout bounds one question to the owner of a shard.
 	shardTimeout = 3 * time.Second
 	// ownerGrace is the time after which a shard whose owner died has another.
@@ -186,6 +188,13 @@
 
 // Apply implements kumquatv1.Operator.
 func (a *Administrator) Apply(ctx context.Context, req *kumquatv1.ApplyRequest) (*kumquatv1.ApplyResponse, error) {
+	wanted, err := declarer.Parse(declarationsDocumentName, []byte(req.Document))
+	if err != nil {
+		return nil, err
+	}
+	if err := a.checkRemovals(ctx, wanted); err != nil {
+		return nil, err
+	}
 	change, err := a.settings.Configurations.Apply(ctx, []byte(req.Document), req.BaseVersion)
 	if err != nil {
 		return nil, err
--- a/internal/process/administrator/cancel.go
+++ b/internal/process/administrator/cancel.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -26,6 +28,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkTasks(record, req.TaskIds); err != nil {
+		return nil, err
+	}
 	resp := &kumquatv1.CancelResponse{}
 	for _, shard := range record.Shards {
 		cancelled, err := a.cancelIn(ctx, shard.DataCentre, req)
@@ -40,6 +45,23 @@
 	return a.countCancelled(ctx, record)
 }
 
+// checkTasks refuses ids that are no tasks of the intent.
+func checkTasks(record *kumquatv1.IntentRecord, ids []string) error {
+	last := int(countTasks(record)) - 1
+	for _, id := range ids {
+		number, err := strconv.Atoi(strings.TrimPrefix(id, record.Id+"/"))
+		if err == nil && number >= 0 && number <= last && id == fmt.Sprintf("%s/%d", record.Id, number) {
+			continue
+		}
+		return &errs.RefusedError{
+			What:   "cancellation of " + id,
+			Why:    "it is no task of intent " + record.Id,
+			Remedy: fmt.Sprintf("name tasks from %s/0 to %[1]s/%d", record.Id, last),
+		}
+	}
+	return nil
+}
+
 // countCancelled returns how many tasks of a cancelled intent have not ended
 // otherwise, wherever they have moved to.
 func (a *Administrator) countCancelled(ctx context.Context, record *kumquatv1.IntentRecord) (*kumquatv1.CancelResponse, error) {
