Send a silent peer no more requests than it has slots

Cause: when a daemon is paused, the others forward to it until its word is 1.3 s old. If it owns all runners, that is every request of these 1.3 s, and each ends as "unknown" at its deadline.

Change: a peer that was sent as many requests as it has slots gets no more until there is newer word of it. Each of its answers is such word, so that a live peer is hardly ever held back. Requests wait at their ingress instead and may still run after the takeover.

--- a/internal/connection/forwarder/choice.go
+++ b/internal/connection/forwarder/choice.go
@@ -27,6 +27,10 @@
 	return !l.SeenAt.IsZero() && now.Sub(l.SeenAt) < staleAfter
 }
 
+// isFull reports whether as many requests went there since the word as there
+// are slots. Each answer is newer word, so that only a silent peer stays full.
+func (l Load) isFull() bool { return l.SentSince >= l.Slots }
+
 // Spare returns the slots that are likely to be free, negative if requests are
 // likely to wait.
 func (l Load) Spare() int { return l.Free - l.Queued - l.SentSince }
@@ -56,13 +60,14 @@
 // of this daemon can take. A near peer with spare slots goes before others
 // unless one of them has more than twice as many; without spare slots anywhere
 // the shortest wait decides, and false keeps the request here. Remote peers
-// are not considered. The offset rotates the choice among equals.
+// are not considered, nor those that were sent as many requests as they have
+// slots without newer word of them. The offset rotates the choice among equals.
 func Choose(own Load, candidates []Candidate, offset int, now time.Time) (index int, ok bool) {
 	best := Candidate{Load: own}
 	for i := range candidates {
 		at := (i + offset) % len(candidates)
 		c := candidates[at]
-		if c.Remote || !c.Load.isKnown(now) || c.Load.Slots == 0 {
+		if c.Remote || !c.Load.isKnown(now) || c.Load.isFull() {
 			continue
 		}
 		if !ok && !isWorthLeaving(own, c.Load) {
--- a/internal/connection/forwarder/choice_test.go
+++ b/internal/connection/forwarder/choice_test.go
@@ -38,7 +38,7 @@
 			return
 		}
 		chosen := candidates[index]
-		if chosen.Remote || !chosen.Load.isKnown(start) || chosen.Load.Slots == 0 {
+		if chosen.Remote || !chosen.Load.isKnown(start) || chosen.Load.SentSince >= chosen.Load.Slots {
 			t.Fatalf("chose %+v", chosen)
 		}
 		if own.Slots > 0 && chosen.Load.Spare() <= 0 && chosen.Load.Wait() >= own.Wait() {
