Tell peers at once when runners may be used; refuse by measured use only

Cause: after a takeover, requests that wait at a daemon without runners learned only from the next heartbeat, up to 0.5 s later, that a peer has free slots again. And a new owner, that had not used any slot yet, refused requests by an assumed use of 50 ms a slot though 20 ms was true.

Change: the slots call back when the first runner of an upstream may be used, and the group sends a heartbeat to all peers then. The expected wait refuses only once the use of a slot was seen; the first use replaces the assumption. The test of early refusals now measures first, and names the reasons.

--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -40,6 +40,7 @@
 		DataCentre: d.settings.DataCentre,
 		Authority:  d.owner,
 		Recorder:   d.recorder,
+		OnReady:    d.group.Announce,
 	})
 	transport := forwarder.NewTransport()
 	transport.DialContext = d.security.dial(dialer.NewDialFunc(d.settings.Reroute))
--- a/internal/process/member/group.go
+++ b/internal/process/member/group.go
@@ -45,6 +45,7 @@
 	settings  Settings
 	registrar *Registrar
 	leaving   atomic.Bool
+	announced chan struct{}
 
 	mu        sync.Mutex
 	peers     map[string]Peer // by daemon name
@@ -60,6 +61,7 @@
 	g := &Group{
 		settings:  settings,
 		registrar: NewRegistrar(settings.Store, settings.Identity, settings.Recorder, settings.OnLease),
+		announced: make(chan struct{}, 1),
 		peers:     make(map[string]Peer),
 		asking:    make(map[string]bool),
 	}
@@ -79,6 +81,15 @@
 // SetLeaving announces that the daemon is stopping.
 func (g *Group) SetLeaving() { g.leaving.Store(true) }
 
+// Announce sends a heartbeat to all peers soon, for example because this
+// daemon can serve requests again.
+func (g *Group) Announce() {
+	select {
+	case g.announced <- struct{}{}:
+	default:
+	}
+}
+
 // OnWord registers a callback for answered heartbeats. It must not block.
 func (g *Group) OnWord(listener func(Word)) {
 	g.mu.Lock()
--- a/internal/process/member/heard_test.go
+++ b/internal/process/member/heard_test.go
@@ -11,17 +11,23 @@
 	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
 )
 
+// newGroup returns the group of atl-a-2, which has fresh proof.
+func newGroup() *Group {
+	store := keyvalue.NewFake()
+	return New(Settings{
+		Identity:      Identity{Daemon: "atl-a-2"},
+		Store:         store,
+		Watcher:       watcher.New(store, "ctl/", recorder.Discard{}),
+		Clock:         &hlc.Clock{},
+		Recorder:      recorder.Discard{},
+		Configuration: func(time.Time) (version int64, proofAge time.Duration) { return 1, 0 },
+	})
+}
+
 // TestHeard checks that the asked one of two daemons learns the asking one's
 // load, because only one of the two asks.
 func TestHeard(t *testing.T) {
-	store := keyvalue.NewFake()
-	group := New(Settings{
-		Identity: Identity{Daemon: "atl-a-2"},
-		Store:    store,
-		Watcher:  watcher.New(store, "ctl/", recorder.Discard{}),
-		Clock:    &hlc.Clock{},
-		Recorder: recorder.Discard{},
-	})
+	group := newGroup()
 	var free int32
 	group.OnHeard(func(peer Peer, _ time.Time) { free = peer.State.GetUpstreams()[0].GetFreeSlots() })
 	request := &kumquatv1.HeartbeatRequest{
@@ -35,3 +41,26 @@
 		t.Fatalf("heard of %d free slots, want 8", free)
 	}
 }
+
+// TestAnnounce checks that an announcement goes to all peers, also to those
+// that ask this daemon.
+func TestAnnounce(t *testing.T) {
+	group := newGroup()
+	request := &kumquatv1.HeartbeatRequest{
+		From:    &kumquatv1.Incarnation{Daemon: "atl-a-0", Number: 3},
+		Address: "atl-a-0:1",
+	}
+	if _, err := group.Heartbeat(t.Context(), request); err != nil {
+		t.Fatal(err)
+	}
+	if targets := group.targets(time.Now(), false); len(targets) > 0 {
+		t.Errorf("asks %v", targets)
+	}
+	group.Announce()
+	if !group.rest(t.Context(), time.Minute) {
+		t.Error("the announcement did not end the pause")
+	}
+	if targets := group.targets(time.Now(), true); len(targets) != 1 || targets[0] != request.Address {
+		t.Errorf("announces to %v", targets)
+	}
+}
--- a/internal/process/member/heartbeat.go
+++ b/internal/process/member/heartbeat.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/kumquatstack/kumquatstack/internal/pauser"
-
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
@@ -20,19 +18,35 @@
 
 // beat sends heartbeats until the context ends.
 func (g *Group) beat(ctx context.Context) error {
+	toAll := false
 	for ctx.Err() == nil {
-		targets := g.targets(time.Now())
+		targets := g.targets(time.Now(), toAll)
 		for _, address := range targets {
 			g.ask(ctx, address)
 		}
-		pauser.Sleep(ctx, HeartbeatInterval*time.Duration(max(len(targets), fullRatePeers))/fullRatePeers)
+		toAll = g.rest(ctx, HeartbeatInterval*time.Duration(max(len(targets), fullRatePeers))/fullRatePeers)
 	}
 	return ctx.Err()
 }
 
-// targets returns the addresses to send a heartbeat to. Of two daemons with
-// fresh proof only the one with the lower name asks; the answer serves both.
-func (g *Group) targets(now time.Time) []string {
+// rest pauses for an interval. It returns true at once if there is something
+// to announce.
+func (g *Group) rest(ctx context.Context, interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-g.announced:
+		return true
+	}
+	return false
+}
+
+// targets returns the addresses to send a heartbeat to: those of all peers, or
+// of two daemons with fresh proof only the one with the lower name asks; the
+// answer serves both.
+func (g *Group) targets(now time.Time, toAll bool) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var targets []string
@@ -41,7 +55,7 @@
 			delete(g.peers, name)
 			continue
 		}
-		if g.hasToAsk(peer, now) && !g.asking[peer.Address] {
+		if (toAll || g.hasToAsk(peer, now)) && !g.asking[peer.Address] {
 			targets = append(targets, peer.Address)
 		}
 	}
--- a/internal/process/slotter/acquire.go
+++ b/internal/process/slotter/acquire.go
@@ -96,7 +96,7 @@
 	}
 	slots := s.capacity(up, now)
 	wait := queuer.ExpectedWait(up.queue.Ahead(up.queue.Rank(item, now)), slots, up.service)
-	if slots > 0 && now.Add(wait+up.fastest).After(w.ask.Deadline) {
+	if slots > 0 && up.isMeasured && now.Add(wait+up.fastest).After(w.ask.Deadline) {
 		s.record(now, EventWaitTooLong, w.ask, "")
 		return nil, &errs.NotRunError{Reason: "expected wait exceeds the deadline", RetryAfter: wait}
 	}
--- a/internal/process/slotter/slots.go
+++ b/internal/process/slotter/slots.go
@@ -45,6 +45,9 @@
 	Recorder  recorder.Recorder
 	// Now returns the present time; nil means time.Now.
 	Now func() time.Time
+	// OnReady, if not nil, is called when the first runner of an upstream may be
+	// used. It must not block.
+	OnReady func()
 	// Dial connects to a runner; nil means exchanger.Dial.
 	Dial func(ctx context.Context, address string) (*exchanger.Conn, error)
 }
@@ -161,7 +164,11 @@
 func (s *Slots) tidy(now time.Time) {
 	s.mu.Lock()
 	var stale []*exchanger.Conn
+	ready := false
 	for _, up := range s.upstreams {
+		hadSlots := up.hasSlots
+		up.hasSlots = s.capacity(up, now) > 0
+		ready = ready || up.hasSlots && !hadSlots
 		candidates := s.candidates(up, now)
 		up.median = picker.Median(candidates)
 		up.fastest = picker.Fastest(candidates)
@@ -174,6 +181,9 @@
 	for _, conn := range stale {
 		conn.Close()
 	}
+	if ready && s.opts.OnReady != nil {
+		s.opts.OnReady()
+	}
 }
 
 // mayUse reports whether this daemon may send to a runner now.
--- a/internal/process/slotter/slots_test.go
+++ b/internal/process/slotter/slots_test.go
@@ -62,6 +62,7 @@
 	host      lister.Host
 	declared  *declarer.Declarations
 	served    atomic.Int64
+	ready     atomic.Int64
 }
 
 const (
@@ -87,7 +88,7 @@
 			MaxDuration: maxDuration, QueueLength: 10,
 		}},
 	}
-	b.slots = New(Options{DataCentre: "atl-a", Authority: b.authority, Now: b.clock.now})
+	b.slots = New(Options{DataCentre: "atl-a", Authority: b.authority, Now: b.clock.now, OnReady: func() { b.ready.Add(1) }})
 	b.slots.SetDeclarations(b.declared)
 	b.slots.SetHosts([]lister.Host{b.host})
 	t.Cleanup(func() {
@@ -144,8 +145,14 @@
 	b := newBench(t, quick)
 	b.authority.set(true, b.clock.now())
 	b.assertFree(t, 0)
+	b.slots.tidy(b.clock.now())
+	before := b.ready.Load()
 	b.clock.advance(maxDuration)
 	b.assertFree(t, benchSlots)
+	b.slots.tidy(b.clock.now())
+	if got := b.ready.Load() - before; got != 1 {
+		t.Errorf("told %d times that the runner may be used again", got)
+	}
 }
 
 func TestSlotsAskTheAuthorityBeforeEachSend(t *testing.T) {
@@ -255,15 +262,23 @@
 }
 
 func TestSlotsRefuseEarly(t *testing.T) {
-	b := newBench(t, quick)
+	b := newBench(t, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	refuse := func(want string) {
+		ask := b.ask()
+		ask.Deadline = b.clock.now().Add(5 * time.Millisecond)
+		_, err := b.slots.Acquire(t.Context(), ask)
+		var refused *errs.NotRunError
+		if !errors.As(err, &refused) || refused.RetryAfter <= 0 || refused.Reason != want {
+			t.Errorf("error = %v, want %q", err, want)
+		}
+	}
 	held := []*Slot{b.mustAcquire(t), b.mustAcquire(t)}
-	ask := b.ask()
-	ask.Deadline = b.clock.now().Add(time.Millisecond)
-	_, err := b.slots.Acquire(t.Context(), ask)
-	var refused *errs.NotRunError
-	if !errors.As(err, &refused) || refused.RetryAfter <= 0 {
-		t.Errorf("error = %v", err)
+	refuse("deadline passed while waiting for a slot")
+	if err := b.use(t.Context(), held[0]); err != nil {
+		t.Fatal(err)
 	}
+	held[0] = b.mustAcquire(t)
+	refuse("expected wait exceeds the deadline")
 	for _, slot := range held {
 		slot.Release()
 	}
--- a/internal/process/slotter/upstream.go
+++ b/internal/process/slotter/upstream.go
@@ -27,6 +27,10 @@
 	longest time.Duration
 	// service is the mean time that a slot is in use.
 	service time.Duration
+	// isMeasured is false until service was seen here.
+	isMeasured bool
+	// hasSlots is true while runners may be used.
+	hasSlots bool
 	// median is the typical latency of the runners; zero if unknown.
 	median time.Duration
 	// fastest is the latency of the fastest runner; zero if unknown.
@@ -122,6 +126,10 @@
 
 // noteService takes over the time for which a slot was in use.
 func (up *upstream) noteService(used time.Duration) {
+	if !up.isMeasured {
+		up.service = used
+		up.isMeasured = true
+	}
 	up.service += time.Duration(serviceWeight * float64(used-up.service))
 }
 
