Spread numbered runners evenly over their partitions

Cause: TestDaemonLoss/kill was red when the killed daemon owned all four runners: nothing can run until its lease has lapsed (3 to 4 s) and its last requests must have ended (2 s), which is longer than the deadline of 5 s of the requests that arrive first. The hash put four runners into three partitions of eight, so that one daemon often owned them all.

Change: the partition of a runner follows the number at the end of its name, with an offset by the rest of the name.

--- a/internal/process/slotter/partition.go
+++ b/internal/process/slotter/partition.go
@@ -1,11 +1,25 @@
 package slotter
 
 import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 )
 
-// PartitionOf returns the partition that a runner belongs to.
+// PartitionOf returns the partition that a runner belongs to. Runners whose
+// names differ by the number at the end are spread evenly, so that few of them
+// wait for a new owner when a daemon dies.
 func PartitionOf(host lister.Host) owner.Partition {
-	return owner.RunnersOf(host.DataCentre, host.Name)
+	name := strings.TrimRight(host.Name, "0123456789")
+	number, err := strconv.ParseUint(host.Name[len(name):], 10, 64)
+	if err != nil {
+		name, number = host.Name, 0
+	}
+	index := (xxhash.Sum64String(name)%owner.RunnerPartitions + number) % owner.RunnerPartitions
+	return owner.Partition(fmt.Sprintf("%s:%s:%d", owner.KindRunners, host.DataCentre, index))
 }
