--- a/internal/process/administrator/administrator.go
+++ b/internal/process/administrator/administrator.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
 	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/merger"
 	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -16,8 +18,14 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/placer"
 )
 
-// shardTimeout bounds one question to the owner of a shard.
-const shardTimeout = 3 * time.Second
+const (
+	// shardTimeout bounds one question to the owner of a shard.
+	shardTimeout = 3 * time.Second
+	// ownerGrace is the time after which a shard whose owner died has another.
+	ownerGrace = 6 * time.Second
+	// surveyPause is the time between two surveys while no shard answers.
+	surveyPause = 200 * time.Millisecond
+)
 
 // A Change is the outcome of an accepted change of the declarations.
 type Change struct {
@@ -35,12 +43,18 @@
 
 // Members tells which daemons there are, this one included.
 type Members interface {
-	Daemons(now time.Time) []*kumquatv1.DaemonStatus
+	Daemons(ctx context.Context, now time.Time) []*kumquatv1.DaemonStatus
 	Sources() []merger.Source
 }
 
+// A Releaser records that daemons are dead.
+type Releaser interface {
+	Release(ctx context.Context, req *kumquatv1.ReleaseRequest) (*kumquatv1.ReleaseResponse, error)
+}
+
 // Settings are what an Administrator needs.
 type Settings struct {
+	Releaser       Releaser
 	Store          storer.Store
 	Configurations Configurations
 	Members        Members
@@ -82,6 +96,24 @@
 	missing []string
 }
 
+// statePrefix is what the names of states begin with; shards leave it out.
+const statePrefix = "TASK_STATE_"
+
+// counts returns the tasks by state, forgotten ones included. A task that was
+// handed to another shard is counted there.
+func (c census) counts() map[string]int32 {
+	counts := make(map[string]int32)
+	for _, shard := range c.shards {
+		for name, count := range shard.Counts {
+			state := statePrefix + strings.ToUpper(name)
+			if state != kumquatv1.TaskState_TASK_STATE_MOVED.String() && count > 0 {
+				counts[state] += count
+			}
+		}
+	}
+	return counts
+}
+
 // survey asks the owners of all declared shards at once.
 func (a *Administrator) survey(ctx context.Context, d *declarer.Declarations, req *kumquatv1.ShardStatusRequest) census {
 	centres := d.DataCentreNames()
@@ -103,6 +135,19 @@
 	return c
 }
 
+// surveyPatiently repeats a survey in which no shard answers for as long as a
+// shard may be without an owner.
+func (a *Administrator) surveyPatiently(ctx context.Context, d *declarer.Declarations, req *kumquatv1.ShardStatusRequest) census {
+	ctx, cancel := context.WithTimeout(ctx, ownerGrace)
+	defer cancel()
+	for {
+		c := a.survey(ctx, d, req)
+		if len(c.shards) > 0 || !pauser.Sleep(ctx, surveyPause) {
+			return c
+		}
+	}
+}
+
 // askShard returns nil if the owner of a shard doesn't answer.
 func (a *Administrator) askShard(ctx context.Context, centre string, req *kumquatv1.ShardStatusRequest) *kumquatv1.ShardStatusResponse {
 	partition := owner.ShardOf(centre)
@@ -123,6 +168,11 @@
 	return answer
 }
 
+// Release implements kumquatv1.Operator.
+func (a *Administrator) Release(ctx context.Context, req *kumquatv1.ReleaseRequest) (*kumquatv1.ReleaseResponse, error) {
+	return a.settings.Releaser.Release(ctx, req)
+}
+
 // Timeline implements kumquatv1.Operator.
 func (a *Administrator) Timeline(ctx context.Context, req *kumquatv1.TimelineRequest) (*kumquatv1.TimelineResponse, error) {
 	return merger.Merge(ctx, a.settings.Members.Sources(), req), nil
