Count the grace after an outage from the lease too

Cause: a daemon replaces nobody until it has followed the store for 5 s. A watch whose connection stays open but silent, as in a cut between regions, counts as following for up to 30 s, and its reopening within 0.5 s doesn't end that. After the cut such a daemon could replace a neighbour that hadn't registered again, unless it heard it. That was safe, but moved partitions without need. Change: the daemon must also have held its own lease for 5 s; after an outage in which leases lapsed it has registered anew. Before: of the new table test the daemon that has just registered replaces the other. After: the tests of the package pass with -race.

--- a/internal/process/member/lease.go
+++ b/internal/process/member/lease.go
@@ -9,6 +9,8 @@
 type Lease struct {
 	// Incarnation is the revision of the member record under the lease.
 	Incarnation int64
+	// Since is when the lease was asked for.
+	Since time.Time
 	// Renewed is when the last answered keep-alive was sent.
 	Renewed time.Time
 	// TTL is the time to live that the store answered.
--- a/internal/process/member/registrar.go
+++ b/internal/process/member/registrar.go
@@ -125,7 +125,7 @@
 		_ = g.store.Revoke(ctx, id)
 		return eris.Wrap(err, "creating the member record")
 	}
-	lease := Lease{Incarnation: int64(revision)}.WithRenewal(sent, LeaseTTL)
+	lease := Lease{Incarnation: int64(revision), Since: sent}.WithRenewal(sent, LeaseTTL)
 	g.setLease(lease, id)
 	g.record.Record(sent, EventRegistered, recorder.Fields{
 		"daemon":      g.identity.Daemon,
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -23,9 +23,10 @@
 	// settleTime is how long the members must be unchanged before partitions
 	// move for balance alone.
 	settleTime = 2 * time.Second
-	// reconnectGrace is how long this daemon must have followed the store
-	// before it replaces an owner, so that after an outage the others can
-	// register again.
+	// reconnectGrace is how long this daemon must have followed the store, and
+	// held its lease, before it replaces an owner, so that after an outage the
+	// others can register again. A watch that was silent through the outage
+	// doesn't show it; the lease does.
 	reconnectGrace = member.LeaseTTL + time.Second
 	// heardGrace is how long a daemon without a record, that still sends
 	// heartbeats, may register again before it is replaced.
--- a/internal/process/owner/step.go
+++ b/internal/process/owner/step.go
@@ -211,7 +211,7 @@
 		since = v.now
 		o.goneSince[gone] = since
 	}
-	if v.connected < reconnectGrace {
+	if min(v.connected, v.now.Sub(v.lease.Since)) < reconnectGrace {
 		return false
 	}
 	peer, ok := o.settings.Group.Peer(record.Owner)
--- a/internal/process/owner/step_test.go
+++ b/internal/process/owner/step_test.go
@@ -5,8 +5,36 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/process/watcher"
 )
 
+// TestReplaceable decides on an owner that is gone and isn't heard, by a daemon
+// whose watch was silent through an outage.
+func TestReplaceable(t *testing.T) {
+	now := time.Now()
+	group := member.New(member.Settings{Watcher: watcher.New(nil, watcher.Root, recorder.Discard{})})
+	cases := []struct {
+		name      string
+		connected time.Duration
+		held      time.Duration
+		want      bool
+	}{
+		{"by one that has followed the store", time.Minute, time.Minute, true},
+		{"not by one that has just connected", time.Second, time.Minute, false},
+		{"not by one that has just registered", time.Minute, time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o := &Owner{settings: Settings{Group: group}, goneSince: make(map[incarnation]time.Time)}
+			v := view{now: now, connected: c.connected, lease: member.Lease{Incarnation: 2, Since: now.Add(-c.held)}}
+			if got := o.isReplaceable(Record{Owner: "other", Incarnation: 1}, v); got != c.want {
+				t.Errorf("replaceable %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
 func TestDecideOnPartitionsNotHeld(t *testing.T) {
 	const p, own = Partition("shard:sav-a"), "token"
 	now := time.Now()
