Hedge idempotent requests that take longer than most

Cause: one slow runner decided the tail: its answers were waited for, however late, though other runners had free slots.

Change: an idempotent request without a key gets a second attempt when the first has taken longer than the 95th percentile of the answers, on a free slot of another runner of the same daemon, within the budget of retries. The other attempt is cancelled when one has a good answer, and its slot is free when its runner has closed the connection. An overtaken attempt counts as slower than the time waited for it, so that slow runners still lose slots.

Conclusion: hedges are on by the budget that the operators declare anyway; retryPercent 0 turns them off.

--- a/internal/integration/urgent/load_bench_test.go
+++ b/internal/integration/urgent/load_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/standin/runner"
 )
 
 const (
@@ -35,15 +37,38 @@
 	for _, percent := range []int{50, 80, 95} {
 		b.Run(fmt.Sprintf("%d percent", percent), func(b *testing.B) {
 			for range b.N {
-				measureLoad(b, cluster, float64(percent)/100)
+				measureLoad(b, cluster, harness.PathOnce, float64(percent)/100)
 			}
 		})
 	}
 	cluster.AssertNoBreach()
 }
 
+// BenchmarkSlowRunner measures the response times of idempotent requests while
+// one runner of ten takes ten times as long, without and with second attempts.
+func BenchmarkSlowRunner(b *testing.B) {
+	sites := []harness.Site{{DataCentre: "atl-a", Region: "north-ga", Daemons: 2, Runners: benchRunners}}
+	for _, retryPercent := range []string{"0", "10"} {
+		cluster := harness.Start(b, harness.Options{
+			Sites:        sites,
+			Declarations: strings.Replace(harness.DeclarationsOf(sites), "retryPercent: 10", "retryPercent: "+retryPercent, 1),
+			RunnerArgs:   []string{"--mean", benchService.String(), "--sigma", "0.5"},
+		})
+		time.Sleep(3 * time.Second)
+		cluster.SetRunnerFaults(runner.FaultsRequest{Runner: "atl-a-runner-1", Faults: runner.Faults{SlowPercent: 1000}})
+		for _, percent := range []int{30, 60} {
+			b.Run(fmt.Sprintf("retryPercent=%s/load=%d", retryPercent, percent), func(b *testing.B) {
+				for range b.N {
+					measureLoad(b, cluster, harness.PathIdempotent, float64(percent)/100)
+				}
+			})
+		}
+		cluster.AssertNoBreach()
+	}
+}
+
 // measureLoad offers one load and reports quantiles of the response times.
-func measureLoad(b *testing.B, cluster *harness.Cluster, load float64) {
+func measureLoad(b *testing.B, cluster *harness.Cluster, path string, load float64) {
 	b.Helper()
 	random := rand.New(rand.NewPCG(1, 0))
 	caller := harness.NewCaller()
@@ -57,11 +82,11 @@
 	next := begin
 	for number := 0; next.Sub(begin) < benchDuration; number++ {
 		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
-		daemon := cluster.Daemons[unevenDaemon(random)]
+		daemon := cluster.Daemons[unevenDaemon(random)%len(cluster.Daemons)]
 		time.Sleep(time.Until(next))
 		due := next
 		calls.Go(func() {
-			call := harness.Call{ID: fmt.Sprintf("b%.2f-%d", load, number), Path: harness.PathOnce, Body: []byte("print"), Deadline: 2 * time.Second}
+			call := harness.Call{ID: fmt.Sprintf("b%.2f-%d", load, number), Path: path, Body: []byte("print"), Deadline: 2 * time.Second}
 			answer := caller.Do(context.Background(), daemon, call)
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/process/picker/health.go
+++ b/internal/process/picker/health.go
@@ -19,6 +19,8 @@
 	Unreachable
 	// Withdrawn is an exchange that its caller ended.
 	Withdrawn
+	// Overtaken is an exchange that ended because another attempt answered.
+	Overtaken
 )
 
 // Bounds of a runner's health.
@@ -66,7 +68,7 @@
 }
 
 // With returns the health after one more observation. The latency counts for
-// Answered only.
+// Answered and Overtaken only.
 func (h Health) With(seen Observation, latency time.Duration, now time.Time) Health {
 	switch seen {
 	case Answered:
@@ -75,6 +77,8 @@
 		return h.withFailure(now)
 	case Unreachable:
 		return h.withEjection(now)
+	case Overtaken:
+		return h.withOvertaking(latency)
 	default:
 		return h
 	}
@@ -113,6 +117,18 @@
 	return h
 }
 
+// withOvertaking returns the health after an exchange that was given up after a
+// time. It is taken to have needed the average time more; otherwise the slowest
+// runners would look faster the more of their exchanges are overtaken.
+func (h Health) withOvertaking(waited time.Duration) Health {
+	if h.samples == 0 {
+		h.latency = waited
+	}
+	h.latency += time.Duration(latencyWeight * float64(waited))
+	h.samples++
+	return h
+}
+
 // withFailure returns the health after a failure.
 func (h Health) withFailure(now time.Time) Health {
 	h.failures += failureWeight * (1 - h.failures)
--- a/internal/process/picker/pick_test.go
+++ b/internal/process/picker/pick_test.go
@@ -13,7 +13,7 @@
 func drawHealth(t *rapid.T, now time.Time) Health {
 	var h Health
 	for range rapid.IntRange(0, 30).Draw(t, "observations") {
-		seen := Observation(rapid.IntRange(int(Answered), int(Withdrawn)).Draw(t, "seen"))
+		seen := Observation(rapid.IntRange(int(Answered), int(Overtaken)).Draw(t, "seen"))
 		before := time.Duration(rapid.IntRange(0, 20000).Draw(t, "before")) * time.Millisecond
 		latency := time.Duration(rapid.IntRange(1, 500).Draw(t, "latency")) * time.Millisecond
 		h = h.With(seen, latency, now.Add(-before))
@@ -115,3 +115,20 @@
 		t.Errorf("limit = %d, want %d", got, want)
 	}
 }
+
+func TestOvertakenRunnersCountAsSlower(t *testing.T) {
+	var h Health
+	for range minLatencySamples {
+		h = h.With(Answered, 50*time.Millisecond, start)
+	}
+	answered := h.Latency()
+	for range 10 {
+		h = h.With(Overtaken, 50*time.Millisecond, start)
+	}
+	if h.Latency() < 19*answered/10 {
+		t.Errorf("latency = %v after %v, though nothing more was answered in that time", h.Latency(), answered)
+	}
+	if h.IsEjected(start) || h.IsProbing() {
+		t.Error("an overtaken runner was ejected")
+	}
+}
--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -19,6 +19,10 @@
 // ErrTooLong reports a request that held a slot for longer than declared.
 var ErrTooLong = errors.New("request exceeds the upstream's longest duration")
 
+// ErrOvertaken is the cause with which an attempt is cancelled after another
+// attempt at the same request answered.
+var ErrOvertaken = errors.New("another attempt answered first")
+
 // A Slot is the right to have one request at a runner. It is for one goroutine
 // at a time and has to be released.
 type Slot struct {
@@ -124,6 +128,8 @@
 		sl.seen = picker.Broken
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		sl.seen = sl.judgeLate()
+	case errors.Is(context.Cause(ctx), ErrOvertaken):
+		sl.seen = picker.Overtaken
 	default:
 		sl.blame(ctx, picker.Broken)
 	}
--- a/internal/request/attempter/call.go
+++ b/internal/request/attempter/call.go
@@ -30,15 +30,19 @@
 	MissCost int
 	// Idempotent calls may be sent more than once.
 	Idempotent bool
+	// Hedge allows a second attempt beside the first.
+	Hedge bool
 	// Avoid is a runner that the call has failed on.
 	Avoid string
 	// Hops is the number of daemons that the call has passed.
 	Hops int
 }
 
-// WithAvoid returns a copy of the call that keeps away from a runner.
+// WithAvoid returns a copy of the call that keeps away from a runner and is
+// not hedged.
 func (c *Call) WithAvoid(runner string) *Call {
 	next := *c
+	next.Hedge = false
 	next.Avoid = runner
 	return &next
 }
--- a/internal/request/attempter/local.go
+++ b/internal/request/attempter/local.go
@@ -48,7 +48,7 @@
 // could not be sent, other runners are tried.
 func (l *Local) ExecuteOn(ctx context.Context, call *Call, slot *slotter.Slot) (answer *Answer, err error) {
 	for attempt := 1; ; attempt++ {
-		answer, err = l.try(ctx, call, slot)
+		answer, err = l.Try(ctx, call, slot)
 		if err == nil {
 			return answer, nil
 		}
@@ -68,8 +68,8 @@
 	}
 }
 
-// try sends a call to one runner.
-func (l *Local) try(ctx context.Context, call *Call, slot *slotter.Slot) (answer *Answer, err error) {
+// Try sends a call to one runner, on a slot that was acquired for it.
+func (l *Local) Try(ctx context.Context, call *Call, slot *slotter.Slot) (answer *Answer, err error) {
 	req, err := call.NewRequest(ctx, slot.Address(), l.now())
 	if err != nil {
 		slot.Release()
--- a/internal/request/router/admission.go
+++ b/internal/request/router/admission.go
@@ -56,6 +56,7 @@
 		MissCost:   v.target.route.MissCost,
 		Idempotent: v.target.route.Idempotent || isSafe(v.r.Method),
 	}
+	v.call.Hedge = v.call.Idempotent && v.key == ""
 	return v.readBody(now)
 }
 
--- a/internal/request/router/execution.go
+++ b/internal/request/router/execution.go
@@ -128,6 +128,9 @@
 // peer, or after waiting here.
 func (rt *Router) attemptHere(ctx context.Context, call *attempter.Call) (answer *attempter.Answer, err error) {
 	if slot, ok := rt.opts.Slots.TryAcquire(attempter.AskFor(call)); ok {
+		if call.Hedge && call.Body.IsRepeatable() {
+			return rt.hedge(ctx, call, slot)
+		}
 		return rt.local.ExecuteOn(ctx, call, slot)
 	}
 	answer, err = rt.opts.Forwarder.Execute(ctx, call)
--- a/internal/request/router/router.go
+++ b/internal/request/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/request/answerer"
 	"github.com/kumquatstack/kumquatstack/internal/request/attempter"
 	"github.com/kumquatstack/kumquatstack/internal/request/claimer"
+	"github.com/kumquatstack/kumquatstack/internal/request/hedger"
 	"github.com/kumquatstack/kumquatstack/internal/request/retrier"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
 )
@@ -52,6 +53,7 @@
 	opts     Options
 	local    *attempter.Local
 	budgets  *retrier.Budgets
+	delays   *hedger.Delays
 	bodies   *semaphore.Weighted
 	table    atomic.Pointer[routeTable]
 	active   atomic.Int64
@@ -73,6 +75,7 @@
 		opts:    opts,
 		local:   attempter.NewLocal(opts.Slots, opts.Now),
 		budgets: retrier.NewBudgets(),
+		delays:  hedger.NewDelays(),
 		bodies:  semaphore.NewWeighted(maxKeptBodies),
 	}
 	rt.table.Store(newRouteTable(nil))
