Refuse plans whose file was edited

An edited count in a plan file was ignored, and an edited document under the identity of a confirmed plan was answered with "already confirmed". A plan's identity follows from what it says; confirm compares it. Seen by hand with both edits; TestIsIntact edits each part, and the tests of the tool pass.

--- a/internal/process/administrator/plan.go
+++ b/internal/process/administrator/plan.go
@@ -80,6 +80,13 @@
 	if plan.GetId() == "" {
 		return nil, &errs.RefusedError{What: "confirmation", Why: "it holds no plan", Remedy: "make one with `kumquat plan`"}
 	}
+	if !planner.IsIntact(plan) {
+		return nil, &errs.RefusedError{
+			What:   "confirmation of " + plan.Intent,
+			Why:    "the plan was changed after it was made",
+			Remedy: "change the intent's file, make a new plan with `kumquat plan` and confirm that one",
+		}
+	}
 	found, err := a.findConfirmed(ctx, plan)
 	if err != nil || found != nil {
 		return found, err
--- a/internal/version/planner/describe.go
+++ b/internal/version/planner/describe.go
@@ -142,6 +142,7 @@
 		_, _ = fmt.Fprintf(h, format+"\n", values...)
 	}
 	write("%s %d", plan.Document, plan.ConfigurationVersion)
+	write("%s %s %d %d", plan.Team, plan.Class, plan.Count, plan.DeadlineUnixMillis)
 	for _, placement := range plan.Placements {
 		write("%s %s", placement.Task, placement.Worker)
 	}
--- a/internal/version/planner/planner.go
+++ b/internal/version/planner/planner.go
@@ -35,10 +35,18 @@
 	addQuota(plan, snapshot, d)
 	addTimes(plan, request.Intent, now)
 	plan.Basis = digest(plan)
-	plan.Id = fmt.Sprintf("%s-%s-%d", plan.Intent, plan.Basis, plan.PlannedUnixMillis)
+	plan.Id = idOf(plan)
 	return plan
 }
 
+// idOf returns the identity of a plan, which follows from what it says.
+func idOf(plan *kumquatv1.Plan) string {
+	return fmt.Sprintf("%s-%s-%d", plan.Intent, digest(plan), plan.PlannedUnixMillis)
+}
+
+// IsIntact reports whether a plan says what it said when it was made.
+func IsIntact(plan *kumquatv1.Plan) bool { return plan.Id == idOf(plan) }
+
 // newHeader copies what the intent says into a plan.
 func newHeader(request Request, now time.Time) *kumquatv1.Plan {
 	intent := request.Intent
--- a/internal/version/planner/planner_test.go
+++ b/internal/version/planner/planner_test.go
@@ -81,6 +81,27 @@
 	})
 }
 
+func TestIsIntact(t *testing.T) {
+	if !IsIntact(Plan(newRequest(4), noon)) {
+		t.Error("a plan is not intact as it was made")
+	}
+	for name, edit := range map[string]func(*kumquatv1.Plan){
+		"intent":   func(p *kumquatv1.Plan) { p.Intent = "other" },
+		"document": func(p *kumquatv1.Plan) { p.Document += "#" },
+		"count":    func(p *kumquatv1.Plan) { p.Count++ },
+		"deadline": func(p *kumquatv1.Plan) { p.DeadlineUnixMillis++ },
+		"version":  func(p *kumquatv1.Plan) { p.ConfigurationVersion++ },
+		"places":   func(p *kumquatv1.Plan) { p.Placements = p.Placements[1:] },
+		"worker":   func(p *kumquatv1.Plan) { p.Placements[0].Worker = "haldia-9" },
+		"time":     func(p *kumquatv1.Plan) { p.PlannedUnixMillis++ },
+	} {
+		plan := Plan(newRequest(4), noon)
+		if edit(plan); IsIntact(plan) {
+			t.Errorf("a plan with another %s is intact", name)
+		}
+	}
+}
+
 func TestChanges(t *testing.T) {
 	old := Plan(newRequest(4), noon)
 	t.Run("none when nothing changed", func(t *testing.T) {
