Tell what became of single tasks whose cancellation reached a part of the shards

Seen by hand with a data centre that was no longer declared. All shards are told now, also those that tasks may have moved to; those without an answer are named, and the outcome is unknown (code 4) unless all named tasks are found.

--- a/internal/cli/cancelcmd.go
+++ b/internal/cli/cancelcmd.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 
+	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 )
 
@@ -34,9 +36,16 @@
 	if err != nil {
 		return err
 	}
+	missing := answer.GetMissingShards()
+	if len(missing) > 0 && 0 < len(c.Tasks) && int(answer.GetCancelled()) < len(c.Tasks) {
+		return &errs.UnknownOutcomeError{
+			Op:    "cancellation",
+			Cause: fmt.Errorf("%d of %d tasks are cancelled, and the owner of %s does not answer", answer.GetCancelled(), len(c.Tasks), strings.Join(missing, ", ")),
+		}
+	}
 	return a.print(answer, func(w io.Writer) {
 		if len(c.Tasks) == 0 {
-			if missing := answer.GetMissingShards(); len(missing) > 0 {
+			if len(missing) > 0 {
 				printf(w, "INCOMPLETE: no answer from the owner of %s, which cancels its tasks as soon as it can\n", strings.Join(missing, ", "))
 			}
 			printf(w, "intent %s is cancelled: %d tasks\n", c.Args.Intent, answer.GetCancelled())
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -146,7 +146,11 @@
 	if !f.intents[req.Intent] {
 		return nil, &errs.RefusedError{What: "cancellation of " + req.Intent, Why: "there is no such intent", Remedy: "look at kumquat status"}
 	}
-	return &kumquatv1.CancelResponse{Cancelled: 2}, nil
+	answer := &kumquatv1.CancelResponse{Cancelled: 2}
+	if len(req.TaskIds) > 1 {
+		answer.MissingShards = []string{"sav-a"}
+	}
+	return answer, nil
 }
 
 func (f *fakeOperator) GetDeclarations(context.Context, *kumquatv1.GetDeclarationsRequest) (*kumquatv1.GetDeclarationsResponse, error) {
--- a/internal/process/administrator/cancel.go
+++ b/internal/process/administrator/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -32,10 +33,10 @@
 		return nil, err
 	}
 	resp := &kumquatv1.CancelResponse{}
-	for _, shard := range record.Shards {
-		cancelled, err := a.cancelIn(ctx, shard.DataCentre, req)
-		if err != nil && len(req.TaskIds) > 0 {
-			return nil, err
+	for _, centre := range a.centresOf(record, req) {
+		cancelled, err := a.cancelIn(ctx, centre, req)
+		if err != nil {
+			resp.MissingShards = append(resp.MissingShards, centre)
 		}
 		resp.Cancelled += cancelled
 	}
@@ -45,6 +46,20 @@
 	return a.countCancelled(ctx, record)
 }
 
+// centresOf returns the data centres whose shards are told: those that took the
+// intent in and, as single tasks may have moved, all declared ones for these.
+func (a *Administrator) centresOf(record *kumquatv1.IntentRecord, req *kumquatv1.CancelRequest) []string {
+	var centres []string
+	for _, shard := range record.Shards {
+		centres = append(centres, shard.DataCentre)
+	}
+	if declared := a.settings.Configurations.Current().Declarations; declared != nil && len(req.TaskIds) > 0 {
+		centres = append(centres, declared.DataCentreNames()...)
+	}
+	slices.Sort(centres)
+	return slices.Compact(centres)
+}
+
 // checkTasks refuses ids that are no tasks of the intent.
 func checkTasks(record *kumquatv1.IntentRecord, ids []string) error {
 	last := int(countTasks(record)) - 1
