Release what former processes of a running daemon's name own

After two daemons of a region were killed and started again at once, 4 of 43 partitions stayed with the former incarnations for more than a minute ("0 of 1 blocks"), two of them shards. kumquat release refused, as the names were registered again. It now plans the former incarnations alone and refuses a daemon that has none.

--- a/internal/process/releaser/plan.go
+++ b/internal/process/releaser/plan.go
@@ -16,7 +16,8 @@
 )
 
 // plan returns the incarnations of the named daemons that still own
-// partitions though they are no members. It reads the store itself.
+// partitions though they are no members; a daemon that was started again is a
+// member under its present incarnation alone. It reads the store itself.
 func (r *Releaser) plan(ctx context.Context, daemons []string) ([]*kumquatv1.DeadIncarnation, error) {
 	members, err := r.members(ctx)
 	if err != nil {
@@ -27,6 +28,7 @@
 		return nil, err
 	}
 	found := make(map[string]*kumquatv1.DeadIncarnation)
+	alive := ""
 	for _, entry := range listing.Entries {
 		partition, record, err := owner.ParseRecord(entry)
 		if err != nil {
@@ -37,7 +39,8 @@
 		}
 		m, registered := members[record.Owner]
 		if registered && m.Incarnation == record.Incarnation {
-			return nil, refusal(record.Owner+" is registered", "wait until its lease has lapsed, 4 s after its end")
+			alive = record.Owner
+			continue
 		}
 		if registered && m.Token == record.Token {
 			continue // The same process under a later incarnation.
@@ -50,6 +53,9 @@
 		}
 		found[key].Partitions = append(found[key].Partitions, string(partition))
 	}
+	if len(found) == 0 && alive != "" {
+		return nil, refusal(alive+" is registered", "wait until its lease has lapsed, 4 s after its end")
+	}
 	return sorted(found), nil
 }
 
--- /dev/null
+++ b/internal/process/releaser/plan_test.go
@@ -0,0 +1,45 @@
+package releaser
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
+	"github.com/kumquatstack/kumquatstack/internal/errs"
+	"github.com/kumquatstack/kumquatstack/internal/process/member"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
+	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
+)
+
+// TestPlan names a daemon that was started again under its name: what its
+// former incarnation owns can be released, what the present one owns can't.
+func TestPlan(t *testing.T) {
+	store := keyvalue.NewFake()
+	write := func(key string, value any) storer.Revision {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision, err := store.CompareAndSwap(t.Context(), storer.Swap{Key: key, Value: encoded})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return revision
+	}
+	const name = "atl-a-1"
+	now := int64(write(member.Key(name), map[string]string{"daemon": name, "token": "new"}))
+	write(owner.Key("claims:1"), owner.Record{Owner: name, Incarnation: now, Token: "new"})
+	r := New(Settings{Store: store})
+	var refused *errs.RefusedError
+	if dead, err := r.plan(t.Context(), []string{name}); !errors.As(err, &refused) {
+		t.Errorf("planned %v, error %v, want a refusal of a registered daemon", dead, err)
+	}
+	former := now - 1
+	write(owner.Key("claims:2"), owner.Record{Owner: name, Incarnation: former, Token: "old"})
+	write(owner.Key("claims:3"), owner.Record{Owner: name, Incarnation: former, Token: "new"})
+	dead, err := r.plan(t.Context(), []string{name})
+	if err != nil || len(dead) != 1 || dead[0].Incarnation.Number != former || len(dead[0].Partitions) != 1 || dead[0].Partitions[0] != "claims:2" {
+		t.Errorf("planned %v, error %v, want claims:2 of the former incarnation alone", dead, err)
+	}
+}
