--- a/internal/process/daemon/adapters.go
+++ b/internal/process/daemon/adapters.go
@@ -73,7 +73,7 @@
 			Reachable:            peer.Reachable(now),
 			Leaving:              peer.Leaving(),
 		}
-		for _, partition := range d.owner.PartitionsOf(peer.Daemon) {
+		for _, partition := range d.owner.PartitionsOf(peer.Daemon, peer.Incarnation) {
 			status.Partitions = append(status.Partitions, string(partition))
 		}
 		daemons = append(daemons, status)
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -232,13 +232,14 @@
 	return owned
 }
 
-// PartitionsOf returns the partitions whose records name a daemon, in order.
-func (o *Owner) PartitionsOf(daemon string) []Partition {
+// PartitionsOf returns the partitions whose records name an incarnation, in
+// order.
+func (o *Owner) PartitionsOf(daemon string, number int64) []Partition {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var owned []Partition
 	for p, record := range o.records {
-		if record.Owner == daemon {
+		if record.Owner == daemon && record.Incarnation == number {
 			owned = append(owned, p)
 		}
 	}
