--- /dev/null
+++ b/internal/harness/join.go
@@ -0,0 +1,16 @@
+package harness
+
+// Join starts the daemons of a further site and returns them. Daemons that are
+// there already hear of them through the store.
+func (c *Cluster) Join(site Site) []*Daemon {
+	c.t.Helper()
+	before := len(c.Daemons)
+	for range site.Daemons {
+		c.addDaemon(site)
+	}
+	joined := c.Daemons[before:]
+	for _, daemon := range joined {
+		c.startDaemon(daemon)
+	}
+	return joined
+}
