--- a/internal/experiment/main.go
+++ b/internal/experiment/main.go
@@ -30,6 +30,7 @@
 	{"colocation", "compare placement policies for services beside batch tasks", newColocationCommand},
 	{"hops", "measure the latency that a daemon adds to a request", newHopsCommand},
 	{"tails", "compare callers' response times with those of a perfect queue", newTailsCommand},
+	{"changes", "measure how fast changes of the declarations take effect", newChangesCommand},
 	{"slopes", "measure what a daemon uses for control at several sizes", newSlopesCommand},
 	{"mutants", "switch mechanisms off and see whether their tests fail", newMutantsCommand},
 }
