--- a/internal/process/slotter/upstream.go
+++ b/internal/process/slotter/upstream.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/lister"
-	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/process/picker"
 	"github.com/kumquatstack/kumquatstack/internal/request/queuer"
 	"github.com/kumquatstack/kumquatstack/internal/version/declarer"
@@ -27,6 +26,10 @@
 	longest time.Duration
 	// service is the mean time that a slot is in use.
 	service time.Duration
+	// isMeasured is false until service was seen here.
+	isMeasured bool
+	// hasSlots is true while runners may be used.
+	hasSlots bool
 	// median is the typical latency of the runners; zero if unknown.
 	median time.Duration
 	// fastest is the latency of the fastest runner; zero if unknown.
@@ -113,15 +116,19 @@
 }
 
 // refuseAll ends all waiting.
-func (up *upstream) refuseAll(reason string) {
+func (up *upstream) refuseAll(reason error) {
 	for entry := up.queue.First(); entry != nil; entry = up.queue.First() {
 		up.queue.Remove(entry)
-		entry.Item.Value.refuse(&errs.NotRunError{Reason: reason, RetryAfter: time.Second})
+		entry.Item.Value.refuse(reason)
 	}
 }
 
 // noteService takes over the time for which a slot was in use.
 func (up *upstream) noteService(used time.Duration) {
+	if !up.isMeasured {
+		up.service = used
+		up.isMeasured = true
+	}
 	up.service += time.Duration(serviceWeight * float64(used-up.service))
 }
 
