--- a/internal/process/administrator/cancel.go
+++ b/internal/process/administrator/cancel.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -26,11 +29,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkTasks(record, req.TaskIds); err != nil {
+		return nil, err
+	}
 	resp := &kumquatv1.CancelResponse{}
-	for _, shard := range record.Shards {
-		cancelled, err := a.cancelIn(ctx, shard.DataCentre, req)
-		if err != nil && len(req.TaskIds) > 0 {
-			return nil, err
+	for _, centre := range a.centresOf(record, req) {
+		cancelled, err := a.cancelIn(ctx, centre, req)
+		if err != nil {
+			resp.MissingShards = append(resp.MissingShards, centre)
 		}
 		resp.Cancelled += cancelled
 	}
@@ -40,6 +46,37 @@
 	return a.countCancelled(ctx, record)
 }
 
+// centresOf returns the data centres whose shards are told: those that took the
+// intent in and, as single tasks may have moved, all declared ones for these.
+func (a *Administrator) centresOf(record *kumquatv1.IntentRecord, req *kumquatv1.CancelRequest) []string {
+	var centres []string
+	for _, shard := range record.Shards {
+		centres = append(centres, shard.DataCentre)
+	}
+	if declared := a.settings.Configurations.Current().Declarations; declared != nil && len(req.TaskIds) > 0 {
+		centres = append(centres, declared.DataCentreNames()...)
+	}
+	slices.Sort(centres)
+	return slices.Compact(centres)
+}
+
+// checkTasks refuses ids that are no tasks of the intent.
+func checkTasks(record *kumquatv1.IntentRecord, ids []string) error {
+	last := int(countTasks(record)) - 1
+	for _, id := range ids {
+		number, err := strconv.Atoi(strings.TrimPrefix(id, record.Id+"/"))
+		if err == nil && number >= 0 && number <= last && id == fmt.Sprintf("%s/%d", record.Id, number) {
+			continue
+		}
+		return &errs.RefusedError{
+			What:   "cancellation of " + id,
+			Why:    "it is no task of intent " + record.Id,
+			Remedy: fmt.Sprintf("name tasks from %s/0 to %[1]s/%d", record.Id, last),
+		}
+	}
+	return nil
+}
+
 // countCancelled returns how many tasks of a cancelled intent have not ended
 // otherwise, wherever they have moved to.
 func (a *Administrator) countCancelled(ctx context.Context, record *kumquatv1.IntentRecord) (*kumquatv1.CancelResponse, error) {
