--- a/internal/process/slotter/acquire.go
+++ b/internal/process/slotter/acquire.go
@@ -102,7 +102,7 @@
 		Value: w, Caller: w.ask.Caller, Deadline: w.ask.Deadline, MissCost: w.ask.MissCost,
 	}
 	wait := queuer.ExpectedWait(up.queue.Ahead(up.queue.Rank(item, now)), slots, up.service)
-	if now.Add(wait + up.fastest).After(w.ask.Deadline) {
+	if up.isMeasured && now.Add(wait+up.fastest).After(w.ask.Deadline) {
 		s.record(now, EventWaitTooLong, w.ask, "")
 		return nil, &errs.NotRunError{Reason: "expected wait exceeds the deadline", RetryAfter: wait}
 	}
