Follow the moved balancer's delay in the catalogue of mutants

Cause: the catalogue names the line that waits for the balancer, which changed with the early handover; the switched-off mechanism is the same: no delay at all. Change: the mutant sets the delay to zero where it is read. Conclusion: the check is as strict as before.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -291,8 +291,9 @@
 // in the meantime if another daemon can have them: else their runners would be
 // idle.
 func (d *Daemon) leaveCallers(ctx context.Context) {
-	left := time.Now().Add(d.settings.BalancerDelay)
-	if d.hasHeir(time.Now()) && d.settings.BalancerDelay > member.HeartbeatInterval {
+	delay := d.settings.BalancerDelay
+	left := time.Now().Add(delay)
+	if d.hasHeir(time.Now()) && delay > member.HeartbeatInterval {
 		pauser.Sleep(ctx, member.HeartbeatInterval)
 		// What could not be handed over is handed over after the callers left.
 		_ = d.owner.Close(ctx)
