--- a/internal/process/claimkeeper/keeper.go
+++ b/internal/process/claimkeeper/keeper.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,8 +15,6 @@
 
 // Bounds of the table.
 const (
-	// Partitions is the number of partitions of keys.
-	Partitions = owner.ClaimPartitions
 	// MaxResultBytes is the size up to which a result's body is kept.
 	MaxResultBytes = 16 << 10
 	// maxKeys is the number of keys of one partition.
@@ -38,16 +35,6 @@
 	waitMargin = 20 * time.Millisecond
 )
 
-// PartitionOf returns the partition that a key belongs to.
-func PartitionOf(key string) owner.Partition {
-	return owner.ClaimsOf(key)
-}
-
-// Partition returns the claims partition with a number from 0 to Partitions-1.
-func Partition(number int) owner.Partition {
-	return owner.Partition("claims:" + strconv.Itoa(number))
-}
-
 // A Journal keeps the records of one partition.
 type Journal interface {
 	// Append makes records durable. An error may mean that they are.
@@ -102,16 +89,16 @@
 	}
 	life, end := context.WithCancel(context.Background())
 	k := &Keeper{opts: opts, life: life, end: end, partitions: make(map[owner.Partition]*partition)}
-	for number := range Partitions {
+	for number := range owner.ClaimPartitions {
 		k.jobs.Add(1)
-		go k.maintain(Partition(number))
+		go k.maintain(owner.ClaimsAt(number))
 	}
 	return k
 }
 
 // find returns the open partition of a key if this daemon may decide on it.
 func (k *Keeper) find(key string, now time.Time) *partition {
-	name := PartitionOf(key)
+	name := owner.ClaimsOf(key)
 	epoch, held := k.opts.Authority.Holds(name, now)
 	if !held {
 		return nil
--- a/internal/process/owner/assign_test.go
+++ b/internal/process/owner/assign_test.go
@@ -23,7 +23,7 @@
 		}
 	}
 	for i := range ClaimPartitions {
-		places = append(places, Place{Partition: claims(i), Region: regions[0]})
+		places = append(places, Place{Partition: ClaimsAt(i), Region: regions[0]})
 	}
 	return places
 }
--- a/internal/process/owner/partitions.go
+++ b/internal/process/owner/partitions.go
@@ -26,14 +26,9 @@
 	KindShard   Kind = "shard"
 )
 
-// RunnersOf returns the partition of a runner.
-func RunnersOf(dataCentre, runner string) Partition {
-	return runners(dataCentre, int(xxhash.Sum64String(runner)%RunnerPartitions))
-}
-
 // ClaimsOf returns the partition of an idempotency key.
 func ClaimsOf(key string) Partition {
-	return claims(int(xxhash.Sum64String(key) % ClaimPartitions))
+	return ClaimsAt(int(xxhash.Sum64String(key) % ClaimPartitions))
 }
 
 // ShardOf returns the partition of a data centre's tasks and workers.
@@ -45,7 +40,8 @@
 	return Partition(string(KindRunners) + ":" + dataCentre + ":" + strconv.Itoa(index))
 }
 
-func claims(index int) Partition {
+// ClaimsAt returns the claims partition with a number below ClaimPartitions.
+func ClaimsAt(index int) Partition {
 	return Partition(string(KindClaims) + ":" + strconv.Itoa(index))
 }
 
@@ -61,7 +57,7 @@
 		}
 	}
 	for i := range ClaimPartitions {
-		all = append(all, claims(i))
+		all = append(all, ClaimsAt(i))
 	}
 	return all
 }
