--- a/internal/process/sharder/sharder.go
+++ b/internal/process/sharder/sharder.go
@@ -81,6 +81,7 @@
 		workers:      make(map[string]*worker),
 		ledger:       blamer.NewLedger(),
 		sizes:        estimator.New(),
+		estimated:    &kumquatv1.Estimates{},
 		held:         make(map[string]*entry),
 		quarantines:  make(map[string]*kumquatv1.Quarantine),
 		flusher:      newFlusher(),
