--- a/internal/process/member/heard_test.go
+++ b/internal/process/member/heard_test.go
@@ -64,3 +64,29 @@
 		t.Errorf("announces to %v", targets)
 	}
 }
+
+// TestWhoWasHeard asks a daemon about incarnations, of which it heard one.
+func TestWhoWasHeard(t *testing.T) {
+	group := newGroup()
+	heard := &kumquatv1.Incarnation{Daemon: "atl-a-0", Number: 3}
+	if _, err := group.Heartbeat(t.Context(), &kumquatv1.HeartbeatRequest{From: heard}); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		of   *kumquatv1.Incarnation
+		at   time.Time
+		want bool
+	}{
+		{"one that spoke", heard, now, true},
+		{"one that has been silent", heard, now.Add(heardLately), false},
+		{"a former one of the same name", &kumquatv1.Incarnation{Daemon: "atl-a-0", Number: 2}, now, false},
+		{"an unknown one", &kumquatv1.Incarnation{Daemon: "atl-a-1", Number: 3}, now, false},
+		{"this one", group.Self(), now, true},
+	} {
+		if got := group.hears(c.of, c.at); got != c.want {
+			t.Errorf("%s: heard %t, want %t", c.name, got, c.want)
+		}
+	}
+}
