--- a/internal/process/sharder/sharder_test.go
+++ b/internal/process/sharder/sharder_test.go
@@ -9,10 +9,7 @@
 )
 
 func TestTasksRunOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 200, 5*time.Second))
 		r.untilCount(s.Sharder, finishedState, 200)
 		r.assertPromises(200)
@@ -36,10 +33,7 @@
 func TestWorkerUnreachable(t *testing.T) {
 	for name, back := range map[string]time.Duration{"back before the lease lapses": 4 * time.Second, "back after": 60 * time.Second} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, 2)
-				s := r.own("atl-a", nil)
-				defer s.kill()
+			withOwner(t, func(t *testing.T, r *rig, s *seat) {
 				s.Ingest(intentOf("casts", "atl-a", 40, 30*time.Second))
 				r.untilCount(s.Sharder, assignedState, 40)
 				time.Sleep(5 * time.Second)
@@ -54,10 +48,7 @@
 }
 
 func TestFinishedUnseen(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 40, 12*time.Second))
 		time.Sleep(5 * time.Second)
 		r.fakes["atl-a-w0"].SetFaults(agent.Faults{Unreachable: true, Hang: true})
@@ -104,10 +95,7 @@
 }
 
 func TestHostLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newRig(t, 2)
-		s := r.own("atl-a", nil)
-		defer s.kill()
+	withOwner(t, func(t *testing.T, r *rig, s *seat) {
 		s.Ingest(intentOf("casts", "atl-a", 40, 30*time.Second))
 		time.Sleep(5 * time.Second)
 		lost := r.fakes["atl-a-w0"]
