Cut a region in the test once it owns its runners

Cause: when the far daemons register more than 2 s after the others, these own the far runners for the first seconds, and a cut then leaves them without an owner until it heals. That start-up is not what the test is about.

Change: the test waits until the far daemons own their runners, and fails if they never do. All answers are still asked for.

--- a/internal/integration/outage_test.go
+++ b/internal/integration/outage_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/harness"
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/standin/keyvalue"
 )
 
@@ -22,6 +23,18 @@
 	}
 }
 
+// awaitHomeOwners waits until daemons of a data centre own its runners, which
+// they may come to do some seconds after others have started.
+func awaitHomeOwners(t *testing.T, cluster *harness.Cluster, dataCentre string) {
+	t.Helper()
+	for number := range owner.RunnerPartitions {
+		partition := fmt.Sprintf("runners:%s:%d", dataCentre, number)
+		harness.Eventually(t, patience, partition+" is owned at home", func() bool {
+			return cluster.OwnerOf(partition).DataCentre == dataCentre
+		})
+	}
+}
+
 // TestStoreOutage sends requests while the store is out for longer than the
 // daemons' leases; it lapses them or gives them their full time when it returns.
 func TestStoreOutage(t *testing.T) {
@@ -52,6 +65,7 @@
 	load := harness.StartLoad(t, 200, callOf(harness.PathOnce, 10*time.Millisecond), harness.NewTarget(cluster.Daemons...).Choose)
 	awaitMore(t, load, 200)
 	awaitGuarantors(t, cluster, 1)
+	awaitHomeOwners(t, cluster, "sav-a")
 	cluster.CutRegion("south-ga")
 	awaitMore(t, load, 1500)
 	cluster.Network.Heal(harness.All)
