--- a/internal/process/administrator/status.go
+++ b/internal/process/administrator/status.go
@@ -66,7 +66,7 @@
 func noSuchIntent(what, intent string) error {
 	return &errs.RefusedError{
 		What:   what + intent,
-		Why:    "no intent of that name was confirmed",
+		Why:    "no intent of that name is known; long after their end they are dropped",
 		Remedy: "see the names with `kumquat status`",
 	}
 }
