--- a/internal/process/administrator/status.go
+++ b/internal/process/administrator/status.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/errs"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
@@ -38,6 +39,10 @@
 	return resp, nil
 }
 
+// intakeTime is the time after its confirmation in which the shards take an
+// intent in; one that no shard knows later has been dropped.
+const intakeTime = time.Minute
+
 // complete counts what the tasks of one intent don't show: those that were
 // forgotten long after their end, and those that no shard has taken in yet. It
 // returns a *errs.RefusedError if there is no such intent.
@@ -52,7 +57,8 @@
 		return noSuchIntent("status of ", intent)
 	}
 	if err == nil {
-		if len(counts) == 0 && len(c.missing) == 0 {
+		age := a.settings.Now().Sub(time.UnixMilli(record.ConfirmedUnixMillis))
+		if len(counts) == 0 && len(c.missing) == 0 && age < intakeTime {
 			counts[kumquatv1.TaskState_TASK_STATE_PENDING.String()] = countTasks(record)
 		}
 		status := &kumquatv1.IntentStatus{Intent: intent, Team: record.Team, Kind: record.Kind.String(), Counts: counts}
@@ -66,7 +72,7 @@
 func noSuchIntent(what, intent string) error {
 	return &errs.RefusedError{
 		What:   what + intent,
-		Why:    "no intent of that name is known; long after their end they are dropped",
+		Why:    "no intent of that name was confirmed",
 		Remedy: "see the names with `kumquat status`",
 	}
 }
