--- a/internal/experiment/slopes/slopes.go
+++ b/internal/experiment/slopes/slopes.go
@@ -120,23 +120,13 @@
 	return Point{Load: load, rate: gauger.RateOf(from, to)}, ctx.Err()
 }
 
-// awaitOwner waits until a daemon owns the shard and returns it.
-func awaitOwner(b *harness.Bench, cluster *harness.Cluster) (owner *harness.Daemon) {
-	harness.Eventually(b, time.Minute, "the shard has an owner", func() bool {
-		for _, daemon := range cluster.Daemons {
-			status, err := daemon.Operator().Status(b.Context(), &kumquatv1.StatusRequest{})
-			if err != nil || len(status.MissingShards) > 0 {
-				return false
-			}
-			for _, partition := range status.Daemons[0].Partitions {
-				if partition == "shard:"+centre {
-					owner = daemon
-				}
-			}
-		}
-		return owner != nil
+// awaitOwner waits until the owner of the shard answers and returns it.
+func awaitOwner(b *harness.Bench, cluster *harness.Cluster) *harness.Daemon {
+	harness.Eventually(b, time.Minute, "the shard answers", func() bool {
+		status, err := cluster.Daemons[0].Operator().Status(b.Context(), &kumquatv1.StatusRequest{})
+		return err == nil && len(status.MissingShards) == 0
 	})
-	return owner
+	return cluster.OwnerOf("shard:" + centre)
 }
 
 // submit confirms the tasks of a load.
