Share the rule for owners that are gone, partition names and loads

Cause: the release of dead daemons decided by a copy of the owner's rule whether a record's owner is a member; the runners' partition name was built in three places; the load that heartbeats carry was encoded in the daemon, beside a function of the forwarder that nothing called; two calls of the stand-ins' controls differed in the method and the status alone.

Change: one piece each: owner.IsGone, owner.RunnersAt, forwarder.LoadsToWire and one call of the controls. Behaviour is the same.

Seen: lint, and the tests of the packages concerned with the race detector.

--- a/internal/integration/outage_test.go
+++ b/internal/integration/outage_test.go
@@ -28,7 +28,7 @@
 func awaitHomeOwners(t *testing.T, cluster *harness.Cluster, dataCentre string) {
 	t.Helper()
 	for number := range owner.RunnerPartitions {
-		partition := fmt.Sprintf("runners:%s:%d", dataCentre, number)
+		partition := string(owner.RunnersAt(dataCentre, number))
 		harness.Eventually(t, patience, partition+" is owned at home", func() bool {
 			return cluster.OwnerOf(partition).DataCentre == dataCentre
 		})
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -139,18 +139,7 @@
 
 // loads returns what peers are told of this daemon's slots.
 func (r *requests) loads(now time.Time) []*kumquatv1.UpstreamLoad {
-	loads := r.slots.Loads(now)
-	messages := make([]*kumquatv1.UpstreamLoad, 0, len(loads))
-	for _, load := range loads {
-		messages = append(messages, &kumquatv1.UpstreamLoad{
-			Upstream:      load.Upstream,
-			FreeSlots:     int32(load.Free),
-			Queued:        int32(load.Queued),
-			Slots:         int32(load.Slots),
-			ServiceMicros: load.Service.Microseconds(),
-		})
-	}
-	return messages
+	return forwarder.LoadsToWire(r.slots.Loads(now))
 }
 
 // drain waits until no request is in flight and no outcome is unreported.
--- a/internal/process/owner/assign_test.go
+++ b/internal/process/owner/assign_test.go
@@ -18,7 +18,7 @@
 			name := fmt.Sprintf("%s-%d", region, dc)
 			places = append(places, Place{Partition: ShardOf(name), Region: region})
 			for i := range RunnerPartitions {
-				places = append(places, Place{Partition: runners(name, i), Region: region})
+				places = append(places, Place{Partition: RunnersAt(name, i), Region: region})
 			}
 		}
 	}
--- a/internal/process/owner/partitions.go
+++ b/internal/process/owner/partitions.go
@@ -36,7 +36,9 @@
 	return Partition(string(KindShard) + ":" + dataCentre)
 }
 
-func runners(dataCentre string, index int) Partition {
+// RunnersAt returns the partition of a data centre's runners with a number below
+// RunnerPartitions.
+func RunnersAt(dataCentre string, index int) Partition {
 	return Partition(string(KindRunners) + ":" + dataCentre + ":" + strconv.Itoa(index))
 }
 
@@ -52,7 +54,7 @@
 		for _, dc := range region.DataCentres {
 			all = append(all, ShardOf(dc.Name))
 			for i := range RunnerPartitions {
-				all = append(all, runners(dc.Name, i))
+				all = append(all, RunnersAt(dc.Name, i))
 			}
 		}
 	}
--- a/internal/process/owner/step.go
+++ b/internal/process/owner/step.go
@@ -81,7 +81,7 @@
 	v.stable = o.isStable(candidates, now)
 	current := make(map[Partition]string, len(o.records))
 	for p, record := range o.records {
-		if !isGone(record, v.members) {
+		if !IsGone(record, v.members) {
 			current[p] = record.Owner
 		}
 	}
@@ -138,9 +138,9 @@
 	return now.Sub(o.stableSince) >= settleTime
 }
 
-// isGone reports whether a record's owner is no member: neither under the
+// IsGone reports whether a record's owner is no member: neither under the
 // record's incarnation nor as the same process under a later one.
-func isGone(record Record, members map[string]member.Member) bool {
+func IsGone(record Record, members map[string]member.Member) bool {
 	m, ok := members[record.Owner]
 	if !ok {
 		return true
@@ -167,7 +167,7 @@
 		return actionNone
 	case !known, record.Owner == "":
 		return actionAcquire
-	case isGone(record, v.members) && o.isReplaceable(record, v):
+	case IsGone(record, v.members) && o.isReplaceable(record, v):
 		return actionTakeOver
 	default:
 		return actionNone
--- a/internal/process/releaser/plan.go
+++ b/internal/process/releaser/plan.go
@@ -37,14 +37,12 @@
 		if !slices.Contains(daemons, record.Owner) {
 			continue
 		}
-		m, registered := members[record.Owner]
-		if registered && m.Incarnation == record.Incarnation {
-			alive = record.Owner
+		if !owner.IsGone(record, members) {
+			if members[record.Owner].Incarnation == record.Incarnation {
+				alive = record.Owner
+			}
 			continue
 		}
-		if registered && m.Token == record.Token {
-			continue // The same process under a later incarnation.
-		}
 		key := fmt.Sprintf("%s/%d", record.Owner, record.Incarnation)
 		if found[key] == nil {
 			found[key] = &kumquatv1.DeadIncarnation{
--- a/internal/process/slotter/partition.go
+++ b/internal/process/slotter/partition.go
@@ -1,7 +1,6 @@
 package slotter
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 
@@ -21,5 +20,5 @@
 		name, number = host.Name, 0
 	}
 	index := (xxhash.Sum64String(name)%owner.RunnerPartitions + number) % owner.RunnerPartitions
-	return owner.Partition(fmt.Sprintf("%s:%s:%d", owner.KindRunners, host.DataCentre, index))
+	return owner.RunnersAt(host.DataCentre, int(index))
 }
--- a/internal/standin/controller/endpoint.go
+++ b/internal/standin/controller/endpoint.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 )
@@ -61,32 +62,33 @@
 
 // Get reads a value from a path.
 func (r Remote) Get(ctx context.Context, path string, value any) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address+path, http.NoBody)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: %s", path, response.Status)
-	}
-	return json.NewDecoder(response.Body).Decode(value)
+	return r.call(ctx, http.MethodGet, path, http.NoBody, func(response *http.Response) error {
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s: %s", path, response.Status)
+		}
+		return json.NewDecoder(response.Body).Decode(value)
+	})
 }
 
 // Post sends a value to a path.
 func (r Remote) Post(ctx context.Context, path string, value any) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
-	defer cancel()
 	body, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+path, bytes.NewReader(body))
+	return r.call(ctx, http.MethodPost, path, bytes.NewReader(body), func(response *http.Response) error {
+		if response.StatusCode != http.StatusNoContent {
+			return fmt.Errorf("%s: %s", path, response.Status)
+		}
+		return nil
+	})
+}
+
+// call sends a request and hands its answer over while the body can be read.
+func (r Remote) call(ctx context.Context, method, path string, body io.Reader, take func(*http.Response) error) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+r.Address+path, body)
 	if err != nil {
 		return err
 	}
@@ -95,8 +97,5 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("%s: %s", path, response.Status)
-	}
-	return nil
+	return take(response)
 }
