Sort only tasks that yield, and build no residents to add up sizes

Cause: each pass of a shard sorted the tasks of all workers to lift throttles, though hardly ever one is throttled for room, and adding up what a worker holds built a whole resident for each task.

Change: only tasks that yield are sorted; the size is computed from the three values that it depends on. Behaviour is the same.

--- a/internal/process/sharder/placing.go
+++ b/internal/process/sharder/placing.go
@@ -250,14 +250,29 @@
 // their full sizes again.
 func (s *Sharder) liftThrottles(now time.Time) {
 	for name, w := range s.workers {
-		for _, e := range sorted(s.table.byWorker[name]) {
-			if e.yielded > 0 && s.used(w, e, now).Plus(s.size(e, now)).Fits(w.capacity()) {
+		for _, e := range sorted(yielding(s.table.byWorker[name])) {
+			if s.used(w, e, now).Plus(s.size(e, now)).Fits(w.capacity()) {
 				e.yielded = 0
 			}
 		}
 	}
 }
 
+// yielding returns the tasks of a group that yield processors to others.
+func yielding(group map[string]*entry) map[string]*entry {
+	var found map[string]*entry
+	for id, e := range group {
+		if e.yielded == 0 {
+			continue
+		}
+		if found == nil {
+			found = make(map[string]*entry)
+		}
+		found[id] = e
+	}
+	return found
+}
+
 // useReservations assigns tasks whose worker has room by now, and drops
 // reservations that are over.
 func (s *Sharder) useReservations(now time.Time) {
--- a/internal/process/sharder/sizing.go
+++ b/internal/process/sharder/sizing.go
@@ -51,7 +51,7 @@
 // committed returns what a task may use of its worker. What it yields to others
 // counts once the worker withholds it.
 func (s *Sharder) committed(e *entry, now time.Time) placer.Resources {
-	resident := s.resident(e, now)
+	resident := placer.Resident{Size: s.size(e, now), Declared: e.task.Declared, Throttle: e.yields()}
 	return resident.Committed()
 }
 
