--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -9,6 +9,10 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
+// blockedPause is the time after which a step that found no room is tried
+// again; it bounds the work of a pass while many steps wait.
+const blockedPause = 50 * time.Millisecond
+
 // A candidate is a step with tasks that may start.
 type candidate struct {
 	st    *stepState
@@ -61,7 +65,7 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if st.ready && st.wait > 0 && st.left > 0 {
+				if st.ready && st.wait > 0 && st.left > 0 && now.Sub(st.blockedAt) >= blockedPause {
 					list = append(list, newCandidate(st, now))
 				}
 			}
@@ -106,6 +110,7 @@
 		}
 		r := t.choose(st, k, now)
 		if r == nil {
+			st.blockedAt = now
 			return
 		}
 		t.start(st, i, r, now)
@@ -153,7 +158,7 @@
 		if !t.allows(r, st, k, now) {
 			continue
 		}
-		score := t.score(r, st, k)
+		score := t.score(r, st, now)
 		if score > bestScore || (score == bestScore && r.info.ID < best.info.ID) {
 			best, bestScore = r, score
 		}
@@ -177,7 +182,8 @@
 	case k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
 		return false
 	case st.spec.Fills:
-		return r.pace > 0 && r.spare() >= fillFloor*float64(r.fills+st.spec.MilliCores)
+		return !r.halted && r.spare() >= fillFloor*float64(r.fills+st.spec.MilliCores) &&
+			t.disturbed.headroom(r, st, now) >= 0
 	}
 	return true
 }
@@ -207,21 +213,40 @@
 	return spare
 }
 
+// Weights of a runner's rating, in shares of its capacity.
+const (
+	// strangerCost is the cost of a service beside services of other images:
+	// each image on a runner bars it to the filling images that disturb it.
+	strangerCost = 0.6
+	// emptyCost is the cost of the first service on a runner without any.
+	emptyCost = 0.3
+	// strikeCost is the cost of a failure that was not followed by a success.
+	strikeCost = 0.5
+)
+
 // score rates a runner for a task; the highest is taken.
-func (t *Table) score(r *runner, st *stepState, k *task) float64 {
+func (t *Table) score(r *runner, st *stepState, now time.Time) float64 {
 	capacity := float64(max(1, r.info.Capacity.MilliCores))
-	score := 0.0
-	if st.spec.Fills {
-		score = (r.spare() - float64(r.fills)) / capacity
-		score -= 0.05 * float64(r.serving)
-	} else {
-		score = float64(r.free().MilliCores) / capacity
-		score -= 0.2 * float64(r.fills) / capacity
+	score := -strikeCost * float64(len(r.strikes))
+	switch {
+	case st.spec.Fills:
+		score += (r.spare()-float64(r.fills))/capacity + min(1, t.disturbed.headroom(r, st, now)/100)
+	case st.spec.TailTarget > 0:
+		// Services of one image share runners, and leave others to the rest.
+		score += float64(r.free().MilliCores) / capacity
+		strangers := len(r.services)
+		if r.servingOf[st.spec.Image] > 0 {
+			strangers--
+		} else if strangers == 0 {
+			score -= emptyCost
+		}
+		score -= strangerCost * float64(strangers)
+	default:
+		score += float64(r.free().MilliCores)/capacity - 0.2*float64(r.fills)/capacity
 	}
 	if st.spec.Affinity != "" && !r.hasLabel(st.spec.Affinity) {
 		score -= t.limits.CrossRackSlowdown
 	}
-	score -= 0.5 * float64(len(r.strikes))
 	return score
 }
 
@@ -238,7 +263,7 @@
 // place enters a run into the table.
 func (t *Table) place(st *stepState, index int, r *runner, number int64, now time.Time) *run {
 	k := &st.tasks[index]
-	x := &run{st: st, index: index, number: number, runner: r, startedAt: now, movedAt: now, pace: 100}
+	x := &run{st: st, index: index, number: number, runner: r, startedAt: now, movedAt: now, pace: fullPace}
 	if len(k.runs) == 0 && !k.done {
 		st.wait--
 	}
@@ -246,12 +271,7 @@
 	k.nextRun = max(k.nextRun, number+1)
 	r.runs[runKey{x.id(), number}] = x
 	r.used = r.used.Plus(st.spec.Reserved())
-	if st.spec.Fills {
-		r.fills += st.spec.MilliCores
-	}
-	if st.spec.TailTarget > 0 {
-		r.serving++
-	}
+	r.countImages(st, 1)
 	if st.byHost != nil {
 		st.byHost[r.info.ID]++
 	}
@@ -274,7 +294,4 @@
 		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
 		Spec: x.st.s.sub.Spec, Checkpoint: x.task().checkpoint, Until: until,
 	})
-	if r.throttled && x.st.spec.Fills {
-		t.paceRun(x, r.pace)
-	}
 }
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -277,12 +277,7 @@
 	}
 	delete(r.runs, key)
 	r.used = r.used.Minus(st.spec.Reserved())
-	if st.spec.Fills {
-		r.fills -= st.spec.MilliCores
-	}
-	if st.spec.TailTarget > 0 {
-		r.serving--
-	}
+	r.countImages(st, -1)
 	if st.byHost != nil {
 		st.byHost[r.info.ID]--
 	}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -240,14 +240,3 @@
 	}
 	return r.info, true
 }
-
-// Paced takes in the outcome of a change of pace.
-func (t *Table) Paced(o Order, outcome Outcome, now time.Time) {
-	x := t.find(o)
-	if x == nil || outcome != Unanswered || x.phase == stopping {
-		return
-	}
-	if x.runner.pace == o.Percent && now.Sub(x.runner.heardAt) < staleAfter {
-		t.paceRun(x, o.Percent)
-	}
-}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -44,9 +44,10 @@
 	fills          int64 // milliCores wanted by filling tasks
 	serving        int   // tasks with a tail target
 	calmSince      time.Time
-	pacedAt        time.Time
-	pace           int
-	throttled      bool
+	halted         bool                  // filling tasks have been halted
+	services       map[string]*stepState // by serving image
+	servingOf      map[string]int        // tasks by serving image
+	fillers        map[string]int64      // milliCores wanted by filling image
 }
 
 // A runKey identifies a run at a runner.
@@ -63,6 +64,13 @@
 	version int64
 }
 
+func newRunner(info RunnerInfo) *runner {
+	return &runner{
+		info: info, runs: make(map[runKey]*run), strikes: make(map[string]bool),
+		services: make(map[string]*stepState), servingOf: make(map[string]int), fillers: make(map[string]int64),
+	}
+}
+
 // SetRunners replaces the registry's list of runners.
 func (t *Table) SetRunners(infos []RunnerInfo, now time.Time) {
 	seen := make(map[string]bool, len(infos))
@@ -70,7 +78,7 @@
 		seen[info.ID] = true
 		r, ok := t.runners[info.ID]
 		if !ok {
-			r = &runner{info: info, runs: make(map[runKey]*run), strikes: make(map[string]bool), pace: 100}
+			r = newRunner(info)
 			t.runners[info.ID] = r
 		}
 		if info.Lifetime != r.info.Lifetime && info.Lifetime > r.info.Lifetime {
@@ -127,7 +135,7 @@
 	r.strangers = nil
 	clear(r.strikes)
 	r.suspendedUntil = time.Time{}
-	r.pace = 100
+	r.halted = false
 }
 
 // dropRuns takes note that nothing runs on a runner any more.
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -48,6 +48,8 @@
 	wait   int // tasks without a run
 	ready  bool
 	byHost map[string]int // runs by runner, for steps with a cap
+	// blockedAt is when the step last found no room.
+	blockedAt time.Time
 }
 
 // A task is one unit of work.
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -61,6 +61,7 @@
 	runners   map[string]*runner
 	subs      map[string]*submission
 	evacuated map[string]bool
+	disturbed disturbance
 
 	orders []Order
 	dirty  []*submission
@@ -90,6 +91,7 @@
 		runners:    make(map[string]*runner),
 		subs:       make(map[string]*submission),
 		evacuated:  make(map[string]bool),
+		disturbed:  newDisturbance(),
 	}
 }
 
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -85,77 +84,6 @@
 	}
 }
 
-// Bounds of the control of filling tasks beside serving ones.
-const (
-	// nearTarget is the share of the tail target at which pacing begins.
-	nearTarget = 0.9
-	// calmTarget is the share of the tail target below which pace is returned.
-	calmTarget = 0.6
-	// calmFor is how long all tails have to be calm before pace is returned.
-	calmFor = 2 * time.Second
-	// settleFor is the time between two changes of pace.
-	settleFor = 600 * time.Millisecond
-	// paceStep is the percentage returned at once.
-	paceStep = 20
-)
-
-// watchTails paces the filling tasks of a runner by the tails of those that
-// serve there.
-//
-// Load: filling tasks that press on a serving task for longer than it may be
-// disturbed. Pace is halved at once, and returned slowly once tails are calm.
-func (t *Table) watchTails(r *runner, now time.Time) {
-	if r.serving == 0 {
-		if r.throttled {
-			t.setPace(r, 100, now)
-		}
-		return
-	}
-	worst := 0.0
-	for _, x := range r.runs {
-		if x.st.spec.TailTarget > 0 && x.hasRow && x.phase == running {
-			worst = max(worst, x.measure/float64(x.st.spec.TailTarget.Milliseconds()))
-		}
-	}
-	if worst >= calmTarget {
-		r.calmSince = time.Time{}
-	} else if r.calmSince.IsZero() {
-		r.calmSince = now
-	}
-	if now.Sub(r.pacedAt) < settleFor {
-		return
-	}
-	switch {
-	case worst >= nearTarget && r.fills > 0 && r.pace > 0:
-		pace := r.pace / 2
-		if pace < 20 || worst > 1.5 {
-			pace = 0
-		}
-		t.setPace(r, pace, now)
-	case r.throttled && !r.calmSince.IsZero() && now.Sub(r.calmSince) > calmFor:
-		t.setPace(r, min(100, r.pace+paceStep), now)
-	}
-}
-
-// setPace gives all filling tasks of a runner another pace.
-func (t *Table) setPace(r *runner, pace int, now time.Time) {
-	r.pace, r.pacedAt, r.throttled = pace, now, pace < 100
-	t.recordRunner(now, EventPaced, r, "pace "+strconv.Itoa(pace))
-	for _, x := range r.runs {
-		if x.st.spec.Fills && x.phase != stopping {
-			t.paceRun(x, pace)
-		}
-	}
-}
-
-func (t *Table) paceRun(x *run, pace int) {
-	x.pace = pace
-	t.orders = append(t.orders, Order{
-		Kind: Pace, Runner: x.runner.info.ID, Lifetime: x.runner.info.Lifetime,
-		Task: x.id(), Run: x.number, Percent: pace,
-	})
-}
-
 // Contended reports whether a runner has tasks that serve beside tasks that
 // fill, so that it has to be looked at often.
 func (t *Table) Contended(id string) bool {
