Estimate pressure as a share of a service's capacity

Cause: tails of tasks of one image on one runner differ ten times, since each service's load swings by itself; logarithms of tails blamed images for that. Change: a tail tells which share of the service's capacity is taken; the load is that of the service's least disturbed task, the rest is pressure.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -8,26 +8,30 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/isolator"
 )
 
-// Figures of the model of disturbance. Tails grow by a factor for each share of
-// the processors that a filling image uses, so slowdowns are kept as natural
-// logarithms, in percent per core of a runner of referenceCores.
+// Figures of the model of disturbance. A service's tail grows as 1/(1-u) with
+// the share u of its capacity that its own load and the pressure of filling
+// images take together. Pressures are per core of a runner of referenceCores.
 const (
-	// unknownPressure is assumed of a pair of images that was never measured:
-	// about one task of each is tried beside a service.
-	unknownPressure = 7.0
-	// referenceCores scales the use of runners of other sizes.
 	referenceCores = 32.0
-	// initialTail is the share of the target at which an undisturbed tail is
-	// assumed until it was measured.
-	initialTail = 0.45
-	// tailRate is the share by which one measurement moves an undisturbed tail.
-	tailRate = 0.05
-	// placeLimit is the share of the target up to which tails may be predicted
-	// to rise when a filling task is placed.
-	placeLimit = 0.75
-	// culpritPressure is the rise, in percent, from which a filling image
-	// counts as a cause of a tail over its target.
-	culpritPressure = 12.0
+	// idleTail is the share of the target at which the tail of a service
+	// without load is assumed, until a lower one was measured.
+	idleTail = 0.22
+	// lightLoad is the least load that a service is assumed to have had.
+	lightLoad = 0.2
+	// unknownLoad is assumed of a service that was not measured yet.
+	unknownLoad = 0.6
+	// loadMemory is how fast the peak of a service's load is forgotten, per
+	// second.
+	loadMemory = 0.01
+	// targetMargin is kept between the predicted share and that at which a
+	// tail reaches its target.
+	targetMargin = 0.05
+	// culpritShare is the pressure from which a filling image counts as a cause
+	// of a tail over its target.
+	culpritShare = 0.04
+	// saturated is the share above which tails tell no more than that it is
+	// high.
+	saturated = 0.93
 )
 
 // Times of the reaction to tails over their target.
@@ -37,6 +41,8 @@
 	// haltShare is the share of the tolerated time after which all filling
 	// tasks on the runner halt.
 	haltShare = 0.45
+	// measureSpan is the time over which a runner measures.
+	measureSpan = 600 * time.Millisecond
 	// resumeAfter is the time for which all tails have to be calm before
 	// halted tasks go on.
 	resumeAfter = 1200 * time.Millisecond
@@ -46,20 +52,26 @@
 
 // A disturbance is what is known of images that share runners.
 type disturbance struct {
-	learner *isolator.Learner
-	tails   map[string]float64 // undisturbed tail by serving image, ms
+	learner *isolator.Pressures
+	least   map[string]float64 // least tail seen by serving image, ms
 }
 
 func newDisturbance() disturbance {
-	return disturbance{learner: isolator.NewCautiousLearner(unknownPressure), tails: make(map[string]float64)}
+	return disturbance{learner: isolator.NewPressures(), least: make(map[string]float64)}
 }
 
-// tail returns the undisturbed tail of a serving step in milliseconds.
-func (d disturbance) tail(st *stepState) float64 {
-	if known, ok := d.tails[st.spec.Image]; ok {
-		return known
+// idle returns the tail of a service without load in milliseconds.
+func (d disturbance) idle(st *stepState) float64 {
+	idle := idleTail * targetMillis(st)
+	if least, ok := d.least[st.spec.Image]; ok {
+		idle = min(idle, least*(1-lightLoad))
 	}
-	return initialTail * targetMillis(st)
+	return idle
+}
+
+// share returns which share of a service's capacity a tail says is taken.
+func (d disturbance) share(st *stepState, tail float64) float64 {
+	return max(0, 1-d.idle(st)/max(tail, 0.001))
 }
 
 func targetMillis(st *stepState) float64 {
@@ -71,12 +83,13 @@
 	return milliCores / float64(max(1, r.info.Capacity.MilliCores)) * referenceCores
 }
 
-// observe learns from one list of a runner.
+// observe learns from one list of a runner. The load of a service is that of
+// its least disturbed task: callers are spread over the tasks of a step.
 func (d disturbance) observe(r *runner, now time.Time) {
-	load := make(map[string]float64)
+	cores := make(map[string]float64)
 	for _, x := range r.runs {
 		if x.st.spec.Fills && x.hasRow && x.measure > 0 {
-			load[x.st.spec.Image] += r.coresOf(x.measure)
+			cores[x.st.spec.Image] += r.coresOf(x.measure)
 		}
 	}
 	for _, x := range r.runs {
@@ -84,15 +97,54 @@
 			continue
 		}
 		image := x.st.spec.Image
-		if len(load) == 0 {
-			known := d.tail(x.st)
-			if x.measure < 2*known {
-				d.tails[image] = known + tailRate*(x.measure-known)
+		if least, ok := d.least[image]; !ok || x.measure < least {
+			d.least[image] = x.measure
+		}
+		x.share, x.sharedAt = d.share(x.st, x.measure), now
+		load := x.st.load(now)
+		x.st.notePeak(load, now)
+		if len(cores) == 0 || (x.share > load && now.Sub(r.fillLeftAt) < measureSpan) {
+			continue // what left may have raised the tail
+		}
+		lacked := x.share - load
+		if x.share > saturated {
+			lacked = max(lacked, 1-load)
+		}
+		d.learner.Learn(image, lacked, cores)
+	}
+}
+
+// load returns the share that a service's own load takes now.
+func (st *stepState) load(now time.Time) float64 {
+	least := math.Inf(1)
+	for i := range st.tasks {
+		for _, x := range st.tasks[i].runs {
+			if now.Sub(x.sharedAt) < 2*measureSpan {
+				least = min(least, x.share)
 			}
-			continue
 		}
-		d.learner.Learn(image, 100*math.Log(x.measure/d.tail(x.st)), load, now)
 	}
+	if math.IsInf(least, 1) {
+		return unknownLoad
+	}
+	return least
+}
+
+// notePeak remembers the highest load of the last seconds.
+func (st *stepState) notePeak(load float64, now time.Time) {
+	if st.peakAt.IsZero() {
+		st.peak = max(load, unknownLoad)
+	}
+	st.peak = max(load, st.peak-loadMemory*now.Sub(st.peakAt).Seconds())
+	st.peakAt = now
+}
+
+// peakLoad returns the highest load to be expected of a service.
+func (st *stepState) peakLoad() float64 {
+	if st.peakAt.IsZero() {
+		return unknownLoad
+	}
+	return min(st.peak, unknownLoad+0.05)
 }
 
 // isServing reports whether a run is at work and has a tail to be kept.
@@ -100,17 +152,16 @@
 	return x.st.spec.TailTarget > 0 && x.hasRow && x.phase == running && x.percent >= 100
 }
 
-// headroom returns by how much, in percent of the logarithm, the tails on a
-// runner may still rise if a filling step's task is added; negative if it
-// should not be.
-func (d disturbance) headroom(r *runner, fill *stepState, now time.Time) float64 {
+// headroom returns which share of their capacity the services of a runner would
+// have left, below their targets, beside one more task of a filling step.
+func (d disturbance) headroom(r *runner, fill *stepState) float64 {
 	least := math.Inf(1)
 	for image, st := range r.services {
-		room := 100 * math.Log(placeLimit*targetMillis(st)/d.tail(st))
+		room := d.share(st, targetMillis(st)) - targetMargin - st.peakLoad()
 		for other, milliCores := range r.fillers {
-			room -= d.learner.Slowdown(image, other, now) * r.coresOf(float64(milliCores))
+			room -= d.learner.Of(image, other) * r.coresOf(float64(milliCores))
 		}
-		room -= d.learner.Slowdown(image, fill.spec.Image, now) * r.coresOf(float64(fill.spec.MilliCores))
+		room -= d.learner.Of(image, fill.spec.Image) * r.coresOf(float64(fill.spec.MilliCores))
 		least = min(least, room)
 	}
 	return least
@@ -186,7 +237,7 @@
 // halts the others.
 func (t *Table) moveCulprits(r *runner, now time.Time) {
 	for _, x := range r.sorted() {
-		if !x.st.spec.Fills || x.phase == stopping || x.pace == 0 || !t.isCulprit(r, x, now) {
+		if !x.st.spec.Fills || x.phase == stopping || x.pace == 0 || !t.isCulprit(r, x) {
 			continue
 		}
 		if x.st.spec.Checkpointing {
@@ -200,11 +251,11 @@
 
 // isCulprit reports whether an image presses noticeably on a service whose
 // tail is over its target.
-func (t *Table) isCulprit(r *runner, fill *run, now time.Time) bool {
+func (t *Table) isCulprit(r *runner, fill *run) bool {
 	cores := r.coresOf(float64(r.fillers[fill.st.spec.Image]))
 	for _, x := range r.runs {
 		if x.isServing() && !x.overSince.IsZero() &&
-			t.disturbed.learner.Slowdown(x.st.spec.Image, fill.st.spec.Image, now)*cores >= culpritPressure {
+			t.disturbed.learner.Of(x.st.spec.Image, fill.st.spec.Image)*cores >= culpritShare {
 			return true
 		}
 	}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -158,7 +158,7 @@
 		if !t.allows(r, st, k, now) {
 			continue
 		}
-		score := t.score(r, st, now)
+		score := t.score(r, st)
 		if score > bestScore || (score == bestScore && r.info.ID < best.info.ID) {
 			best, bestScore = r, score
 		}
@@ -183,7 +183,7 @@
 		return false
 	case st.spec.Fills:
 		return !r.halted && r.spare() >= fillFloor*float64(r.fills+st.spec.MilliCores) &&
-			t.disturbed.headroom(r, st, now) >= 0
+			t.disturbed.headroom(r, st) >= 0
 	}
 	return true
 }
@@ -225,12 +225,12 @@
 )
 
 // score rates a runner for a task; the highest is taken.
-func (t *Table) score(r *runner, st *stepState, now time.Time) float64 {
+func (t *Table) score(r *runner, st *stepState) float64 {
 	capacity := float64(max(1, r.info.Capacity.MilliCores))
 	score := -strikeCost * float64(len(r.strikes))
 	switch {
 	case st.spec.Fills:
-		score += (r.spare()-float64(r.fills))/capacity + min(1, t.disturbed.headroom(r, st, now)/100)
+		score += (r.spare()-float64(r.fills))/capacity + min(1, 2*t.disturbed.headroom(r, st))
 	case st.spec.TailTarget > 0:
 		// Services of one image share runners, and leave others to the rest.
 		score += float64(r.free().MilliCores) / capacity
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -278,6 +278,9 @@
 	delete(r.runs, key)
 	r.used = r.used.Minus(st.spec.Reserved())
 	r.countImages(st, -1)
+	if st.spec.Fills {
+		r.fillLeftAt = now
+	}
 	if st.byHost != nil {
 		st.byHost[r.info.ID]--
 	}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -44,6 +44,7 @@
 	fills          int64 // milliCores wanted by filling tasks
 	serving        int   // tasks with a tail target
 	calmSince      time.Time
+	fillLeftAt     time.Time             // when a filling task ended here last
 	halted         bool                  // filling tasks have been halted
 	services       map[string]*stepState // by serving image
 	servingOf      map[string]int        // tasks by serving image
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -50,6 +50,9 @@
 	byHost map[string]int // runs by runner, for steps with a cap
 	// blockedAt is when the step last found no room.
 	blockedAt time.Time
+	// peak is the highest recent load of a step that serves.
+	peak   float64
+	peakAt time.Time
 }
 
 // A task is one unit of work.
@@ -85,7 +88,10 @@
 	movedAt   time.Time // when percent last changed
 	measure   float64
 	hasRow    bool
-	pace      int
+	// share is the share of a service's capacity that its tail says is taken.
+	share    float64
+	sharedAt time.Time
+	pace     int
 	// overSince is when a serving task's tail was first seen over its target.
 	overSince time.Time
 	stopTries int
--- a/internal/version/isolator/learner.go
+++ b/internal/version/isolator/learner.go
@@ -61,10 +61,10 @@
 }
 
 // now returns what the estimate has become at a time.
-func (e estimate) now(prior float64, now time.Time) float64 {
+func (e estimate) now(now time.Time) float64 {
 	age := max(now.Sub(e.at), 0)
 	kept := math.Exp2(-float64(age) / float64(halfLife))
-	return prior + (e.perCore-prior)*kept
+	return priorPerCore + (e.perCore-priorPerCore)*kept
 }
 
 // An Estimate is what a Learner knows of one pair of classes.
@@ -80,17 +80,12 @@
 // processors that the batch class uses on the worker. It is not safe for
 // concurrent use.
 type Learner struct {
-	prior     float64
 	estimates map[pair]estimate
 }
 
 // NewLearner returns a learner that has seen nothing.
-func NewLearner() *Learner { return NewCautiousLearner(priorPerCore) }
-
-// NewCautiousLearner returns a learner that assumes a slowdown, in percent per
-// core, of pairs that were never measured.
-func NewCautiousLearner(prior float64) *Learner {
-	return &Learner{prior: prior, estimates: make(map[pair]estimate)}
+func NewLearner() *Learner {
+	return &Learner{estimates: make(map[pair]estimate)}
 }
 
 // Estimates returns what was learnt, in a fixed order.
@@ -117,7 +112,7 @@
 	load := batchLoad(readings)
 	for _, reading := range readings {
 		if reading.LatencyCritical && reading.SpeedPercent > 0 {
-			l.Learn(reading.Class, reading.slowdown(), load, reading.At)
+			l.correct(reading, load)
 		}
 	}
 }
@@ -133,22 +128,21 @@
 	return load
 }
 
-// Learn moves the estimates of a service's pairs towards one measured slowdown
-// in percent, in proportion to the cores that each class used (normalised least
-// mean squares).
-func (l *Learner) Learn(service string, slowdown float64, load map[string]float64, at time.Time) {
+// correct moves the estimates of a service's pairs towards one measurement, in
+// proportion to the cores that each class used (normalised least mean squares).
+func (l *Learner) correct(service Reading, load map[string]float64) {
 	expected, squares := 0.0, minCoresSquared
 	for class, cores := range load {
-		expected += l.Slowdown(service, class, at) * cores
+		expected += l.Slowdown(service.Class, class, service.At) * cores
 		squares += cores * cores
 	}
-	miss := slowdown - expected
+	miss := service.slowdown() - expected
 	for class, cores := range load {
 		if cores == 0 {
 			continue
 		}
-		changed := l.Slowdown(service, class, at) + learningRate*miss*cores/squares
-		l.estimates[pair{service, class}] = estimate{perCore: max(changed, 0), at: at}
+		changed := l.Slowdown(service.Class, class, service.At) + learningRate*miss*cores/squares
+		l.estimates[pair{service.Class, class}] = estimate{perCore: max(changed, 0), at: service.At}
 	}
 }
 
@@ -156,7 +150,7 @@
 // in percent per core that the batch class uses.
 func (l *Learner) Slowdown(service, batch string, now time.Time) float64 {
 	if known, ok := l.estimates[pair{service, batch}]; ok {
-		return known.now(l.prior, now)
+		return known.now(now)
 	}
-	return l.prior
+	return priorPerCore
 }
