Wait for stops under way before room is used again

Cause: a runner's list leaves out runs that are being stopped, though they take up room until their end is listed; a new owner, and one that had ordered a stop, started tasks into that room or a second time. Change: a run whose stop was carried out ends with its listed end or after the longest time of a stop; a new owner waits as long after it has fenced a runner; unwanted runs are entered into the table before they are stopped.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -169,7 +169,7 @@
 // allows reports whether a task may start on a runner now.
 func (t *Table) allows(r *runner, st *stepState, k *task, now time.Time) bool {
 	switch {
-	case !r.listed, !r.fenced, r.info.Draining, r.info.Service != st.s.queue.Service, t.evacuated[r.info.DataCentre]:
+	case !r.listed, !t.isKnown(r, now), r.info.Draining, r.info.Service != st.s.queue.Service, t.evacuated[r.info.DataCentre]:
 		return false
 	case now.Before(r.suspendedUntil), now.Sub(r.heardAt) > staleAfter:
 		return false
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -77,7 +77,7 @@
 	}
 	t.Heard(id, rep.Lifetime, rep.Clock, now)
 	if !r.fenced {
-		r.fenced = true
+		r.fenced, r.fencedAt = true, now
 		t.recheck = true
 	}
 	for _, e := range rep.Ended {
@@ -92,6 +92,11 @@
 		listed[key] = true
 		t.seen(r, key, row, now)
 	}
+	for key := range r.strangers {
+		if _, known := t.subs[key.task.Submission]; known || !listed[key] {
+			delete(r.strangers, key)
+		}
+	}
 	t.missing(r, listed, len(rep.Ended), sentAt, now)
 	t.watchTails(r, now)
 }
@@ -121,9 +126,6 @@
 func (t *Table) adopt(r *runner, key runKey, now time.Time) *run {
 	s, ok := t.subs[key.task.Submission]
 	if !ok {
-		if r.strangers == nil {
-			r.strangers = make(map[runKey]time.Time)
-		}
 		if first, ok := r.strangers[key]; !ok {
 			r.strangers[key] = now
 		} else if now.Sub(first) > strangerPatience {
@@ -131,38 +133,46 @@
 		}
 		return nil
 	}
-	if s.state.IsFinal() {
-		t.stopStranger(r, key)
-		return nil
-	}
 	st := t.step(s, key.task)
-	if st == nil || st.tasks[key.task.Index].done {
-		t.stopStranger(r, key)
-		return nil
+	if st == nil {
+		if st = s.detached(key.task); st == nil {
+			t.stopStranger(r, key)
+			return nil
+		}
 	}
 	k := &st.tasks[key.task.Index]
-	if len(k.runs) > 0 && !st.spec.Speculative {
-		t.stopStranger(r, key)
-		return nil
-	}
+	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	x := t.place(st, key.task.Index, r, key.run, now)
 	x.phase, x.confirmed, x.known = running, now, true
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
+	if unwanted {
+		t.stop(x, now, "not wanted")
+	}
 	return x
 }
 
+// detached returns a step of a submission that has ended, for runs that still
+// take up room.
+func (s *submission) detached(id submitter.TaskID) *stepState {
+	if !s.contains(id) {
+		return nil
+	}
+	spec := &s.sub.Steps[id.Step]
+	st := &stepState{s: s, occ: &occurrence{index: id.Occurrence}, index: id.Step, spec: spec, tasks: make([]task, spec.Count)}
+	for i := range st.tasks {
+		st.tasks[i].done = true
+	}
+	return st
+}
+
 func (t *Table) stopStranger(r *runner, key runKey) {
 	t.orders = append(t.orders, Order{Kind: Stop, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: key.task, Run: key.run})
 }
 
 // step finds the state of a task's step, setting up occurrences on the way.
 func (t *Table) step(s *submission, id submitter.TaskID) *stepState {
-	if id.Occurrence < 0 || id.Occurrence >= s.sub.Occurrences() || id.Step < 0 || id.Step >= len(s.sub.Steps) ||
-		id.Index < 0 || id.Index >= s.sub.Steps[id.Step].Count {
-		return nil
-	}
-	if s.state.IsFinal() {
-		return nil // its steps may have been dropped
+	if !s.contains(id) || s.state.IsFinal() {
+		return nil // the steps of a submission that has ended may be dropped
 	}
 	for s.opened <= id.Occurrence {
 		t.openNext(s)
@@ -170,7 +180,14 @@
 	return s.occs[id.Occurrence].steps[id.Step]
 }
 
-// missing ends confirmed runs that a runner no longer lists.
+// contains reports whether a submission has a task.
+func (s *submission) contains(id submitter.TaskID) bool {
+	return id.Occurrence >= 0 && id.Occurrence < s.sub.Occurrences() && id.Step >= 0 && id.Step < len(s.sub.Steps) &&
+		id.Index >= 0 && id.Index < s.sub.Steps[id.Step].Count
+}
+
+// missing ends confirmed runs that a runner no longer lists. A run that is
+// being stopped is not listed, but takes up room until its end is.
 func (t *Table) missing(r *runner, listed map[runKey]bool, ends int, sentAt, now time.Time) {
 	if ends >= maxEndsListed {
 		return
@@ -179,10 +196,19 @@
 		if listed[key] || !x.known || !x.confirmed.Before(sentAt) {
 			continue
 		}
+		if x.phase == stopping && sentAt.Sub(x.confirmed) < t.stopSpan() {
+			continue
+		}
 		t.end(x, now, "no longer listed")
 	}
 }
 
+// stopSlack is added to the longest time that a stop takes.
+const stopSlack = 150 * time.Millisecond
+
+// stopSpan returns the time after which a stop has taken effect.
+func (t *Table) stopSpan() time.Duration { return scaleDrift(t.limits.StopTimeout) + stopSlack }
+
 // maxEndsListed is the number of ends in one answer; more may follow.
 const maxEndsListed = 500
 
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -27,9 +27,10 @@
 	// listed is false once the registry has dropped the runner.
 	listed bool
 	// fenced is true once the runner has answered under the owner's token.
-	fenced bool
-	used   submitter.Resources
-	runs   map[runKey]*run
+	fenced   bool
+	fencedAt time.Time
+	used     submitter.Resources
+	runs     map[runKey]*run
 
 	heardAt  time.Time // when the newest answer arrived
 	clock    int64     // the runner's clock in that answer, ms
@@ -67,7 +68,7 @@
 
 func newRunner(info RunnerInfo) *runner {
 	return &runner{
-		info: info, runs: make(map[runKey]*run), strikes: make(map[string]bool),
+		info: info, runs: make(map[runKey]*run), strikes: make(map[string]bool), strangers: make(map[runKey]time.Time),
 		services: make(map[string]*stepState), servingOf: make(map[string]int), fillers: make(map[string]int64),
 	}
 }
@@ -133,7 +134,7 @@
 	r.fenced = false
 	r.heardAt, r.clock, r.maxUntil = time.Time{}, 0, 0
 	r.lastEnd, r.pending = 0, nil
-	r.strangers = nil
+	clear(r.strangers)
 	clear(r.strikes)
 	r.suspendedUntil = time.Time{}
 	r.halted = false
@@ -194,13 +195,19 @@
 		return true
 	}
 	for _, r := range t.runners {
-		if !r.fenced && now.Before(t.lapsedBy(r)) {
+		if !t.isKnown(r, now) && now.Before(t.lapsedBy(r)) {
 			return false
 		}
 	}
 	return true
 }
 
+// isKnown reports whether all that runs on a runner is in the table: its list
+// leaves out what an earlier owner was about to stop.
+func (t *Table) isKnown(r *runner, now time.Time) bool {
+	return r.fenced && (!t.inherited || now.Sub(r.fencedAt) >= t.stopSpan()) && len(r.strangers) == 0
+}
+
 func (r *runner) free() submitter.Resources { return r.info.Capacity.Minus(r.used) }
 
 func (r *runner) hasLabel(label string) bool { return slices.Contains(r.info.Labels, label) }
