Keep ends of submissions that are not known yet, and watch for short times

Cause: a new owner acknowledged ends of submissions that it had not heard of, and started their tasks again; watches that were cut without a word, as when the store forgets its history, hid changes for up to 16 s. Change: such ends wait for their submission; watches wait for about a second.

--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -138,8 +138,9 @@
 		return to, look, false
 	}
 	look = Look{Fence: c.opts.Fence, Wait: lookWait}
-	look.Until = c.table.LeaseUntil(id, time.Now())
-	look.Acked, _ = c.table.Acknowledgeable(id)
+	now := time.Now()
+	look.Until = c.table.LeaseUntil(id, now)
+	look.Acked, _ = c.table.Acknowledgeable(id, now)
 	switch {
 	case look.Until == 0:
 		look.Wait = 0
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -42,7 +42,7 @@
 	// loadTimeout bounds the reading of all records.
 	loadTimeout = 4 * time.Second
 	// followFor is how long a watch of the submissions waits.
-	followFor = 10 * time.Second
+	followFor = 3 * time.Second
 	// followPause gathers changes: peers report submissions faster.
 	followPause = time.Second
 )
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -35,10 +35,11 @@
 	renewEvery = 500 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 1200 * time.Millisecond
-	// watchFor is how long a watch of the record waits.
-	watchFor = 20 * time.Second
+	// watchFor is how long a watch of the record waits: a watch may be cut
+	// without a word.
+	watchFor = 1500 * time.Millisecond
 	// watchTimeout bounds a watch with its answer.
-	watchTimeout = watchFor + 2*time.Second
+	watchTimeout = watchFor + 700*time.Millisecond
 	// retryAfter is the pause after a failed call.
 	retryAfter = 250 * time.Millisecond
 )
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -216,15 +216,35 @@
 func (t *Table) ended(r *runner, e End, now time.Time) {
 	s := t.subs[e.Task.Submission]
 	if s == nil {
-		r.pending = append(r.pending, pendingEnd{n: e.N})
+		r.pending = append(r.pending, pendingEnd{n: e.N, unclaimed: &e, heardAt: now})
 		return
 	}
+	t.applyEnd(r, s, e, now)
+	r.pending = append(r.pending, pendingEnd{n: e.N, s: s, version: s.version})
+}
+
+// claimEnds takes in the ends of a submission that were listed before it was
+// known.
+func (t *Table) claimEnds(s *submission, now time.Time) {
+	for _, r := range t.runners {
+		for i := range r.pending {
+			p := &r.pending[i]
+			if p.unclaimed == nil || p.unclaimed.Task.Submission != s.sub.ID {
+				continue
+			}
+			t.applyEnd(r, s, *p.unclaimed, now)
+			p.unclaimed, p.s, p.version = nil, s, s.version
+		}
+	}
+}
+
+// applyEnd changes a submission by the end of one of its runs.
+func (t *Table) applyEnd(r *runner, s *submission, e End, now time.Time) {
 	if x, ok := r.runs[runKey{e.Task, e.Run}]; ok {
 		t.end(x, now, string(e.How))
 	}
 	st := t.step(s, e.Task)
-	if st == nil || s.state.IsFinal() {
-		r.pending = append(r.pending, pendingEnd{n: e.N, s: s, version: s.version})
+	if st == nil {
 		return
 	}
 	k := &st.tasks[e.Task.Index]
@@ -239,7 +259,6 @@
 		t.taskFailed(st, e.Task.Index, r, e.Run, now)
 	default:
 	}
-	r.pending = append(r.pending, pendingEnd{n: e.N, s: s, version: s.version})
 }
 
 // taskDone notes the end of a task.
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -214,13 +214,16 @@
 
 // Acknowledgeable returns the number up to which a runner's ends are durable.
 // It reports whether ends are left beyond it.
-func (t *Table) Acknowledgeable(id string) (n int64, more bool) {
+func (t *Table) Acknowledgeable(id string, now time.Time) (n int64, more bool) {
 	r, ok := t.runners[id]
 	if !ok {
 		return 0, false
 	}
 	for len(r.pending) > 0 {
 		p := r.pending[0]
+		if p.unclaimed != nil && now.Sub(p.heardAt) < strangerPatience {
+			return p.n - 1, true
+		}
 		if p.s != nil && p.s.saved < p.version && !p.s.cancelled {
 			return p.n - 1, true
 		}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -64,6 +64,9 @@
 	n       int64
 	s       *submission
 	version int64
+	// unclaimed is an end of a submission that is not known (yet).
+	unclaimed *End
+	heardAt   time.Time
 }
 
 func newRunner(info RunnerInfo) *runner {
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -123,6 +123,7 @@
 	}
 	if !s.state.IsFinal() {
 		t.open(s, now)
+		t.claimEnds(s, now)
 		t.settle(s, now)
 	}
 	t.recheck = true
