Fit pressures together, pack services by image, and look at the load ahead

Cause: corrections image by image wandered, so that images that press were taken for harmless and moved again and again; services spread over all runners left few places where nothing is disturbed. Change: least squares over all filling images of a service; services of one image fill runners up; a filling task also goes where the load is low now.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -20,6 +20,12 @@
 	lightLoad = 0.2
 	// unknownLoad is assumed of a service that was not measured yet.
 	unknownLoad = 0.6
+	// leastLoad is the least load that is believed of a service.
+	leastLoad = 0.1
+	// pressureDoubt is the error of a tail that is under no pressure.
+	pressureDoubt = 0.03
+	// loadGrowth is how much a load may grow while a filling task runs.
+	loadGrowth = 0.2
 	// loadMemory is how fast the peak of a service's load is forgotten, per
 	// second.
 	loadMemory = 0.01
@@ -83,8 +89,9 @@
 	return milliCores / float64(max(1, r.info.Capacity.MilliCores)) * referenceCores
 }
 
-// observe learns from one list of a runner. The load of a service is that of
-// its least disturbed task: callers are spread over the tasks of a step.
+// observe learns from one list of a runner. Each tail tells the sum of a
+// service's load, which is the same for all tasks of its step, and of the
+// pressure on its runner.
 func (d disturbance) observe(r *runner, now time.Time) {
 	cores := make(map[string]float64)
 	for _, x := range r.runs {
@@ -101,33 +108,41 @@
 			d.least[image] = x.measure
 		}
 		x.share, x.sharedAt = d.share(x.st, x.measure), now
+		x.pressure = 0
+		for filler, used := range cores {
+			x.pressure += d.learner.Of(image, filler) * used
+		}
 		load := x.st.load(now)
 		x.st.notePeak(load, now)
-		if len(cores) == 0 || (x.share > load && now.Sub(r.fillLeftAt) < measureSpan) {
+		if len(cores) == 0 || now.Sub(r.fillLeftAt) < measureSpan {
 			continue // what left may have raised the tail
 		}
 		lacked := x.share - load
-		if x.share > saturated {
-			lacked = max(lacked, 1-load)
+		if x.share > saturated && lacked < x.pressure {
+			continue // the pressure may be as high as expected
 		}
 		d.learner.Learn(image, lacked, cores)
 	}
 }
 
-// load returns the share that a service's own load takes now.
+// load estimates the share that a service's own load takes now, from all tasks
+// of its step; those under little pressure tell most.
 func (st *stepState) load(now time.Time) float64 {
-	least := math.Inf(1)
+	sum, weights := 0.0, 0.0
 	for i := range st.tasks {
 		for _, x := range st.tasks[i].runs {
-			if now.Sub(x.sharedAt) < 2*measureSpan {
-				least = min(least, x.share)
+			if now.Sub(x.sharedAt) > 2*measureSpan || x.share > saturated {
+				continue
 			}
+			weight := 1 / ((pressureDoubt + x.pressure) * (pressureDoubt + x.pressure))
+			sum += weight * (x.share - x.pressure)
+			weights += weight
 		}
 	}
-	if math.IsInf(least, 1) {
+	if weights == 0 {
 		return unknownLoad
 	}
-	return least
+	return min(unknownLoad+0.05, max(leastLoad, sum/weights))
 }
 
 // notePeak remembers the highest load of the last seconds.
@@ -136,15 +151,16 @@
 		st.peak = max(load, unknownLoad)
 	}
 	st.peak = max(load, st.peak-loadMemory*now.Sub(st.peakAt).Seconds())
-	st.peakAt = now
+	st.peakAt, st.lastLoad = now, load
 }
 
-// peakLoad returns the highest load to be expected of a service.
-func (st *stepState) peakLoad() float64 {
-	if st.peakAt.IsZero() {
+// loadAhead returns the highest load to be expected of a service while a
+// filling task runs.
+func (st *stepState) loadAhead(now time.Time) float64 {
+	if st.peakAt.IsZero() || now.Sub(st.peakAt) > 2*measureSpan {
 		return unknownLoad
 	}
-	return min(st.peak, unknownLoad+0.05)
+	return min(st.peak, unknownLoad+0.05, st.lastLoad+loadGrowth)
 }
 
 // isServing reports whether a run is at work and has a tail to be kept.
@@ -154,10 +170,10 @@
 
 // headroom returns which share of their capacity the services of a runner would
 // have left, below their targets, beside one more task of a filling step.
-func (d disturbance) headroom(r *runner, fill *stepState) float64 {
+func (d disturbance) headroom(r *runner, fill *stepState, now time.Time) float64 {
 	least := math.Inf(1)
 	for image, st := range r.services {
-		room := d.share(st, targetMillis(st)) - targetMargin - st.peakLoad()
+		room := d.share(st, targetMillis(st)) - targetMargin - st.loadAhead(now)
 		for other, milliCores := range r.fillers {
 			room -= d.learner.Of(image, other) * r.coresOf(float64(milliCores))
 		}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -158,7 +158,7 @@
 		if !t.allows(r, st, k, now) {
 			continue
 		}
-		score := t.score(r, st)
+		score := t.score(r, st, now)
 		if score > bestScore || (score == bestScore && r.info.ID < best.info.ID) {
 			best, bestScore = r, score
 		}
@@ -183,7 +183,7 @@
 		return false
 	case st.spec.Fills:
 		return !r.halted && r.spare() >= fillFloor*float64(r.fills+st.spec.MilliCores) &&
-			t.disturbed.headroom(r, st) >= 0
+			t.disturbed.headroom(r, st, now) >= 0
 	}
 	return true
 }
@@ -213,34 +213,38 @@
 	return spare
 }
 
-// Weights of a runner's rating, in shares of its capacity.
-const (
-	// strangerCost is the cost of a service beside services of other images:
-	// each image on a runner bars it to the filling images that disturb it.
-	strangerCost = 0.6
-	// emptyCost is the cost of the first service on a runner without any.
-	emptyCost = 0.3
-	// strikeCost is the cost of a failure that was not followed by a success.
-	strikeCost = 0.5
-)
+// strikeCost is the cost of a failure that was not followed by a success, in
+// shares of a runner's capacity.
+const strikeCost = 0.5
+
+// scoreService rates a runner for a service. Services of one image are packed
+// on the same runners: each image bars its runner to the filling images that
+// disturb it, and runners without any service are open to all.
+func (r *runner) scoreService(image string) float64 {
+	used := float64(r.used.MilliCores) / float64(max(1, r.info.Capacity.MilliCores))
+	strangers := len(r.services)
+	if r.servingOf[image] > 0 {
+		strangers--
+	}
+	switch {
+	case strangers > 0:
+		return used - float64(strangers)
+	case len(r.services) == 0:
+		return 1 - used
+	default:
+		return 2 + used
+	}
+}
 
 // score rates a runner for a task; the highest is taken.
-func (t *Table) score(r *runner, st *stepState) float64 {
+func (t *Table) score(r *runner, st *stepState, now time.Time) float64 {
 	capacity := float64(max(1, r.info.Capacity.MilliCores))
 	score := -strikeCost * float64(len(r.strikes))
 	switch {
 	case st.spec.Fills:
-		score += (r.spare()-float64(r.fills))/capacity + min(1, 2*t.disturbed.headroom(r, st))
+		score += (r.spare()-float64(r.fills))/capacity + min(1, 2*t.disturbed.headroom(r, st, now))
 	case st.spec.TailTarget > 0:
-		// Services of one image share runners, and leave others to the rest.
-		score += float64(r.free().MilliCores) / capacity
-		strangers := len(r.services)
-		if r.servingOf[st.spec.Image] > 0 {
-			strangers--
-		} else if strangers == 0 {
-			score -= emptyCost
-		}
-		score -= strangerCost * float64(strangers)
+		score += r.scoreService(st.spec.Image)
 	default:
 		score += float64(r.free().MilliCores)/capacity - 0.2*float64(r.fills)/capacity
 	}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -51,8 +51,9 @@
 	// blockedAt is when the step last found no room.
 	blockedAt time.Time
 	// peak is the highest recent load of a step that serves.
-	peak   float64
-	peakAt time.Time
+	peak     float64
+	lastLoad float64
+	peakAt   time.Time
 }
 
 // A task is one unit of work.
@@ -90,6 +91,7 @@
 	hasRow    bool
 	// share is the share of a service's capacity that its tail says is taken.
 	share    float64
+	pressure float64 // expected of what fills beside it
 	sharedAt time.Time
 	pace     int
 	// overSince is when a serving task's tail was first seen over its target.
--- a/internal/version/isolator/pressure.go
+++ b/internal/version/isolator/pressure.go
@@ -1,41 +1,48 @@
 package isolator
 
-import "math"
-
 // Figures of the learning of pressures, in shares of a service's capacity.
 const (
 	// priorPressure is assumed of a pair that was never measured, per core.
 	priorPressure = 0.025
-	// minPressure and maxPressure bound what is learnt.
-	minPressure = 0.001
-	maxPressure = 0.4
-	// pressureRate is the share of a relative error that one measurement
-	// corrects.
-	pressureRate = 0.35
-	// pressureNoise is the error that is taken as a whole one.
-	pressureNoise = 0.08
-	// maxFall and maxRise bound the logarithm of one correction.
-	maxFall = 0.4
-	maxRise = 0.6
+	// priorDoubt is the standard deviation of that assumption.
+	priorDoubt = 0.03
+	// tailDoubt is the standard deviation of one measured share.
+	tailDoubt = 0.15
+	// keptEvidence is the share of what was learnt that one measurement keeps:
+	// pressures change with time.
+	keptEvidence = 0.9995
+	// maxImages bounds the batch images learnt of for one service.
+	maxImages = 32
 )
 
-// A Pressures estimates how much of a service's capacity batch images take on
-// the same host, in proportion to the cores that they use. Most pairs press not
-// at all and a few very much, so corrections are multiplicative: an image that
-// was seen beside calm tails is blamed little for a high one. It is not safe
-// for concurrent use.
+// A Pressures estimates which share of a service's capacity batch images take
+// on the same host, per core that they use. It fits the images of each service
+// together, by recursive least squares, so that an image is not blamed for what
+// others beside it cause. It is not safe for concurrent use.
 type Pressures struct {
-	known map[pair]float64
+	fits map[string]*fit
+}
+
+// A fit is the regression of one service.
+type fit struct {
+	index    map[string]int
+	pressure []float64
+	// doubt is the covariance of the pressures.
+	doubt [][]float64
+	// cores and gain are scratch space of Learn.
+	cores, gain []float64
 }
 
 // NewPressures returns estimates of nothing yet.
-func NewPressures() *Pressures { return &Pressures{known: make(map[pair]float64)} }
+func NewPressures() *Pressures { return &Pressures{fits: make(map[string]*fit)} }
 
 // Of returns the share of a service's capacity that a batch image takes per
 // core that it uses.
 func (p *Pressures) Of(service, batch string) float64 {
-	if known, ok := p.known[pair{service, batch}]; ok {
-		return known
+	if f, ok := p.fits[service]; ok {
+		if i, ok := f.index[batch]; ok {
+			return max(0, f.pressure[i])
+		}
 	}
 	return priorPressure
 }
@@ -43,18 +50,76 @@
 // Learn takes in the share that a service lacked beside the cores used by
 // batch image.
 func (p *Pressures) Learn(service string, lacked float64, cores map[string]float64) {
-	expected, most := 0.0, 0.0
+	f, ok := p.fits[service]
+	if !ok {
+		f = &fit{index: make(map[string]int)}
+		p.fits[service] = f
+	}
+	f.learn(lacked, cores)
+}
+
+func (f *fit) learn(lacked float64, cores map[string]float64) {
+	for batch := range cores {
+		f.add(batch)
+	}
+	clear(f.cores)
+	expected := 0.0
 	for batch, used := range cores {
-		expected += p.Of(service, batch) * used
-		most = max(most, used)
+		if i, ok := f.index[batch]; ok {
+			f.cores[i] = used
+			expected += f.pressure[i] * used
+		}
+	}
+	variance := tailDoubt * tailDoubt
+	for i, row := range f.doubt {
+		f.gain[i] = 0
+		for j, used := range f.cores {
+			f.gain[i] += row[j] * used
+		}
+		variance += f.cores[i] * f.gain[i]
+	}
+	miss := lacked - expected
+	for i := range f.pressure {
+		f.pressure[i] += f.gain[i] / variance * miss
 	}
-	if most <= 0 {
+	f.narrow(variance)
+}
+
+// narrow lowers the doubt by one measurement and lets it grow with time.
+func (f *fit) narrow(variance float64) {
+	for i, row := range f.doubt {
+		for j := range row {
+			row[j] -= f.gain[i] * f.gain[j] / variance
+		}
+		for j := range row {
+			row[j] /= keptEvidence
+		}
+		if row[i] > priorDoubt*priorDoubt {
+			f.forget(i)
+		}
+	}
+}
+
+// forget bounds the doubt of an image that was not seen for long.
+func (f *fit) forget(i int) {
+	for j := range f.doubt {
+		f.doubt[i][j], f.doubt[j][i] = 0, 0
+	}
+	f.doubt[i][i] = priorDoubt * priorDoubt
+}
+
+// add makes room for a batch image.
+func (f *fit) add(batch string) {
+	if _, ok := f.index[batch]; ok || len(f.index) >= maxImages {
 		return
 	}
-	miss := pressureRate * (max(0, lacked) - expected) / max(expected, pressureNoise)
-	miss = min(maxRise, max(-maxFall, miss))
-	for batch, used := range cores {
-		corrected := p.Of(service, batch) * math.Exp(miss*used/most)
-		p.known[pair{service, batch}] = min(maxPressure, max(minPressure, corrected))
+	i := len(f.pressure)
+	f.index[batch] = i
+	f.pressure = append(f.pressure, priorPressure)
+	f.cores, f.gain = append(f.cores, 0), append(f.gain, 0)
+	for j := range f.doubt {
+		f.doubt[j] = append(f.doubt[j], 0)
 	}
+	f.doubt = append(f.doubt, make([]float64, i+1))
+	f.doubt[i][i] = priorDoubt * priorDoubt
 }
