Move only as many filling tasks as a tail over its target takes

Cause: all images to blame were moved at once, and half a second late. Change: the largest pressures go first, until the tail is expected under its target; more of the target is kept free at placement.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -1,7 +1,9 @@
 package dispatcher
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,10 +33,13 @@
 	loadMemory = 0.01
 	// targetMargin is kept between the predicted share and that at which a
 	// tail reaches its target.
-	targetMargin = 0.05
+	targetMargin = 0.09
 	// culpritShare is the pressure from which a filling image counts as a cause
 	// of a tail over its target.
-	culpritShare = 0.04
+	culpritShare = 0.03
+	// reliefMargin is how far below its target a tail that was over it is
+	// brought.
+	reliefMargin = 0.03
 	// saturated is the share above which tails tell no more than that it is
 	// high.
 	saturated = 0.93
@@ -42,8 +47,6 @@
 
 // Times of the reaction to tails over their target.
 const (
-	// moveAfter is the time after which the causes are moved or paced.
-	moveAfter = 400 * time.Millisecond
 	// haltShare is the share of the tolerated time after which all filling
 	// tasks on the runner halt.
 	haltShare = 0.45
@@ -244,18 +247,41 @@
 	}
 	if over := now.Sub(since); over >= time.Duration(haltShare*float64(t.limits.HarmAfter)) {
 		t.halt(r, now)
-	} else if over >= moveAfter || worst > 2 {
+	} else {
 		t.moveCulprits(r, now)
 	}
 }
 
-// moveCulprits stops the filling tasks to blame that keep their progress, and
-// halts the others.
+// moveCulprits stops as many of the filling tasks to blame as it takes to bring
+// the worst tail under its target. Those that would lose their progress halt.
 func (t *Table) moveCulprits(r *runner, now time.Time) {
-	for _, x := range r.sorted() {
-		if !x.st.spec.Fills || x.phase == stopping || x.pace == 0 || !t.isCulprit(r, x) {
+	worst, excess := t.worstService(r, now)
+	if worst == nil {
+		return
+	}
+	image := worst.st.spec.Image
+	var fills []*run
+	press := func(x *run) float64 {
+		return t.disturbed.learner.Of(image, x.st.spec.Image) * r.coresOf(float64(x.st.spec.MilliCores))
+	}
+	for _, x := range r.runs {
+		if !x.st.spec.Fills {
 			continue
 		}
+		if x.phase == stopping || x.pace == 0 {
+			excess -= press(x) // its effect is still in the tail
+		} else {
+			fills = append(fills, x)
+		}
+	}
+	slices.SortFunc(fills, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(press(b), press(a)), b.startedAt.Compare(a.startedAt))
+	})
+	for _, x := range fills {
+		if excess <= 0 || press(x) < culpritShare {
+			return
+		}
+		excess -= press(x)
 		if x.st.spec.Checkpointing {
 			t.stop(x, now, "disturbs a service")
 		} else {
@@ -265,17 +291,23 @@
 	}
 }
 
-// isCulprit reports whether an image presses noticeably on a service whose
-// tail is over its target.
-func (t *Table) isCulprit(r *runner, fill *run) bool {
-	cores := r.coresOf(float64(r.fillers[fill.st.spec.Image]))
+// worstService returns the service furthest over its target, and by which share
+// of its capacity the pressure has to fall.
+func (t *Table) worstService(r *runner, now time.Time) (worst *run, excess float64) {
 	for _, x := range r.runs {
-		if x.isServing() && !x.overSince.IsZero() &&
-			t.disturbed.learner.Of(x.st.spec.Image, fill.st.spec.Image)*cores >= culpritShare {
-			return true
+		if !x.isServing() || x.overSince.IsZero() {
+			continue
+		}
+		share := x.share
+		if share > saturated {
+			share = max(share, x.st.load(now)+x.pressure)
+		}
+		over := share - t.disturbed.share(x.st, targetMillis(x.st)) + reliefMargin
+		if over > excess {
+			worst, excess = x, over
 		}
 	}
-	return false
+	return worst, excess
 }
 
 // halt paces every filling task on a runner down to nothing.
