--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -124,6 +124,9 @@
 // IsReady reports whether clients may be sent here.
 func (s *Scheduler) IsReady() bool { return s.routes.Load() != nil && !s.draining.Load() }
 
+// IsOwner reports whether this daemon serves as the owner.
+func (s *Scheduler) IsOwner() bool { return s.owner.Load() != nil }
+
 // IsDraining reports whether the daemon is about to stop.
 func (s *Scheduler) IsDraining() bool { return s.draining.Load() }
 
