Grant adopted runs the longest lease of the former owner

Change: the first answer under an owner counts as a renewal to the longest lease. TestAdoptedRunsKeepTheLeaseOfTheFormerOwner failed before.

--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -59,6 +59,10 @@
 	if !ok || (lifetime != 0 && lifetime != r.info.Lifetime) {
 		return
 	}
+	if r.heardAt.IsZero() {
+		// A former owner may have renewed the lease just before.
+		r.maxUntil = max(r.maxUntil, clock+t.limits.MaxLease.Milliseconds())
+	}
 	if clock >= r.clock {
 		r.clock, r.heardAt = clock, now
 	}
--- /dev/null
+++ b/internal/version/dispatcher/takeover_test.go
@@ -0,0 +1,119 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// inherited returns a bench whose owner follows another one, with a submission
+// of one task that the former owner was given.
+func inherited(t *testing.T, runners int) (b *bench, task submitter.TaskID) {
+	b = newBench(t, 1, runners)
+	b.add("a", "urgent", oneCore(1))
+	return b, submitter.TaskID{Submission: "a"}
+}
+
+func TestNewOwnerWaitsForEveryRunner(t *testing.T) {
+	b, _ := inherited(t, 2)
+	b.look("r0")
+	b.pass(time.Second)
+	b.look("r0")
+	assertStarts(t, b.starts(), 0)
+
+	t.Run("until it has answered", func(t *testing.T) {
+		b.look("r1")
+		b.pass(time.Second)
+		assertStarts(t, b.starts(), 1)
+	})
+}
+
+func TestNewOwnerWaitsForLeasesOfSilentRunners(t *testing.T) {
+	b, _ := inherited(t, 2)
+	for range 5 {
+		b.look("r0")
+		assertStarts(t, b.starts(), 0)
+		b.pass(time.Second)
+	}
+	b.look("r0")
+	b.pass(1500 * time.Millisecond)
+	assertStarts(t, b.starts(), 1)
+}
+
+func TestNewOwnerWaitsForStopsUnderWay(t *testing.T) {
+	b, _ := inherited(t, 1)
+	b.look("r0")
+	b.pass(300 * time.Millisecond)
+	b.look("r0")
+	assertStarts(t, b.starts(), 0)
+	b.pass(400 * time.Millisecond)
+	b.look("r0")
+	assertStarts(t, b.starts(), 1)
+}
+
+// Seen in hunt-0c8a-15 of sdg-sched: the second look at a runner took longer
+// than 150 ms, and all that ran there was started again elsewhere.
+func TestAdoptedRunsKeepTheLeaseOfTheFormerOwner(t *testing.T) {
+	b, task := inherited(t, 2)
+	b.lists["r0"] = []RunStatus{{Task: task, Run: 1}}
+	b.lookAll(2)
+	for range 4 {
+		b.pass(time.Second)
+		b.look("r1")
+		assertStarts(t, b.starts(), 0)
+	}
+	b.pass(2500 * time.Millisecond)
+	b.look("r1")
+	assertStarts(t, b.starts(), 1)
+}
+
+// Seen in trouble-1 of ptkp-sched: the end was acknowledged and forgotten, and
+// the task ran a second time.
+func TestEndsOfUnknownSubmissionsAreKept(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.look("r0", End{Task: submitter.TaskID{Submission: "a"}, Run: 1, How: Done})
+	if acked, _ := b.table.Acknowledgeable("r0", b.now); acked != 0 {
+		t.Fatalf("acknowledged up to %d", acked)
+	}
+	b.pass(time.Second)
+	b.look("r0")
+	b.add("a", "urgent", oneCore(1))
+	assertStarts(t, b.starts(), 0)
+	records := b.table.Unsaved(10)
+	if len(records) != 1 || records[0].Progress.State != submitter.Complete {
+		t.Fatalf("records %+v", records)
+	}
+	t.Run("acknowledged once durable", func(t *testing.T) {
+		b.table.Saved(records)
+		if acked, _ := b.table.Acknowledgeable("r0", b.now); acked != 1 {
+			t.Errorf("acknowledged up to %d", acked)
+		}
+	})
+}
+
+func TestRunsOfEndedSubmissionsTakeUpRoom(t *testing.T) {
+	b := newBench(t, 1, 1)
+	sub := &submitter.Submission{ID: "old", Queue: "urgent", Steps: []submitter.Step{oneCore(8)}}
+	b.table.Add(sub, &submitter.Progress{State: submitter.Cancelled}, b.now)
+	for i := range 8 {
+		b.lists["r0"] = append(b.lists["r0"], RunStatus{Task: submitter.TaskID{Submission: "old", Index: i}, Run: 1})
+	}
+	b.look("r0")
+	b.pass(600 * time.Millisecond)
+	b.look("r0")
+	b.add("new", "urgent", oneCore(1))
+	assertStarts(t, b.starts(), 0)
+}
+
+func TestRunNumbersOfOwnersNeverMeet(t *testing.T) {
+	b, _ := inherited(t, 1)
+	b.look("r0")
+	b.pass(time.Second)
+	b.look("r0")
+	orders := b.starts()
+	assertStarts(t, orders, 1)
+	if orders[0].Run <= runsPerGeneration {
+		t.Errorf("run %d may have been started by the former owner", orders[0].Run)
+	}
+}
