Bound how long an owner goes on without the store; keep what was learnt

Cause: an owner cut off together with some runners could renew their leases for ever, while its successor started the same tasks elsewhere; each change of owner forgot which images disturb each other; while the store was away, requests were held until their time was nearly up; rolling restarts moved ownership many times. Change: an owner that can't confirm its record for 10 s ends its term, and a successor waits as long for silent runners, unless the former process says that it has ended; pressures are kept in the store; submissions are refused at once while the store is away; younger daemons campaign first.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -24,6 +24,7 @@
 	cancelPath     = "/owner/cancel"
 	statePath      = "/owner/state"
 	pendingPath    = "/owner/pending"
+	termPath       = "/owner/term"
 )
 
 // Bounds of the protocol.
@@ -65,6 +66,13 @@
 	Pending int `json:"pending"`
 }
 
+// A termAnswer says which process a daemon is and whether it serves as the
+// owner.
+type termAnswer struct {
+	Instance string `json:"instance"`
+	Serves   bool   `json:"serves"`
+}
+
 // A Client calls the owner. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
@@ -114,6 +122,13 @@
 	return answer.Pending, err
 }
 
+// Term asks a daemon which process it is and whether it serves as the owner.
+func (c *Client) Term(ctx context.Context, address string) (instance string, serves bool, err error) {
+	var answer termAnswer
+	err = c.call(ctx, http.MethodGet, address, termPath, "", nil, &answer)
+	return answer.Instance, answer.Serves, err
+}
+
 func (c *Client) call(ctx context.Context, method, address, path, name string, body []byte, answer any) (err error) {
 	defer func() {
 		if err != nil {
@@ -153,8 +168,11 @@
 
 // NewHandler serves the protocol. The function returns nil while the daemon is
 // not the owner.
-func NewHandler(owner func() Owner) http.Handler {
+func NewHandler(instance string, owner func() Owner) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+termPath, func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, termAnswer{Instance: instance, Serves: owner() != nil})
+	})
 	handle := func(path string, serve func(o Owner, name string, w http.ResponseWriter, r *http.Request)) {
 		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
 			o := owner()
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -67,6 +67,8 @@
 	OwnerKey   string
 	Fence      int64
 	Generation int64
+	// FormerEnd is the time by which the owner before has stopped.
+	FormerEnd time.Time
 	// Deposed is called once another owner has been seen.
 	Deposed func(reason string)
 }
@@ -110,6 +112,7 @@
 		saved:   make(chan struct{}),
 		orders:  make(chan struct{}, maxOrdersUnderWay),
 	}
+	c.table.FormerUntil(opts.FormerEnd)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.table.SetQueues(world.Queues)
 	c.table.SetEvacuated(world.Evacuated)
@@ -119,6 +122,7 @@
 		return nil, err
 	}
 	c.goPart(c.save)
+	c.goPart(c.remember)
 	c.goPart(c.tick)
 	c.goPart(func() { c.opts.Registry.Follow(c.ctx, c.setRunners) })
 	c.goPart(func() { c.follow(revision) })
@@ -150,6 +154,11 @@
 	})
 }
 
+// FormerEnded takes note that the owner before has stopped.
+func (c *Conductor) FormerEnded() {
+	c.apply(func(t *dispatcher.Table, now time.Time) { t.FormerEnded(now) })
+}
+
 // Submit takes in an accepted submission.
 func (c *Conductor) Submit(sub *submitter.Submission) {
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.Add(sub, nil, now) })
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -81,6 +81,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recall(ctx)
 	c.takeWork(work, progress, time.Now())
 	return revision, nil
 }
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,15 @@
 	watchFor = 1500 * time.Millisecond
 	// watchTimeout bounds a watch with its answer.
 	watchTimeout = watchFor + 700*time.Millisecond
+	// MaxUnconfirmed is how long an owner goes on that can't confirm its record
+	// in the store. A successor that can't tell that the owner has ended counts
+	// on that.
+	MaxUnconfirmed = 10 * time.Second
+	// youth is the age from which daemons let younger ones go ahead, by
+	// seniorityStep for each doubling, up to maxSeniority.
+	youth         = 2 * time.Second
+	seniorityStep = 30 * time.Millisecond
+	maxSeniority  = 180 * time.Millisecond
 	// retryAfter is the pause after a failed call.
 	retryAfter = 250 * time.Millisecond
 )
@@ -63,22 +73,24 @@
 	Store    transactor.Store
 	Instance string
 	Address  string
-	// Delay is the daemon's head start handicap in an election, so that not
-	// all campaign at once.
+	// Delay tells daemons of the same age apart in an election, so that not all
+	// campaign at once.
 	Delay    time.Duration
 	Recorder recorder.Recorder
-	// Serve runs the duties of an owner until its context ends.
-	Serve func(ctx context.Context, owner Owner, reclaimed bool)
+	// Serve runs the duties of an owner until its context ends. The former owner
+	// may go on for MaxUnconfirmed if it can't reach the store.
+	Serve func(ctx context.Context, owner, former Owner)
 }
 
 // An Elector watches the record and campaigns when the owner is gone.
 type Elector struct {
-	opts    Options
-	current atomic.Pointer[Owner]
-	lease   int64
-	kick    chan struct{}
-	done    sync.WaitGroup
-	stop    context.CancelFunc
+	opts      Options
+	current   atomic.Pointer[Owner]
+	startedAt time.Time
+	lease     int64
+	kick      chan struct{}
+	done      sync.WaitGroup
+	stop      context.CancelFunc
 
 	mu       sync.Mutex
 	resigned bool
@@ -87,7 +99,7 @@
 
 // New returns an elector that is not running yet.
 func New(opts Options) *Elector {
-	e := &Elector{opts: opts, kick: make(chan struct{}, 1)}
+	e := &Elector{opts: opts, kick: make(chan struct{}, 1), startedAt: time.Now()}
 	e.current.Store(&Owner{})
 	return e
 }
@@ -143,7 +155,7 @@
 		}
 		e.current.Store(&owner)
 		if !owner.Present && !e.hasResigned() {
-			if pauser.Sleep(ctx, e.opts.Delay) {
+			if pauser.Sleep(ctx, e.opts.Delay+seniority(time.Since(e.startedAt))) {
 				e.campaign(ctx, owner)
 			}
 			continue
@@ -197,6 +209,15 @@
 	_ = events // the record is read again as a whole
 }
 
+// seniority is the time that a daemon of an age lets younger ones go ahead.
+//
+// Load: rolling restarts. The daemon that was restarted last is the one that
+// will be restarted last again, so ownership moves once and not with every
+// restart.
+func seniority(age time.Duration) time.Duration {
+	return min(maxSeniority, time.Duration(math.Log2(1+age.Seconds()/youth.Seconds())*float64(seniorityStep)))
+}
+
 // campaign tries to become the owner, and serves the term if it does.
 func (e *Elector) campaign(ctx context.Context, last Owner) {
 	owner, err := e.claim(ctx, last)
@@ -208,7 +229,7 @@
 		}
 		return
 	}
-	e.term(ctx, owner)
+	e.term(ctx, owner, last)
 }
 
 // claim writes the record and the presence key.
@@ -234,7 +255,7 @@
 }
 
 // term serves as the owner until deposed or closed.
-func (e *Elector) term(ctx context.Context, owner Owner) {
+func (e *Elector) term(ctx context.Context, owner, former Owner) {
 	term, end := context.WithCancel(ctx)
 	defer end()
 	e.mu.Lock()
@@ -254,7 +275,7 @@
 		defer parts.Done()
 		e.observe(term, owner)
 	}()
-	e.opts.Serve(term, owner, owner.Generation > 0)
+	e.opts.Serve(term, owner, former)
 	end()
 	parts.Wait()
 	e.mu.Lock()
@@ -265,11 +286,19 @@
 
 // renew keeps the presence key alive, and writes it again if it was lost.
 func (e *Elector) renew(ctx context.Context, owner Owner) {
+	confirmed := bootTime()
 	for pauser.Sleep(ctx, renewEvery) {
+		asked := bootTime()
 		err := e.keep(ctx, owner)
+		if err != nil && bootTime()-confirmed > MaxUnconfirmed {
+			e.Depose(time.Now(), "record could not be confirmed")
+			return
+		}
 		var conflict *transactor.ConflictError
 		switch {
-		case err == nil || ctx.Err() != nil:
+		case ctx.Err() != nil:
+		case err == nil:
+			confirmed = asked
 		case errors.As(err, &conflict) && conflict.Find(recordKey).Revision != owner.Fence:
 			e.Depose(time.Now(), "another owner's record")
 		default:
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -35,9 +35,9 @@
 	// storeTimeout bounds one call to the store.
 	storeTimeout = 700 * time.Millisecond
 	// storeTries bounds calls to a store that answers that it did nothing.
-	storeTries = 3
+	storeTries = 2
 	// unknownTries bounds calls that resolve an unknown outcome.
-	unknownTries = 4
+	unknownTries = 2
 	// storePause is the pause between tries.
 	storePause = 120 * time.Millisecond
 	// ownerTimeout bounds one call to the owner.
@@ -60,6 +60,8 @@
 	Recorder recorder.Recorder
 	// Local returns the owner's duties if this process has them, else nil.
 	Local func() relayer.Owner
+	// IsStoreLost reports whether the store did not answer lately.
+	IsStoreLost func() bool
 }
 
 // A Gateway serves clients. It is safe for concurrent use.
@@ -89,6 +91,9 @@
 func (g *Gateway) Submit(ctx context.Context, sub submitter.Submission) (err error) {
 	began := time.Now()
 	defer func() { g.recordSubmit(&sub, began, err) }()
+	if g.opts.IsStoreLost() {
+		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
+	}
 	stamped := sub.WithOwner(g.opts.Elector.Current().Fence)
 	value, err := stamped.Encode()
 	if err != nil {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -33,6 +33,8 @@
 // a callback.
 type Declarations interface {
 	Follow(ctx context.Context, deliver func(Declared))
+	// IsStoreLost reports whether the store did not answer lately.
+	IsStoreLost() bool
 }
 
 // Options are the parts and settings of a scheduler.
@@ -53,10 +55,17 @@
 // retryLoad is the pause before a new owner tries again to load the records.
 const retryLoad = 200 * time.Millisecond
 
+// Times of asking a former owner whether it has stopped.
+const (
+	askFormer = 250 * time.Millisecond
+	askAgain  = 200 * time.Millisecond
+)
+
 // A Scheduler is one daemon. It is safe for concurrent use.
 type Scheduler struct {
 	opts     Options
 	metrics  *conductor.Metrics
+	client   *relayer.Client
 	gateway  *gateway.Gateway
 	elector  *elector.Elector
 	routes   atomic.Pointer[gateway.Routes]
@@ -71,7 +80,7 @@
 
 // Start runs a scheduler until Close.
 func Start(ctx context.Context, opts Options) (s *Scheduler, err error) {
-	s = &Scheduler{opts: opts, metrics: conductor.NewMetrics(opts.Metrics)}
+	s = &Scheduler{opts: opts, metrics: conductor.NewMetrics(opts.Metrics), client: relayer.NewClient(opts.Dial)}
 	listener, err := net.Listen("tcp", opts.PeerAddress)
 	if err != nil {
 		return nil, err
@@ -82,9 +91,10 @@
 		Recorder: opts.Recorder, Serve: s.serveOwner,
 	})
 	s.gateway = gateway.New(gateway.Options{
-		Store: opts.Store, Elector: s.elector, Peers: relayer.NewClient(opts.Dial), Recorder: opts.Recorder, Local: s.local,
+		Store: opts.Store, Elector: s.elector, Peers: s.client, Recorder: opts.Recorder, Local: s.local,
+		IsStoreLost: opts.Declarations.IsStoreLost,
 	})
-	s.peers = &http.Server{Handler: relayer.NewHandler(s.local), ReadHeaderTimeout: 5 * time.Second}
+	s.peers = &http.Server{Handler: relayer.NewHandler(opts.Instance, s.local), ReadHeaderTimeout: 5 * time.Second}
 	s.goPart(func() { _ = s.peers.Serve(listener) })
 	s.goPart(func() { opts.Declarations.Follow(ctx, s.declare) })
 	s.elector.Run(ctx)
@@ -166,14 +176,32 @@
 	return s.declared.World
 }
 
+// hasEnded asks the daemon of a former owner whether its process was replaced
+// or serves no more.
+func (s *Scheduler) hasEnded(ctx context.Context, former elector.Owner) bool {
+	ctx, cancel := context.WithTimeout(ctx, askFormer)
+	defer cancel()
+	instance, serves, err := s.client.Term(ctx, former.Address)
+	return err == nil && (instance != former.Instance || !serves)
+}
+
 // serveOwner runs the duties of an owner for one term.
-func (s *Scheduler) serveOwner(ctx context.Context, owner elector.Owner, _ bool) {
+func (s *Scheduler) serveOwner(ctx context.Context, owner, former elector.Owner) {
+	formerEnd := time.Now()
+	if former.Fence > 0 && former.Address != s.opts.PeerAddress {
+		formerEnd = formerEnd.Add(elector.MaxUnconfirmed)
+	}
 	opts := conductor.Options{
 		Limits: s.opts.Limits, Store: s.opts.Store, Agents: s.opts.Agents, Registry: s.opts.Registry,
 		Recorder: s.opts.Recorder, Metrics: s.metrics, OwnerKey: elector.RecordKey,
-		Fence: owner.Fence, Generation: owner.Generation,
+		Fence: owner.Fence, Generation: owner.Generation, FormerEnd: formerEnd,
 		Deposed: func(reason string) { s.elector.Depose(time.Now(), reason) },
 	}
+	s.parts.Add(1)
+	go func() {
+		defer s.parts.Done()
+		s.settleFormer(ctx, former, formerEnd)
+	}()
 	for ctx.Err() == nil {
 		c, err := conductor.Start(ctx, opts, s.world())
 		if err != nil {
@@ -189,3 +217,15 @@
 		c.Close()
 	}
 }
+
+// settleFormer asks a former owner whether it has stopped, so that what may run
+// on silent runners need not wait for longest.
+func (s *Scheduler) settleFormer(ctx context.Context, former elector.Owner, formerEnd time.Time) {
+	for ctx.Err() == nil && time.Now().Before(formerEnd) {
+		if c := s.owner.Load(); c != nil && s.hasEnded(ctx, former) {
+			c.FormerEnded()
+			return
+		}
+		pauser.Sleep(ctx, askAgain)
+	}
+}
--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -352,3 +353,24 @@
 		t.paceRun(x, o.Percent, now)
 	}
 }
+
+// A Memory is what an owner has learnt and its successors should know.
+type Memory struct {
+	Pressures []isolator.Learnt  `json:"pressures"`
+	LeastTail map[string]float64 `json:"leastTail"`
+}
+
+// Memory returns what was learnt.
+func (t *Table) Memory() Memory {
+	return Memory{Pressures: t.disturbed.learner.Learnt(), LeastTail: maps.Clone(t.disturbed.least)}
+}
+
+// Remember takes over what a former owner has learnt.
+func (t *Table) Remember(m Memory) {
+	t.disturbed.learner.Restore(m.Pressures)
+	for image, tail := range m.LeastTail {
+		if tail > 0 {
+			t.disturbed.least[image] = tail
+		}
+	}
+}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -163,12 +163,28 @@
 // is not renewed, late orders included.
 func (t *Table) lapsedBy(r *runner) time.Time {
 	if r.heardAt.IsZero() {
-		return t.ownedSince.Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
+		return t.formerEnd.Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
 	}
 	left := time.Duration(max(0, r.maxUntil-r.clock)) * time.Millisecond
 	return r.heardAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
 }
 
+// FormerUntil sets the time up to which a former owner may have renewed leases
+// at runners that this owner does not reach.
+func (t *Table) FormerUntil(end time.Time) {
+	if end.After(t.formerEnd) {
+		t.formerEnd = end
+	}
+}
+
+// FormerEnded takes note that the former owner has stopped.
+func (t *Table) FormerEnded(now time.Time) {
+	if now.Before(t.formerEnd) {
+		t.formerEnd = now
+		t.recheck = true
+	}
+}
+
 // scaleDrift stretches a time on a runner's clock to the longest real time.
 func scaleDrift(d time.Duration) time.Duration {
 	return time.Duration(float64(d) / (1 - clockDrift))
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -54,8 +54,10 @@
 	fence      int64
 	generation int64
 	ownedSince time.Time
-	inherited  bool
-	rec        recorder.Recorder
+	// formerEnd is the time up to which a former owner may have renewed leases.
+	formerEnd time.Time
+	inherited bool
+	rec       recorder.Recorder
 
 	queues    map[string]Queue
 	runners   map[string]*runner
@@ -85,6 +87,7 @@
 		fence:      fence,
 		generation: generation,
 		ownedSince: now,
+		formerEnd:  now,
 		inherited:  generation > 0,
 		rec:        rec,
 		queues:     make(map[string]Queue),
--- a/internal/version/isolator/pressure.go
+++ b/internal/version/isolator/pressure.go
@@ -123,3 +123,45 @@
 	f.doubt = append(f.doubt, make([]float64, i+1))
 	f.doubt[i][i] = priorDoubt * priorDoubt
 }
+
+// A Learnt is what a Pressures knows of one service, in a form to be kept.
+type Learnt struct {
+	Service string      `json:"service"`
+	Images  []string    `json:"images"`
+	Press   []float64   `json:"press"`
+	Doubt   [][]float64 `json:"doubt"`
+}
+
+// Learnt returns what is known.
+func (p *Pressures) Learnt() []Learnt {
+	list := make([]Learnt, 0, len(p.fits))
+	for service, f := range p.fits {
+		images := make([]string, len(f.pressure))
+		for image, i := range f.index {
+			images[i] = image
+		}
+		list = append(list, Learnt{Service: service, Images: images, Press: f.pressure, Doubt: f.doubt})
+	}
+	return list
+}
+
+// Restore takes over what another Pressures knew. Parts that don't fit together
+// are left out.
+func (p *Pressures) Restore(list []Learnt) {
+	for _, known := range list {
+		n := len(known.Images)
+		if len(known.Press) != n || len(known.Doubt) != n || n > maxImages {
+			continue
+		}
+		f := &fit{index: make(map[string]int), pressure: known.Press, doubt: known.Doubt,
+			cores: make([]float64, n), gain: make([]float64, n)}
+		square := true
+		for i, image := range known.Images {
+			f.index[image] = i
+			square = square && len(known.Doubt[i]) == n
+		}
+		if square {
+			p.fits[known.Service] = f
+		}
+	}
+}
