--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -288,8 +288,10 @@
 }
 
 func (g *Gateway) recordSubmit(sub *submitter.Submission, began time.Time, err error) {
-	fields := recorder.Fields{"id": sub.ID, "queue": sub.Queue, "steps": strconv.Itoa(len(sub.Steps)),
-		"tookMs": strconv.FormatInt(time.Since(began).Milliseconds(), 10)}
+	fields := recorder.Fields{
+		"id": sub.ID, "queue": sub.Queue, "steps": strconv.Itoa(len(sub.Steps)),
+		"tookMs": strconv.FormatInt(time.Since(began).Milliseconds(), 10),
+	}
 	var rejected *RejectedError
 	switch {
 	case err == nil:
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
-	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 const (
@@ -69,6 +68,3 @@
 	}
 	return strconv.FormatInt(now.Sub(then).Milliseconds(), 10)
 }
-
-// isOver reports whether a submission takes no more work.
-func isOver(s *submission) bool { return s.state.IsFinal() || s.state == submitter.Complete }
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -35,8 +35,10 @@
 
 // String returns the outcome as it appears in logs.
 func (o Outcome) String() string {
-	return [...]string{"carried", "unanswered", "notSent", "unhealthy", "noRoom", "tooLate",
-		"superseded", "otherLifetime", "invalid", "fenced"}[o]
+	return [...]string{
+		"carried", "unanswered", "notSent", "unhealthy", "noRoom", "tooLate",
+		"superseded", "otherLifetime", "invalid", "fenced",
+	}[o]
 }
 
 // pauseUnwell is how long a runner that refused or broke an order gets none.
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -77,10 +77,9 @@
 }
 
 // add hands in a submission of one step.
-func (b *bench) add(id, queue string, step submitter.Step) *submitter.Submission {
+func (b *bench) add(id, queue string, step submitter.Step) {
 	sub := &submitter.Submission{ID: id, Queue: queue, Spec: id, Steps: []submitter.Step{step}, AcceptedAt: b.now}
 	b.table.Add(sub, nil, b.now)
-	return sub
 }
 
 // starts places what may start and returns the start orders; the runners carry
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -25,8 +25,8 @@
 	addedAt      time.Time
 
 	// version counts changes of the progress, saved is the durable version.
-	version, saved, saving int64
-	isDirty                bool
+	version, saved int64
+	isDirty        bool
 }
 
 // An occurrence is one round of a submission's steps.
@@ -102,9 +102,9 @@
 	known bool
 }
 
-func (r *run) task() *task { return &r.st.tasks[r.index] }
+func (x *run) task() *task { return &x.st.tasks[x.index] }
 
-func (r *run) id() submitter.TaskID { return r.st.taskID(r.index) }
+func (x *run) id() submitter.TaskID { return x.st.taskID(x.index) }
 
 func (st *stepState) taskID(index int) submitter.TaskID {
 	return submitter.TaskID{Submission: st.s.sub.ID, Occurrence: st.occ.index, Step: st.index, Index: index}
--- a/internal/version/isolator/pressure.go
+++ b/internal/version/isolator/pressure.go
@@ -153,8 +153,10 @@
 		if len(known.Press) != n || len(known.Doubt) != n || n > maxImages {
 			continue
 		}
-		f := &fit{index: make(map[string]int), pressure: known.Press, doubt: known.Doubt,
-			cores: make([]float64, n), gain: make([]float64, n)}
+		f := &fit{
+			index: make(map[string]int), pressure: known.Press, doubt: known.Doubt,
+			cores: make([]float64, n), gain: make([]float64, n),
+		}
 		square := true
 		for i, image := range known.Images {
 			f.index[image] = i
