--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -34,7 +34,7 @@
 // Times of calls to the store.
 const (
 	// saveEvery gathers changes for one transaction.
-	saveEvery = 30 * time.Millisecond
+	saveEvery = 70 * time.Millisecond
 	// saveTimeout bounds one transaction.
 	saveTimeout = 1500 * time.Millisecond
 	// saveRetry is the pause after a failed transaction.
