--- a/internal/cataloguer/render.go
+++ b/internal/cataloguer/render.go
@@ -59,6 +59,7 @@
 | 3000–3999 | members, configuration, security |
 | 4000–4999 | adapters to the platform |
 | 5000–5999 | daemon and tool |
+| 6000–6999 | submissions on the users' platform |
 
 | number | name | the event |
 |---|---|---|
