Open submissions of daemons whose clock is ahead at once

Cause: the owner waited until its own clock had reached the time of acceptance. Change: only scheduled submissions wait; TestSubmissionFromADaemonWhoseClockIsAhead failed before.

--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -302,3 +302,13 @@
 		}
 	}
 }
+
+// Seen on the day "clocks": daemons whose clock is ahead accept submissions
+// with a time that the owner's clock has not reached.
+func TestSubmissionFromADaemonWhoseClockIsAhead(t *testing.T) {
+	b := newBench(t, 0, 1)
+	b.lookAll(1)
+	sub := &submitter.Submission{ID: "a", Queue: "urgent", Steps: []submitter.Step{oneCore(1)}, AcceptedAt: b.now.Add(3 * time.Second)}
+	b.table.Add(sub, nil, b.now)
+	assertStarts(t, b.starts(), 1)
+}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -175,13 +175,16 @@
 
 // open sets up the occurrences that are due.
 func (t *Table) open(s *submission, now time.Time) {
-	for s.opened < s.sub.Occurrences() && !s.sub.DueAt(s.opened).After(now) {
+	for s.opened < s.sub.Occurrences() && (s.sub.Schedule == nil || !s.sub.DueAt(s.opened).After(now)) {
 		t.openNext(s)
 	}
 }
 
 func (t *Table) openNext(s *submission) {
 	occ := &occurrence{index: s.opened, dueAt: s.sub.DueAt(s.opened), left: len(s.sub.Steps)}
+	if s.sub.Schedule == nil && occ.dueAt.After(s.addedAt) {
+		occ.dueAt = s.addedAt // the daemon that accepted it has a fast clock
+	}
 	for i := range s.sub.Steps {
 		spec := &s.sub.Steps[i]
 		st := &stepState{s: s, occ: occ, index: i, spec: spec, tasks: make([]task, spec.Count), left: spec.Count, wait: spec.Count}
