--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -48,8 +48,8 @@
 	// youth is the age from which daemons let younger ones go ahead, by
 	// seniorityStep for each doubling, up to maxSeniority.
 	youth         = 2 * time.Second
-	seniorityStep = 30 * time.Millisecond
-	maxSeniority  = 180 * time.Millisecond
+	seniorityStep = 12 * time.Millisecond
+	maxSeniority  = 60 * time.Millisecond
 	// retryAfter is the pause after a failed call.
 	retryAfter = 250 * time.Millisecond
 )
