Skip shapes of tasks that found no room in a pass

Cause: with hundreds of steps waiting, each looked at every runner, and added up the tasks of each runner anew. Change: a pass remembers per shape the size that found no runner; a runner keeps the processors that are claimed.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -175,6 +175,9 @@
 // headroom returns which share of their capacity the services of a runner would
 // have left, below their targets, beside one more task of a filling step.
 func (d disturbance) headroom(r *runner, fill *stepState, now time.Time) float64 {
+	if len(r.services) == 0 {
+		return math.Inf(1)
+	}
 	least := math.Inf(1)
 	for image, st := range r.services {
 		room := d.share(st, targetMillis(st)) - targetMargin - st.loadAhead(now)
@@ -190,6 +193,7 @@
 // countImages updates the images on a runner when a run comes or goes.
 func (r *runner) countImages(st *stepState, sign int64) {
 	image := st.spec.Image
+	r.claimed += float64(sign) * claimed(st)
 	if st.spec.Fills {
 		r.fills += sign * st.spec.MilliCores
 		if r.fillers[image] += sign * st.spec.MilliCores; r.fillers[image] <= 0 {
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -38,6 +38,7 @@
 	}
 	t.recheck = false
 	certain := t.settled(now)
+	clear(t.noRoom)
 	for _, c := range t.candidates(now) {
 		if !certain && !c.st.spec.Speculative && c.st.s.sub.Owner < t.fence {
 			continue
@@ -108,15 +109,52 @@
 		if k.done || len(k.runs) > 0 {
 			continue
 		}
+		if t.hadNoRoom(st) {
+			st.blockedAt = now
+			return
+		}
 		r := t.choose(st, k, now)
 		if r == nil {
 			st.blockedAt = now
+			t.noteNoRoom(st, k)
 			return
 		}
 		t.start(st, i, r, now)
 	}
 }
 
+// A shape is what decides, besides sizes, on which runners a task may start.
+type shape struct {
+	service  string
+	label    string
+	image    string
+	fills    bool
+	affinity string
+}
+
+func (st *stepState) shape() shape {
+	return shape{st.s.queue.Service, st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity}
+}
+
+// hadNoRoom reports whether a task of the same shape that is no larger has
+// found no runner in this pass.
+//
+// Load: bursts in which hundreds of steps wait. Without it each of them would
+// look at every runner.
+func (t *Table) hadNoRoom(st *stepState) bool {
+	least, ok := t.noRoom[st.shape()]
+	return ok && least.Fits(st.spec.Resources)
+}
+
+// noteNoRoom remembers the size of a task that found no runner, unless rules of
+// its own kept it from some.
+func (t *Table) noteNoRoom(st *stepState, k *task) {
+	if st.byHost != nil || k.avoid != "" {
+		return
+	}
+	t.noRoom[st.shape()] = st.spec.Resources
+}
+
 // fillGang starts all members of a gang together, or none.
 func (t *Table) fillGang(st *stepState, now time.Time) {
 	if st.wait < len(st.tasks) {
@@ -198,21 +236,22 @@
 	servingLoad = 0.6
 )
 
-// spare estimates the processors that filling tasks can use, in milliCores.
-func (r *runner) spare() float64 {
-	spare := float64(r.info.Capacity.MilliCores)
-	for _, x := range r.runs {
-		switch {
-		case x.st.spec.Fills:
-		case x.st.spec.TailTarget > 0:
-			spare -= servingLoad * float64(x.st.spec.MilliCores)
-		default:
-			spare -= float64(x.st.spec.MilliCores)
-		}
+// claimed returns the processors that a task of a step keeps from what fills,
+// in milliCores.
+func claimed(st *stepState) float64 {
+	switch {
+	case st.spec.Fills:
+		return 0
+	case st.spec.TailTarget > 0:
+		return servingLoad * float64(st.spec.MilliCores)
+	default:
+		return float64(st.spec.MilliCores)
 	}
-	return spare
 }
 
+// spare estimates the processors that filling tasks can use, in milliCores.
+func (r *runner) spare() float64 { return float64(r.info.Capacity.MilliCores) - r.claimed }
+
 // strikeCost is the cost of a failure that was not followed by a success, in
 // shares of a runner's capacity.
 const strikeCost = 0.5
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -42,8 +42,9 @@
 	suspendedUntil time.Time
 	silentSince    time.Time
 	strangers      map[runKey]time.Time
-	fills          int64 // milliCores wanted by filling tasks
-	serving        int   // tasks with a tail target
+	fills          int64   // milliCores wanted by filling tasks
+	claimed        float64 // milliCores kept from filling tasks
+	serving        int     // tasks with a tail target
 	calmSince      time.Time
 	fillLeftAt     time.Time             // when a filling task ended here last
 	halted         bool                  // filling tasks have been halted
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -65,6 +65,9 @@
 	evacuated map[string]bool
 	disturbed disturbance
 
+	// noRoom holds, for the present pass, the sizes that found no runner.
+	noRoom map[shape]submitter.Resources
+
 	orders []Order
 	dirty  []*submission
 	// recheck asks for a placement pass.
@@ -95,6 +98,7 @@
 		subs:       make(map[string]*submission),
 		evacuated:  make(map[string]bool),
 		disturbed:  newDisturbance(),
+		noRoom:     make(map[shape]submitter.Resources),
 	}
 }
 
