Settle stopped starts beside slow looks; a soak of real processes

Change: a look counts from the first stop that was carried out. The soak runs daemons as processes, with signals, cut and slow links and store faults, and checks the promises; kumquat-scheduler has options for it; records of submissions that ended are deleted.

--- a/cmd/kumquat-scheduler/main.go
+++ b/cmd/kumquat-scheduler/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(platform.Main(os.Stdout, os.Stderr))
+	os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/harness/builder.go
+++ b/internal/harness/builder.go
@@ -14,11 +14,12 @@
 
 // Programs that the harness builds.
 const (
-	ProgramDaemon   = "kumquatd"
-	ProgramTool     = "kumquat"
-	ProgramKeyValue = "standin-keyvalue"
-	ProgramWorker   = "standin-worker"
-	ProgramRunner   = "standin-runner"
+	ProgramDaemon    = "kumquatd"
+	ProgramTool      = "kumquat"
+	ProgramKeyValue  = "standin-keyvalue"
+	ProgramWorker    = "standin-worker"
+	ProgramRunner    = "standin-runner"
+	ProgramScheduler = "kumquat-scheduler"
 )
 
 // modulePath is the import path of the commands.
@@ -63,7 +64,7 @@
 	if os.Getenv(raceVariable) != "" {
 		arguments = append(arguments, "-race")
 	}
-	for _, program := range []string{ProgramDaemon, ProgramTool, ProgramKeyValue, ProgramWorker, ProgramRunner} {
+	for _, program := range []string{ProgramDaemon, ProgramTool, ProgramKeyValue, ProgramWorker, ProgramRunner, ProgramScheduler} {
 		arguments = append(arguments, modulePath+program)
 	}
 	output, err := exec.Command("go", arguments...).CombinedOutput()
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -123,6 +123,7 @@
 	}
 	c.goPart(c.save)
 	c.goPart(c.remember)
+	c.goPart(c.clean)
 	c.goPart(c.tick)
 	c.goPart(func() { c.opts.Registry.Follow(c.ctx, c.setRunners) })
 	c.goPart(func() { c.follow(revision) })
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -246,3 +246,36 @@
 	close(c.saved)
 	c.saved = make(chan struct{})
 }
+
+// Bounds of deleting records.
+const (
+	// cleanEvery is the pause between deletions.
+	cleanEvery = 5 * time.Second
+	// cleanedAtOnce leaves room for three keys a submission.
+	cleanedAtOnce = (transactor.MaxEntries - 1) / 3
+)
+
+// clean deletes the records of submissions that ended long ago, so that a new
+// owner does not have to read them.
+func (c *Conductor) clean() {
+	for pauser.Sleep(c.ctx, cleanEvery) {
+		c.mu.Lock()
+		ids := c.table.Expired(cleanedAtOnce, time.Now())
+		c.mu.Unlock()
+		if len(ids) == 0 {
+			continue
+		}
+		txn := transactor.Transaction{Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}}}
+		for _, id := range ids {
+			txn.Deletes = append(txn.Deletes, WorkKey(id), CancelKey(id), ProgressKey(id))
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
+		_, err := c.opts.Store.Commit(ctx, txn)
+		cancel()
+		if err != nil {
+			c.storeFailed("delete old records", err)
+			continue
+		}
+		c.apply(func(t *dispatcher.Table, _ time.Time) { t.Forget(ids) })
+	}
+}
--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -16,8 +16,10 @@
 	bench := newBench(t, 0, runners)
 	infos := make([]RunnerInfo, runners)
 	for i := range infos {
-		infos[i] = RunnerInfo{ID: fmt.Sprintf("r%d", i), Service: "s", DataCentre: "z", Lifetime: 1,
-			Capacity: submitter.Resources{MilliCores: 32_000, MemoryMB: 128_000}}
+		infos[i] = RunnerInfo{
+			ID: fmt.Sprintf("r%d", i), Service: "s", DataCentre: "z", Lifetime: 1,
+			Capacity: submitter.Resources{MilliCores: 32_000, MemoryMB: 128_000},
+		}
 	}
 	bench.table.SetRunners(infos, bench.now)
 	bench.lookAll(runners)
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -312,3 +312,34 @@
 	b.table.Add(sub, nil, b.now)
 	assertStarts(t, b.starts(), 1)
 }
+
+// Seen in seed 1 of the soak: looks take a second, and the stop was repeated
+// before one that had been sent late enough returned.
+func TestStoppedStartIsSettledBesideSlowLooks(t *testing.T) {
+	b := newBench(t, 0, 1)
+	b.look("r0")
+	b.add("a", "urgent", oneCore(1))
+	b.table.recheck = true
+	b.table.Schedule(b.now)
+	orders := b.table.Orders()
+	b.table.Started(orders[0], Unanswered, 0, b.now)
+	for range 5 {
+		sent := b.now
+		for range 5 {
+			b.pass(200 * time.Millisecond)
+			for _, o := range b.table.Orders() {
+				switch o.Kind {
+				case Stop:
+					b.table.Stopped(o, Carried, b.now)
+				case Start:
+					return
+				case Pace:
+				}
+			}
+			b.table.Schedule(b.now)
+		}
+		b.table.LeaseUntil("r0", sent)
+		b.table.Report("r0", Report{Lifetime: 1, Clock: b.now.Sub(epoch).Milliseconds() + 1000}, sent, b.now)
+	}
+	t.Error("the task was never started again")
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -200,7 +200,7 @@
 		if listed[key] || !x.known || !x.confirmed.Before(sentAt) {
 			continue
 		}
-		if x.phase == stopping && sentAt.Sub(x.confirmed) < t.stopSpan() {
+		if x.phase == stopping && (x.stoppedAt.IsZero() || sentAt.Sub(x.stoppedAt) < t.stopSpan()) {
 			continue
 		}
 		t.end(x, now, "no longer listed")
@@ -347,8 +347,7 @@
 	if x.phase == stopping {
 		return
 	}
-	x.phase = stopping
-	x.confirmed = now
+	x.phase, x.orderedAt, x.stoppedAt = stopping, now, time.Time{}
 	t.recordRun(now, EventStopping, x, reason)
 	t.orders = append(t.orders, t.stopOrder(x))
 }
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -92,11 +92,14 @@
 	}
 	switch outcome {
 	case Carried:
-		x.confirmed, x.known = now, true
+		x.known = true
+		if x.stoppedAt.IsZero() {
+			x.stoppedAt = now
+		}
 	case OtherLifetime:
 		t.end(x, now, "stop: otherLifetime")
 	default:
-		x.stopTries++
+		// Repeated in time.
 	}
 }
 
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -96,7 +96,10 @@
 	pace     int
 	// overSince is when a serving task's tail was first seen over its target.
 	overSince time.Time
-	stopTries int
+	// orderedAt is when a stop was ordered last, stoppedAt when one was carried
+	// out first.
+	orderedAt time.Time
+	stoppedAt time.Time
 	// known says that the run was confirmed, or that a stop was carried out:
 	// from then on the runner's list tells whether it runs.
 	known bool
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -32,7 +33,6 @@
 		}
 	}
 	t.recheck = true
-	t.forget(now)
 }
 
 // lapse ends the runs of a runner whose leases must have run out.
@@ -47,8 +47,8 @@
 // watchRun repeats stops and moves tasks that stand still.
 func (t *Table) watchRun(x *run, now time.Time) {
 	if x.phase == stopping {
-		if now.Sub(x.confirmed) > stopAgainAfter+t.limits.StopTimeout {
-			x.confirmed = now
+		if now.Sub(x.orderedAt) > stopAgainAfter+t.limits.StopTimeout {
+			x.orderedAt = now
 			t.orders = append(t.orders, t.stopOrder(x))
 		}
 		return
@@ -76,12 +76,28 @@
 	t.stop(x, now, "no progress")
 }
 
-// forget drops submissions that have ended long ago.
-func (t *Table) forget(now time.Time) {
-	for len(t.finals) > 0 && now.Sub(t.finals[0].at) > finalRetention {
-		delete(t.subs, t.finals[0].id)
-		t.finals = t.finals[1:]
+// Expired returns up to limit submissions that ended so long ago that nobody
+// asks for them any more. Their records may be deleted.
+func (t *Table) Expired(limit int, now time.Time) (ids []string) {
+	for _, f := range t.finals {
+		if len(ids) == limit || now.Sub(f.at) <= finalRetention {
+			break
+		}
+		if s, ok := t.subs[f.id]; ok && s.shown.IsFinal() && !s.isDirty {
+			ids = append(ids, f.id)
+		}
+	}
+	return ids
+}
+
+// Forget drops submissions whose records were deleted.
+func (t *Table) Forget(ids []string) {
+	gone := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		gone[id] = true
+		delete(t.subs, id)
 	}
+	t.finals = slices.DeleteFunc(t.finals, func(f final) bool { return gone[f.id] })
 }
 
 // Contended reports whether a runner has tasks that serve beside tasks that
