Have the owner store what daemons are handed that the store turns away

Change: they pass submissions and cancellations to the owner; a refusal is still certain to have stored nothing.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -25,6 +25,8 @@
 	statePath      = "/owner/state"
 	pendingPath    = "/owner/pending"
 	termPath       = "/owner/term"
+	acceptPath     = "/owner/accept"
+	revokePath     = "/owner/revoke"
 )
 
 // Bounds of the protocol.
@@ -43,6 +45,8 @@
 var (
 	// ErrNotOwner says that the daemon does not own the submissions.
 	ErrNotOwner = errors.New("daemon is not the owner")
+	// ErrNotDone says that the owner has provably not done what was asked.
+	ErrNotDone = errors.New("owner has not done it")
 	// ErrRefused says that nothing listens at the owner's address.
 	ErrRefused = errors.New("owner's process is gone")
 )
@@ -55,6 +59,15 @@
 	Pending(queue string) int
 }
 
+// A Keeper makes requests of clients durable for daemons that the store turns
+// away. Its errors wrap ErrNotDone if nothing was or will be stored.
+type Keeper interface {
+	// Accept stores a submission.
+	Accept(ctx context.Context, sub submitter.Submission) error
+	// Revoke stores a cancellation and reports whether the submission is known.
+	Revoke(ctx context.Context, id string) (known bool, err error)
+}
+
 // A stateAnswer is the answer to a question for a state.
 type stateAnswer struct {
 	State submitter.State `json:"state"`
@@ -103,6 +116,22 @@
 	return c.call(ctx, http.MethodPost, address, submissionPath, "", body, nil)
 }
 
+// Accept has the owner store a submission.
+func (c *Client) Accept(ctx context.Context, address string, sub *submitter.Submission) error {
+	body, err := sub.Encode()
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, http.MethodPost, address, acceptPath, "", body, nil)
+}
+
+// Revoke has the owner store a cancellation.
+func (c *Client) Revoke(ctx context.Context, address, id string) (known bool, err error) {
+	var answer stateAnswer
+	err = c.call(ctx, http.MethodPost, address, revokePath, id, nil, &answer)
+	return answer.Known, err
+}
+
 // Cancel tells the owner of a durable cancellation.
 func (c *Client) Cancel(ctx context.Context, address, id string) error {
 	return c.call(ctx, http.MethodPost, address, cancelPath, id, nil, nil)
@@ -143,13 +172,16 @@
 	resp, err := c.http.Do(req)
 	if err != nil {
 		if isRefused(err) {
-			return errors.Join(ErrRefused, err)
+			return errors.Join(ErrRefused, ErrNotDone, err)
 		}
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return ErrNotOwner
+	switch resp.StatusCode {
+	case http.StatusMisdirectedRequest:
+		return errors.Join(ErrNotOwner, ErrNotDone)
+	case http.StatusServiceUnavailable:
+		return ErrNotDone
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("answered %s", resp.Status)
@@ -168,7 +200,7 @@
 
 // NewHandler serves the protocol. The function returns nil while the daemon is
 // not the owner.
-func NewHandler(instance string, owner func() Owner) http.Handler {
+func NewHandler(instance string, owner func() Owner, keeper Keeper) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+termPath, func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, termAnswer{Instance: instance, Serves: owner() != nil})
@@ -184,6 +216,15 @@
 		})
 	}
 	handle("POST "+submissionPath, serveSubmission)
+	handle("POST "+acceptPath, func(_ Owner, _ string, w http.ResponseWriter, r *http.Request) { serveAccept(keeper, w, r) })
+	handle("POST "+revokePath, func(_ Owner, name string, w http.ResponseWriter, r *http.Request) {
+		known, err := keeper.Revoke(r.Context(), name)
+		if err != nil {
+			w.WriteHeader(statusOf(err))
+			return
+		}
+		reply(w, stateAnswer{Known: known})
+	})
 	handle("POST "+cancelPath, func(o Owner, name string, _ http.ResponseWriter, _ *http.Request) { o.Cancel(name) })
 	handle("GET "+statePath, func(o Owner, name string, w http.ResponseWriter, _ *http.Request) {
 		state, known := o.State(name)
@@ -196,16 +237,42 @@
 }
 
 func serveSubmission(o Owner, _ string, w http.ResponseWriter, r *http.Request) {
+	if sub := readSubmission(w, r); sub != nil {
+		o.Submit(sub)
+	}
+}
+
+func serveAccept(keeper Keeper, w http.ResponseWriter, r *http.Request) {
+	sub := readSubmission(w, r)
+	if sub == nil {
+		return
+	}
+	if err := keeper.Accept(r.Context(), *sub); err != nil {
+		w.WriteHeader(statusOf(err))
+	}
+}
+
+// statusOf tells the caller whether something may have been done.
+func statusOf(err error) int {
+	if errors.Is(err, ErrNotDone) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
+// readSubmission returns a request's submission, or nil after an answer.
+func readSubmission(w http.ResponseWriter, r *http.Request) *submitter.Submission {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		return // the caller sees the broken connection and asks again
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil
 	}
 	sub, err := submitter.Decode(body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return nil
 	}
-	o.Submit(sub)
+	return sub
 }
 
 func reply(w http.ResponseWriter, answer any) {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -27,6 +27,9 @@
 	RetryAfter time.Duration
 }
 
+// Unwrap tells peers that nothing was done.
+func (e *RejectedError) Unwrap() error { return relayer.ErrNotDone }
+
 // Error implements error.
 func (e *RejectedError) Error() string { return "submission rejected: " + e.Reason }
 
@@ -47,6 +50,8 @@
 	reportTries = 12
 	// reportPause is the pause between them.
 	reportPause = 250 * time.Millisecond
+	// viaOwnerTimeout bounds what the owner does for this daemon.
+	viaOwnerTimeout = 1500 * time.Millisecond
 	// outageRetryAfter is when clients may come back during an outage of the
 	// store.
 	outageRetryAfter = time.Second
@@ -88,9 +93,51 @@
 // Submit makes a submission durable and hands it to the owner. It returns nil
 // if the submission is stored, also by an earlier request; a *RejectedError if
 // it never runs; ErrUnknownOutcome otherwise.
+//
+// Load: a store that turns some daemons away and serves others. They have the
+// owner store what they are handed.
 func (g *Gateway) Submit(ctx context.Context, sub submitter.Submission) (err error) {
 	began := time.Now()
 	defer func() { g.recordSubmit(&sub, began, err) }()
+	if !g.opts.IsStoreLost() {
+		return g.Accept(ctx, sub)
+	}
+	err = g.viaOwner(ctx, func(ctx context.Context, address string) error {
+		return g.opts.Peers.Accept(ctx, address, &sub)
+	})
+	return outcomeViaOwner(err)
+}
+
+// viaOwner has the owner do what needs the store.
+func (g *Gateway) viaOwner(ctx context.Context, ask func(ctx context.Context, address string) error) error {
+	address := g.opts.Elector.Current().Address
+	if address == "" || g.opts.Local() != nil {
+		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
+	}
+	ctx, cancel := context.WithTimeout(ctx, viaOwnerTimeout)
+	defer cancel()
+	err := ask(ctx, address)
+	if err != nil {
+		g.suspect(err)
+	}
+	return err
+}
+
+// outcomeViaOwner translates what became of a request at the owner.
+func outcomeViaOwner(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, relayer.ErrNotDone):
+		return &RejectedError{Reason: "store is away: " + err.Error(), RetryAfter: outageRetryAfter}
+	default:
+		return errors.Join(ErrUnknownOutcome, err)
+	}
+}
+
+// Accept implements relayer.Keeper: it stores a submission through this
+// daemon's own access to the store.
+func (g *Gateway) Accept(ctx context.Context, sub submitter.Submission) (err error) {
 	if g.opts.IsStoreLost() {
 		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
 	}
@@ -187,6 +234,19 @@
 		}
 		g.opts.Recorder.Record(time.Now(), EventCancelled, fields)
 	}()
+	if !g.opts.IsStoreLost() {
+		return g.Revoke(ctx, id)
+	}
+	err = g.viaOwner(ctx, func(ctx context.Context, address string) (err error) {
+		known, err = g.opts.Peers.Revoke(ctx, address, id)
+		return err
+	})
+	return known, outcomeViaOwner(err)
+}
+
+// Revoke implements relayer.Keeper: it stores a cancellation through this
+// daemon's own access to the store.
+func (g *Gateway) Revoke(ctx context.Context, id string) (known bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	item, err := g.opts.Store.Get(callCtx, conductor.WorkKey(id))
 	cancel()
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -94,7 +94,7 @@
 		Store: opts.Store, Elector: s.elector, Peers: s.client, Recorder: opts.Recorder, Local: s.local,
 		IsStoreLost: opts.Declarations.IsStoreLost,
 	})
-	s.peers = &http.Server{Handler: relayer.NewHandler(opts.Instance, s.local), ReadHeaderTimeout: 5 * time.Second}
+	s.peers = &http.Server{Handler: relayer.NewHandler(opts.Instance, s.local, s.gateway), ReadHeaderTimeout: 5 * time.Second}
 	s.goPart(func() { _ = s.peers.Serve(listener) })
 	s.goPart(func() { opts.Declarations.Follow(ctx, s.declare) })
 	s.elector.Run(ctx)
