--- a/internal/version/isolator/pressure.go
+++ b/internal/version/isolator/pressure.go
@@ -3,7 +3,7 @@
 // Figures of the learning of pressures, in shares of a service's capacity.
 const (
 	// priorPressure is assumed of a pair that was never measured, per core.
-	priorPressure = 0.025
+	priorPressure = 0.035
 	// priorDoubt is the standard deviation of that assumption.
 	priorDoubt = 0.03
 	// tailDoubt is the standard deviation of one measured share.
