Give adopted filling tasks their full pace

Cause: a new owner did not know that the former one had halted them: they stood still, were moved, and their runners suspended (inc-f6a1, inc-7bd5). Change: adoption sends the full pace; standing still does not count against a runner where the task fills. TestAdoptedFillingTasksGoOn failed before.

--- a/internal/version/dispatcher/interference_test.go
+++ b/internal/version/dispatcher/interference_test.go
@@ -140,3 +140,23 @@
 		t.Errorf("pressure %.3f, learnt was %.3f", got, want)
 	}
 }
+
+// Seen in inc-f6a1 of ptkp-sched: tasks that a former owner had halted stood
+// still under the next one, which moved them and suspended their runners.
+func TestAdoptedFillingTasksGoOn(t *testing.T) {
+	b := newBench(t, 1, 1)
+	b.add("job", "night", filling("batch", 2))
+	for i := range 2 {
+		b.lists["r0"] = append(b.lists["r0"], RunStatus{Task: submitter.TaskID{Submission: "job", Index: i}, Run: 1, Percent: 40})
+	}
+	b.look("r0")
+	resumed := 0
+	for _, o := range b.table.Orders() {
+		if o.Kind == Pace && o.Percent == fullPace {
+			resumed++
+		}
+	}
+	if resumed != 2 {
+		t.Errorf("%d of 2 tasks got their full pace", resumed)
+	}
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -149,8 +149,11 @@
 	x := t.place(st, key.task.Index, r, key.run, now)
 	x.phase, x.confirmed, x.known = running, now, true
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
-	if unwanted {
+	switch {
+	case unwanted:
 		t.stop(x, now, "not wanted")
+	case st.spec.Fills:
+		t.paceRun(x, fullPace, now) // the former owner may have halted it
 	}
 	return x
 }
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -72,7 +72,9 @@
 		return
 	}
 	x.task().avoid = x.runner.info.ID
-	t.strike(x.runner, x.st.s.sub.ID, now)
+	if !x.st.spec.Fills { // what fills may just find no processor
+		t.strike(x.runner, x.st.s.sub.ID, now)
+	}
 	t.stop(x, now, "no progress")
 }
 
