--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -144,9 +144,6 @@
 	c.parts.Wait()
 }
 
-// Done is closed when the term has ended.
-func (c *Conductor) Done() <-chan struct{} { return c.ctx.Done() }
-
 // Configure takes in what the operator has declared.
 func (c *Conductor) Configure(world World) {
 	c.apply(func(t *dispatcher.Table, _ time.Time) {
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -186,7 +186,8 @@
 	return owner, revision, nil
 }
 
-// watch waits for a change of the record or of the presence.
+// watch waits for a change of the record or of the presence, which are read
+// again as a whole afterwards.
 func (e *Elector) watch(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -199,14 +200,13 @@
 		case <-ctx.Done():
 		}
 	}()
-	events, _, err := e.opts.Store.Watch(ctx, prefix, revision, watchFor)
+	_, _, err := e.opts.Store.Watch(ctx, prefix, revision, watchFor)
 	cancel()
 	<-suspected
 	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, transactor.ErrCompacted) {
 		e.failed("watch owner record", err)
 		pauser.Sleep(ctx, retryAfter)
 	}
-	_ = events // the record is read again as a whole
 }
 
 // seniority is the time that a daemon of an age lets younger ones go ahead.
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -290,9 +290,24 @@
 	if st.spec.Affinity != "" && !r.hasLabel(st.spec.Affinity) {
 		score -= t.limits.CrossRackSlowdown
 	}
+	if st.spec.SameRack {
+		if rack, ok := st.rack(); ok && rack != r.info.Rack {
+			score -= t.limits.CrossRackSlowdown
+		}
+	}
 	return score
 }
 
+// rack returns the rack of the first task of a step that runs.
+func (st *stepState) rack() (rack string, ok bool) {
+	for i := range st.tasks {
+		for _, x := range st.tasks[i].runs {
+			return x.runner.info.Rack, true
+		}
+	}
+	return "", false
+}
+
 // start places and orders one task.
 func (t *Table) start(st *stepState, index int, r *runner, now time.Time) {
 	t.order(t.place(st, index, r, t.nextRun(&st.tasks[index]), now), now)
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -343,3 +343,26 @@
 	}
 	t.Error("the task was never started again")
 }
+
+func TestSameRackIsPreferred(t *testing.T) {
+	b := newBench(t, 0, 4)
+	infos := []RunnerInfo{}
+	for i := range 4 {
+		info, _ := b.table.Runner(fmt.Sprint("r", i))
+		info.Rack = fmt.Sprint("rack", i%2)
+		infos = append(infos, info)
+	}
+	b.table.SetRunners(infos, b.now)
+	b.lookAll(4)
+	step := oneCore(12)
+	step.SameRack = true
+	b.add("a", "urgent", step)
+	orders := b.starts()
+	assertStarts(t, orders, 12)
+	first, _ := b.table.Runner(orders[0].Runner)
+	for _, o := range orders {
+		if info, _ := b.table.Runner(o.Runner); info.Rack != first.Rack {
+			t.Errorf("%s started on %s, the others on %s", o.Task, info.Rack, first.Rack)
+		}
+	}
+}
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -13,7 +13,7 @@
 	epoch      = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	testLimits = Limits{
 		LeaseSpan: 4500 * time.Millisecond, MaxLease: 6 * time.Second, StopTimeout: 400 * time.Millisecond,
-		HarmAfter: 4 * time.Second, CheckpointInterval: 2 * time.Second, CrossRackSlowdown: 1.5,
+		HarmAfter: 4 * time.Second, CrossRackSlowdown: 1.5,
 	}
 	testCapacity = submitter.Resources{MilliCores: 8000, MemoryMB: 64_000}
 )
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -21,8 +21,6 @@
 	StopTimeout time.Duration
 	// HarmAfter is how long a task may be over its tail target.
 	HarmAfter time.Duration
-	// MaxCheckpointAge is the work between two checkpoints.
-	CheckpointInterval time.Duration
 	// CrossRackSlowdown is the factor by which tasks away from their data, or
 	// from their gang, take longer.
 	CrossRackSlowdown float64
@@ -72,7 +70,7 @@
 	dirty  []*submission
 	// recheck asks for a placement pass.
 	recheck bool
-	// lastGone remembers final submissions in the order in which they ended.
+	// finals are the submissions that have ended, oldest first.
 	finals []final
 }
 
