Ask an outside service on which runners a step may run

Cause: queues with advice refused every start for want of a ticket. Change: a step of such a queue asks about its best runners, starts with the ticket, and asks again when permits lapse or are refused.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -35,6 +35,13 @@
 	Order(ctx context.Context, address string, order dispatcher.Order, fence int64) Answer
 }
 
+// Adviser answers questions for permits. An implementation is safe for
+// concurrent use.
+type Adviser interface {
+	// Ask returns the permits given and how long they hold.
+	Ask(ctx context.Context, question dispatcher.PermitQuestion) (permits []dispatcher.Permit, valid time.Duration, err error)
+}
+
 // An Answer is what became of an order.
 type Answer struct {
 	Outcome dispatcher.Outcome
@@ -61,6 +68,7 @@
 	Store    transactor.Store
 	Agents   Agents
 	Registry Registry
+	Adviser  Adviser
 	Recorder recorder.Recorder
 	Metrics  *Metrics
 	// OwnerKey is the key whose revision is the fencing token.
@@ -91,6 +99,7 @@
 	cancel  context.CancelFunc
 	parts   sync.WaitGroup
 	orders  chan struct{} // bounds the orders under way
+	asking  sync.Mutex    // the adviser takes one question at a time
 }
 
 // maxOrdersUnderWay bounds concurrent calls that order something.
@@ -188,6 +197,7 @@
 	change(c.table, now)
 	c.table.Schedule(now)
 	orders := c.table.Orders()
+	questions := c.table.Questions()
 	dirty := c.table.IsDirty()
 	addresses := make([]string, len(orders))
 	for i := range orders {
@@ -203,6 +213,9 @@
 	for i := range orders {
 		c.send(addresses[i], orders[i])
 	}
+	for _, question := range questions {
+		c.goPart(func() { c.ask(question) })
+	}
 }
 
 // tick tells the table of the passing of time.
--- a/internal/process/conductor/events.go
+++ b/internal/process/conductor/events.go
@@ -10,4 +10,7 @@
 	EventRecordUnreadable recorder.Number = 6201
 	// EventStoreFailed is recorded when a call to the store has failed.
 	EventStoreFailed recorder.Number = 6202
+	// EventAdviceFailed is recorded when a question for permits was not
+	// answered; it is asked again.
+	EventAdviceFailed recorder.Number = 6203
 )
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -46,6 +46,7 @@
 	Store        transactor.Store
 	Agents       conductor.Agents
 	Registry     conductor.Registry
+	Adviser      conductor.Adviser
 	Declarations Declarations
 	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
 	Recorder     recorder.Recorder
@@ -193,6 +194,7 @@
 	}
 	opts := conductor.Options{
 		Limits: s.opts.Limits, Store: s.opts.Store, Agents: s.opts.Agents, Registry: s.opts.Registry,
+		Adviser:  s.opts.Adviser,
 		Recorder: s.opts.Recorder, Metrics: s.metrics, OwnerKey: elector.RecordKey,
 		Fence: owner.Fence, Generation: owner.Generation, FormerEnd: formerEnd,
 		Deposed: func(reason string) { s.elector.Depose(time.Now(), reason) },
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -100,6 +100,9 @@
 
 // fill starts as many waiting tasks of a step as fit.
 func (t *Table) fill(st *stepState, now time.Time) {
+	if t.needsPermits(st, now) {
+		return
+	}
 	if st.spec.Gang {
 		t.fillGang(st, now)
 		return
@@ -149,7 +152,7 @@
 // noteNoRoom remembers the size of a task that found no runner, unless rules of
 // its own kept it from some.
 func (t *Table) noteNoRoom(st *stepState, k *task) {
-	if st.byHost != nil || k.avoid != "" {
+	if st.byHost != nil || k.avoid != "" || st.s.queue.NeedsPermits {
 		return
 	}
 	t.noRoom[st.shape()] = st.spec.Resources
@@ -206,6 +209,11 @@
 
 // allows reports whether a task may start on a runner now.
 func (t *Table) allows(r *runner, st *stepState, k *task, now time.Time) bool {
+	return st.isPermitted(r, now) && t.isAble(r, st, k, now)
+}
+
+// isAble reports whether a task could start on a runner now, permits aside.
+func (t *Table) isAble(r *runner, st *stepState, k *task, now time.Time) bool {
 	switch {
 	case !r.listed, !t.isKnown(r, now), r.info.Draining, r.info.Service != st.s.queue.Service, t.evacuated[r.info.DataCentre]:
 		return false
@@ -350,6 +358,6 @@
 	t.recordRun(now, EventStarted, x, "placed")
 	t.orders = append(t.orders, Order{
 		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
-		Spec: x.st.s.sub.Spec, Checkpoint: x.task().checkpoint, Until: until,
+		Spec: x.st.s.sub.Spec, Checkpoint: x.task().checkpoint, Until: until, Ticket: x.st.permits[r.info.ID].ticket,
 	})
 }
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -29,6 +29,8 @@
 	OtherLifetime
 	// Invalid says that the runner does not understand the order.
 	Invalid
+	// NotPermitted says that the permit does not hold.
+	NotPermitted
 	// Fenced says that the runner obeys another owner.
 	Fenced
 )
@@ -37,7 +39,7 @@
 func (o Outcome) String() string {
 	return [...]string{
 		"carried", "unanswered", "notSent", "unhealthy", "noRoom", "tooLate",
-		"superseded", "otherLifetime", "invalid", "fenced",
+		"superseded", "otherLifetime", "invalid", "notPermitted", "fenced",
 	}[o]
 }
 
@@ -69,9 +71,10 @@
 		// the end of the lease settles where the task is.
 		t.suspend(x.runner, now)
 		t.stop(x, now, "start was not answered")
-	case NotSent, Unhealthy, NoRoom, TooLate, OtherLifetime, Invalid:
+	case NotSent, Unhealthy, NoRoom, TooLate, OtherLifetime, Invalid, NotPermitted:
 		if x.phase == starting {
-			if outcome != TooLate {
+			delete(x.st.permits, o.Runner)
+			if outcome != TooLate && outcome != NotPermitted {
 				t.suspend(x.runner, now)
 			}
 			x.task().nextRun = x.number + 1
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -50,6 +50,11 @@
 	byHost map[string]int // runs by runner, for steps with a cap
 	// blockedAt is when the step last found no room.
 	blockedAt time.Time
+	// permits are those given by runner; asking says that a question is under
+	// way, and askAfter when the next one may be asked.
+	permits  map[string]permit
+	asking   bool
+	askAfter time.Time
 	// peak is the highest recent load of a step that serves.
 	peak     float64
 	lastLoad float64
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -40,6 +40,9 @@
 	MaxAttempts int
 	Stretch     float64
 	Target      time.Duration
+	// NeedsPermits says that an outside service decides on which runners a step
+	// may run.
+	NeedsPermits bool
 }
 
 // runsPerGeneration separates the run numbers of successive owners: an owner
@@ -66,8 +69,9 @@
 	// noRoom holds, for the present pass, the sizes that found no runner.
 	noRoom map[shape]submitter.Resources
 
-	orders []Order
-	dirty  []*submission
+	orders    []Order
+	questions []PermitQuestion
+	dirty     []*submission
 	// recheck asks for a placement pass.
 	recheck bool
 	// finals are the submissions that have ended, oldest first.
@@ -142,6 +146,7 @@
 	Run        int64
 	Spec       string
 	Checkpoint string
+	Ticket     string // of a permit
 	// Until is the time on the runner's clock, in milliseconds, up to which
 	// the lease reaches.
 	Until int64
