--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -328,6 +328,9 @@
 	for ctx.Err() == nil {
 		seen, revision, err := e.read(ctx)
 		if err != nil {
+			if ctx.Err() == nil {
+				e.failed("read own record", err)
+			}
 			pauser.Sleep(ctx, retryAfter)
 			continue
 		}
--- a/internal/process/gateway/events.go
+++ b/internal/process/gateway/events.go
@@ -12,4 +12,7 @@
 	EventOutcomeUnknown recorder.Number = 6302
 	// EventCancelled is recorded when a cancellation was asked for.
 	EventCancelled recorder.Number = 6303
+	// EventReportFailed is recorded when the owner could not be told of a
+	// submission or a cancellation; it finds it in the store.
+	EventReportFailed recorder.Number = 6304
 )
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -194,9 +194,10 @@
 	g.parts.Add(1)
 	go func() {
 		defer g.parts.Done()
+		var err error
 		for range reportTries {
 			ctx, cancel := context.WithTimeout(g.ctx, ownerTimeout)
-			err := tell(ctx)
+			err = tell(ctx)
 			cancel()
 			if err == nil {
 				return
@@ -206,6 +207,7 @@
 				return
 			}
 		}
+		g.opts.Recorder.Record(time.Now(), EventReportFailed, recorder.Fields{"error": err.Error()})
 	}()
 }
 
--- a/internal/process/scheduler/events.go
+++ b/internal/process/scheduler/events.go
@@ -9,4 +9,6 @@
 	EventLoadFailed recorder.Number = 6401
 	// EventServing is recorded when the records are loaded and the owner serves.
 	EventServing recorder.Number = 6402
+	// EventPeersFailed is recorded when other daemons are no longer served.
+	EventPeersFailed recorder.Number = 6403
 )
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -96,7 +97,11 @@
 		IsStoreLost: opts.Declarations.IsStoreLost,
 	})
 	s.peers = &http.Server{Handler: relayer.NewHandler(opts.Instance, s.local, s.gateway), ReadHeaderTimeout: 5 * time.Second}
-	s.goPart(func() { _ = s.peers.Serve(listener) })
+	s.goPart(func() {
+		if err := s.peers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			opts.Recorder.Record(time.Now(), EventPeersFailed, recorder.Fields{"error": err.Error()})
+		}
+	})
 	s.goPart(func() { opts.Declarations.Follow(ctx, s.declare) })
 	s.elector.Run(ctx)
 	return s, nil
--- a/internal/version/dispatcher/permits.go
+++ b/internal/version/dispatcher/permits.go
@@ -49,9 +49,9 @@
 	return questions
 }
 
-// needsPermits reports whether a step has to wait for permits, and asks for
-// them.
-func (t *Table) needsPermits(st *stepState, now time.Time) bool {
+// awaitsPermits reports whether a step has to wait for permits, and sees to it
+// that they are asked for.
+func (t *Table) awaitsPermits(st *stepState, now time.Time) bool {
 	if !st.s.queue.NeedsPermits {
 		return false
 	}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -100,7 +100,7 @@
 
 // fill starts as many waiting tasks of a step as fit.
 func (t *Table) fill(st *stepState, now time.Time) {
-	if t.needsPermits(st, now) {
+	if t.awaitsPermits(st, now) {
 		return
 	}
 	if st.spec.Gang {
