--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -87,7 +87,7 @@
 	opts      Options
 	current   atomic.Pointer[Owner]
 	startedAt time.Time
-	lease     int64
+	lease     atomic.Int64 // of the presence key
 	kick      chan struct{}
 	done      sync.WaitGroup
 	stop      context.CancelFunc
@@ -240,16 +240,18 @@
 	if last.Fence > 0 {
 		owner.Generation++
 	}
-	if e.lease, err = e.opts.Store.Grant(ctx, presenceTTL); err != nil {
+	lease, err := e.opts.Store.Grant(ctx, presenceTTL)
+	if err != nil {
 		return owner, err
 	}
+	e.lease.Store(lease)
 	value, err := json.Marshal(owner)
 	if err != nil {
 		return owner, err
 	}
 	owner.Fence, err = e.opts.Store.Commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: recordKey, Revision: last.Fence}, {Key: presenceKey}},
-		Writes:     []transactor.Write{{Key: recordKey, Value: value}, {Key: presenceKey, Value: []byte(e.opts.Instance), Lease: e.lease}},
+		Writes:     []transactor.Write{{Key: recordKey, Value: value}, {Key: presenceKey, Value: []byte(e.opts.Instance), Lease: lease}},
 	})
 	return owner, err
 }
@@ -310,15 +312,17 @@
 func (e *Elector) keep(ctx context.Context, owner Owner) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err = e.opts.Store.Keep(ctx, e.lease); !errors.Is(err, transactor.ErrNotFound) {
+	if err = e.opts.Store.Keep(ctx, e.lease.Load()); !errors.Is(err, transactor.ErrNotFound) {
 		return err
 	}
-	if e.lease, err = e.opts.Store.Grant(ctx, presenceTTL); err != nil {
+	lease, err := e.opts.Store.Grant(ctx, presenceTTL)
+	if err != nil {
 		return err
 	}
+	e.lease.Store(lease)
 	_, err = e.opts.Store.Commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: recordKey, Revision: owner.Fence}, {Key: presenceKey}},
-		Writes:     []transactor.Write{{Key: presenceKey, Value: []byte(e.opts.Instance), Lease: e.lease}},
+		Writes:     []transactor.Write{{Key: presenceKey, Value: []byte(e.opts.Instance), Lease: lease}},
 	})
 	return err
 }
@@ -352,7 +356,7 @@
 		return
 	}
 	depose()
-	if err := e.opts.Store.End(ctx, e.lease); err != nil {
+	if err := e.opts.Store.End(ctx, e.lease.Load()); err != nil {
 		e.failed("end presence", err)
 	}
 }
