Leave submissions alone that were handed to a successor

Change: a table takes no submission that names a higher fencing token, as the field's comment always said. TestSubmissionsOfASuccessorAreLeftAlone failed before.

--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -121,8 +121,8 @@
 // Add takes a submission into the table with what is durable of its run. It
 // reports whether it is new.
 func (t *Table) Add(sub *submitter.Submission, progress *submitter.Progress, now time.Time) bool {
-	if _, ok := t.subs[sub.ID]; ok {
-		return false
+	if _, ok := t.subs[sub.ID]; ok || sub.Owner > t.fence {
+		return false // known, or handed to a successor of this owner
 	}
 	s := &submission{sub: sub, state: submitter.Queued, shown: submitter.Queued, left: sub.Occurrences(), addedAt: now}
 	s.queue = t.queues[sub.Queue]
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -117,3 +117,14 @@
 		t.Errorf("run %d may have been started by the former owner", orders[0].Run)
 	}
 }
+
+// Seen on deploy/days/zones.toml of ptkp-sched, varied with seed 432198914208: an
+// owner cut off with its data centre found its successor's submissions in the
+// store before it learnt of the successor, and started them once more.
+func TestSubmissionsOfASuccessorAreLeftAlone(t *testing.T) {
+	b := newBench(t, 0, 1)
+	b.look("r0")
+	sub := &submitter.Submission{ID: "a", Queue: "urgent", Steps: []submitter.Step{oneCore(1)}, Owner: testFence + 1}
+	b.table.Add(sub, nil, b.now)
+	assertStarts(t, b.starts(), 0)
+}
