Drop results, methods and a counter that nothing reads

Change: the election's and the routes' unused methods, the second result of Acknowledgeable, and the sum of order times, which the histogram holds. No behaviour changes.

--- a/internal/process/conductor/metrics.go
+++ b/internal/process/conductor/metrics.go
@@ -11,8 +11,6 @@
 const (
 	// OrdersByOutcome holds the numbers of orders to runners by outcome.
 	OrdersByOutcome counter.Name = "ordersByOutcome"
-	// OrderMicros holds the summed times of orders in microseconds.
-	OrderMicros counter.Name = "orderMicros"
 	// Looks is the number of looks at runners.
 	Looks counter.Name = "looks"
 	// LooksFailed is the number of looks at runners without an answer.
@@ -22,7 +20,6 @@
 // Metrics counts calls to runners.
 type Metrics struct {
 	byOutcome  *expvar.Map
-	micros     *expvar.Int
 	looks      *expvar.Int
 	failed     *expvar.Int
 	orderTimes *counter.Histogram
@@ -32,8 +29,8 @@
 // NewMetrics registers the metrics in a set.
 func NewMetrics(set *counter.Set) *Metrics {
 	m := &Metrics{
-		byOutcome: new(expvar.Map).Init(), micros: set.Counter(OrderMicros),
-		looks: set.Counter(Looks), failed: set.Counter(LooksFailed),
+		byOutcome: new(expvar.Map).Init(),
+		looks:     set.Counter(Looks), failed: set.Counter(LooksFailed),
 	}
 	set.Publish(OrdersByOutcome, m.byOutcome)
 	m.orderTimes = set.Histogram(OrderTimes)
@@ -50,7 +47,6 @@
 
 func (m *Metrics) observe(kind dispatcher.Kind, outcome dispatcher.Outcome, took time.Duration) {
 	m.byOutcome.Add(kind.String()+"."+outcome.String(), 1)
-	m.micros.Add(took.Microseconds())
 	m.orderTimes.Observe(took)
 }
 
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -140,7 +140,7 @@
 	look = Look{Fence: c.opts.Fence, Wait: lookWait}
 	now := time.Now()
 	look.Until = c.table.LeaseUntil(id, now)
-	look.Acked, _ = c.table.Acknowledgeable(id, now)
+	look.Acked = c.table.Acknowledgeable(id, now)
 	switch {
 	case look.Until == 0:
 		look.Wait = 0
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -123,9 +123,6 @@
 // Current returns the owner as it is known now.
 func (e *Elector) Current() Owner { return *e.current.Load() }
 
-// IsOwner reports whether this process is the owner.
-func (e *Elector) IsOwner() bool { return e.Current().Instance == e.opts.Instance }
-
 // Depose ends this process's term: another owner has been seen.
 func (e *Elector) Depose(now time.Time, reason string) {
 	e.mu.Lock()
--- a/internal/process/gateway/routes.go
+++ b/internal/process/gateway/routes.go
@@ -16,22 +16,18 @@
 
 // Routes is an immutable table of routes.
 type Routes struct {
-	version int64
-	byHost  map[string][]Route
+	byHost map[string][]Route
 }
 
-// NewRoutes returns the table of a version of the configuration.
-func NewRoutes(version int64, routes []Route) *Routes {
-	r := &Routes{version: version, byHost: make(map[string][]Route)}
+// NewRoutes returns a table of routes.
+func NewRoutes(routes []Route) *Routes {
+	r := &Routes{byHost: make(map[string][]Route)}
 	for _, route := range routes {
 		r.byHost[route.Host] = append(r.byHost[route.Host], route)
 	}
 	return r
 }
 
-// Version returns the version of the configuration.
-func (r *Routes) Version() int64 { return r.version }
-
 // Match returns the route with the longest prefix of a path, and the rest of
 // the path.
 func (r *Routes) Match(host, path string) (route Route, rest string, ok bool) {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -167,7 +167,7 @@
 		})
 	}
 	s.declared = &d
-	s.routes.Store(gateway.NewRoutes(d.Version, d.Routes))
+	s.routes.Store(gateway.NewRoutes(d.Routes))
 	if c := s.owner.Load(); c != nil {
 		c.Configure(d.World)
 	}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -221,23 +221,22 @@
 }
 
 // Acknowledgeable returns the number up to which a runner's ends are durable.
-// It reports whether ends are left beyond it.
-func (t *Table) Acknowledgeable(id string, now time.Time) (n int64, more bool) {
+func (t *Table) Acknowledgeable(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
 	if !ok {
-		return 0, false
+		return 0
 	}
 	for len(r.pending) > 0 {
 		p := r.pending[0]
 		if p.unclaimed != nil && now.Sub(p.heardAt) < strangerPatience {
-			return p.n - 1, true
+			return p.n - 1
 		}
 		if p.s != nil && p.s.saved < p.version && !p.s.cancelled {
-			return p.n - 1, true
+			return p.n - 1
 		}
 		r.pending = r.pending[1:]
 	}
-	return r.lastEnd, false
+	return r.lastEnd
 }
 
 // IsDirty reports whether progress has to be made durable.
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -73,7 +73,7 @@
 func TestEndsOfUnknownSubmissionsAreKept(t *testing.T) {
 	b := newBench(t, 1, 1)
 	b.look("r0", End{Task: submitter.TaskID{Submission: "a"}, Run: 1, How: Done})
-	if acked, _ := b.table.Acknowledgeable("r0", b.now); acked != 0 {
+	if acked := b.table.Acknowledgeable("r0", b.now); acked != 0 {
 		t.Fatalf("acknowledged up to %d", acked)
 	}
 	b.pass(time.Second)
@@ -86,7 +86,7 @@
 	}
 	t.Run("acknowledged once durable", func(t *testing.T) {
 		b.table.Saved(records)
-		if acked, _ := b.table.Acknowledgeable("r0", b.now); acked != 1 {
+		if acked := b.table.Acknowledgeable("r0", b.now); acked != 1 {
 			t.Errorf("acknowledged up to %d", acked)
 		}
 	})
