--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -1,5 +1,5 @@
 // Package relayer carries what clients ask of one daemon to the daemon that
-// owns the submissions.
+// owns a part of the submissions.
 package relayer
 
 import (
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,7 +44,7 @@
 
 // Errors of calls to the owner.
 var (
-	// ErrNotOwner says that the daemon does not own the submissions.
+	// ErrNotOwner says that the daemon does not own the part.
 	ErrNotOwner = errors.New("daemon is not the owner")
 	// ErrNotDone says that the owner has provably not done what was asked.
 	ErrNotDone = errors.New("owner has not done it")
@@ -51,7 +52,13 @@
 	ErrRefused = errors.New("owner's process is gone")
 )
 
-// An Owner answers for all submissions.
+// A Target is the owner of a part.
+type Target struct {
+	Address string
+	Part    int
+}
+
+// An Owner answers for the submissions of its part.
 type Owner interface {
 	Submit(sub *submitter.Submission)
 	Cancel(id string)
@@ -108,63 +115,63 @@
 }
 
 // Submit hands an accepted submission to the owner.
-func (c *Client) Submit(ctx context.Context, address string, sub *submitter.Submission) error {
+func (c *Client) Submit(ctx context.Context, to Target, sub *submitter.Submission) error {
 	body, err := sub.Encode()
 	if err != nil {
 		return err
 	}
-	return c.call(ctx, http.MethodPost, address, submissionPath, "", body, nil)
+	return c.call(ctx, http.MethodPost, to, submissionPath, "", body, nil)
 }
 
 // Accept has the owner store a submission.
-func (c *Client) Accept(ctx context.Context, address string, sub *submitter.Submission) error {
+func (c *Client) Accept(ctx context.Context, to Target, sub *submitter.Submission) error {
 	body, err := sub.Encode()
 	if err != nil {
 		return err
 	}
-	return c.call(ctx, http.MethodPost, address, acceptPath, "", body, nil)
+	return c.call(ctx, http.MethodPost, to, acceptPath, "", body, nil)
 }
 
 // Revoke has the owner store a cancellation.
-func (c *Client) Revoke(ctx context.Context, address, id string) (known bool, err error) {
+func (c *Client) Revoke(ctx context.Context, to Target, id string) (known bool, err error) {
 	var answer stateAnswer
-	err = c.call(ctx, http.MethodPost, address, revokePath, id, nil, &answer)
+	err = c.call(ctx, http.MethodPost, to, revokePath, id, nil, &answer)
 	return answer.Known, err
 }
 
 // Cancel tells the owner of a durable cancellation.
-func (c *Client) Cancel(ctx context.Context, address, id string) error {
-	return c.call(ctx, http.MethodPost, address, cancelPath, id, nil, nil)
+func (c *Client) Cancel(ctx context.Context, to Target, id string) error {
+	return c.call(ctx, http.MethodPost, to, cancelPath, id, nil, nil)
 }
 
 // State asks for the state of a submission.
-func (c *Client) State(ctx context.Context, address, id string) (state submitter.State, known bool, err error) {
+func (c *Client) State(ctx context.Context, to Target, id string) (state submitter.State, known bool, err error) {
 	var answer stateAnswer
-	err = c.call(ctx, http.MethodGet, address, statePath, id, nil, &answer)
+	err = c.call(ctx, http.MethodGet, to, statePath, id, nil, &answer)
 	return answer.State, answer.Known, err
 }
 
 // Pending asks for the number of a queue's submissions that have not begun.
-func (c *Client) Pending(ctx context.Context, address, queue string) (n int, err error) {
+func (c *Client) Pending(ctx context.Context, to Target, queue string) (n int, err error) {
 	var answer pendingAnswer
-	err = c.call(ctx, http.MethodGet, address, pendingPath, queue, nil, &answer)
+	err = c.call(ctx, http.MethodGet, to, pendingPath, queue, nil, &answer)
 	return answer.Pending, err
 }
 
 // Term asks a daemon which process it is and whether it serves as the owner.
-func (c *Client) Term(ctx context.Context, address string) (instance string, serves bool, err error) {
+func (c *Client) Term(ctx context.Context, to Target) (instance string, serves bool, err error) {
 	var answer termAnswer
-	err = c.call(ctx, http.MethodGet, address, termPath, "", nil, &answer)
+	err = c.call(ctx, http.MethodGet, to, termPath, "", nil, &answer)
 	return answer.Instance, answer.Serves, err
 }
 
-func (c *Client) call(ctx context.Context, method, address, path, name string, body []byte, answer any) (err error) {
+func (c *Client) call(ctx context.Context, method string, to Target, path, name string, body []byte, answer any) (err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("call owner at %s: %w", address, err)
+			err = fmt.Errorf("call owner of part %d at %s: %w", to.Part, to.Address, err)
 		}
 	}()
-	target := "http://" + address + path + "?name=" + url.QueryEscape(name)
+	target := "http://" + to.Address + path + "?part=" + strconv.Itoa(to.Part) + "&name=" + url.QueryEscape(name)
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -198,16 +205,16 @@
 	return errors.As(err, &op) && op.Op == "dial" && strings.Contains(op.Err.Error(), "refused")
 }
 
-// NewHandler serves the protocol. The function returns nil while the daemon is
-// not the owner.
-func NewHandler(instance string, owner func() Owner, keeper Keeper) http.Handler {
+// NewHandler serves the protocol. The function returns nil while the daemon does
+// not own a part.
+func NewHandler(instance string, owner func(part int) Owner, keeper func() Keeper) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+termPath, func(w http.ResponseWriter, _ *http.Request) {
-		reply(w, termAnswer{Instance: instance, Serves: owner() != nil})
+	mux.HandleFunc("GET "+termPath, func(w http.ResponseWriter, r *http.Request) {
+		reply(w, termAnswer{Instance: instance, Serves: owner(partOf(r)) != nil})
 	})
 	handle := func(path string, serve func(o Owner, name string, w http.ResponseWriter, r *http.Request)) {
 		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
-			o := owner()
+			o := owner(partOf(r))
 			if o == nil {
 				w.WriteHeader(http.StatusMisdirectedRequest)
 				return
@@ -216,9 +223,9 @@
 		})
 	}
 	handle("POST "+submissionPath, serveSubmission)
-	handle("POST "+acceptPath, func(_ Owner, _ string, w http.ResponseWriter, r *http.Request) { serveAccept(keeper, w, r) })
+	handle("POST "+acceptPath, func(_ Owner, _ string, w http.ResponseWriter, r *http.Request) { serveAccept(keeper(), w, r) })
 	handle("POST "+revokePath, func(_ Owner, name string, w http.ResponseWriter, r *http.Request) {
-		known, err := keeper.Revoke(r.Context(), name)
+		known, err := keeper().Revoke(r.Context(), name)
 		if err != nil {
 			w.WriteHeader(statusOf(err))
 			return
@@ -236,6 +243,16 @@
 	return mux
 }
 
+// partOf returns the part that a request is about; -1, which has no owner, if
+// it does not say.
+func partOf(r *http.Request) int {
+	part, err := strconv.Atoi(r.URL.Query().Get("part"))
+	if err != nil {
+		return -1
+	}
+	return part
+}
+
 func serveSubmission(o Owner, _ string, w http.ResponseWriter, r *http.Request) {
 	if sub := readSubmission(w, r); sub != nil {
 		o.Submit(sub)
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -10,6 +10,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -71,12 +72,17 @@
 	Adviser  Adviser
 	Recorder recorder.Recorder
 	Metrics  *Metrics
+	// Part is the part of the submissions and runners that is owned.
+	Part  int
+	Split partitioner.Split
 	// OwnerKey is the key whose revision is the fencing token.
 	OwnerKey   string
 	Fence      int64
 	Generation int64
 	// FormerEnd is the time by which the owner before has stopped.
 	FormerEnd time.Time
+	// ConfirmedAt returns the latest time at which there was no other owner.
+	ConfirmedAt func() time.Time
 	// Deposed is called once another owner has been seen.
 	Deposed func(reason string)
 }
@@ -85,6 +91,7 @@
 // held while the table is used; no call is made under it.
 type Conductor struct {
 	opts Options
+	keys Keys
 
 	mu      sync.Mutex
 	table   *dispatcher.Table
@@ -113,6 +120,7 @@
 	now := time.Now()
 	c = &Conductor{
 		opts:    opts,
+		keys:    KeysOf(opts.Part),
 		table:   dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
 		address: make(map[string]string),
 		loops:   make(map[string]context.CancelFunc),
@@ -227,7 +235,10 @@
 		case <-c.ctx.Done():
 			return
 		case <-ticker.C:
-			c.apply(func(t *dispatcher.Table, now time.Time) { t.Tick(now) })
+			c.apply(func(t *dispatcher.Table, now time.Time) {
+				t.Confirm(c.opts.ConfirmedAt())
+				t.Tick(now)
+			})
 		}
 	}
 }
--- a/internal/process/conductor/memory.go
+++ b/internal/process/conductor/memory.go
@@ -11,15 +11,12 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 )
 
-// memoryKey holds what the owner has learnt.
-const memoryKey = "kumquat/memory"
-
 // rememberEvery is the pause between writes of what was learnt.
 const rememberEvery = 4 * time.Second
 
 // recall reads what a former owner has learnt; without it, all is learnt anew.
 func (c *Conductor) recall(ctx context.Context) {
-	item, err := c.opts.Store.Get(ctx, memoryKey)
+	item, err := c.opts.Store.Get(ctx, c.keys.memory)
 	if errors.Is(err, transactor.ErrNotFound) {
 		return
 	}
@@ -28,7 +25,7 @@
 		err = json.Unmarshal(item.Value, &memory)
 	}
 	if err != nil {
-		c.recordFault(memoryKey, err)
+		c.recordFault(c.keys.memory, err)
 		return
 	}
 	c.table.Remember(memory)
@@ -41,13 +38,13 @@
 		value, err := json.Marshal(c.table.Memory())
 		c.mu.Unlock()
 		if err != nil {
-			c.recordFault(memoryKey, err)
+			c.recordFault(c.keys.memory, err)
 			return
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
 		_, err = c.opts.Store.Commit(ctx, transactor.Transaction{
 			Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}},
-			Writes:     []transactor.Write{{Key: memoryKey, Value: value}},
+			Writes:     []transactor.Write{{Key: c.keys.memory, Value: value}},
 		})
 		cancel()
 		if err != nil {
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -74,8 +74,15 @@
 	})
 }
 
-// setRunners takes in the registry's list and looks at every runner in it.
-func (c *Conductor) setRunners(infos []dispatcher.RunnerInfo) {
+// setRunners takes in the registry's list and looks at every runner in it that
+// belongs to the part.
+func (c *Conductor) setRunners(all []dispatcher.RunnerInfo) {
+	var infos []dispatcher.RunnerInfo
+	for _, info := range all {
+		if c.opts.Split.OfRunner(info.ID) == c.opts.Part {
+			infos = append(infos, info)
+		}
+	}
 	c.apply(func(t *dispatcher.Table, now time.Time) {
 		t.SetRunners(infos, now)
 		held := make(map[string]bool)
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -14,23 +14,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// Keys of the store. A submission and its cancellation are written once by the
-// daemon that accepts them, its progress by the owner.
-const (
-	workPrefix     = "kumquat/work/"
-	progressPrefix = "kumquat/progress/"
-	cancelSuffix   = "/cancel"
-)
-
-// WorkKey is the key of an accepted submission.
-func WorkKey(id string) string { return workPrefix + id }
-
-// CancelKey is the key whose existence cancels a submission.
-func CancelKey(id string) string { return workPrefix + id + cancelSuffix }
-
-// ProgressKey is the key of what is durable of a submission's run.
-func ProgressKey(id string) string { return progressPrefix + id }
-
 // Times of calls to the store.
 const (
 	// saveEvery gathers changes for one transaction.
@@ -60,17 +43,17 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	notes, _, err := c.opts.Store.List(ctx, progressPrefix)
+	notes, _, err := c.opts.Store.List(ctx, c.keys.progress)
 	if err != nil {
 		return 0, err
 	}
-	work, revision, err := c.opts.Store.List(ctx, workPrefix)
+	work, revision, err := c.opts.Store.List(ctx, c.keys.work)
 	if err != nil {
 		return 0, err
 	}
 	progress := make(map[string]*submitter.Progress, len(notes))
 	for _, item := range notes {
-		id := strings.TrimPrefix(item.Key, progressPrefix)
+		id := strings.TrimPrefix(item.Key, c.keys.progress)
 		c.revs[id] = item.Revision
 		p, err := submitter.DecodeProgress(item.Value)
 		if err != nil {
@@ -100,7 +83,7 @@
 		c.table.Add(sub, progress[sub.ID], now)
 	}
 	for _, item := range items {
-		if id, ok := strings.CutSuffix(strings.TrimPrefix(item.Key, workPrefix), cancelSuffix); ok {
+		if id, ok := strings.CutSuffix(strings.TrimPrefix(item.Key, c.keys.work), cancelSuffix); ok {
 			c.table.Cancel(id, now)
 		}
 	}
@@ -115,7 +98,7 @@
 func (c *Conductor) follow(revision int64) {
 	for pauser.Sleep(c.ctx, followPause) {
 		ctx, cancel := context.WithTimeout(c.ctx, followFor+saveTimeout)
-		events, next, err := c.opts.Store.Watch(ctx, workPrefix, revision, followFor)
+		events, next, err := c.opts.Store.Watch(ctx, c.keys.work, revision, followFor)
 		cancel()
 		switch {
 		case err == nil:
@@ -141,7 +124,7 @@
 func (c *Conductor) reload(revision int64) int64 {
 	ctx, cancel := context.WithTimeout(c.ctx, loadTimeout)
 	defer cancel()
-	items, next, err := c.opts.Store.List(ctx, workPrefix)
+	items, next, err := c.opts.Store.List(ctx, c.keys.work)
 	if err != nil {
 		c.storeFailed("list submissions", err)
 		return revision
@@ -207,7 +190,7 @@
 		if err != nil {
 			return err
 		}
-		key := ProgressKey(rec.ID)
+		key := c.keys.Progress(rec.ID)
 		txn.Conditions = append(txn.Conditions, transactor.Condition{Key: key, Revision: c.revs[rec.ID]})
 		txn.Writes = append(txn.Writes, transactor.Write{Key: key, Value: value})
 	}
@@ -221,7 +204,7 @@
 			return err
 		}
 		for _, rec := range records {
-			c.revs[rec.ID] = conflict.Find(ProgressKey(rec.ID)).Revision
+			c.revs[rec.ID] = conflict.Find(c.keys.Progress(rec.ID)).Revision
 		}
 		return err
 	}
@@ -267,7 +250,7 @@
 		}
 		txn := transactor.Transaction{Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}}}
 		for _, id := range ids {
-			txn.Deletes = append(txn.Deletes, WorkKey(id), CancelKey(id), ProgressKey(id))
+			txn.Deletes = append(txn.Deletes, c.keys.Work(id), c.keys.Cancel(id), c.keys.Progress(id))
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
 		_, err := c.opts.Store.Commit(ctx, txn)
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -1,5 +1,6 @@
-// Package elector keeps the record of the daemon that owns all submissions and
-// runners. The revision of the record is the owner's fencing token.
+// Package elector keeps the records of the daemons that own the parts of the
+// submissions and runners. The revision of a record is the owner's fencing
+// token.
 package elector
 
 import (
@@ -9,8 +10,8 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
@@ -18,15 +19,17 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 )
 
-// Keys of the store. The record lasts; the presence key is held by a lease.
+// Keys of the store. A record lasts; a presence key is held by a lease.
 const (
-	prefix      = "kumquat/owner/"
-	recordKey   = prefix + "record"
-	presenceKey = prefix + "presence"
+	prefix         = "kumquat/owner/"
+	recordSuffix   = "/record"
+	presenceSuffix = "/presence"
 )
 
-// RecordKey is the key whose revision is the owner's fencing token.
-const RecordKey = recordKey
+// RecordKey is the key whose revision is the fencing token of a part's owner.
+func RecordKey(part int) string { return prefix + strconv.Itoa(part) + recordSuffix }
+
+func presenceKey(part int) string { return prefix + strconv.Itoa(part) + presenceSuffix }
 
 // Times of the election.
 const (
@@ -36,7 +39,7 @@
 	renewEvery = 500 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 1200 * time.Millisecond
-	// watchFor is how long a watch of the record waits: a watch may be cut
+	// watchFor is how long a watch of the records waits: a watch may be cut
 	// without a word.
 	watchFor = 1500 * time.Millisecond
 	// watchTimeout bounds a watch with its answer.
@@ -54,14 +57,16 @@
 	retryAfter = 250 * time.Millisecond
 )
 
-// An Owner is the content of the record.
+// An Owner is the content of a part's record.
 type Owner struct {
 	// Instance tells apart the processes of one daemon.
 	Instance string `json:"instance"`
-	// Address is where the owner serves its peers; empty if it has resigned.
+	// Address is where the owner serves its peers.
 	Address string `json:"address"`
-	// Generation counts the owners.
+	// Generation counts the owners of the part.
 	Generation int64 `json:"generation"`
+	// Part is what is owned.
+	Part int `json:"-"`
 	// Fence is the record's revision.
 	Fence int64 `json:"-"`
 	// Present says that the owner's presence key exists.
@@ -73,45 +78,53 @@
 	Store    transactor.Store
 	Instance string
 	Address  string
-	// Delay tells daemons of the same age apart in an election, so that not all
-	// campaign at once.
-	Delay    time.Duration
+	// Parts is the number of parts that have an owner each.
+	Parts int
+	// Delay tells how long this daemon lets others go ahead that are larger, or
+	// that own less, in an election of a part while it owns some already.
+	Delay    func(part, owned int) time.Duration
 	Recorder recorder.Recorder
 	// Serve runs the duties of an owner until its context ends. The former owner
 	// may go on for MaxUnconfirmed if it can't reach the store.
-	Serve func(ctx context.Context, owner, former Owner)
+	Serve func(ctx context.Context, term *Term)
 }
 
-// An Elector watches the record and campaigns when the owner is gone.
+// An Elector follows the records and campaigns for parts without an owner.
 type Elector struct {
 	opts      Options
-	current   atomic.Pointer[Owner]
 	startedAt time.Time
-	lease     atomic.Int64 // of the presence key
 	kick      chan struct{}
 	done      sync.WaitGroup
 	stop      context.CancelFunc
 
+	// contest is held by the one campaign that may claim a part.
+	contest sync.Mutex
+
 	mu       sync.Mutex
+	seats    []seat
 	resigned bool
-	depose   context.CancelFunc // ends the present term
+}
+
+// A seat is what is known of one part's owner.
+type seat struct {
+	owner       Owner
+	campaigning bool
+	term        *Term // of this daemon, or nil
 }
 
 // New returns an elector that is not running yet.
 func New(opts Options) *Elector {
-	e := &Elector{opts: opts, kick: make(chan struct{}, 1), startedAt: time.Now()}
-	e.current.Store(&Owner{})
+	e := &Elector{opts: opts, kick: make(chan struct{}, 1), startedAt: time.Now(), seats: make([]seat, opts.Parts)}
+	for part := range e.seats {
+		e.seats[part].owner.Part = part
+	}
 	return e
 }
 
 // Run starts the elector.
 func (e *Elector) Run(ctx context.Context) {
 	ctx, e.stop = context.WithCancel(ctx)
-	e.done.Add(1)
-	go func() {
-		defer e.done.Done()
-		e.loop(ctx)
-	}()
+	e.goPart(func() { e.follow(ctx) })
 }
 
 // Close stops the elector and waits for the duties of an owner to end.
@@ -120,20 +133,22 @@
 	e.done.Wait()
 }
 
-// Current returns the owner as it is known now.
-func (e *Elector) Current() Owner { return *e.current.Load() }
+func (e *Elector) goPart(part func()) {
+	e.done.Add(1)
+	go func() {
+		defer e.done.Done()
+		part()
+	}()
+}
 
-// Depose ends this process's term: another owner has been seen.
-func (e *Elector) Depose(now time.Time, reason string) {
+// Current returns a part's owner as it is known now.
+func (e *Elector) Current(part int) Owner {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.depose != nil {
-		e.opts.Recorder.Record(now, EventDeposed, recorder.Fields{"reason": reason, "fence": strconv.FormatInt(e.Current().Fence, 10)})
-		e.depose()
-	}
+	return e.seats[part].owner
 }
 
-// Suspect asks for a look at the record, as the owner does not answer.
+// Suspect asks for a look at the records, as an owner does not answer.
 func (e *Elector) Suspect() {
 	select {
 	case e.kick <- struct{}{}:
@@ -141,50 +156,102 @@
 	}
 }
 
-// loop follows the record until the context ends.
-func (e *Elector) loop(ctx context.Context) {
+// Resign gives up all parts so that other daemons take over at once.
+func (e *Elector) Resign(ctx context.Context) {
+	e.mu.Lock()
+	e.resigned = true
+	var terms []*Term
+	for i := range e.seats {
+		if term := e.seats[i].term; term != nil {
+			terms = append(terms, term)
+		}
+	}
+	e.mu.Unlock()
+	for _, term := range terms {
+		term.end()
+	}
+	for _, term := range terms {
+		if err := e.opts.Store.End(ctx, term.lease.Load()); err != nil {
+			e.failed("end presence", err)
+		}
+	}
+}
+
+// follow reads the records after every change until the context ends.
+func (e *Elector) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		owner, revision, err := e.read(ctx)
+		asked := time.Now()
+		owners, revision, err := e.read(ctx)
 		if err != nil {
-			e.failed("read owner record", err)
+			if ctx.Err() == nil {
+				e.failed("read owner records", err)
+			}
 			pauser.Sleep(ctx, retryAfter)
 			continue
 		}
-		e.current.Store(&owner)
-		if !owner.Present && !e.hasResigned() {
-			if pauser.Sleep(ctx, e.opts.Delay+seniority(time.Since(e.startedAt))) {
-				e.campaign(ctx, owner)
-			}
-			continue
+		for _, part := range e.learn(owners, asked) {
+			e.goPart(func() { e.campaign(ctx, part) })
 		}
 		e.watch(ctx, revision)
 	}
 }
 
-// read returns the record and the revision to watch from.
-func (e *Elector) read(ctx context.Context) (owner Owner, revision int64, err error) {
+// read returns the owners of all parts and the revision to watch from.
+func (e *Elector) read(ctx context.Context) (owners []Owner, revision int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	items, revision, err := e.opts.Store.List(ctx, prefix)
 	if err != nil {
-		return owner, 0, err
+		return nil, 0, err
 	}
+	owners = make([]Owner, e.opts.Parts)
 	for _, item := range items {
-		switch item.Key {
-		case recordKey:
-			if err = json.Unmarshal(item.Value, &owner); err != nil {
-				return owner, 0, fmt.Errorf("decode owner record: %w", err)
+		number, _, _ := strings.Cut(strings.TrimPrefix(item.Key, prefix), "/")
+		part, err := strconv.Atoi(number)
+		if err != nil || part < 0 || part >= len(owners) {
+			continue // not a key of this package
+		}
+		switch {
+		case strings.HasSuffix(item.Key, recordSuffix):
+			if err = json.Unmarshal(item.Value, &owners[part]); err != nil {
+				return nil, 0, fmt.Errorf("decode owner record of part %d: %w", part, err)
 			}
-			owner.Fence = item.Revision
-		case presenceKey:
-			owner.Present = true
+			owners[part].Fence = item.Revision
+		case strings.HasSuffix(item.Key, presenceSuffix):
+			owners[part].Present = true
+		}
+		owners[part].Part = part
+	}
+	return owners, revision, nil
+}
+
+// learn takes in the owners that were asked for at a time, and returns the parts
+// to campaign for.
+func (e *Elector) learn(owners []Owner, asked time.Time) (vacant []int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for part := range e.seats {
+		s := &e.seats[part]
+		if owners[part].Fence < s.owner.Fence {
+			continue // claimed since the records were read
+		}
+		s.owner = owners[part]
+		s.owner.Part = part
+		switch {
+		case s.term != nil && s.owner.Fence != s.term.Owner.Fence:
+			s.term.Depose(time.Now(), "the record names another owner")
+		case s.term != nil:
+			s.term.confirm(asked)
+		case !s.owner.Present && !s.campaigning && !e.resigned:
+			s.campaigning = true
+			vacant = append(vacant, part)
 		}
 	}
-	return owner, revision, nil
+	return vacant
 }
 
-// watch waits for a change of the record or of the presence, which are read
-// again as a whole afterwards.
+// watch waits for a change of the records or presences, which are read again as
+// a whole afterwards.
 func (e *Elector) watch(ctx context.Context, revision int64) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
@@ -201,7 +268,7 @@
 	cancel()
 	<-suspected
 	if err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, transactor.ErrCompacted) {
-		e.failed("watch owner record", err)
+		e.failed("watch owner records", err)
 		pauser.Sleep(ctx, retryAfter)
 	}
 }
@@ -215,147 +282,109 @@
 	return min(maxSeniority, time.Duration(math.Log2(1+age.Seconds()/youth.Seconds())*float64(seniorityStep)))
 }
 
-// campaign tries to become the owner, and serves the term if it does.
-func (e *Elector) campaign(ctx context.Context, last Owner) {
-	owner, err := e.claim(ctx, last)
+// campaign tries to become the owner of a part, and serves the term if it does.
+func (e *Elector) campaign(ctx context.Context, part int) {
+	term, err := e.win(ctx, part)
 	if err != nil {
 		var conflict *transactor.ConflictError
-		if !errors.As(err, &conflict) {
+		if !errors.As(err, &conflict) && ctx.Err() == nil {
 			e.failed("claim ownership", err)
 			pauser.Sleep(ctx, retryAfter)
 		}
-		return
-	}
-	e.term(ctx, owner, last)
-}
-
-// claim writes the record and the presence key.
-func (e *Elector) claim(ctx context.Context, last Owner) (owner Owner, err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	owner = Owner{Instance: e.opts.Instance, Address: e.opts.Address, Generation: last.Generation, Present: true}
-	if last.Fence > 0 {
-		owner.Generation++
 	}
-	lease, err := e.opts.Store.Grant(ctx, presenceTTL)
-	if err != nil {
-		return owner, err
+	if term != nil {
+		term.serve()
 	}
-	e.lease.Store(lease)
-	value, err := json.Marshal(owner)
-	if err != nil {
-		return owner, err
-	}
-	owner.Fence, err = e.opts.Store.Commit(ctx, transactor.Transaction{
-		Conditions: []transactor.Condition{{Key: recordKey, Revision: last.Fence}, {Key: presenceKey}},
-		Writes:     []transactor.Write{{Key: recordKey, Value: value}, {Key: presenceKey, Value: []byte(e.opts.Instance), Lease: lease}},
-	})
-	return owner, err
-}
-
-// term serves as the owner until deposed or closed.
-func (e *Elector) term(ctx context.Context, owner, former Owner) {
-	term, end := context.WithCancel(ctx)
-	defer end()
-	e.mu.Lock()
-	e.depose = end
-	e.mu.Unlock()
-	e.current.Store(&owner)
-	e.opts.Recorder.Record(time.Now(), EventElected, recorder.Fields{
-		"fence": strconv.FormatInt(owner.Fence, 10), "generation": strconv.FormatInt(owner.Generation, 10),
-	})
-	var parts sync.WaitGroup
-	parts.Add(2)
-	go func() {
-		defer parts.Done()
-		e.renew(term, owner)
-	}()
-	go func() {
-		defer parts.Done()
-		e.observe(term, owner)
-	}()
-	e.opts.Serve(term, owner, former)
-	end()
-	parts.Wait()
 	e.mu.Lock()
-	e.depose = nil
+	e.seats[part].campaigning = false
+	e.seats[part].term = nil
 	e.mu.Unlock()
-	e.opts.Recorder.Record(time.Now(), EventTermEnded, recorder.Fields{"fence": strconv.FormatInt(owner.Fence, 10)})
+	e.Suspect()
 }
 
-// renew keeps the presence key alive, and writes it again if it was lost.
-func (e *Elector) renew(ctx context.Context, owner Owner) {
-	confirmed := bootTime()
-	for pauser.Sleep(ctx, renewEvery) {
-		asked := bootTime()
-		err := e.keep(ctx, owner)
-		if err != nil && bootTime()-confirmed > MaxUnconfirmed {
-			e.Depose(time.Now(), "record could not be confirmed")
-			return
+// win waits until it is this daemon's turn and claims a part. It returns nil if
+// another daemon was faster.
+func (e *Elector) win(ctx context.Context, part int) (term *Term, err error) {
+	younger := seniority(time.Since(e.startedAt))
+	for waited := time.Duration(0); ; {
+		term, left, err := e.attempt(ctx, part, waited-younger)
+		if left <= 0 {
+			return term, err
 		}
-		var conflict *transactor.ConflictError
-		switch {
-		case ctx.Err() != nil:
-		case err == nil:
-			confirmed = asked
-		case errors.As(err, &conflict) && conflict.Find(recordKey).Revision != owner.Fence:
-			e.Depose(time.Now(), "another owner's record")
-		default:
-			e.failed("renew presence", err)
+		if !pauser.Sleep(ctx, left) {
+			return nil, ctx.Err()
 		}
+		waited += left
 	}
 }
 
-func (e *Elector) keep(ctx context.Context, owner Owner) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err = e.opts.Store.Keep(ctx, e.lease.Load()); !errors.Is(err, transactor.ErrNotFound) {
-		return err
+// attempt claims a part that is still vacant, or returns for how long other
+// daemons go ahead after a time that was waited.
+//
+// Load: the end of a daemon that owned several parts, or of all daemons. Each
+// part that this daemon wins meanwhile makes it wait longer for the next, so
+// that the parts go to as many daemons as there are of the size.
+func (e *Elector) attempt(ctx context.Context, part int, waited time.Duration) (term *Term, left time.Duration, err error) {
+	e.contest.Lock()
+	defer e.contest.Unlock()
+	if wait := e.opts.Delay(part, e.owned()); waited < wait {
+		return nil, wait - waited, nil
 	}
-	lease, err := e.opts.Store.Grant(ctx, presenceTTL)
-	if err != nil {
-		return err
+	last := e.Current(part)
+	if last.Present || e.hasResigned() {
+		return nil, 0, nil
 	}
-	e.lease.Store(lease)
-	_, err = e.opts.Store.Commit(ctx, transactor.Transaction{
-		Conditions: []transactor.Condition{{Key: recordKey, Revision: owner.Fence}, {Key: presenceKey}},
-		Writes:     []transactor.Write{{Key: presenceKey, Value: []byte(e.opts.Instance), Lease: lease}},
-	})
-	return err
+	term, err = e.claim(ctx, last)
+	return term, 0, err
 }
 
-// observe deposes this owner when the record names another.
-func (e *Elector) observe(ctx context.Context, owner Owner) {
-	for ctx.Err() == nil {
-		seen, revision, err := e.read(ctx)
-		if err != nil {
-			if ctx.Err() == nil {
-				e.failed("read own record", err)
-			}
-			pauser.Sleep(ctx, retryAfter)
-			continue
-		}
-		if seen.Fence != owner.Fence {
-			e.Depose(time.Now(), "the record names another owner")
-			return
+// owned returns the number of parts that this daemon owns.
+func (e *Elector) owned() (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.seats {
+		if e.seats[i].term != nil {
+			n++
 		}
-		e.watch(ctx, revision)
 	}
+	return n
 }
 
-// Resign gives up ownership so that another daemon takes over at once.
-func (e *Elector) Resign(ctx context.Context) {
-	e.mu.Lock()
-	e.resigned = true
-	depose := e.depose
-	e.mu.Unlock()
-	if depose == nil {
-		return
+// claim writes the record and the presence key.
+func (e *Elector) claim(ctx context.Context, last Owner) (term *Term, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked, askedAt := bootTime(), time.Now()
+	owner := Owner{Instance: e.opts.Instance, Address: e.opts.Address, Generation: last.Generation, Part: last.Part, Present: true}
+	if last.Fence > 0 {
+		owner.Generation++
+	}
+	lease, err := e.opts.Store.Grant(callCtx, presenceTTL)
+	if err != nil {
+		return nil, err
+	}
+	value, err := json.Marshal(owner)
+	if err != nil {
+		return nil, err
+	}
+	owner.Fence, err = e.opts.Store.Commit(callCtx, transactor.Transaction{
+		Conditions: []transactor.Condition{{Key: RecordKey(owner.Part), Revision: last.Fence}, {Key: presenceKey(owner.Part)}},
+		Writes:     []transactor.Write{{Key: RecordKey(owner.Part), Value: value}, {Key: presenceKey(owner.Part), Value: []byte(e.opts.Instance), Lease: lease}},
+	})
+	if err != nil {
+		return nil, err
 	}
-	depose()
-	if err := e.opts.Store.End(ctx, e.lease.Load()); err != nil {
-		e.failed("end presence", err)
+	term = newTerm(ctx, e, owner, last, lease)
+	term.confirmedBoot = asked
+	term.confirm(askedAt)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &e.seats[owner.Part]
+	s.owner, s.term = owner, term
+	if e.resigned {
+		term.end()
 	}
+	return term, nil
 }
 
 func (e *Elector) hasResigned() bool {
--- /dev/null
+++ b/internal/process/elector/term.go
@@ -0,0 +1,146 @@
+package elector
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+// A Term is the time for which this daemon owns a part.
+type Term struct {
+	// Owner is this daemon's record, Former the one before.
+	Owner, Former Owner
+
+	e     *Elector
+	ctx   context.Context
+	end   context.CancelFunc
+	lease atomic.Int64 // of the presence key
+	// confirmed is the latest time at which the record is known to have been
+	// this daemon's.
+	confirmed atomic.Pointer[time.Time]
+	// confirmedBoot is the same on the clock that counts suspension.
+	confirmedBoot time.Duration
+}
+
+func newTerm(ctx context.Context, e *Elector, owner, former Owner, lease int64) *Term {
+	t := &Term{Owner: owner, Former: former, e: e}
+	t.ctx, t.end = context.WithCancel(ctx)
+	t.lease.Store(lease)
+	return t
+}
+
+// Depose ends the term: another owner has been seen.
+func (t *Term) Depose(now time.Time, reason string) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	t.e.opts.Recorder.Record(now, EventDeposed, recorder.Fields{
+		"reason": reason, "part": strconv.Itoa(t.Owner.Part), "fence": strconv.FormatInt(t.Owner.Fence, 10),
+	})
+	t.end()
+}
+
+// ConfirmedAt returns the latest time at which no other daemon can have owned
+// the part.
+func (t *Term) ConfirmedAt() time.Time { return *t.confirmed.Load() }
+
+// confirm takes note that the record was still this daemon's at a time.
+func (t *Term) confirm(at time.Time) {
+	if last := t.confirmed.Load(); last == nil || at.After(*last) {
+		t.confirmed.Store(&at)
+	}
+}
+
+// serve runs the owner's duties until the term ends.
+func (t *Term) serve() {
+	defer t.end()
+	fields := recorder.Fields{
+		"part": strconv.Itoa(t.Owner.Part), "fence": strconv.FormatInt(t.Owner.Fence, 10),
+		"generation": strconv.FormatInt(t.Owner.Generation, 10),
+	}
+	t.e.opts.Recorder.Record(time.Now(), EventElected, fields)
+	var renewal sync.WaitGroup
+	renewal.Add(1)
+	go func() {
+		defer renewal.Done()
+		t.renew()
+	}()
+	t.e.opts.Serve(t.ctx, t)
+	t.end()
+	renewal.Wait()
+	t.e.opts.Recorder.Record(time.Now(), EventTermEnded, fields)
+}
+
+// renew keeps the presence key alive, writes it again if it was lost, and
+// confirms the record.
+func (t *Term) renew() {
+	for pauser.Sleep(t.ctx, renewEvery) {
+		asked, askedAt := bootTime(), time.Now()
+		err := t.keep()
+		if err == nil {
+			err = t.check()
+		}
+		if err != nil && bootTime()-t.confirmedBoot > MaxUnconfirmed {
+			t.Depose(time.Now(), "record could not be confirmed")
+			return
+		}
+		switch {
+		case t.ctx.Err() != nil:
+		case err == nil:
+			t.confirmedBoot = asked
+			t.confirm(askedAt)
+		case errors.Is(err, errReplaced):
+			t.Depose(time.Now(), err.Error())
+		default:
+			t.e.failed("renew presence", err)
+		}
+	}
+}
+
+// errReplaced says that the record is another daemon's.
+var errReplaced = errors.New("the record names another owner")
+
+// check reads the record. An alive presence key is no proof: the store may have
+// taken it away.
+func (t *Term) check() error {
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	item, err := t.e.opts.Store.Get(ctx, RecordKey(t.Owner.Part))
+	if err != nil {
+		return err
+	}
+	if item.Revision != t.Owner.Fence {
+		return errReplaced
+	}
+	return nil
+}
+
+func (t *Term) keep() (err error) {
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	if err = t.e.opts.Store.Keep(ctx, t.lease.Load()); !errors.Is(err, transactor.ErrNotFound) {
+		return err
+	}
+	lease, err := t.e.opts.Store.Grant(ctx, presenceTTL)
+	if err != nil {
+		return err
+	}
+	t.lease.Store(lease)
+	record, presence := RecordKey(t.Owner.Part), presenceKey(t.Owner.Part)
+	_, err = t.e.opts.Store.Commit(ctx, transactor.Transaction{
+		Conditions: []transactor.Condition{{Key: record, Revision: t.Owner.Fence}, {Key: presence}},
+		Writes:     []transactor.Write{{Key: presence, Value: []byte(t.e.opts.Instance), Lease: lease}},
+	})
+	var conflict *transactor.ConflictError
+	if errors.As(err, &conflict) && conflict.Find(record).Revision != t.Owner.Fence {
+		return errReplaced
+	}
+	return err
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,12 +7,15 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/kumquatstack/kumquatstack/internal/connection/relayer"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/conductor"
 	"github.com/kumquatstack/kumquatstack/internal/process/elector"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -63,8 +66,10 @@
 	Elector  *elector.Elector
 	Peers    *relayer.Client
 	Recorder recorder.Recorder
-	// Local returns the owner's duties if this process has them, else nil.
-	Local func() relayer.Owner
+	// Split divides the submissions; Local returns the duties of a part's owner
+	// if this process has them, else nil.
+	Split partitioner.Split
+	Local func(part int) relayer.Owner
 	// IsStoreLost reports whether the store did not answer lately.
 	IsStoreLost func() bool
 }
@@ -77,6 +82,11 @@
 	parts  sync.WaitGroup
 }
 
+// target returns the owner of a part as it is known now.
+func (g *Gateway) target(part int) relayer.Target {
+	return relayer.Target{Address: g.opts.Elector.Current(part).Address, Part: part}
+}
+
 // New returns a gateway.
 func New(opts Options) *Gateway {
 	g := &Gateway{opts: opts}
@@ -102,21 +112,21 @@
 	if !g.opts.IsStoreLost() {
 		return g.Accept(ctx, sub)
 	}
-	err = g.viaOwner(ctx, func(ctx context.Context, address string) error {
-		return g.opts.Peers.Accept(ctx, address, &sub)
+	err = g.viaOwner(ctx, sub.ID, func(ctx context.Context, to relayer.Target) error {
+		return g.opts.Peers.Accept(ctx, to, &sub)
 	})
 	return outcomeViaOwner(err)
 }
 
-// viaOwner has the owner do what needs the store.
-func (g *Gateway) viaOwner(ctx context.Context, ask func(ctx context.Context, address string) error) error {
-	address := g.opts.Elector.Current().Address
-	if address == "" || g.opts.Local() != nil {
+// viaOwner has the owner of a submission do what needs the store.
+func (g *Gateway) viaOwner(ctx context.Context, id string, ask func(ctx context.Context, to relayer.Target) error) error {
+	to := g.target(g.opts.Split.OfSubmission(id))
+	if to.Address == "" || g.opts.Local(to.Part) != nil {
 		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
 	}
 	ctx, cancel := context.WithTimeout(ctx, viaOwnerTimeout)
 	defer cancel()
-	err := ask(ctx, address)
+	err := ask(ctx, to)
 	if err != nil {
 		g.suspect(err)
 	}
@@ -141,12 +151,13 @@
 	if g.opts.IsStoreLost() {
 		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
 	}
-	stamped := sub.WithOwner(g.opts.Elector.Current().Fence)
+	part := g.opts.Split.OfSubmission(sub.ID)
+	stamped := sub.WithOwner(g.opts.Elector.Current(part).Fence)
 	value, err := stamped.Encode()
 	if err != nil {
 		return &RejectedError{Reason: err.Error()}
 	}
-	key := conductor.WorkKey(sub.ID)
+	key := conductor.KeysOf(part).Work(sub.ID)
 	err = g.commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: key}},
 		Writes:     []transactor.Write{{Key: key, Value: value}},
@@ -219,11 +230,12 @@
 }
 
 func (g *Gateway) submitToOwner(ctx context.Context, sub *submitter.Submission) error {
-	if local := g.opts.Local(); local != nil {
+	part := g.opts.Split.OfSubmission(sub.ID)
+	if local := g.opts.Local(part); local != nil {
 		local.Submit(sub)
 		return nil
 	}
-	return g.opts.Peers.Submit(ctx, g.opts.Elector.Current().Address, sub)
+	return g.opts.Peers.Submit(ctx, g.target(part), sub)
 }
 
 // Cancel makes a cancellation durable and tells the owner. It reports whether
@@ -239,8 +251,8 @@
 	if !g.opts.IsStoreLost() {
 		return g.Revoke(ctx, id)
 	}
-	err = g.viaOwner(ctx, func(ctx context.Context, address string) (err error) {
-		known, err = g.opts.Peers.Revoke(ctx, address, id)
+	err = g.viaOwner(ctx, id, func(ctx context.Context, to relayer.Target) (err error) {
+		known, err = g.opts.Peers.Revoke(ctx, to, id)
 		return err
 	})
 	return known, outcomeViaOwner(err)
@@ -249,8 +261,10 @@
 // Revoke implements relayer.Keeper: it stores a cancellation through this
 // daemon's own access to the store.
 func (g *Gateway) Revoke(ctx context.Context, id string) (known bool, err error) {
+	part := g.opts.Split.OfSubmission(id)
+	keys := conductor.KeysOf(part)
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	item, err := g.opts.Store.Get(callCtx, conductor.WorkKey(id))
+	item, err := g.opts.Store.Get(callCtx, keys.Work(id))
 	cancel()
 	if errors.Is(err, transactor.ErrNotFound) {
 		return false, nil
@@ -258,7 +272,7 @@
 	if err != nil {
 		return false, err
 	}
-	key := conductor.CancelKey(id)
+	key := keys.Cancel(id)
 	err = g.commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: item.Key, Revision: item.Revision}, {Key: key}},
 		Writes:     []transactor.Write{{Key: key, Value: []byte("{}")}},
@@ -268,11 +282,11 @@
 		return true, err
 	}
 	g.report(func(ctx context.Context) error {
-		if local := g.opts.Local(); local != nil {
+		if local := g.opts.Local(part); local != nil {
 			local.Cancel(id)
 			return nil
 		}
-		return g.opts.Peers.Cancel(ctx, g.opts.Elector.Current().Address, id)
+		return g.opts.Peers.Cancel(ctx, g.target(part), id)
 	})
 	return true, nil
 }
@@ -280,11 +294,12 @@
 // State returns a submission's state, from the owner or, while it can't be
 // asked or does not know the submission, from the store.
 func (g *Gateway) State(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	if local := g.opts.Local(); local != nil {
+	to := g.target(g.opts.Split.OfSubmission(id))
+	if local := g.opts.Local(to.Part); local != nil {
 		state, known = local.State(id)
-	} else if address := g.opts.Elector.Current().Address; address != "" {
+	} else if to.Address != "" {
 		callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-		state, known, err = g.opts.Peers.State(callCtx, address, id)
+		state, known, err = g.opts.Peers.State(callCtx, to, id)
 		cancel()
 		if err != nil {
 			g.suspect(err)
@@ -300,7 +315,8 @@
 func (g *Gateway) storedState(ctx context.Context, id string) (state submitter.State, known bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	work, _, err := g.opts.Store.List(ctx, conductor.WorkKey(id))
+	keys := conductor.KeysOf(g.opts.Split.OfSubmission(id))
+	work, _, err := g.opts.Store.List(ctx, keys.Work(id))
 	if err != nil {
 		return "", false, err
 	}
@@ -308,11 +324,11 @@
 		return "", false, nil
 	}
 	for _, item := range work {
-		if item.Key == conductor.CancelKey(id) {
+		if item.Key == keys.Cancel(id) {
 			state = submitter.Cancelled
 		}
 	}
-	item, err := g.opts.Store.Get(ctx, conductor.ProgressKey(id))
+	item, err := g.opts.Store.Get(ctx, keys.Progress(id))
 	if errors.Is(err, transactor.ErrNotFound) {
 		if state == "" {
 			state = submitter.Queued
@@ -335,14 +351,34 @@
 	return state, true, nil
 }
 
-// Pending returns the number of a queue's submissions that have not begun.
+// Pending returns the number of a queue's submissions that have not begun, in
+// all parts.
 func (g *Gateway) Pending(ctx context.Context, queue string) (n int, err error) {
-	if local := g.opts.Local(); local != nil {
-		return local.Pending(queue), nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	n, err = g.opts.Peers.Pending(ctx, g.opts.Elector.Current().Address, queue)
+	counts := make([]int, g.opts.Split.Parts)
+	var group errgroup.Group
+	for part := range counts {
+		group.Go(func() (err error) {
+			counts[part], err = g.pendingOf(ctx, part, queue)
+			return err
+		})
+	}
+	if err = group.Wait(); err != nil {
+		return 0, err
+	}
+	for _, count := range counts {
+		n += count
+	}
+	return n, nil
+}
+
+// pendingOf returns the number of one part.
+func (g *Gateway) pendingOf(ctx context.Context, part int, queue string) (n int, err error) {
+	if local := g.opts.Local(part); local != nil {
+		return local.Pending(queue), nil
+	}
+	n, err = g.opts.Peers.Pending(ctx, g.target(part), queue)
 	if err != nil {
 		g.suspect(err)
 	}
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -154,6 +154,8 @@
 	6401: {Name: "scheduler.loadFailed", Level: log.InfoLevel},
 	6402: {Name: "scheduler.serving", Level: log.InfoLevel},
 	6403: {Name: "scheduler.peersFailed", Level: log.InfoLevel},
+	6404: {Name: "scheduler.split", Level: log.InfoLevel},
+	6405: {Name: "scheduler.splitFailed", Level: log.InfoLevel},
 	6500: {Name: "platform.processStarted", Level: log.InfoLevel},
 	6501: {Name: "platform.processStopping", Level: log.InfoLevel},
 	6502: {Name: "platform.settingsReloaded", Level: log.InfoLevel},
--- a/internal/process/scheduler/events.go
+++ b/internal/process/scheduler/events.go
@@ -11,4 +11,8 @@
 	EventServing recorder.Number = 6402
 	// EventPeersFailed is recorded when other daemons are no longer served.
 	EventPeersFailed recorder.Number = 6403
+	// EventSplit is recorded when this daemon has chosen the number of parts.
+	EventSplit recorder.Number = 6404
+	// EventSplitFailed is recorded when the split can't be read or written.
+	EventSplitFailed recorder.Number = 6405
 )
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -27,6 +27,8 @@
 	now   time.Time
 	ends  map[string]int64 // last end's number by runner
 	lists map[string][]RunStatus
+	// unconfirmed says that the owner does not reach its record.
+	unconfirmed bool
 }
 
 // newBench returns a table with runners r0, r1 and so on that have not been
@@ -54,6 +56,9 @@
 // pass lets time go by.
 func (b *bench) pass(d time.Duration) {
 	b.now = b.now.Add(d)
+	if !b.unconfirmed {
+		b.table.Confirm(b.now)
+	}
 	b.table.Tick(b.now)
 }
 
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -170,6 +170,14 @@
 	return r.heardAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
 }
 
+// hasLapsed reports whether every lease on a runner has run out. A successor may
+// renew leases at runners that this owner does not reach, so the record has to
+// be confirmed later than their end.
+func (t *Table) hasLapsed(r *runner, now time.Time) bool {
+	end := t.lapsedBy(r)
+	return !now.Before(end) && !t.confirmedAt.Before(end)
+}
+
 // FormerUntil sets the time up to which a former owner may have renewed leases
 // at runners that this owner does not reach.
 func (t *Table) FormerUntil(end time.Time) {
@@ -215,7 +223,7 @@
 		return true
 	}
 	for _, r := range t.runners {
-		if !t.isKnown(r, now) && now.Before(t.lapsedBy(r)) {
+		if !t.isKnown(r, now) && !t.hasLapsed(r, now) {
 			return false
 		}
 	}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -58,7 +58,9 @@
 	// formerEnd is the time up to which a former owner may have renewed leases.
 	formerEnd time.Time
 	inherited bool
-	rec       recorder.Recorder
+	// confirmedAt is the latest time at which there was no successor.
+	confirmedAt time.Time
+	rec         recorder.Recorder
 
 	queues    map[string]Queue
 	runners   map[string]*runner
@@ -88,19 +90,27 @@
 // zero says that there was no owner before.
 func New(limits Limits, fence, generation int64, rec recorder.Recorder, now time.Time) *Table {
 	return &Table{
-		limits:     limits,
-		fence:      fence,
-		generation: generation,
-		ownedSince: now,
-		formerEnd:  now,
-		inherited:  generation > 0,
-		rec:        rec,
-		queues:     make(map[string]Queue),
-		runners:    make(map[string]*runner),
-		subs:       make(map[string]*submission),
-		evacuated:  make(map[string]bool),
-		disturbed:  newDisturbance(),
-		noRoom:     make(map[shape]submitter.Resources),
+		limits:      limits,
+		fence:       fence,
+		generation:  generation,
+		ownedSince:  now,
+		formerEnd:   now,
+		confirmedAt: now,
+		inherited:   generation > 0,
+		rec:         rec,
+		queues:      make(map[string]Queue),
+		runners:     make(map[string]*runner),
+		subs:        make(map[string]*submission),
+		evacuated:   make(map[string]bool),
+		disturbed:   newDisturbance(),
+		noRoom:      make(map[shape]submitter.Resources),
+	}
+}
+
+// Confirm takes note that there was no successor of this owner at a time.
+func (t *Table) Confirm(at time.Time) {
+	if at.After(t.confirmedAt) {
+		t.confirmedAt = at
 	}
 }
 
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -128,3 +128,27 @@
 	b.table.Add(sub, nil, b.now)
 	assertStarts(t, b.starts(), 0)
 }
+
+// An owner that is cut off from its record and from a runner can't tell whether
+// a successor renews the leases there.
+func TestLeasesLapseOnlyUnderAConfirmedRecord(t *testing.T) {
+	b := newBench(t, 0, 2)
+	b.lookAll(2)
+	b.add("a", "urgent", oneCore(1))
+	orders := b.starts()
+	assertStarts(t, orders, 1)
+	silent, other := orders[0].Runner, "r0"
+	if silent == other {
+		other = "r1"
+	}
+	b.unconfirmed = true
+	for range 9 {
+		b.look(other)
+		assertStarts(t, b.starts(), 0)
+		b.pass(time.Second)
+	}
+	b.unconfirmed = false
+	b.look(other)
+	b.pass(time.Second)
+	assertStarts(t, b.starts(), 1)
+}
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -24,7 +24,7 @@
 func (t *Table) Tick(now time.Time) {
 	for id, r := range t.runners {
 		t.lapse(r, now)
-		if !r.listed && len(r.runs) == 0 && now.After(t.lapsedBy(r)) {
+		if !r.listed && len(r.runs) == 0 && t.hasLapsed(r, now) {
 			delete(t.runners, id)
 			continue
 		}
@@ -37,7 +37,7 @@
 
 // lapse ends the runs of a runner whose leases must have run out.
 func (t *Table) lapse(r *runner, now time.Time) {
-	if len(r.runs) == 0 || now.Before(t.lapsedBy(r)) {
+	if len(r.runs) == 0 || !t.hasLapsed(r, now) {
 		return
 	}
 	t.recordRunner(now, EventRunnerLapsed, r, "no renewal was answered")
--- /dev/null
+++ b/internal/version/partitioner/split.go
@@ -0,0 +1,71 @@
+// Package partitioner divides submissions and runners among owners. A part has
+// runners of every rack and data centre, so that the loss of one of these
+// shrinks all parts alike.
+package partitioner
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+)
+
+// Figures of the number of parts.
+const (
+	// runnersPerCore is the number of runners that an owner with one core looks
+	// after: 48 took half of 0.16 core on the days of ptkp-sched.
+	runnersPerCore = 320
+	// leastRunners and mostRunners bound the size of a part: smaller ones are
+	// poor queues, larger ones exceed any host's processor.
+	leastRunners = 40
+	mostRunners  = 128
+)
+
+// A Split is a number of parts. Parts are numbered from zero. The split of a
+// deployment never changes: submissions stay in their part.
+type Split struct {
+	Parts int `json:"parts"`
+}
+
+// Choose returns the split for a number of runners and owners with a share of a
+// core. Without a known share the largest parts are taken.
+func Choose(runners int, cores float64) Split {
+	size := float64(mostRunners)
+	if cores > 0 {
+		size = min(mostRunners, max(leastRunners, cores*runnersPerCore))
+	}
+	return Split{Parts: max(1, int(math.Round(float64(runners)/size)))}
+}
+
+// Decode reads the form of Encode.
+func Decode(data []byte) (s Split, err error) {
+	if err = json.Unmarshal(data, &s); err != nil {
+		return s, fmt.Errorf("decode split: %w", err)
+	}
+	if s.Parts < 1 {
+		return s, fmt.Errorf("decode split: %d parts", s.Parts)
+	}
+	return s, nil
+}
+
+// Encode returns the form that is kept in the store.
+func (s Split) Encode() ([]byte, error) { return json.Marshal(s) }
+
+// OfSubmission returns the part of a submission.
+func (s Split) OfSubmission(id string) int { return s.of("submission", id) }
+
+// OfRunner returns the part of a runner.
+func (s Split) OfRunner(id string) int { return s.of("runner", id) }
+
+func (s Split) of(kind, id string) int {
+	if s.Parts <= 1 {
+		return 0
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(kind + "/" + id)) // a hash takes any bytes
+	// The high bits of the product depend on all bits of the sum.
+	return int((hash.Sum64() * spread >> 32) % uint64(s.Parts))
+}
+
+// spread is the odd number next to 2^64 divided by the golden ratio.
+const spread = 0x9E3779B97F4A7C15
--- /dev/null
+++ b/internal/version/partitioner/split_test.go
@@ -0,0 +1,72 @@
+package partitioner
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestChoose(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name    string
+		runners int
+		cores   float64
+		parts   int
+	}{
+		{"48 runners, small hosts", 48, 0.16, 1},
+		{"66 runners, medium hosts", 66, 0.4, 1},
+		{"350 runners, large hosts", 350, 0.8, 3},
+		{"490 runners, large hosts", 490, 0.8, 4},
+		{"no runner", 0, 0.16, 1},
+		{"unknown hosts", 256, 0, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			if got := Choose(c.runners, c.cores); got.Parts != c.parts {
+				t.Errorf("%d parts, want %d", got.Parts, c.parts)
+			}
+		})
+	}
+}
+
+func TestParts(t *testing.T) {
+	t.Parallel()
+	const ids, parts = 4000, 4
+	split := Split{Parts: parts}
+	for kind, of := range map[string]func(string) int{"submission": split.OfSubmission, "runner": split.OfRunner} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			counts := make([]int, parts)
+			for i := range ids {
+				counts[of(fmt.Sprintf("%016x", i))]++
+			}
+			for part, n := range counts {
+				if n < ids/parts*8/10 || n > ids/parts*12/10 {
+					t.Errorf("part %d has %d of %d", part, n, ids)
+				}
+			}
+		})
+	}
+}
+
+func TestDecode(t *testing.T) {
+	t.Parallel()
+	t.Run("round trip", func(t *testing.T) {
+		t.Parallel()
+		data, err := Split{Parts: 3}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Decode(data); err != nil || got.Parts != 3 {
+			t.Errorf("decoded %v, %v", got, err)
+		}
+	})
+	for _, bad := range []string{"", "{}", `{"parts":-1}`, "x"} {
+		t.Run("bad "+bad, func(t *testing.T) {
+			t.Parallel()
+			if got, err := Decode([]byte(bad)); err == nil {
+				t.Errorf("decoded %v", got)
+			}
+		})
+	}
+}
