Let a submission have two homes, and make an owner's work cheaper

One pool is the best queue, but one owner of 490 runners ran short of processor time.

Change: whoever accepts a submission chooses between two parts by the loads that owners report.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -60,7 +61,8 @@
 
 // An Owner answers for the submissions of its part.
 type Owner interface {
-	Submit(sub *submitter.Submission)
+	// Submit takes in a submission and returns the load with it.
+	Submit(sub *submitter.Submission) partitioner.Load
 	Cancel(id string)
 	State(id string) (state submitter.State, known bool)
 	Pending(queue string) int
@@ -114,13 +116,14 @@
 	}}}
 }
 
-// Submit hands an accepted submission to the owner.
-func (c *Client) Submit(ctx context.Context, to Target, sub *submitter.Submission) error {
+// Submit hands an accepted submission to the owner, and returns the owner's load.
+func (c *Client) Submit(ctx context.Context, to Target, sub *submitter.Submission) (load partitioner.Load, err error) {
 	body, err := sub.Encode()
 	if err != nil {
-		return err
+		return load, err
 	}
-	return c.call(ctx, http.MethodPost, to, submissionPath, "", body, nil)
+	err = c.call(ctx, http.MethodPost, to, submissionPath, "", body, &load)
+	return load, err
 }
 
 // Accept has the owner store a submission.
@@ -255,7 +258,7 @@
 
 func serveSubmission(o Owner, _ string, w http.ResponseWriter, r *http.Request) {
 	if sub := readSubmission(w, r); sub != nil {
-		o.Submit(sub)
+		reply(w, o.Submit(sub))
 	}
 }
 
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -174,9 +174,15 @@
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.FormerEnded(now) })
 }
 
-// Submit takes in an accepted submission.
-func (c *Conductor) Submit(sub *submitter.Submission) {
+// Submit takes in an accepted submission and returns the load with it.
+func (c *Conductor) Submit(sub *submitter.Submission) (load partitioner.Load) {
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.Add(sub, nil, now) })
+	if c.opts.Split.Parts < 2 {
+		return load // there is nothing to choose from
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Load()
 }
 
 // Cancel takes in a durable cancellation.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -77,6 +77,8 @@
 // A Gateway serves clients. It is safe for concurrent use.
 type Gateway struct {
 	opts   Options
+	loads  *partitioner.Balancer
+	homes  *homes
 	ctx    context.Context
 	cancel context.CancelFunc
 	parts  sync.WaitGroup
@@ -89,7 +91,7 @@
 
 // New returns a gateway.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts}
+	g := &Gateway{opts: opts, loads: partitioner.NewBalancer(), homes: newHomes(opts.Split)}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g
 }
@@ -118,19 +120,23 @@
 	return outcomeViaOwner(err)
 }
 
-// viaOwner has the owner of a submission do what needs the store.
+// viaOwner has another daemon, the owner of a home of a submission, do what needs
+// the store.
 func (g *Gateway) viaOwner(ctx context.Context, id string, ask func(ctx context.Context, to relayer.Target) error) error {
-	to := g.target(g.opts.Split.OfSubmission(id))
-	if to.Address == "" || g.opts.Local(to.Part) != nil {
-		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
-	}
-	ctx, cancel := context.WithTimeout(ctx, viaOwnerTimeout)
-	defer cancel()
-	err := ask(ctx, to)
-	if err != nil {
-		g.suspect(err)
+	for _, part := range g.homes.of(id) {
+		to := g.target(part)
+		if to.Address == "" || g.opts.Local(part) != nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, viaOwnerTimeout)
+		defer cancel()
+		err := ask(ctx, to)
+		if err != nil {
+			g.suspect(err)
+		}
+		return err
 	}
-	return err
+	return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
 }
 
 // outcomeViaOwner translates what became of a request at the owner.
@@ -151,30 +157,44 @@
 	if g.opts.IsStoreLost() {
 		return &RejectedError{Reason: "store is away", RetryAfter: outageRetryAfter}
 	}
-	part := g.opts.Split.OfSubmission(sub.ID)
+	part := g.loads.Choose(g.opts.Split.Homes(sub.ID), partitioner.DemandOf(&sub))
 	stamped := sub.WithOwner(g.opts.Elector.Current(part).Fence)
 	value, err := stamped.Encode()
 	if err != nil {
 		return &RejectedError{Reason: err.Error()}
 	}
-	key := conductor.KeysOf(part).Work(sub.ID)
-	err = g.commit(ctx, transactor.Transaction{
-		Conditions: []transactor.Condition{{Key: key}},
-		Writes:     []transactor.Write{{Key: key, Value: value}},
-	})
+	txn := transactor.Transaction{Writes: []transactor.Write{{Key: conductor.KeysOf(part).Work(sub.ID), Value: value}}}
+	for _, home := range g.opts.Split.Homes(sub.ID) {
+		txn.Conditions = append(txn.Conditions, transactor.Condition{Key: conductor.KeysOf(home).Work(sub.ID)})
+	}
+	err = g.commit(ctx, txn)
 	var conflict *transactor.ConflictError
 	accepted := &stamped
 	if errors.As(err, &conflict) {
 		// Accepted by an earlier request, whose daemon may not have reported it.
-		accepted, err = submitter.Decode(conflict.Find(key).Value)
+		part, accepted, err = g.earlier(sub.ID, conflict)
 	}
 	if err != nil {
 		return err
 	}
-	g.report(func(ctx context.Context) error { return g.submitToOwner(ctx, accepted) })
+	g.homes.note(sub.ID, part)
+	g.report(func(ctx context.Context) error { return g.submitToOwner(ctx, part, accepted) })
 	return nil
 }
 
+// earlier returns the submission that an earlier request has stored, and its
+// home.
+func (g *Gateway) earlier(id string, conflict *transactor.ConflictError) (part int, sub *submitter.Submission, err error) {
+	for _, home := range g.opts.Split.Homes(id) {
+		if item := conflict.Find(conductor.KeysOf(home).Work(id)); item.Revision > 0 {
+			sub, err = submitter.Decode(item.Value)
+			return home, sub, err
+		}
+	}
+	// The store says that a key exists, and names none of them.
+	return 0, nil, errors.Join(ErrUnknownOutcome, conflict)
+}
+
 // commit carries out a transaction until its outcome is known. Besides a
 // conflict it returns a *RejectedError or ErrUnknownOutcome.
 func (g *Gateway) commit(ctx context.Context, txn transactor.Transaction) error {
@@ -229,13 +249,16 @@
 	}
 }
 
-func (g *Gateway) submitToOwner(ctx context.Context, sub *submitter.Submission) error {
-	part := g.opts.Split.OfSubmission(sub.ID)
+func (g *Gateway) submitToOwner(ctx context.Context, part int, sub *submitter.Submission) error {
 	if local := g.opts.Local(part); local != nil {
-		local.Submit(sub)
+		g.loads.Note(part, local.Submit(sub))
 		return nil
 	}
-	return g.opts.Peers.Submit(ctx, g.target(part), sub)
+	load, err := g.opts.Peers.Submit(ctx, g.target(part), sub)
+	if err == nil {
+		g.loads.Note(part, load)
+	}
+	return err
 }
 
 // Cancel makes a cancellation durable and tells the owner. It reports whether
@@ -261,18 +284,14 @@
 // Revoke implements relayer.Keeper: it stores a cancellation through this
 // daemon's own access to the store.
 func (g *Gateway) Revoke(ctx context.Context, id string) (known bool, err error) {
-	part := g.opts.Split.OfSubmission(id)
-	keys := conductor.KeysOf(part)
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	item, err := g.opts.Store.Get(callCtx, keys.Work(id))
-	cancel()
+	part, item, err := g.find(ctx, id)
 	if errors.Is(err, transactor.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
-	key := keys.Cancel(id)
+	key := conductor.KeysOf(part).Cancel(id)
 	err = g.commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: item.Key, Revision: item.Revision}, {Key: key}},
 		Writes:     []transactor.Write{{Key: key, Value: []byte("{}")}},
@@ -291,49 +310,72 @@
 	return true, nil
 }
 
-// State returns a submission's state, from the owner or, while it can't be
-// asked or does not know the submission, from the store.
-func (g *Gateway) State(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	to := g.target(g.opts.Split.OfSubmission(id))
-	if local := g.opts.Local(to.Part); local != nil {
-		state, known = local.State(id)
-	} else if to.Address != "" {
-		callCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
-		state, known, err = g.opts.Peers.State(callCtx, to, id)
-		cancel()
-		if err != nil {
-			g.suspect(err)
+// find reads a submission's record from the store. It returns ErrNotFound if
+// there is none at any of its homes.
+func (g *Gateway) find(ctx context.Context, id string) (part int, item transactor.Item, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	for _, part = range g.homes.of(id) {
+		item, err = g.opts.Store.Get(ctx, conductor.KeysOf(part).Work(id))
+		if !errors.Is(err, transactor.ErrNotFound) {
+			return part, item, err
 		}
 	}
-	if known {
-		return state, true, nil
+	return 0, item, err
+}
+
+// State returns a submission's state, from an owner or, while it can't be asked
+// or does not know the submission, from the store.
+func (g *Gateway) State(ctx context.Context, id string) (state submitter.State, known bool, err error) {
+	for _, part := range g.homes.of(id) {
+		if state, known = g.stateAt(ctx, part, id); known {
+			g.homes.note(id, part)
+			return state, true, nil
+		}
 	}
 	return g.storedState(ctx, id)
 }
 
+// stateAt asks the owner of one home.
+func (g *Gateway) stateAt(ctx context.Context, part int, id string) (state submitter.State, known bool) {
+	if local := g.opts.Local(part); local != nil {
+		return local.State(id)
+	}
+	to := g.target(part)
+	if to.Address == "" {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	state, known, err := g.opts.Peers.State(ctx, to, id)
+	if err != nil {
+		g.suspect(err) // the store is asked next
+	}
+	return state, known
+}
+
 // storedState derives a state from the records.
 func (g *Gateway) storedState(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	keys := conductor.KeysOf(g.opts.Split.OfSubmission(id))
-	work, _, err := g.opts.Store.List(ctx, keys.Work(id))
+	part, _, err := g.find(ctx, id)
+	if errors.Is(err, transactor.ErrNotFound) {
+		return "", false, nil
+	}
 	if err != nil {
 		return "", false, err
 	}
-	if len(work) == 0 {
-		return "", false, nil
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	keys := conductor.KeysOf(part)
+	_, err = g.opts.Store.Get(ctx, keys.Cancel(id))
+	if err == nil {
+		return submitter.Cancelled, true, nil
 	}
-	for _, item := range work {
-		if item.Key == keys.Cancel(id) {
-			state = submitter.Cancelled
-		}
+	if !errors.Is(err, transactor.ErrNotFound) {
+		return "", false, err
 	}
 	item, err := g.opts.Store.Get(ctx, keys.Progress(id))
 	if errors.Is(err, transactor.ErrNotFound) {
-		if state == "" {
-			state = submitter.Queued
-		}
-		return state, true, nil
+		return submitter.Queued, true, nil
 	}
 	if err != nil {
 		return "", false, err
@@ -342,13 +384,10 @@
 	if err != nil {
 		return "", false, err
 	}
-	switch {
-	case progress.State.IsFinal():
+	if progress.State.IsFinal() {
 		return progress.State, true, nil
-	case state == "":
-		state = submitter.Running
 	}
-	return state, true, nil
+	return submitter.Running, true, nil
 }
 
 // Pending returns the number of a queue's submissions that have not begun, in
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -9,9 +9,23 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// blockedPause is the time after which a step that found no room is tried
-// again; it bounds the work of a pass while many steps wait.
-const blockedPause = 50 * time.Millisecond
+// Times after which a step that found no room is tried again; they bound the
+// work of a pass while many steps wait.
+const (
+	blockedPause = 50 * time.Millisecond
+	// blockedFill is the same for steps that fill: each try costs a prediction
+	// for every runner.
+	blockedFill = 150 * time.Millisecond
+)
+
+// isBlocked reports whether a step has found no room a moment ago.
+func (st *stepState) isBlocked(now time.Time) bool {
+	pause := blockedPause
+	if st.spec.Fills {
+		pause = blockedFill
+	}
+	return now.Sub(st.blockedAt) < pause
+}
 
 // A candidate is a step with tasks that may start.
 type candidate struct {
@@ -54,10 +68,7 @@
 // is spread over those that can bear it.
 func (t *Table) candidates(now time.Time) []candidate {
 	var list []candidate
-	for _, s := range t.subs {
-		if s.state.IsFinal() {
-			continue
-		}
+	for _, s := range t.unfinished() {
 		if s.opened < s.sub.Occurrences() {
 			t.open(s, now)
 		}
@@ -66,7 +77,7 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if st.ready && st.wait > 0 && st.left > 0 && now.Sub(st.blockedAt) >= blockedPause {
+				if st.ready && st.wait > 0 && st.left > 0 && !st.isBlocked(now) {
 					list = append(list, newCandidate(st, now))
 				}
 			}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
@@ -132,6 +133,7 @@
 		t.restore(s, progress, now)
 	}
 	if !s.state.IsFinal() {
+		t.active = append(t.active, s)
 		t.open(s, now)
 		t.claimEnds(s, now)
 		t.settle(s, now)
@@ -140,6 +142,12 @@
 	return true
 }
 
+// unfinished returns the submissions that have not ended.
+func (t *Table) unfinished() []*submission {
+	t.active = slices.DeleteFunc(t.active, func(s *submission) bool { return s.state.IsFinal() })
+	return t.active
+}
+
 // objective estimates the time within which a submission earns in full.
 func objective(s *submission) time.Duration {
 	chain := make([]time.Duration, len(s.sub.Steps))
@@ -294,8 +302,8 @@
 // Pending counts a queue's submissions that have not begun.
 func (t *Table) Pending(queue string) int {
 	n := 0
-	for _, s := range t.subs {
-		if s.sub.Queue == queue && !s.began && !s.state.IsFinal() {
+	for _, s := range t.unfinished() {
+		if s.sub.Queue == queue && !s.began {
 			n++
 		}
 	}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -62,9 +63,12 @@
 	confirmedAt time.Time
 	rec         recorder.Recorder
 
-	queues    map[string]Queue
-	runners   map[string]*runner
-	subs      map[string]*submission
+	queues  map[string]Queue
+	runners map[string]*runner
+	subs    map[string]*submission
+	// active are the submissions in subs that have not ended, and some that
+	// have: those are dropped when the list is used.
+	active    []*submission
 	evacuated map[string]bool
 	disturbed disturbance
 
@@ -134,6 +138,32 @@
 	t.recheck = true
 }
 
+// Load returns what the tasks of the part take or wait for.
+func (t *Table) Load() (load partitioner.Load) {
+	for _, r := range t.runners {
+		if r.listed && !r.info.Draining && !t.evacuated[r.info.DataCentre] {
+			load.Capacity += r.info.Capacity.MilliCores
+			load.Reserved += r.used.MilliCores
+			load.Filling += r.fills
+		}
+	}
+	for _, s := range t.unfinished() {
+		for _, occ := range s.occs {
+			for _, st := range occ.steps {
+				waiting := int64(st.wait) * st.spec.MilliCores
+				switch {
+				case !st.ready:
+				case st.spec.Fills:
+					load.Filling += waiting
+				default:
+					load.Reserved += waiting
+				}
+			}
+		}
+	}
+	return load
+}
+
 // A Kind tells what an order asks of a runner.
 type Kind int
 
--- a/internal/version/partitioner/split.go
+++ b/internal/version/partitioner/split.go
@@ -14,11 +14,11 @@
 const (
 	// runnersPerCore is the number of runners that an owner with one core looks
 	// after: 48 took half of 0.16 core on the days of ptkp-sched.
-	runnersPerCore = 320
+	runnersPerCore = 640
 	// leastRunners and mostRunners bound the size of a part: smaller ones are
 	// poor queues, larger ones exceed any host's processor.
-	leastRunners = 40
-	mostRunners  = 128
+	leastRunners = 64
+	mostRunners  = 512
 )
 
 // A Split is a number of parts. Parts are numbered from zero. The split of a
@@ -51,20 +51,32 @@
 // Encode returns the form that is kept in the store.
 func (s Split) Encode() ([]byte, error) { return json.Marshal(s) }
 
-// OfSubmission returns the part of a submission.
-func (s Split) OfSubmission(id string) int { return s.of("submission", id) }
-
 // OfRunner returns the part of a runner.
-func (s Split) OfRunner(id string) int { return s.of("runner", id) }
+func (s Split) OfRunner(id string) int { return pick("runner/"+id, s.Parts) }
+
+// Homes returns the parts in one of which a submission is. Whoever accepts it
+// chooses.
+func (s Split) Homes(id string) []int {
+	first := pick("first/"+id, s.Parts)
+	if s.Parts < 2 {
+		return []int{first}
+	}
+	second := pick("second/"+id, s.Parts-1)
+	if second >= first {
+		second++
+	}
+	return []int{first, second}
+}
 
-func (s Split) of(kind, id string) int {
-	if s.Parts <= 1 {
+// pick returns a number below n by a hash of a key.
+func pick(key string, n int) int {
+	if n <= 1 {
 		return 0
 	}
 	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(kind + "/" + id)) // a hash takes any bytes
+	_, _ = hash.Write([]byte(key)) // a hash takes any bytes
 	// The high bits of the product depend on all bits of the sum.
-	return int((hash.Sum64() * spread >> 32) % uint64(s.Parts))
+	return int((hash.Sum64() * spread >> 32) % uint64(n))
 }
 
 // spread is the odd number next to 2^64 divided by the golden ratio.
