--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -58,6 +58,11 @@
 	resumeAfter = 1200 * time.Millisecond
 	// calmTarget is the share of the target below which a tail is calm.
 	calmTarget = 0.8
+	// watchedTail is the share of the target from which a tail is looked at
+	// often: a load that swings by half in some seconds can bring it over.
+	watchedTail = 0.6
+	// unknownTail is assumed of services that are not at work yet.
+	unknownTail = 1.0
 )
 
 // A disturbance is what is known of images that share runners.
@@ -239,6 +244,9 @@
 			since = x.overSince
 		}
 	}
+	if r.worstTail = worst; worst == 0 {
+		r.worstTail = unknownTail
+	}
 	if worst >= calmTarget {
 		r.calmSince = time.Time{}
 	} else if r.calmSince.IsZero() {
--- a/internal/version/dispatcher/interference_test.go
+++ b/internal/version/dispatcher/interference_test.go
@@ -160,3 +160,19 @@
 		t.Errorf("%d of 2 tasks got their full pace", resumed)
 	}
 }
+
+// Replays quiet-1 of sdg-sched-grown, where 490 runners with services beside
+// filling tasks were looked at twice a second and their owner ran short of
+// processor time.
+func TestOnlyTailsNearTheirTargetAreWatchedClosely(t *testing.T) {
+	b, _ := contended(t)
+	if !b.table.Contended("r0") {
+		t.Error("not watched before the first measurement")
+	}
+	for tail, want := range map[float64]bool{17: true, 11: true, 6: false} {
+		b.measure(tail)
+		if got := b.table.Contended("r0"); got != want {
+			t.Errorf("tail of %v ms with a target of 18 ms: watched closely %v, want %v", tail, got, want)
+		}
+	}
+}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -45,12 +45,14 @@
 	fills          int64   // milliCores wanted by filling tasks
 	claimed        float64 // milliCores kept from filling tasks
 	serving        int     // tasks with a tail target
-	calmSince      time.Time
-	fillLeftAt     time.Time             // when a filling task ended here last
-	halted         bool                  // filling tasks have been halted
-	services       map[string]*stepState // by serving image
-	servingOf      map[string]int        // tasks by serving image
-	fillers        map[string]int64      // milliCores wanted by filling image
+	// worstTail is the highest tail in shares of its target, in the newest list.
+	worstTail  float64
+	calmSince  time.Time
+	fillLeftAt time.Time             // when a filling task ended here last
+	halted     bool                  // filling tasks have been halted
+	services   map[string]*stepState // by serving image
+	servingOf  map[string]int        // tasks by serving image
+	fillers    map[string]int64      // milliCores wanted by filling image
 }
 
 // A runKey identifies a run at a runner.
@@ -73,7 +75,8 @@
 func newRunner(info RunnerInfo) *runner {
 	return &runner{
 		info: info, runs: make(map[runKey]*run), strikes: make(map[string]bool), strangers: make(map[runKey]time.Time),
-		services: make(map[string]*stepState), servingOf: make(map[string]int), fillers: make(map[string]int64),
+		worstTail: unknownTail,
+		services:  make(map[string]*stepState), servingOf: make(map[string]int), fillers: make(map[string]int64),
 	}
 }
 
@@ -142,6 +145,7 @@
 	clear(r.strikes)
 	r.suspendedUntil = time.Time{}
 	r.halted = false
+	r.worstTail = unknownTail
 }
 
 // dropRuns takes note that nothing runs on a runner any more.
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -102,11 +102,14 @@
 	t.finals = slices.DeleteFunc(t.finals, func(f final) bool { return gone[f.id] })
 }
 
-// Contended reports whether a runner has tasks that serve beside tasks that
-// fill, so that it has to be looked at often.
+// Contended reports whether a runner has tasks that fill beside tasks that serve
+// and whose tails are near their targets, so that it has to be looked at often.
+//
+// Load: several hundred runners that all have both. Their looks take most of an
+// owner's processor time.
 func (t *Table) Contended(id string) bool {
 	r, ok := t.runners[id]
-	return ok && r.serving > 0 && r.fills > 0
+	return ok && r.serving > 0 && r.fills > 0 && r.worstTail >= watchedTail
 }
 
 // IsIdle reports whether nothing runs on a runner.
--- a/internal/version/partitioner/split.go
+++ b/internal/version/partitioner/split.go
@@ -13,12 +13,13 @@
 // Figures of the number of parts.
 const (
 	// runnersPerCore is the number of runners that an owner with one core looks
-	// after: 48 took half of 0.16 core on the days of ptkp-sched.
-	runnersPerCore = 640
+	// after: 490 took more than 0.8 core on days with trouble of
+	// sdg-sched-grown, 245 about a third of that.
+	runnersPerCore = 320
 	// leastRunners and mostRunners bound the size of a part: smaller ones are
 	// poor queues, larger ones exceed any host's processor.
-	leastRunners = 64
-	mostRunners  = 512
+	leastRunners = 48
+	mostRunners  = 256
 )
 
 // A Split is a number of parts. Parts are numbered from zero. The split of a
