--- /dev/null
+++ b/internal/process/elector/elector_test.go
@@ -0,0 +1,169 @@
+package elector
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+// patience bounds waits for what has to happen.
+const patience = 10 * time.Second
+
+// A group is several electors that share a store.
+type group struct {
+	t        *testing.T
+	store    *memoryStore
+	parts    int
+	electors []*Elector
+
+	mu     sync.Mutex
+	served map[int]map[string]*Term // running terms by part and instance
+}
+
+// newGroup starts electors named e0, e1 and so on.
+func newGroup(t *testing.T, electors, parts int) *group {
+	t.Helper()
+	g := &group{t: t, store: newMemoryStore(), parts: parts, served: make(map[int]map[string]*Term)}
+	for part := range parts {
+		g.served[part] = make(map[string]*Term)
+	}
+	for i := range electors {
+		e := New(Options{
+			Store: g.store, Instance: fmt.Sprint("e", i), Address: fmt.Sprint("host", i), Parts: parts,
+			Delay: func(part, owned int) time.Duration {
+				return time.Duration(1+(part+i)%electors+10*owned) * 5 * time.Millisecond
+			},
+			Recorder: recorder.Discard{}, Serve: g.serve,
+		})
+		g.electors = append(g.electors, e)
+		e.Run(context.Background())
+		t.Cleanup(e.Close)
+	}
+	return g
+}
+
+func (g *group) serve(ctx context.Context, term *Term) {
+	g.mu.Lock()
+	g.served[term.Owner.Part][term.Owner.Instance] = term
+	g.mu.Unlock()
+	<-ctx.Done()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.served[term.Owner.Part], term.Owner.Instance)
+}
+
+// owners returns the one owner of each part.
+func (g *group) owners() map[int]string {
+	g.t.Helper()
+	var owners map[int]string
+	g.await("one owner of each part", func() bool {
+		owners = make(map[int]string)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for part, terms := range g.served {
+			for instance := range terms {
+				if len(terms) == 1 {
+					owners[part] = instance
+				}
+			}
+		}
+		return len(owners) == g.parts
+	})
+	return owners
+}
+
+// term returns the running term of a part's owner.
+func (g *group) term(part int) *Term {
+	g.t.Helper()
+	owner := g.owners()[part]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.served[part][owner]
+}
+
+func (g *group) await(what string, holds func() bool) {
+	g.t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			g.t.Fatalf("waited %s in vain for %s", patience, what)
+		}
+	}
+}
+
+func TestPartsGoToDifferentDaemons(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 4, 3)
+	used := make(map[string]bool)
+	for _, owner := range g.owners() {
+		used[owner] = true
+	}
+	if len(used) != 3 {
+		t.Errorf("owners by part: %v", g.owners())
+	}
+	t.Run("known to all", func(t *testing.T) {
+		for _, e := range g.electors {
+			for part := range 3 {
+				g.await("the owner to be known", func() bool { return e.Current(part).Instance == g.owners()[part] })
+			}
+		}
+	})
+}
+
+func TestOneDaemonOwnsAllIfItIsAlone(t *testing.T) {
+	t.Parallel()
+	if owners := newGroup(t, 1, 3).owners(); len(owners) != 3 {
+		t.Errorf("owners by part: %v", owners)
+	}
+}
+
+func TestResignation(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 2, 2)
+	before := g.owners()
+	leaving := 0
+	if before[0] == "e1" {
+		leaving = 1
+	}
+	g.electors[leaving].Resign(context.Background())
+	rest := fmt.Sprint("e", 1-leaving)
+	g.await("the other daemon to own both parts", func() bool {
+		owners := g.owners()
+		return owners[0] == rest && owners[1] == rest
+	})
+	t.Run("with a higher generation and fencing token", func(t *testing.T) {
+		term := g.term(0)
+		if term.Owner.Generation != 1 || term.Owner.Fence <= term.Former.Fence {
+			t.Errorf("owner %+v after %+v", term.Owner, term.Former)
+		}
+	})
+}
+
+// The store may take presence keys away at once without ending their leases.
+func TestPresenceTakenAway(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 2, 1)
+	former := g.term(0)
+	g.store.take(presenceKey(0))
+	g.await("the former term to end", func() bool { return former.ctx.Err() != nil })
+	g.await("a successor", func() bool { return g.term(0).Owner.Fence > former.Owner.Fence })
+}
+
+func TestTermsAreConfirmed(t *testing.T) {
+	t.Parallel()
+	term := newGroup(t, 1, 1).term(0)
+	first := term.ConfirmedAt()
+	if first.IsZero() || first.After(time.Now()) {
+		t.Fatalf("confirmed at %s", first)
+	}
+	deadline := time.Now().Add(patience)
+	for !term.ConfirmedAt().After(first) {
+		if time.Now().After(deadline) {
+			t.Fatal("not confirmed again")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
