Look less often only where an owner has many runners

Change: calm runners are looked at less often, and steps that fill wait longer after they found no room, only above 150 runners.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -13,15 +13,15 @@
 // work of a pass while many steps wait.
 const (
 	blockedPause = 50 * time.Millisecond
-	// blockedFill is the same for steps that fill: each try costs a prediction
-	// for every runner.
+	// blockedFill is the same for steps that fill, among many runners: each try
+	// costs a prediction for every one of them.
 	blockedFill = 150 * time.Millisecond
 )
 
 // isBlocked reports whether a step has found no room a moment ago.
-func (st *stepState) isBlocked(now time.Time) bool {
+func (t *Table) isBlocked(st *stepState, now time.Time) bool {
 	pause := blockedPause
-	if st.spec.Fills {
+	if st.spec.Fills && t.isLarge() {
 		pause = blockedFill
 	}
 	return now.Sub(st.blockedAt) < pause
@@ -77,7 +77,7 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if st.ready && st.wait > 0 && st.left > 0 && !st.isBlocked(now) {
+				if st.ready && st.wait > 0 && st.left > 0 && !t.isBlocked(st, now) {
 					list = append(list, newCandidate(st, now))
 				}
 			}
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -20,6 +20,10 @@
 	copyAfter = 1200 * time.Millisecond
 )
 
+// manyRunners is the number of runners from which an owner trades reaction time
+// for processor time: the hosts of smaller deployments have some to spare.
+const manyRunners = 150
+
 // Tick takes in the passing of time.
 func (t *Table) Tick(now time.Time) {
 	for id, r := range t.runners {
@@ -102,16 +106,20 @@
 	t.finals = slices.DeleteFunc(t.finals, func(f final) bool { return gone[f.id] })
 }
 
-// Contended reports whether a runner has tasks that fill beside tasks that serve
-// and whose tails are near their targets, so that it has to be looked at often.
+// Contended reports whether a runner has tasks that fill beside tasks that
+// serve, so that it has to be looked at often. Among many runners, those whose
+// tails are far below their targets are left out.
 //
 // Load: several hundred runners that all have both. Their looks take most of an
 // owner's processor time.
 func (t *Table) Contended(id string) bool {
 	r, ok := t.runners[id]
-	return ok && r.serving > 0 && r.fills > 0 && r.worstTail >= watchedTail
+	return ok && r.serving > 0 && r.fills > 0 && (!t.isLarge() || r.worstTail >= watchedTail)
 }
 
+// isLarge reports whether the owner has to be sparing with its processor time.
+func (t *Table) isLarge() bool { return len(t.runners) > manyRunners }
+
 // IsIdle reports whether nothing runs on a runner.
 func (t *Table) IsIdle(id string) bool {
 	r, ok := t.runners[id]
