Give silent runners no further time

Each look at a silent runner may renew its leases, so that the end of the furthest lease moved on, up to twice the longest one.

Change: leases of a runner are renewed for 2 s after its last answer.

--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -203,19 +203,22 @@
 	return time.Duration(float64(d) / (1 - clockDrift))
 }
 
-// clockAt estimates a runner's clock, rather too high than too low.
-func (r *runner) clockAt(now time.Time) int64 {
-	return r.clock + now.Sub(r.heardAt).Milliseconds()
-}
+// renewSilent is how long a silent runner's leases are renewed: an unanswered
+// look may have arrived. It outlasts one that was lost.
+const renewSilent = 2 * time.Second
 
 // LeaseUntil returns the end of the lease to be sent to a runner now, on its
 // clock in milliseconds; zero if its clock is not known.
+//
+// Load: runners that are lost. Whatever may still run there can be started
+// elsewhere only after the furthest lease that was sent, so that a runner gets
+// no further time until it answers.
 func (t *Table) LeaseUntil(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
 	if !ok || r.heardAt.IsZero() {
 		return 0
 	}
-	until := r.clockAt(now) + t.limits.LeaseSpan.Milliseconds()
+	until := r.clock + (min(now.Sub(r.heardAt), renewSilent) + t.limits.LeaseSpan).Milliseconds()
 	r.maxUntil = max(r.maxUntil, until)
 	return until
 }
