--- a/internal/process/scheduler/agreement.go
+++ b/internal/process/scheduler/agreement.go
@@ -22,13 +22,14 @@
 	// splitTimeout bounds one call to the store.
 	splitTimeout = 1200 * time.Millisecond
 	// splitRetry is the pause between two looks at the store.
-	splitRetry = 150 * time.Millisecond
+	splitRetry = 100 * time.Millisecond
 	// settledAfter is how long the number of runners must not have changed
-	// before a daemon proposes a split. Runners register within a heartbeat.
-	settledAfter = 1500 * time.Millisecond
+	// before a daemon proposes a split. Hundreds of runners register within a
+	// heartbeat of a second or more, so that few of them are missing then.
+	settledAfter = 400 * time.Millisecond
 	// sizeFactor multiplies the time by which larger daemons campaign first:
 	// the proposal is theirs, since they will own the parts.
-	sizeFactor = 10
+	sizeFactor = 4
 )
 
 // A census counts the runners until the split is known.
