--- /dev/null
+++ b/internal/connection/relayer/relayer_test.go
@@ -0,0 +1,132 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// An owner answers for one part.
+type owner struct {
+	part int
+	subs map[string]*submitter.Submission
+}
+
+func (o *owner) Submit(sub *submitter.Submission) partitioner.Load {
+	o.subs[sub.ID] = sub
+	return partitioner.Load{Capacity: 10, Reserved: int64(len(o.subs))}
+}
+
+func (o *owner) Cancel(id string) { delete(o.subs, id) }
+
+func (o *owner) State(id string) (submitter.State, bool) {
+	_, known := o.subs[id]
+	return submitter.Queued, known
+}
+
+func (o *owner) Pending(string) int { return len(o.subs) }
+
+// A keeper rejects everything.
+type keeper struct{ err error }
+
+func (k keeper) Accept(context.Context, submitter.Submission) error { return k.err }
+
+func (k keeper) Revoke(context.Context, string) (bool, error) { return true, k.err }
+
+// serve starts a daemon that owns part 1, and returns a client and its address.
+func serve(t *testing.T, kept error) (client *Client, address string) {
+	t.Helper()
+	owned := &owner{part: 1, subs: make(map[string]*submitter.Submission)}
+	server := httptest.NewServer(NewHandler("d1-x", func(part int) Owner {
+		if part == owned.part {
+			return owned
+		}
+		return nil
+	}, func() Keeper { return keeper{kept} }))
+	t.Cleanup(server.Close)
+	client = NewClient((&net.Dialer{}).DialContext)
+	t.Cleanup(client.http.CloseIdleConnections)
+	return client, strings.TrimPrefix(server.URL, "http://")
+}
+
+func submission(id string) *submitter.Submission {
+	return &submitter.Submission{ID: id, Queue: "q", Steps: []submitter.Step{{Count: 1}}}
+}
+
+func TestOwnerOfAPart(t *testing.T) {
+	t.Parallel()
+	client, address := serve(t, nil)
+	ctx, to := context.Background(), Target{Address: address, Part: 1}
+	if load, err := client.Submit(ctx, to, submission("a")); err != nil || load.Reserved != 1 {
+		t.Fatalf("load %+v, %v", load, err)
+	}
+	if state, known, err := client.State(ctx, to, "a"); err != nil || !known || state != submitter.Queued {
+		t.Errorf("state %q, known %v, %v", state, known, err)
+	}
+	if _, known, err := client.State(ctx, to, "b"); err != nil || known {
+		t.Errorf("known %v, %v", known, err)
+	}
+	if n, err := client.Pending(ctx, to, "q"); err != nil || n != 1 {
+		t.Errorf("%d pending, %v", n, err)
+	}
+	if instance, serves, err := client.Term(ctx, to); err != nil || instance != "d1-x" || !serves {
+		t.Errorf("instance %q, serves %v, %v", instance, serves, err)
+	}
+	if err := client.Cancel(ctx, to, "a"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestOtherParts(t *testing.T) {
+	t.Parallel()
+	client, address := serve(t, nil)
+	ctx, to := context.Background(), Target{Address: address}
+	if _, err := client.Submit(ctx, to, submission("a")); !errors.Is(err, ErrNotOwner) || !errors.Is(err, ErrNotDone) {
+		t.Errorf("error %v", err)
+	}
+	if _, serves, err := client.Term(ctx, to); err != nil || serves {
+		t.Errorf("serves %v, %v", serves, err)
+	}
+}
+
+func TestOutcomesOfKeeping(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		kept    error
+		notDone bool
+	}{
+		"nothing was stored": {ErrNotDone, true},
+		"not known":          {errors.New("no answer"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client, address := serve(t, c.kept)
+			err := client.Accept(context.Background(), Target{Address: address, Part: 1}, submission("a"))
+			if err == nil || errors.Is(err, ErrNotDone) != c.notDone {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+func TestOwnerIsGone(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	client, _ := serve(t, nil)
+	if err := client.Cancel(context.Background(), Target{Address: address, Part: 1}, "a"); !errors.Is(err, ErrRefused) {
+		t.Errorf("error %v", err)
+	}
+}
