Let a restarted daemon claim its parts at once

Change: a record that names this daemon's address and another process is no owner any more. The claim requires the presence key as it was seen.

The test fails without the change.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -69,8 +69,8 @@
 	Part int `json:"-"`
 	// Fence is the record's revision.
 	Fence int64 `json:"-"`
-	// Present says that the owner's presence key exists.
-	Present bool `json:"-"`
+	// presence is the revision of the owner's presence key, zero without one.
+	presence int64
 }
 
 // Options are the parts of an elector.
@@ -218,7 +218,7 @@
 			}
 			owners[part].Fence = item.Revision
 		case strings.HasSuffix(item.Key, presenceSuffix):
-			owners[part].Present = true
+			owners[part].presence = item.Revision
 		}
 		owners[part].Part = part
 	}
@@ -242,7 +242,7 @@
 			s.term.Depose(time.Now(), "the record names another owner")
 		case s.term != nil:
 			s.term.confirm(asked)
-		case !s.owner.Present && !s.campaigning && !e.resigned:
+		case e.isVacant(s.owner) && !s.campaigning && !e.resigned:
 			s.campaigning = true
 			vacant = append(vacant, part)
 		}
@@ -250,6 +250,14 @@
 	return vacant
 }
 
+// isVacant reports whether this daemon may claim a part.
+//
+// Load: all daemons lose power, or are killed, and come back before the presence
+// of the owners has run out. A former process of this daemon has ended.
+func (e *Elector) isVacant(owner Owner) bool {
+	return owner.presence == 0 || (owner.Address == e.opts.Address && owner.Instance != e.opts.Instance)
+}
+
 // watch waits for a change of the records or presences, which are read again as
 // a whole afterwards.
 func (e *Elector) watch(ctx context.Context, revision int64) {
@@ -331,7 +339,7 @@
 		return nil, wait - waited, nil
 	}
 	last := e.Current(part)
-	if last.Present || e.hasResigned() {
+	if !e.isVacant(last) || e.hasResigned() {
 		return nil, 0, nil
 	}
 	term, err = e.claim(ctx, last)
@@ -355,7 +363,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked, askedAt := bootTime(), time.Now()
-	owner := Owner{Instance: e.opts.Instance, Address: e.opts.Address, Generation: last.Generation, Part: last.Part, Present: true}
+	owner := Owner{Instance: e.opts.Instance, Address: e.opts.Address, Generation: last.Generation, Part: last.Part}
 	if last.Fence > 0 {
 		owner.Generation++
 	}
@@ -368,12 +376,13 @@
 		return nil, err
 	}
 	owner.Fence, err = e.opts.Store.Commit(callCtx, transactor.Transaction{
-		Conditions: []transactor.Condition{{Key: RecordKey(owner.Part), Revision: last.Fence}, {Key: presenceKey(owner.Part)}},
+		Conditions: []transactor.Condition{{Key: RecordKey(owner.Part), Revision: last.Fence}, {Key: presenceKey(owner.Part), Revision: last.presence}},
 		Writes:     []transactor.Write{{Key: RecordKey(owner.Part), Value: value}, {Key: presenceKey(owner.Part), Value: []byte(e.opts.Instance), Lease: lease}},
 	})
 	if err != nil {
 		return nil, err
 	}
+	owner.presence = owner.Fence // written together
 	term = newTerm(ctx, e, owner, last, lease)
 	term.confirmedBoot = asked
 	term.confirm(askedAt)
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -32,20 +32,25 @@
 		g.served[part] = make(map[string]*Term)
 	}
 	for i := range electors {
-		e := New(Options{
-			Store: g.store, Instance: fmt.Sprint("e", i), Address: fmt.Sprint("host", i), Parts: parts,
-			Delay: func(part, owned int) time.Duration {
-				return time.Duration(1+(part+i)%electors+10*owned) * 5 * time.Millisecond
-			},
-			Recorder: recorder.Discard{}, Serve: g.serve,
-		})
-		g.electors = append(g.electors, e)
-		e.Run(context.Background())
-		t.Cleanup(e.Close)
+		g.add(fmt.Sprint("e", i), i)
 	}
 	return g
 }
 
+// add starts an elector on a host.
+func (g *group) add(instance string, host int) {
+	e := New(Options{
+		Store: g.store, Instance: instance, Address: fmt.Sprint("host", host), Parts: g.parts,
+		Delay: func(part, owned int) time.Duration {
+			return time.Duration(1+(part+host)%4+10*owned) * 5 * time.Millisecond
+		},
+		Recorder: recorder.Discard{}, Serve: g.serve,
+	})
+	g.electors = append(g.electors, e)
+	e.Run(context.Background())
+	g.t.Cleanup(e.Close)
+}
+
 func (g *group) serve(ctx context.Context, term *Term) {
 	g.mu.Lock()
 	g.served[term.Owner.Part][term.Owner.Instance] = term
@@ -152,6 +157,35 @@
 	g.await("a successor", func() bool { return g.term(0).Owner.Fence > former.Owner.Fence })
 }
 
+// Replays the loss of power of all hosts: the presence keys of the owners live on
+// for up to two seconds after the daemons are back.
+func TestRestartedDaemonTakesItsPartsBackAtOnce(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 2)
+	g.owners()
+	before := g.term(0).Owner
+	g.electors[0].Close() // its leases live on
+	g.add("e0-again", 0)
+	g.await("the new process to own both parts", func() bool {
+		owners := g.owners()
+		return owners[0] == "e0-again" && owners[1] == "e0-again"
+	})
+	if after := g.term(0).Owner; after.Generation != before.Generation+1 || after.Fence <= before.Fence {
+		t.Errorf("owner %+v after %+v", after, before)
+	}
+}
+
+func TestOthersLeaveAPresentOwnerAlone(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 1, 1)
+	before := g.term(0).Owner
+	g.add("e1", 1)
+	time.Sleep(200 * time.Millisecond)
+	if after := g.term(0).Owner; after != before {
+		t.Errorf("owner %+v after %+v", after, before)
+	}
+}
+
 func TestTermsAreConfirmed(t *testing.T) {
 	t.Parallel()
 	term := newGroup(t, 1, 1).term(0)
