--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -63,7 +63,7 @@
 	Follow(ctx context.Context, deliver func(runners []dispatcher.RunnerInfo))
 }
 
-// Options are the parts of a conductor.
+// Options are what a conductor is made of.
 type Options struct {
 	Limits   dispatcher.Limits
 	Store    transactor.Store
@@ -99,14 +99,14 @@
 	loops   map[string]context.CancelFunc // look loops by runner id
 	revs    map[string]int64              // revisions of the progress keys
 
-	unsaved chan struct{}
-	savedMu sync.Mutex
-	saved   chan struct{} // closed and replaced after each save
-	ctx     context.Context
-	cancel  context.CancelFunc
-	parts   sync.WaitGroup
-	orders  chan struct{} // bounds the orders under way
-	asking  sync.Mutex    // the adviser takes one question at a time
+	unsaved    chan struct{}
+	savedMu    sync.Mutex
+	saved      chan struct{} // closed and replaced after each save
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	orders     chan struct{} // bounds the orders under way
+	asking     sync.Mutex    // the adviser takes one question at a time
 }
 
 // maxOrdersUnderWay bounds concurrent calls that order something.
@@ -138,27 +138,27 @@
 		c.cancel()
 		return nil, err
 	}
-	c.goPart(c.save)
-	c.goPart(c.remember)
-	c.goPart(c.clean)
-	c.goPart(c.tick)
-	c.goPart(func() { c.opts.Registry.Follow(c.ctx, c.setRunners) })
-	c.goPart(func() { c.follow(revision) })
+	c.inBackground(c.save)
+	c.inBackground(c.remember)
+	c.inBackground(c.clean)
+	c.inBackground(c.tick)
+	c.inBackground(func() { c.opts.Registry.Follow(c.ctx, c.setRunners) })
+	c.inBackground(func() { c.follow(revision) })
 	return c, nil
 }
 
-func (c *Conductor) goPart(part func()) {
-	c.parts.Add(1)
+func (c *Conductor) inBackground(run func()) {
+	c.background.Add(1)
 	go func() {
-		defer c.parts.Done()
-		part()
+		defer c.background.Done()
+		run()
 	}()
 }
 
 // Close ends the term and waits for calls under way.
 func (c *Conductor) Close() {
 	c.cancel()
-	c.parts.Wait()
+	c.background.Wait()
 }
 
 // Configure takes in what the operator has declared.
@@ -228,7 +228,7 @@
 		c.send(addresses[i], orders[i])
 	}
 	for _, question := range questions {
-		c.goPart(func() { c.ask(question) })
+		c.inBackground(func() { c.ask(question) })
 	}
 }
 
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -32,7 +32,7 @@
 
 // send carries out an order in the background.
 func (c *Conductor) send(address string, order dispatcher.Order) {
-	c.goPart(func() {
+	c.inBackground(func() {
 		select {
 		case c.orders <- struct{}{}:
 		case <-c.ctx.Done():
@@ -92,7 +92,7 @@
 			if c.loops[info.ID] == nil {
 				ctx, cancel := context.WithCancel(c.ctx)
 				c.loops[info.ID] = cancel
-				c.goPart(func() { c.watchRunner(ctx, info.ID) })
+				c.inBackground(func() { c.watchRunner(ctx, info.ID) })
 			}
 		}
 		for id, cancel := range c.loops {
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -73,7 +73,7 @@
 	presence int64
 }
 
-// Options are the parts of an elector.
+// Options are what an elector is made of.
 type Options struct {
 	Store    transactor.Store
 	Instance string
@@ -124,7 +124,7 @@
 // Run starts the elector.
 func (e *Elector) Run(ctx context.Context) {
 	ctx, e.stop = context.WithCancel(ctx)
-	e.goPart(func() { e.follow(ctx) })
+	e.inBackground(func() { e.follow(ctx) })
 }
 
 // Close stops the elector and waits for the duties of an owner to end.
@@ -133,11 +133,11 @@
 	e.done.Wait()
 }
 
-func (e *Elector) goPart(part func()) {
+func (e *Elector) inBackground(run func()) {
 	e.done.Add(1)
 	go func() {
 		defer e.done.Done()
-		part()
+		run()
 	}()
 }
 
@@ -190,7 +190,7 @@
 			continue
 		}
 		for _, part := range e.learn(owners, asked) {
-			e.goPart(func() { e.campaign(ctx, part) })
+			e.inBackground(func() { e.campaign(ctx, part) })
 		}
 		e.watch(ctx, revision)
 	}
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -139,10 +139,12 @@
 		owners := g.owners()
 		return owners[0] == rest && owners[1] == rest
 	})
-	t.Run("with a higher generation and fencing token", func(t *testing.T) {
-		term := g.term(0)
-		if term.Owner.Generation != 1 || term.Owner.Fence <= term.Former.Fence {
-			t.Errorf("owner %+v after %+v", term.Owner, term.Former)
+	t.Run("with higher generations and fencing tokens", func(t *testing.T) {
+		for part, former := range before {
+			term := g.term(part)
+			if term.Owner.Fence <= term.Former.Fence || (former != rest && term.Owner.Generation != 1) {
+				t.Errorf("owner %+v after %+v", term.Owner, term.Former)
+			}
 		}
 	})
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/kumquatstack/kumquatstack/internal/connection/relayer"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
@@ -60,7 +58,7 @@
 	outageRetryAfter = time.Second
 )
 
-// Options are the parts of a gateway.
+// Options are what a gateway is made of.
 type Options struct {
 	Store    transactor.Store
 	Elector  *elector.Elector
@@ -76,12 +74,12 @@
 
 // A Gateway serves clients. It is safe for concurrent use.
 type Gateway struct {
-	opts   Options
-	loads  *partitioner.Balancer
-	homes  *homes
-	ctx    context.Context
-	cancel context.CancelFunc
-	parts  sync.WaitGroup
+	opts    Options
+	loads   *partitioner.Balancer
+	homes   *homes
+	ctx     context.Context
+	cancel  context.CancelFunc
+	reports sync.WaitGroup
 }
 
 // target returns the owner of a part as it is known now.
@@ -99,7 +97,7 @@
 // Close gives up reports under way and waits for them.
 func (g *Gateway) Close() {
 	g.cancel()
-	g.parts.Wait()
+	g.reports.Wait()
 }
 
 // Submit makes a submission durable and hands it to the owner. It returns nil
@@ -222,9 +220,9 @@
 
 // report tells the owner something in the background.
 func (g *Gateway) report(tell func(ctx context.Context) error) {
-	g.parts.Add(1)
+	g.reports.Add(1)
 	go func() {
-		defer g.parts.Done()
+		defer g.reports.Done()
 		var err error
 		for range reportTries {
 			ctx, cancel := context.WithTimeout(g.ctx, ownerTimeout)
@@ -310,120 +308,6 @@
 	return true, nil
 }
 
-// find reads a submission's record from the store. It returns ErrNotFound if
-// there is none at any of its homes.
-func (g *Gateway) find(ctx context.Context, id string) (part int, item transactor.Item, err error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	for _, part = range g.homes.of(id) {
-		item, err = g.opts.Store.Get(ctx, conductor.KeysOf(part).Work(id))
-		if !errors.Is(err, transactor.ErrNotFound) {
-			return part, item, err
-		}
-	}
-	return 0, item, err
-}
-
-// State returns a submission's state, from an owner or, while it can't be asked
-// or does not know the submission, from the store.
-func (g *Gateway) State(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	for _, part := range g.homes.of(id) {
-		if state, known = g.stateAt(ctx, part, id); known {
-			g.homes.note(id, part)
-			return state, true, nil
-		}
-	}
-	return g.storedState(ctx, id)
-}
-
-// stateAt asks the owner of one home.
-func (g *Gateway) stateAt(ctx context.Context, part int, id string) (state submitter.State, known bool) {
-	if local := g.opts.Local(part); local != nil {
-		return local.State(id)
-	}
-	to := g.target(part)
-	if to.Address == "" {
-		return "", false
-	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	state, known, err := g.opts.Peers.State(ctx, to, id)
-	if err != nil {
-		g.suspect(err) // the store is asked next
-	}
-	return state, known
-}
-
-// storedState derives a state from the records.
-func (g *Gateway) storedState(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	part, _, err := g.find(ctx, id)
-	if errors.Is(err, transactor.ErrNotFound) {
-		return "", false, nil
-	}
-	if err != nil {
-		return "", false, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	keys := conductor.KeysOf(part)
-	_, err = g.opts.Store.Get(ctx, keys.Cancel(id))
-	if err == nil {
-		return submitter.Cancelled, true, nil
-	}
-	if !errors.Is(err, transactor.ErrNotFound) {
-		return "", false, err
-	}
-	item, err := g.opts.Store.Get(ctx, keys.Progress(id))
-	if errors.Is(err, transactor.ErrNotFound) {
-		return submitter.Queued, true, nil
-	}
-	if err != nil {
-		return "", false, err
-	}
-	progress, err := submitter.DecodeProgress(item.Value)
-	if err != nil {
-		return "", false, err
-	}
-	if progress.State.IsFinal() {
-		return progress.State, true, nil
-	}
-	return submitter.Running, true, nil
-}
-
-// Pending returns the number of a queue's submissions that have not begun, in
-// all parts.
-func (g *Gateway) Pending(ctx context.Context, queue string) (n int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
-	defer cancel()
-	counts := make([]int, g.opts.Split.Parts)
-	var group errgroup.Group
-	for part := range counts {
-		group.Go(func() (err error) {
-			counts[part], err = g.pendingOf(ctx, part, queue)
-			return err
-		})
-	}
-	if err = group.Wait(); err != nil {
-		return 0, err
-	}
-	for _, count := range counts {
-		n += count
-	}
-	return n, nil
-}
-
-// pendingOf returns the number of one part.
-func (g *Gateway) pendingOf(ctx context.Context, part int, queue string) (n int, err error) {
-	if local := g.opts.Local(part); local != nil {
-		return local.Pending(queue), nil
-	}
-	n, err = g.opts.Peers.Pending(ctx, g.target(part), queue)
-	if err != nil {
-		g.suspect(err)
-	}
-	return n, err
-}
-
 func (g *Gateway) recordSubmit(sub *submitter.Submission, began time.Time, err error) {
 	fields := recorder.Fields{
 		"id": sub.ID, "queue": sub.Queue, "steps": strconv.Itoa(len(sub.Steps)),
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -36,7 +36,7 @@
 	IsStoreLost() bool
 }
 
-// Options are the parts and settings of a scheduler.
+// Options are what a scheduler is made of, and its settings.
 type Options struct {
 	Instance    string
 	PeerAddress string
@@ -58,17 +58,17 @@
 
 // A Scheduler is one daemon. It is safe for concurrent use.
 type Scheduler struct {
-	opts     Options
-	metrics  *conductor.Metrics
-	client   *relayer.Client
-	routes   atomic.Pointer[gateway.Routes]
-	duties   atomic.Pointer[duties]
-	peers    *http.Server
-	cancel   context.CancelFunc
-	parts    sync.WaitGroup
-	mu       sync.Mutex
-	declared *Declared
-	draining atomic.Bool
+	opts       Options
+	metrics    *conductor.Metrics
+	client     *relayer.Client
+	routes     atomic.Pointer[gateway.Routes]
+	duties     atomic.Pointer[duties]
+	peers      *http.Server
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	mu         sync.Mutex
+	declared   *Declared
+	draining   atomic.Bool
 }
 
 // Start runs a scheduler until Close.
@@ -80,21 +80,21 @@
 	}
 	ctx, s.cancel = context.WithCancel(ctx)
 	s.peers = &http.Server{Handler: relayer.NewHandler(opts.Instance, s.local, s.keeper), ReadHeaderTimeout: 5 * time.Second}
-	s.goPart(func() {
+	s.inBackground(func() {
 		if err := s.peers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			opts.Recorder.Record(time.Now(), EventPeersFailed, recorder.Fields{"error": err.Error()})
 		}
 	})
-	s.goPart(func() { opts.Declarations.Follow(ctx, s.declare) })
-	s.goPart(func() { s.begin(ctx) })
+	s.inBackground(func() { opts.Declarations.Follow(ctx, s.declare) })
+	s.inBackground(func() { s.begin(ctx) })
 	return s, nil
 }
 
-func (s *Scheduler) goPart(part func()) {
-	s.parts.Add(1)
+func (s *Scheduler) inBackground(run func()) {
+	s.background.Add(1)
 	go func() {
-		defer s.parts.Done()
-		part()
+		defer s.background.Done()
+		run()
 	}()
 }
 
@@ -132,7 +132,7 @@
 		d.close()
 	}
 	err := s.peers.Close()
-	s.parts.Wait()
+	s.background.Wait()
 	return err
 }
 
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -366,3 +367,20 @@
 		}
 	}
 }
+
+func TestLoadCountsWhatRunsAndWhatWaits(t *testing.T) {
+	b := newBench(t, 0, 2)
+	b.lookAll(2)
+	b.add("a", "urgent", oneCore(20))
+	assertStarts(t, b.starts(), 16)
+	b.add("b", "night", filling("batch", 3))
+	if got, want := b.table.Load(), (partitioner.Load{Capacity: 16_000, Reserved: 20_000, Filling: 3000}); got != want {
+		t.Errorf("load %+v, want %+v", got, want)
+	}
+	t.Run("evacuated runners don't count", func(t *testing.T) {
+		b.table.SetEvacuated(map[string]bool{"z": true})
+		if got := b.table.Load(); got.Capacity != 0 {
+			t.Errorf("load %+v", got)
+		}
+	})
+}
