Have an owner that ends vouch for runners without stops under way

Change: the daemon of the former owner says on which runners no stop was under way when its term had ended. Its later orders are refused under the new token. A run that is not in the table and is stopped takes up room until the stop has taken effect; until now a runner counted as known as soon as it was not listed.

Both tests fail without their change.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -88,11 +88,17 @@
 	Pending int `json:"pending"`
 }
 
-// A termAnswer says which process a daemon is and whether it serves as the
-// owner.
-type termAnswer struct {
+// A Term tells of a daemon and a part.
+type Term struct {
+	// Instance tells apart the processes of one daemon.
 	Instance string `json:"instance"`
-	Serves   bool   `json:"serves"`
+	// Serves says that the daemon serves as the part's owner.
+	Serves bool `json:"serves"`
+	// Ended is the fencing token of the last term that has ended here, zero if
+	// there was none. No order of it will be sent any more.
+	Ended int64 `json:"ended,omitempty"`
+	// Settled are the runners that had no stop under way at its end.
+	Settled []string `json:"settled,omitempty"`
 }
 
 // A Client calls the owner. It is safe for concurrent use.
@@ -161,11 +167,10 @@
 	return answer.Pending, err
 }
 
-// Term asks a daemon which process it is and whether it serves as the owner.
-func (c *Client) Term(ctx context.Context, to Target) (instance string, serves bool, err error) {
-	var answer termAnswer
-	err = c.call(ctx, http.MethodGet, to, termPath, "", nil, &answer)
-	return answer.Instance, answer.Serves, err
+// Term asks a daemon which process it is and whether it owns a part.
+func (c *Client) Term(ctx context.Context, to Target) (term Term, err error) {
+	err = c.call(ctx, http.MethodGet, to, termPath, "", nil, &term)
+	return term, err
 }
 
 func (c *Client) call(ctx context.Context, method string, to Target, path, name string, body []byte, answer any) (err error) {
@@ -208,12 +213,12 @@
 	return errors.As(err, &op) && op.Op == "dial" && strings.Contains(op.Err.Error(), "refused")
 }
 
-// NewHandler serves the protocol. The function returns nil while the daemon does
-// not own a part.
-func NewHandler(instance string, owner func(part int) Owner, keeper func() Keeper) http.Handler {
+// NewHandler serves the protocol. The function owner returns nil while the daemon
+// does not own a part.
+func NewHandler(term func(part int) Term, owner func(part int) Owner, keeper func() Keeper) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+termPath, func(w http.ResponseWriter, r *http.Request) {
-		reply(w, termAnswer{Instance: instance, Serves: owner(partOf(r)) != nil})
+		reply(w, term(partOf(r)))
 	})
 	handle := func(path string, serve func(o Owner, name string, w http.ResponseWriter, r *http.Request)) {
 		mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -43,7 +43,9 @@
 func serve(t *testing.T, kept error) (client *Client, address string) {
 	t.Helper()
 	owned := &owner{part: 1, subs: make(map[string]*submitter.Submission)}
-	server := httptest.NewServer(NewHandler("d1-x", func(part int) Owner {
+	server := httptest.NewServer(NewHandler(func(part int) Term {
+		return Term{Instance: "d1-x", Serves: part == owned.part}
+	}, func(part int) Owner {
 		if part == owned.part {
 			return owned
 		}
@@ -75,8 +77,8 @@
 	if n, err := client.Pending(ctx, to, "q"); err != nil || n != 1 {
 		t.Errorf("%d pending, %v", n, err)
 	}
-	if instance, serves, err := client.Term(ctx, to); err != nil || instance != "d1-x" || !serves {
-		t.Errorf("instance %q, serves %v, %v", instance, serves, err)
+	if term, err := client.Term(ctx, to); err != nil || term.Instance != "d1-x" || !term.Serves {
+		t.Errorf("term %+v, %v", term, err)
 	}
 	if err := client.Cancel(ctx, to, "a"); err != nil {
 		t.Error(err)
@@ -90,8 +92,8 @@
 	if _, err := client.Submit(ctx, to, submission("a")); !errors.Is(err, ErrNotOwner) || !errors.Is(err, ErrNotDone) {
 		t.Errorf("error %v", err)
 	}
-	if _, serves, err := client.Term(ctx, to); err != nil || serves {
-		t.Errorf("serves %v, %v", serves, err)
+	if term, err := client.Term(ctx, to); err != nil || term.Serves {
+		t.Errorf("term %+v, %v", term, err)
 	}
 }
 
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -174,6 +174,20 @@
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.FormerEnded(now) })
 }
 
+// FormerVouched takes note of the runners on which the owner before, which has
+// stopped, had no stop under way.
+func (c *Conductor) FormerVouched(runners []string) {
+	c.apply(func(t *dispatcher.Table, now time.Time) { t.Vouched(runners, now) })
+}
+
+// Settled returns the runners for which a successor need not wait. It is valid
+// after Close.
+func (c *Conductor) Settled() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Settled(time.Now())
+}
+
 // Submit takes in an accepted submission and returns the load with it.
 func (c *Conductor) Submit(sub *submitter.Submission) (load partitioner.Load) {
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.Add(sub, nil, now) })
--- a/internal/process/scheduler/agreement_test.go
+++ b/internal/process/scheduler/agreement_test.go
@@ -12,7 +12,9 @@
 	const span = 400 * time.Millisecond
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	c := &census{}
-	take := func(runners int, after time.Duration) { c.take(make([]dispatcher.RunnerInfo, runners), start.Add(after)) }
+	take := func(runners int, after time.Duration) {
+		c.take(make([]dispatcher.RunnerInfo, runners), start.Add(after))
+	}
 	assertSettled := func(after time.Duration, runners int, want bool) {
 		t.Helper()
 		if got, ok := c.settled(start.Add(after), span); ok != want || (want && got != runners) {
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -21,8 +21,8 @@
 
 // Times of asking a former owner whether it has stopped.
 const (
-	askFormer = 250 * time.Millisecond
-	askAgain  = 200 * time.Millisecond
+	askTimeout = 250 * time.Millisecond
+	askAgain   = 150 * time.Millisecond
 )
 
 // duties are what a daemon does once the split is known: it serves clients and
@@ -33,11 +33,15 @@
 	elector *elector.Elector
 	gateway *gateway.Gateway
 	owners  []atomic.Pointer[conductor.Conductor] // by part
+	ended   []atomic.Pointer[relayer.Term]        // by part: the last term that has ended
 }
 
 // newDuties takes up the duties until close.
 func newDuties(ctx context.Context, s *Scheduler, split partitioner.Split) *duties {
-	d := &duties{s: s, split: split, owners: make([]atomic.Pointer[conductor.Conductor], split.Parts)}
+	d := &duties{
+		s: s, split: split, owners: make([]atomic.Pointer[conductor.Conductor], split.Parts),
+		ended: make([]atomic.Pointer[relayer.Term], split.Parts),
+	}
 	d.elector = elector.New(elector.Options{
 		Store: s.opts.Store, Instance: s.opts.Instance, Address: s.opts.PeerAddress, Parts: split.Parts,
 		Delay: s.opts.Delay, Recorder: s.opts.Recorder, Serve: d.serveOwner,
@@ -67,6 +71,18 @@
 	return nil
 }
 
+// term tells of a part, and of the last term here that has ended.
+func (d *duties) term(part int) relayer.Term {
+	term := relayer.Term{}
+	if part >= 0 && part < len(d.ended) {
+		if ended := d.ended[part].Load(); ended != nil {
+			term = *ended
+		}
+	}
+	term.Instance, term.Serves = d.s.opts.Instance, d.local(part) != nil
+	return term
+}
+
 // configure hands the declarations in force to the owners of this daemon.
 func (d *duties) configure(world conductor.World) {
 	for part := range d.owners {
@@ -113,26 +129,36 @@
 		<-ctx.Done()
 		d.owners[owner.Part].Store(nil)
 		c.Close()
+		d.ended[owner.Part].Store(&relayer.Term{Ended: owner.Fence, Settled: c.Settled()})
 	}
 }
 
 // settleFormer asks a former owner whether it has stopped, so that what may run
-// on silent runners need not wait for longest.
+// on silent runners need not wait for longest, and for the runners on which it
+// had no stop under way.
 func (d *duties) settleFormer(ctx context.Context, former elector.Owner, formerEnd time.Time) {
 	for ctx.Err() == nil && time.Now().Before(formerEnd) {
-		if c := d.owners[former.Part].Load(); c != nil && d.hasEnded(ctx, former) {
-			c.FormerEnded()
-			return
+		if c := d.owners[former.Part].Load(); c != nil {
+			term, err := d.askFormer(ctx, former)
+			switch {
+			case err != nil:
+			case term.Instance == former.Instance && term.Ended == former.Fence:
+				c.FormerVouched(term.Settled)
+				return
+			case term.Instance != former.Instance:
+				c.FormerEnded()
+				return
+			case !term.Serves:
+				c.FormerEnded() // it may vouch for runners in a moment
+			}
 		}
 		pauser.Sleep(ctx, askAgain)
 	}
 }
 
-// hasEnded asks the daemon of a former owner whether its process was replaced
-// or serves no more.
-func (d *duties) hasEnded(ctx context.Context, former elector.Owner) bool {
-	ctx, cancel := context.WithTimeout(ctx, askFormer)
+// askFormer asks the daemon of a former owner about its term.
+func (d *duties) askFormer(ctx context.Context, former elector.Owner) (relayer.Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	instance, serves, err := d.s.client.Term(ctx, relayer.Target{Address: former.Address, Part: former.Part})
-	return err == nil && (instance != former.Instance || !serves)
+	return d.s.client.Term(ctx, relayer.Target{Address: former.Address, Part: former.Part})
 }
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.peers = &http.Server{Handler: relayer.NewHandler(opts.Instance, s.local, s.keeper), ReadHeaderTimeout: 5 * time.Second}
+	s.peers = &http.Server{Handler: relayer.NewHandler(s.term, s.local, s.keeper), ReadHeaderTimeout: 5 * time.Second}
 	s.inBackground(func() {
 		if err := s.peers.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			opts.Recorder.Record(time.Now(), EventPeersFailed, recorder.Fields{"error": err.Error()})
@@ -174,6 +174,14 @@
 	return nil
 }
 
+// term tells other daemons of a part.
+func (s *Scheduler) term(part int) relayer.Term {
+	if d := s.duties.Load(); d != nil {
+		return d.term(part)
+	}
+	return relayer.Term{Instance: s.opts.Instance}
+}
+
 func (s *Scheduler) keeper() relayer.Keeper { return s.Gateway() }
 
 // declare puts a version of the declarations in force; versions only rise.
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -51,7 +51,7 @@
 		return
 	}
 	t.recheck = false
-	certain := t.settled(now)
+	certain := t.isCertain(now)
 	clear(t.noRoom)
 	for _, c := range t.candidates(now) {
 		if !certain && !c.st.spec.Speculative && c.st.s.sub.Owner < t.fence {
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -133,14 +133,14 @@
 		if first, ok := r.strangers[key]; !ok {
 			r.strangers[key] = now
 		} else if now.Sub(first) > strangerPatience {
-			t.stopStranger(r, key)
+			t.stopStranger(r, key, now)
 		}
 		return nil
 	}
 	st := t.step(s, key.task)
 	if st == nil {
 		if st = s.detached(key.task); st == nil {
-			t.stopStranger(r, key)
+			t.stopStranger(r, key, now)
 			return nil
 		}
 	}
@@ -172,7 +172,9 @@
 	return st
 }
 
-func (t *Table) stopStranger(r *runner, key runKey) {
+// stopStranger stops a run that is not in the table.
+func (t *Table) stopStranger(r *runner, key runKey, now time.Time) {
+	r.strangerStoppedAt = now
 	t.orders = append(t.orders, Order{Kind: Stop, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: key.task, Run: key.run})
 }
 
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -42,9 +42,11 @@
 	suspendedUntil time.Time
 	silentSince    time.Time
 	strangers      map[runKey]time.Time
-	fills          int64   // milliCores wanted by filling tasks
-	claimed        float64 // milliCores kept from filling tasks
-	serving        int     // tasks with a tail target
+	// strangerStoppedAt is when a run that is not in the table was stopped last.
+	strangerStoppedAt time.Time
+	fills             int64   // milliCores wanted by filling tasks
+	claimed           float64 // milliCores kept from filling tasks
+	serving           int     // tasks with a tail target
 	// worstTail is the highest tail in shares of its target, in the newest list.
 	worstTail  float64
 	calmSince  time.Time
@@ -142,6 +144,7 @@
 	r.heardAt, r.clock, r.maxUntil = time.Time{}, 0, 0
 	r.lastEnd, r.pending = 0, nil
 	clear(r.strangers)
+	r.strangerStoppedAt = time.Time{}
 	clear(r.strikes)
 	r.suspendedUntil = time.Time{}
 	r.halted = false
@@ -223,9 +226,9 @@
 	return until
 }
 
-// settled reports whether every run that an earlier owner may have started is
+// isCertain reports whether every run that an earlier owner may have started is
 // known or has lapsed.
-func (t *Table) settled(now time.Time) bool {
+func (t *Table) isCertain(now time.Time) bool {
 	if !t.inherited {
 		return true
 	}
@@ -240,7 +243,43 @@
 // isKnown reports whether all that runs on a runner is in the table: its list
 // leaves out what an earlier owner was about to stop.
 func (t *Table) isKnown(r *runner, now time.Time) bool {
-	return r.fenced && (!t.inherited || now.Sub(r.fencedAt) >= t.stopSpan()) && len(r.strangers) == 0
+	stopped := !t.inherited || t.vouched[r.info.ID] || now.Sub(r.fencedAt) >= t.stopSpan()
+	return r.fenced && stopped && len(r.strangers) == 0 && now.Sub(r.strangerStoppedAt) >= t.stopSpan()
+}
+
+// Vouched takes note of the runners on which the former owner, which has ended,
+// had no stop under way. Its orders that are still on their way are refused
+// under this owner's token.
+func (t *Table) Vouched(runners []string, now time.Time) {
+	t.FormerEnded(now)
+	t.vouched = make(map[string]bool, len(runners))
+	for _, id := range runners {
+		t.vouched[id] = true
+	}
+	t.recheck = true
+}
+
+// Settled returns, in order, the runners for which this owner can vouch to a
+// successor once it gives no more orders.
+func (t *Table) Settled(now time.Time) []string {
+	var ids []string
+	for id, r := range t.runners {
+		if t.isKnown(r, now) && !r.isStopping() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// isStopping reports whether a run takes up room that the runner may not list.
+func (r *runner) isStopping() bool {
+	for _, x := range r.runs {
+		if x.phase == stopping {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *runner) free() submitter.Resources { return r.info.Capacity.Minus(r.used) }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -59,6 +59,9 @@
 	// formerEnd is the time up to which a former owner may have renewed leases.
 	formerEnd time.Time
 	inherited bool
+	// vouched are the runners of which the former owner has told that no stop
+	// was under way at its end.
+	vouched map[string]bool
 	// confirmedAt is the latest time at which there was no successor.
 	confirmedAt time.Time
 	rec         recorder.Recorder
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -152,3 +153,67 @@
 	b.pass(time.Second)
 	assertStarts(t, b.starts(), 1)
 }
+
+// Load: rolling restarts. Each change of owner cost the longest time of a stop,
+// in which no submission of the former owner went on.
+func TestFormerOwnerVouchesForRunners(t *testing.T) {
+	t.Run("without stops under way", func(t *testing.T) {
+		b, _ := inherited(t, 2)
+		b.table.FormerEnded(b.now)
+		b.table.Vouched([]string{"r0", "r1"}, b.now)
+		b.lookAll(2)
+		assertStarts(t, b.starts(), 1)
+	})
+	t.Run("for some of them", func(t *testing.T) {
+		b, _ := inherited(t, 2)
+		b.table.Vouched([]string{"r0"}, b.now)
+		b.lookAll(2)
+		assertStarts(t, b.starts(), 0)
+	})
+}
+
+func TestSettledRunners(t *testing.T) {
+	b := newBench(t, 0, 2)
+	b.look("r0")
+	b.add("a", "urgent", oneCore(1))
+	orders := b.starts()
+	assertStarts(t, orders, 1)
+	assertSettled := func(want ...string) {
+		t.Helper()
+		if got := b.table.Settled(b.now); !slices.Equal(got, want) {
+			t.Errorf("settled %v, want %v", got, want)
+		}
+	}
+	assertSettled("r0")
+	b.look("r1")
+	assertSettled("r0", "r1")
+	b.table.Cancel("a", b.now)
+	assertSettled("r1")
+	b.lists["r0"] = nil
+	b.look("r0", End{Task: orders[0].Task, Run: orders[0].Run, How: Stopped})
+	assertSettled("r0", "r1")
+}
+
+// A run of a submission that nobody knows is stopped, and takes up room until
+// the stop has taken effect, though the runner no longer lists it.
+func TestStoppedStrangersTakeUpRoom(t *testing.T) {
+	b := newBench(t, 0, 1)
+	b.lists["r0"] = []RunStatus{{Task: submitter.TaskID{Submission: "unknown"}, Run: 1}}
+	b.look("r0")
+	b.pass(strangerPatience + time.Millisecond)
+	b.look("r0")
+	if counts := kinds(b.table.Orders()); counts[Stop] != 1 {
+		t.Fatalf("orders %v", counts)
+	}
+	b.lists["r0"] = nil
+	b.pass(100 * time.Millisecond)
+	b.look("r0")
+	b.add("a", "urgent", oneCore(1))
+	assertStarts(t, b.starts(), 0)
+	if settled := b.table.Settled(b.now); len(settled) != 0 {
+		t.Errorf("settled %v", settled)
+	}
+	b.pass(600 * time.Millisecond)
+	b.look("r0")
+	assertStarts(t, b.starts(), 1)
+}
