Take a draining runner for gone only once it has closed its connections

Its tasks were started elsewhere (TWICE).

Change: its runs end once its entry is gone and a look has found a closed connection or port; otherwise its leases have to run out.

The test fails without the change.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -30,7 +30,7 @@
 // Agents reaches the runners. An implementation is safe for concurrent use.
 type Agents interface {
 	// Look asks for a runner's lists. It returns ErrFenced if the runner obeys
-	// another owner.
+	// another owner, and ErrClosed.
 	Look(ctx context.Context, to dispatcher.RunnerInfo, look Look) (dispatcher.Report, error)
 	// Order makes a call and returns what became of it.
 	Order(ctx context.Context, address string, order dispatcher.Order, fence int64) Answer
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -12,6 +12,10 @@
 // ErrFenced says that a runner obeys another owner.
 var ErrFenced = errors.New("runner has seen a higher fencing token")
 
+// ErrClosed says that a runner has closed its connection or its port, as it does
+// at its end.
+var ErrClosed = errors.New("runner has closed its connection")
+
 // Times of calls to runners.
 const (
 	// orderTimeout bounds one order.
@@ -161,7 +165,7 @@
 
 func (c *Conductor) lookFailed(id string, err error) {
 	c.apply(func(t *dispatcher.Table, now time.Time) {
-		if t.Silent(id, now) {
+		if t.Silent(id, errors.Is(err, ErrClosed), now) {
 			c.opts.Recorder.Record(now, EventRunnerSilent, map[string]string{"runner": id, "error": err.Error()})
 		}
 	})
--- a/internal/version/dispatcher/expire_test.go
+++ b/internal/version/dispatcher/expire_test.go
@@ -56,3 +56,63 @@
 	}
 	assertStarts(t, b.starts(), 1)
 }
+
+// Seen on sdg-sched, mix with seed 1012598155289: the store lost what a draining
+// runner wrote and dropped its entry, while it answered every look.
+func TestDrainingRunnerWithoutAnEntry(t *testing.T) {
+	drained := func(t *testing.T) (b *bench, leaving string) {
+		t.Helper()
+		b = newBench(t, 0, 2)
+		b.lookAll(2)
+		b.add("a", "urgent", oneCore(1))
+		orders := b.starts()
+		assertStarts(t, orders, 1)
+		leaving = orders[0].Runner
+		var staying []RunnerInfo
+		for _, info := range b.table.Runners() {
+			if info.ID == leaving {
+				info.Draining = true
+				b.table.SetRunners([]RunnerInfo{info}, b.now)
+			} else {
+				staying = append(staying, info)
+			}
+		}
+		b.table.SetRunners(staying, b.now)
+		return b, leaving
+	}
+	t.Run("runs on as long as it answers", func(t *testing.T) {
+		b, leaving := drained(t)
+		for range 10 {
+			b.pass(time.Second)
+			b.lookAll(2)
+			assertStarts(t, b.starts(), 0)
+		}
+		b.table.Silent(leaving, true, b.now)
+		assertStarts(t, b.starts(), 1)
+	})
+	t.Run("has not left because it is silent", func(t *testing.T) {
+		b, leaving := drained(t)
+		b.table.Silent(leaving, false, b.now)
+		assertStarts(t, b.starts(), 0)
+	})
+	t.Run("has left if it had closed its connection before", func(t *testing.T) {
+		b := newBench(t, 0, 2)
+		b.lookAll(2)
+		b.add("a", "urgent", oneCore(1))
+		orders := b.starts()
+		assertStarts(t, orders, 1)
+		var staying []RunnerInfo
+		for _, info := range b.table.Runners() {
+			if info.ID != orders[0].Runner {
+				staying = append(staying, info)
+				continue
+			}
+			info.Draining = true
+			b.table.SetRunners([]RunnerInfo{info}, b.now)
+		}
+		b.table.Silent(orders[0].Runner, true, b.now)
+		assertStarts(t, b.starts(), 0)
+		b.table.SetRunners(staying, b.now)
+		assertStarts(t, b.starts(), 1)
+	})
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -66,7 +66,7 @@
 	if clock >= r.clock {
 		r.clock, r.heardAt = clock, now
 	}
-	r.silentSince = time.Time{}
+	r.silentSince, r.closed = time.Time{}, false
 }
 
 // Report takes in a runner's lists. They were asked for at sentAt under the
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -120,11 +120,17 @@
 	return r.runs[runKey{o.Task, o.Run}]
 }
 
-// Silent takes note that a look at a runner was not answered. It reports
-// whether it was the first one.
-func (t *Table) Silent(id string, now time.Time) bool {
+// Silent takes note that a look at a runner was not answered, and whether the
+// runner had closed its connection or its port. It reports whether it was the
+// first one.
+func (t *Table) Silent(id string, closed bool, now time.Time) bool {
 	r, ok := t.runners[id]
-	if !ok || !r.silentSince.IsZero() {
+	if !ok {
+		return false
+	}
+	r.closed = closed
+	t.leave(r, now)
+	if !r.silentSince.IsZero() {
 		return false
 	}
 	r.silentSince = now
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -41,6 +41,7 @@
 	strikes        map[string]bool // submissions that failed here in a row
 	suspendedUntil time.Time
 	silentSince    time.Time
+	closed         bool // the newest look found a closed connection or port
 	strangers      map[runKey]time.Time
 	// strangerStoppedAt is when a run that is not in the table was stopped last.
 	strangerStoppedAt time.Time
@@ -109,13 +110,20 @@
 		}
 		r.listed = false
 		t.recordRunner(now, EventRunnerGone, r, "registry entry is gone")
-		if r.info.Draining {
-			t.dropRuns(r, now, "runner left")
-		}
+		t.leave(r, now)
 	}
 	t.recheck = true
 }
 
+// leave ends the runs of a runner that has left as it said it would: its entry
+// is gone and its process has closed its connections. The store may drop the
+// entry of a runner that runs on.
+func (t *Table) leave(r *runner, now time.Time) {
+	if !r.listed && r.info.Draining && r.closed {
+		t.dropRuns(r, now, "runner left")
+	}
+}
+
 // Runners returns the runners that have to be held or looked at.
 func (t *Table) Runners() []RunnerInfo {
 	infos := make([]RunnerInfo, 0, len(t.runners))
