Keep a roster of the runners on which something may run

Change: an owner writes the runners of its part to the store before it uses them. Its successor waits for each of them to answer, to lapse, or to have left.

The test fails without the change.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -92,6 +92,9 @@
 type Conductor struct {
 	opts Options
 	keys Keys
+	// roster is used by load and by the registry's callbacks only, one after
+	// the other.
+	roster roster
 
 	mu      sync.Mutex
 	table   *dispatcher.Table
--- a/internal/process/conductor/keys.go
+++ b/internal/process/conductor/keys.go
@@ -5,7 +5,7 @@
 // Keys are the store's keys of one part. A submission and its cancellation are
 // written once by the daemon that accepts them, its progress by the owner.
 type Keys struct {
-	work, progress, memory string // the first two are prefixes
+	work, progress, memory, roster string // the first two are prefixes
 }
 
 // cancelSuffix follows the key of a submission.
@@ -18,6 +18,7 @@
 		work:     "kumquat/work/" + number + "/",
 		progress: "kumquat/progress/" + number + "/",
 		memory:   "kumquat/memory/" + number,
+		roster:   "kumquat/roster/" + number,
 	}
 }
 
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -87,6 +87,7 @@
 			infos = append(infos, info)
 		}
 	}
+	infos = c.record(infos)
 	c.apply(func(t *dispatcher.Table, now time.Time) {
 		t.SetRunners(infos, now)
 		held := make(map[string]bool)
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -51,6 +51,10 @@
 	if err != nil {
 		return 0, err
 	}
+	expected, err := c.loadRoster(ctx)
+	if err != nil {
+		return 0, err
+	}
 	progress := make(map[string]*submitter.Progress, len(notes))
 	for _, item := range notes {
 		id := strings.TrimPrefix(item.Key, c.keys.progress)
@@ -65,6 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recall(ctx)
+	c.table.Expect(expected)
 	c.takeWork(work, progress, time.Now())
 	return revision, nil
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,16 +10,16 @@
 
 // RunnerInfo is what a runner says of itself in the registry.
 type RunnerInfo struct {
-	ID         string
-	Service    string
-	Address    string
-	DataCentre string
-	Rack       string
-	Labels     []string
-	Capacity   submitter.Resources
+	ID         string              `json:"id"`
+	Service    string              `json:"service"`
+	Address    string              `json:"address"`
+	DataCentre string              `json:"dataCentre"`
+	Rack       string              `json:"rack,omitempty"`
+	Labels     []string            `json:"labels,omitempty"`
+	Capacity   submitter.Resources `json:"capacity"`
 	// Lifetime tells apart successive processes under one id.
-	Lifetime int64
-	Draining bool
+	Lifetime int64 `json:"lifetime"`
+	Draining bool  `json:"draining,omitempty"`
 }
 
 // A runner is what the owner knows of one runner.
@@ -119,16 +120,39 @@
 // is gone and its process has closed its connections. The store may drop the
 // entry of a runner that runs on.
 func (t *Table) leave(r *runner, now time.Time) {
-	if !r.listed && r.info.Draining && r.closed {
+	if r.hasLeft() {
 		t.dropRuns(r, now, "runner left")
+		t.recheck = true
+	}
+}
+
+func (r *runner) hasLeft() bool { return !r.listed && r.info.Draining && r.closed }
+
+// Expect takes in the runners on which a former owner may have started
+// something. The registry may have dropped some that run on.
+func (t *Table) Expect(infos []RunnerInfo) {
+	for _, info := range infos {
+		if _, ok := t.runners[info.ID]; !ok {
+			t.runners[info.ID] = newRunner(info)
+		}
 	}
 }
 
+// Roster returns every runner on which something may run, in order of ids.
+func (t *Table) Roster() []RunnerInfo {
+	infos := make([]RunnerInfo, 0, len(t.runners))
+	for _, r := range t.runners {
+		infos = append(infos, r.info)
+	}
+	slices.SortFunc(infos, func(a, b RunnerInfo) int { return cmp.Compare(a.ID, b.ID) })
+	return infos
+}
+
 // Runners returns the runners that have to be held or looked at.
 func (t *Table) Runners() []RunnerInfo {
 	infos := make([]RunnerInfo, 0, len(t.runners))
 	for _, r := range t.runners {
-		if r.listed || len(r.runs) > 0 {
+		if r.listed || len(r.runs) > 0 || !r.fenced {
 			infos = append(infos, r.info)
 		}
 	}
@@ -189,6 +213,9 @@
 // renew leases at runners that this owner does not reach, so the record has to
 // be confirmed later than their end.
 func (t *Table) hasLapsed(r *runner, now time.Time) bool {
+	if r.hasLeft() {
+		return true
+	}
 	end := t.lapsedBy(r)
 	return !now.Before(end) && !t.confirmedAt.Before(end)
 }
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -217,3 +217,30 @@
 	b.look("r0")
 	assertStarts(t, b.starts(), 1)
 }
+
+// Seen on sdg-sched, mix with seed 1012598155289: entries had lapsed during an
+// outage of the store. A new owner saw few runners, all of them settled, and
+// started again what ran on the others.
+func TestNewOwnerWaitsForRunnersWithoutAnEntry(t *testing.T) {
+	b, task := inherited(t, 1)
+	b.table.Expect([]RunnerInfo{{ID: "r0", Service: "s"}, {ID: "unlisted", Service: "s", Capacity: testCapacity, Lifetime: 1}})
+	b.table.Vouched([]string{"r0", "unlisted"}, b.now)
+	b.look("r0")
+	assertStarts(t, b.starts(), 0)
+	b.lists["unlisted"] = []RunStatus{{Task: task, Run: 1}}
+	b.look("unlisted")
+	assertStarts(t, b.starts(), 0)
+	if running := b.table.subs["a"].occs[0].steps[0].tasks[0].runs; len(running) != 1 {
+		t.Errorf("%d runs are known, the runner lists one", len(running))
+	}
+}
+
+func TestNewOwnerDoesNotWaitForRunnersThatLeft(t *testing.T) {
+	b, _ := inherited(t, 1)
+	b.table.Expect([]RunnerInfo{{ID: "left", Service: "s", Draining: true}})
+	b.table.Vouched([]string{"r0", "left"}, b.now)
+	b.look("r0")
+	assertStarts(t, b.starts(), 0)
+	b.table.Silent("left", true, b.now)
+	assertStarts(t, b.starts(), 1)
+}
