Start copies only once all runners have told of a task's failures

The new owner started steps whose copies may run in parallel before it had heard all runners, and one task a fifth time (BUDGET, at most 4).

Change: such steps wait like all others, and no copy is started before.

The test fails without the change.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -54,7 +54,7 @@
 	certain := t.isCertain(now)
 	clear(t.noRoom)
 	for _, c := range t.candidates(now) {
-		if !certain && !c.st.spec.Speculative && c.st.s.sub.Owner < t.fence {
+		if !certain && c.st.s.sub.Owner < t.fence {
 			continue
 		}
 		t.fill(c.st, now)
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -244,3 +244,25 @@
 	b.table.Silent("left", true, b.now)
 	assertStarts(t, b.starts(), 1)
 }
+
+// Seen on ptkp-sched-grown, trouble-1 with seed 502580798295: the former owner
+// could not save two failures of a task whose copies may run in parallel, and the
+// new owner started it once more before it had heard of them.
+func TestNewOwnerHearsOfFailuresBeforeItStartsCopies(t *testing.T) {
+	b := newBench(t, 1, 2)
+	step := oneCore(1)
+	step.Speculative = true
+	b.add("a", "urgent", step)
+	b.look("r0")
+	b.pass(time.Second)
+	b.look("r0")
+	assertStarts(t, b.starts(), 0)
+	task := submitter.TaskID{Submission: "a"}
+	b.look("r1", End{Task: task, Run: 1, How: Failure}, End{Task: task, Run: 2, How: Failure})
+	b.pass(time.Second)
+	b.lookAll(2)
+	assertStarts(t, b.starts(), 0)
+	if state := b.table.subs["a"].state; state != submitter.Failed {
+		t.Errorf("state %q after as many failures as the queue allows", state)
+	}
+}
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -63,6 +63,9 @@
 	still := now.Sub(x.movedAt)
 	silent := now.Sub(x.runner.heardAt)
 	if x.st.spec.Speculative && (still > copyAfter || silent > copyAfter) && len(x.task().runs) == 1 && !x.task().done {
+		if !t.isCertain(now) {
+			return // failures of the task may not be known yet
+		}
 		if r := t.choose(x.st, x.task(), now); r != nil && r != x.runner {
 			t.start(x.st, x.index, r, now)
 		}
