Start nothing for a term that has ended

Such a call could also be sent after the owner had vouched for its runners.

Change: a conductor that is closed runs nothing. The test fails under the race detector without the change.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -102,6 +102,10 @@
 	loops   map[string]context.CancelFunc // look loops by runner id
 	revs    map[string]int64              // revisions of the progress keys
 
+	// endMu guards ended and is taken last.
+	endMu sync.Mutex
+	ended bool
+
 	unsaved    chan struct{}
 	savedMu    sync.Mutex
 	saved      chan struct{} // closed and replaced after each save
@@ -150,7 +154,14 @@
 	return c, nil
 }
 
+// inBackground runs a function unless the term has ended: the daemon may still
+// use a conductor that it has fetched before.
 func (c *Conductor) inBackground(run func()) {
+	c.endMu.Lock()
+	defer c.endMu.Unlock()
+	if c.ended {
+		return
+	}
 	c.background.Add(1)
 	go func() {
 		defer c.background.Done()
@@ -158,9 +169,13 @@
 	}()
 }
 
-// Close ends the term and waits for calls under way.
+// Close ends the term and waits for calls under way. No order is sent
+// afterwards.
 func (c *Conductor) Close() {
 	c.cancel()
+	c.endMu.Lock()
+	c.ended = true
+	c.endMu.Unlock()
 	c.background.Wait()
 }
 
--- /dev/null
+++ b/internal/process/conductor/conductor_test.go
@@ -0,0 +1,46 @@
+package conductor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Seen under the race detector: a cancellation reached a conductor that the
+// daemon had fetched before the term ended.
+func TestNothingRunsAfterClose(t *testing.T) {
+	t.Parallel()
+	c := &Conductor{}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	var running atomic.Int64
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					c.inBackground(func() {
+						running.Add(1)
+						time.Sleep(time.Millisecond)
+						running.Add(-1)
+					})
+				}
+			}
+		}()
+	}
+	time.Sleep(20 * time.Millisecond)
+	c.Close()
+	if n := running.Load(); n != 0 {
+		t.Errorf("%d functions run after Close", n)
+	}
+	c.inBackground(func() { t.Error("a function was run after Close") })
+	close(stop)
+	callers.Wait()
+}
