Refuse a release while a named daemon is still registered

Cause: a plan of several named daemons left out those whose lease had not lapsed yet, as long as one had.

Change: planning is refused while one of the named daemons owns partitions only as a member. Daemons that were restarted under their name are still released by their earlier incarnation.

The new test fails without the change: it plans the release of one daemon of two.

--- a/internal/process/releaser/plan.go
+++ b/internal/process/releaser/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,8 +19,9 @@
 // plan returns the incarnations of the named daemons that own partitions but are no
 // longer members. A restarted daemon is a member under its present incarnation only,
 // so its earlier incarnations are included. plan reads the store itself, not the
-// watcher's copy. It returns a refusal if the named daemons own partitions only as
-// members.
+// watcher's copy. It returns a refusal if one of the named daemons owns partitions
+// only as a member: the lease of a dead daemon may be about to lapse, and the plan
+// that is shown would not be the one that is confirmed.
 func (r *Releaser) plan(ctx context.Context, daemons []string) ([]*kumquatv1.DeadIncarnation, error) {
 	members, err := r.members(ctx)
 	if err != nil {
@@ -30,7 +32,7 @@
 		return nil, err
 	}
 	found := make(map[string]*kumquatv1.DeadIncarnation)
-	registered := ""
+	registered := make(map[string]bool)
 	for _, entry := range listing.Entries {
 		partition, record, err := owner.ParseRecord(entry)
 		if err != nil {
@@ -41,7 +43,7 @@
 		}
 		if !owner.IsGone(record, members) {
 			if members[record.Owner].Incarnation == record.Incarnation {
-				registered = record.Owner
+				registered[record.Owner] = true
 			}
 			continue
 		}
@@ -53,8 +55,12 @@
 		}
 		found[key].Partitions = append(found[key].Partitions, string(partition))
 	}
-	if len(found) == 0 && registered != "" {
-		return nil, refusal(registered+" is registered", "wait until its lease has lapsed, 4 s after the end of its process")
+	for _, each := range found {
+		delete(registered, each.Incarnation.Daemon)
+	}
+	if len(registered) > 0 {
+		names := slices.Sorted(maps.Keys(registered))
+		return nil, refusal(strings.Join(names, ", ")+" is registered", "wait until its lease has lapsed, 4 s after the end of its process")
 	}
 	return sorted(found), nil
 }
--- a/internal/process/releaser/plan_test.go
+++ b/internal/process/releaser/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/storer"
@@ -44,3 +45,30 @@
 		t.Errorf("planned %v, error %v, want only claims:2 of the earlier incarnation", dead, err)
 	}
 }
+
+// TestPlanWaitsForAllLeases plans the release of two dead daemons while the lease of
+// one of them has not lapsed yet. A plan of the other one alone could not be confirmed
+// once that lease has lapsed.
+func TestPlanWaitsForAllLeases(t *testing.T) {
+	store := keyvalue.NewFake()
+	write := func(key string, value any) storer.Revision {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		revision, err := store.CompareAndSwap(t.Context(), storer.Swap{Key: key, Value: encoded})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return revision
+	}
+	const lapsed, registered = "atl-a-1", "atl-a-2"
+	incarnation := int64(write(member.Key(registered), map[string]string{"daemon": registered, "token": "b"}))
+	write(owner.Key("claims:1"), owner.Record{Owner: lapsed, Incarnation: incarnation - 1, Token: "a"})
+	write(owner.Key("claims:2"), owner.Record{Owner: registered, Incarnation: incarnation, Token: "b"})
+	var refused *errs.RefusedError
+	dead, err := New(Settings{Store: store}).plan(t.Context(), []string{lapsed, registered})
+	if !errors.As(err, &refused) || !strings.Contains(refused.Why, registered) {
+		t.Errorf("planned %v, error %v, want a refusal because %s is registered", dead, err, registered)
+	}
+}
