Decide nothing on a configuration that has not been read

Cause: an owner that was elected before its daemon had read the configuration took the zero value of a queue for its configuration. Priority, objective, permits and the service came from the same zero. The configuration was also applied in two places without an order, so that an older one could follow.

Change: the table holds the configuration, and a submission its queue, as values that say whether they are known (holder.Optional). Until they are, what runs is kept, nothing is started or failed. A configuration that comes later applies to all submissions in the table, their attempts included. Submissions keep the terms of their queue, which count once the queue is no longer configured. A daemon without a configuration campaigns last. A roster that can't be decoded stands for runners that are not known, and a memory that the store does not return is not replaced by an empty one.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/launcher"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
@@ -57,13 +58,6 @@
 	Lifetime int64
 }
 
-// Configuration holds the operator's declarations that an owner acts on.
-type Configuration struct {
-	Queues []dispatcher.Queue
-	// Evacuated is the set of data centres that get no new work.
-	Evacuated map[string]bool
-}
-
 // Registry follows the list of registered runners and passes each version of it
 // to a callback.
 type Registry interface {
@@ -131,13 +125,14 @@
 // and stalled tasks.
 const tickInterval = 200 * time.Millisecond
 
-// Start begins a term: it loads the stored records and takes over the runners.
-func Start(ctx context.Context, opts Options, config Configuration) (c *Conductor, err error) {
+// Start begins a term: it loads the stored records and takes over the runners. Without
+// a configuration, it keeps the leases of what runs there until Configure is called.
+func Start(ctx context.Context, opts Options, config holder.Optional[dispatcher.Configuration]) (c *Conductor, err error) {
 	now := time.Now()
 	c = &Conductor{
 		opts:       opts,
 		keys:       KeysOf(opts.Part),
-		table:      dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
+		table:      dispatcher.New(opts.Limits, config, opts.Fence, opts.Generation, opts.Recorder, now),
 		address:    make(map[string]string),
 		pollers:    make(map[string]context.CancelFunc),
 		revs:       make(map[string]int64),
@@ -147,8 +142,6 @@
 	}
 	c.table.SetFormerOwnerEnd(opts.FormerOwnerEnd)
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.table.SetQueues(config.Queues)
-	c.table.SetEvacuated(config.Evacuated)
 	revision, err := c.load(c.ctx)
 	if err != nil {
 		c.cancel()
@@ -171,11 +164,8 @@
 }
 
 // Configure applies a new version of the configuration.
-func (c *Conductor) Configure(config Configuration) {
-	c.apply(func(t *dispatcher.Table, _ time.Time) {
-		t.SetQueues(config.Queues)
-		t.SetEvacuated(config.Evacuated)
-	})
+func (c *Conductor) Configure(config dispatcher.Configuration) {
+	c.apply(func(t *dispatcher.Table, now time.Time) { t.Configure(config, now) })
 }
 
 // FormerOwnerEnded tells the table that the former owner has stopped.
--- a/internal/process/conductor/memory.go
+++ b/internal/process/conductor/memory.go
@@ -16,21 +16,24 @@
 const memoryInterval = 4 * time.Second
 
 // loadMemory restores the table's memory as a former owner has stored it. Without it,
-// this owner has to learn anew which tasks interfere with each other.
-func (c *Conductor) loadMemory(ctx context.Context) {
+// this owner has to learn anew which tasks interfere with each other, and would
+// overwrite what is stored with nothing. So it returns an error if the store does not
+// answer; a memory that can't be decoded is given up.
+func (c *Conductor) loadMemory(ctx context.Context) error {
 	item, err := c.opts.Store.Get(ctx, c.keys.memory)
 	if errors.Is(err, transactor.ErrNotFound) {
-		return
-	}
-	var memory dispatcher.Memory
-	if err == nil {
-		err = json.Unmarshal(item.Value, &memory)
+		return nil
 	}
 	if err != nil {
+		return err
+	}
+	var memory dispatcher.Memory
+	if err := json.Unmarshal(item.Value, &memory); err != nil {
 		c.noteUnreadable(c.keys.memory, err)
-		return
+		return nil
 	}
 	c.table.RestoreMemory(memory)
+	return nil
 }
 
 // saveMemory stores the table's memory at regular intervals.
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -54,10 +54,6 @@
 	if err != nil {
 		return 0, err
 	}
-	expected, err := c.loadRoster(ctx)
-	if err != nil {
-		return 0, err
-	}
 	progress := make(map[string]*submitter.Progress, len(progressItems))
 	for _, item := range progressItems {
 		id := strings.TrimPrefix(item.Key, c.keys.progress)
@@ -71,8 +67,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loadMemory(ctx)
-	c.table.ExpectRunners(expected)
+	if err = c.loadRoster(ctx); err != nil {
+		return 0, err
+	}
+	if err = c.loadMemory(ctx); err != nil {
+		return 0, err
+	}
 	c.addSubmissions(items, progress, time.Now())
 	return revision, nil
 }
--- a/internal/process/conductor/roster.go
+++ b/internal/process/conductor/roster.go
@@ -17,21 +17,24 @@
 	saved map[string]dispatcher.RunnerInfo // by ID
 }
 
-// loadRoster returns the runners on the stored roster of the former owner.
-func (c *Conductor) loadRoster(ctx context.Context) (infos []dispatcher.RunnerInfo, err error) {
+// loadRoster passes the stored roster of the former owner to the table.
+func (c *Conductor) loadRoster(ctx context.Context) error {
 	item, err := c.opts.Store.Get(ctx, c.keys.roster)
 	if errors.Is(err, transactor.ErrNotFound) {
-		return nil, nil
+		return nil
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if err = json.Unmarshal(item.Value, &infos); err != nil {
+	var infos []dispatcher.RunnerInfo
+	if err := json.Unmarshal(item.Value, &infos); err != nil {
 		c.noteUnreadable(c.keys.roster, err)
-		return nil, nil // rely on the registry
+		c.table.ExpectOtherRunners()
+		return nil
 	}
 	c.roster.set(infos)
-	return infos, nil
+	c.table.ExpectRunners(infos)
+	return nil
 }
 
 // updateRoster stores a roster that includes the runners of a new list. It returns
--- a/internal/process/gateway/routes.go
+++ b/internal/process/gateway/routes.go
@@ -6,11 +6,13 @@
 import (
 	"net"
 	"strings"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 // A Route maps the requests for a host and a path prefix to a queue.
 type Route struct {
-	Queue  string
+	Queue  submitter.Queue
 	Host   string
 	Prefix string
 }
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -13,6 +13,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/process/elector"
 	"github.com/kumquatstack/kumquatstack/internal/process/gateway"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 )
 
@@ -43,7 +44,7 @@
 	}
 	d.elector = elector.New(elector.Options{
 		Store: s.opts.Store, Instance: s.opts.Instance, Address: s.opts.PeerAddress, Parts: split.Parts,
-		CampaignDelay: s.opts.CampaignDelay, Recorder: s.opts.Recorder, Serve: d.serveOwner,
+		CampaignDelay: s.campaignDelay, Recorder: s.opts.Recorder, Serve: d.serveOwner,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Store: s.opts.Store, Elector: d.elector, Peers: s.client, Recorder: s.opts.Recorder,
@@ -84,7 +85,7 @@
 }
 
 // configure passes a configuration to the parts that this daemon owns.
-func (d *duties) configure(config conductor.Configuration) {
+func (d *duties) configure(config dispatcher.Configuration) {
 	for part := range d.conductors {
 		if c := d.conductors[part].Load(); c != nil {
 			c.Configure(config)
@@ -111,14 +112,13 @@
 		OnDeposed:   func(reason string) { term.Depose(time.Now(), reason) },
 	}
 	for ctx.Err() == nil {
-		c, err := conductor.Start(ctx, opts, d.s.configuration())
+		c, err := conductor.Start(ctx, opts, d.s.dispatchConfiguration())
 		if err != nil {
 			d.s.opts.Recorder.Record(time.Now(), EventLoadFailed, recorder.Fields{"part": strconv.Itoa(owner.Part), "error": err.Error()})
 			pauser.Sleep(ctx, loadRetryDelay)
 			continue
 		}
-		d.conductors[owner.Part].Store(c)
-		c.Configure(d.s.configuration())
+		d.s.startServing(c, d.conductors[owner.Part].Store)
 		d.s.opts.Recorder.Record(time.Now(), EventServing, recorder.Fields{
 			"part": strconv.Itoa(owner.Part), "fence": strconv.FormatInt(owner.Fence, 10),
 		})
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/relayer"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/conductor"
 	"github.com/kumquatstack/kumquatstack/internal/process/counter"
 	"github.com/kumquatstack/kumquatstack/internal/process/gateway"
@@ -25,7 +26,8 @@
 type Configuration struct {
 	Version int64
 	Routes  []gateway.Route
-	conductor.Configuration
+	// Dispatch holds what owners decide by.
+	Dispatch dispatcher.Configuration
 }
 
 // Declarations follows the operator's declarations and passes each version of them
@@ -70,9 +72,13 @@
 	peerServer *http.Server
 	cancel     context.CancelFunc
 	background sync.WaitGroup
-	mu         sync.Mutex
-	config     *Configuration
+	config     holder.Latest[Configuration]
 	draining   atomic.Bool
+	// mu serialises changes of the configuration, and the start of owners, which
+	// begin with the latest one.
+	//
+	// Lock order: mu before the lock of a conductor.
+	mu sync.Mutex
 }
 
 // Start starts a scheduler; Close stops it.
@@ -186,26 +192,56 @@
 func (s *Scheduler) configure(config Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config != nil && config.Version < s.config.Version {
+	current, known := s.config.Get()
+	if known && config.Version < current.Version {
 		return
 	}
-	if s.config == nil || config.Version != s.config.Version {
+	if !known || config.Version != current.Version {
 		s.opts.Recorder.Record(time.Now(), EventDeclared, recorder.Fields{
 			"version": strconv.FormatInt(config.Version, 10), "routes": strconv.Itoa(len(config.Routes)),
 		})
 	}
-	s.config = &config
+	s.config.Set(config)
 	s.routes.Store(gateway.NewRoutes(config.Routes))
 	if duties := s.duties.Load(); duties != nil {
-		duties.configure(config.Configuration)
+		duties.configure(config.Dispatch)
 	}
 }
 
-func (s *Scheduler) configuration() conductor.Configuration {
+// unconfiguredDelay is how long a daemon that has not read the configuration waits in
+// an election in favour of those that have: it could start nothing.
+const unconfiguredDelay = 300 * time.Millisecond
+
+// campaignDelay returns how long this daemon waits in the election for a part, given
+// the number of parts that it owns.
+//
+// Load: daemons that restart in turn while the store is out. The records of owners may
+// be readable again before the configuration is.
+func (s *Scheduler) campaignDelay(part, owned int) time.Duration {
+	delay := s.opts.CampaignDelay(part, owned)
+	if _, ok := s.config.Get(); !ok {
+		delay += unconfiguredDelay
+	}
+	return delay
+}
+
+// dispatchConfiguration returns the part of the configuration that owners decide by, if
+// it is known.
+func (s *Scheduler) dispatchConfiguration() holder.Optional[dispatcher.Configuration] {
+	config, ok := s.config.Get()
+	if !ok {
+		return holder.Optional[dispatcher.Configuration]{}
+	}
+	return holder.Known(config.Dispatch)
+}
+
+// startServing makes a conductor visible as the owner of its part, with the latest
+// configuration.
+func (s *Scheduler) startServing(c *conductor.Conductor, publish func(*conductor.Conductor)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.config == nil {
-		return conductor.Configuration{}
+	publish(c)
+	if config, ok := s.config.Get(); ok {
+		c.Configure(config.Dispatch)
 	}
-	return s.config.Configuration
 }
--- a/internal/version/dispatcher/permits.go
+++ b/internal/version/dispatcher/permits.go
@@ -58,7 +58,7 @@
 // awaitsPermits reports whether a step has to wait for permits because none of its
 // permits is valid, and requests new ones if no request is in flight.
 func (t *Table) awaitsPermits(st *stepState, now time.Time) bool {
-	if !st.s.queue.NeedsPermits {
+	if !st.s.needsPermits() {
 		return false
 	}
 	for _, p := range st.permits {
@@ -120,7 +120,7 @@
 // isPermitted reports whether a step needs no permit or has a valid one for a
 // runner.
 func (st *stepState) isPermitted(r *runner, now time.Time) bool {
-	if !st.s.queue.NeedsPermits {
+	if !st.s.needsPermits() {
 		return true
 	}
 	p, ok := st.permits[r.info.ID]
--- a/internal/version/dispatcher/permits_test.go
+++ b/internal/version/dispatcher/permits_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 // newPermitHarness returns a harness whose queue needs permits, with a submission of
@@ -10,7 +12,7 @@
 func newPermitHarness(t *testing.T) (h *harness, request PermitRequest) {
 	t.Helper()
 	h = newHarness(t, 0, 3)
-	h.table.SetQueues([]Queue{{Name: "urgent", Service: "s", MaxAttempts: 2, NeedsPermits: true}})
+	h.configure(nil, submitter.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, NeedsPermits: true})
 	h.pollAll(3)
 	h.add("a", "urgent", oneCore(2))
 	assertStarts(t, h.starts(), 0)
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -30,8 +30,9 @@
 
 // A candidate is a step with tasks that may start.
 type candidate struct {
-	st   *stepState
-	tier int
+	st       *stepState
+	tier     int
+	priority int
 	// dueBy is the time up to which the submission earns its full value.
 	dueBy time.Time
 }
@@ -77,13 +78,17 @@
 		if s.opened < s.sub.Occurrences() {
 			t.openDue(s, now)
 		}
+		queue, ok := s.queue.Get()
+		if !ok {
+			continue
+		}
 		for _, occ := range s.occs {
 			if occ.remaining == 0 {
 				continue
 			}
 			for _, st := range occ.steps {
 				if st.ready && st.waiting > 0 && st.remaining > 0 && !t.isBlocked(st, now) {
-					list = append(list, newCandidate(st, now))
+					list = append(list, newCandidate(st, queue, now))
 				}
 			}
 		}
@@ -91,7 +96,7 @@
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
-			cmp.Compare(a.st.s.queue.Priority, b.st.s.queue.Priority),
+			cmp.Compare(a.priority, b.priority),
 			a.dueBy.Compare(b.dueBy),
 			cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID),
 		)
@@ -99,9 +104,9 @@
 	return list
 }
 
-func newCandidate(st *stepState, now time.Time) candidate {
+func newCandidate(st *stepState, queue submitter.Queue, now time.Time) candidate {
 	since := st.occ.dueAt
-	c := candidate{st: st, dueBy: since.Add(st.s.objective)}
+	c := candidate{st: st, priority: queue.Priority, dueBy: since.Add(st.s.objective)}
 	if st.spec.LongRunning {
 		return c
 	}
@@ -153,7 +158,7 @@
 }
 
 func (st *stepState) shape() shape {
-	return shape{st.s.queue.Service, st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity}
+	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity}
 }
 
 // hadNoRoom reports whether no runner in this placement pass had room for a task of
@@ -170,7 +175,7 @@
 // had room. It records nothing if the task may have been excluded from some runners by
 // its step's limit per runner, by an earlier failure or by missing permits.
 func (t *Table) recordNoRoom(st *stepState, k *task) {
-	if st.runsByRunner != nil || k.avoid != "" || st.s.queue.NeedsPermits {
+	if st.runsByRunner != nil || k.avoid != "" || st.s.needsPermits() {
 		return
 	}
 	t.noRoom[st.shape()] = st.spec.Resources
@@ -234,7 +239,7 @@
 // isEligible reports whether a task may start on a runner now, apart from permits.
 func (t *Table) isEligible(r *runner, st *stepState, k *task, now time.Time) bool {
 	switch {
-	case !r.isRegistered, !t.knowsRunsOn(r, now), r.info.Draining, r.info.Service != st.s.queue.Service, t.evacuated[r.info.DataCentre]:
+	case !r.isRegistered, !t.knowsRunsOn(r, now), r.info.Draining, !st.s.isServedBy(r.info.Service), t.isEvacuated(r.info.DataCentre):
 		return false
 	case now.Before(r.suspendedUntil), now.Sub(r.answeredAt) > staleAfter:
 		return false
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -115,7 +115,7 @@
 		name   string
 		change func(h *harness)
 	}{
-		{"evacuated data centre", func(h *harness) { h.table.SetEvacuated(map[string]bool{"z": true}) }},
+		{"evacuated data centre", func(h *harness) { h.configure(map[string]bool{"z": true}, testQueues...) }},
 		{"draining runner", func(h *harness) {
 			info, _ := h.table.Runner("r0")
 			info.Draining = true
@@ -123,7 +123,7 @@
 		}},
 		{"runner without a registry entry", func(h *harness) { h.table.SetRunners(nil, h.now) }},
 		{"silent runner", func(h *harness) { h.advance(staleAfter + time.Second) }},
-		{"queue of another service", func(h *harness) { h.table.SetQueues([]Queue{{Name: "urgent", Service: "other"}}) }},
+		{"queue of another service", func(h *harness) { h.configure(nil, submitter.Queue{Name: "urgent", Service: "other"}) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t, 0, 1)
@@ -380,7 +380,7 @@
 		t.Errorf("load %+v, want %+v", got, want)
 	}
 	t.Run("evacuated runners don't count", func(t *testing.T) {
-		h.table.SetEvacuated(map[string]bool{"z": true})
+		h.configure(map[string]bool{"z": true}, testQueues...)
 		if got := h.table.Load(); got.Capacity != 0 {
 			t.Errorf("load %+v", got)
 		}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -322,9 +322,7 @@
 	k.failures = append(k.failures, number)
 	k.avoid = r.info.ID
 	t.markDirty(st.s)
-	if len(k.failures) >= max(1, st.s.queue.MaxAttempts) {
-		t.finish(st.s, submitter.Failed, now)
-	}
+	t.failIfExhausted(st.s, k, now)
 }
 
 // Limits of the suspension of runners on which different submissions fail.
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
@@ -20,6 +21,16 @@
 
 const testFence = 100
 
+var testQueues = []submitter.Queue{
+	{Name: "urgent", Service: "s", MaxAttempts: 2, Stretch: 1.5, Target: 300 * time.Millisecond},
+	{Name: "night", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 2, Target: time.Second},
+}
+
+// configure replaces the configuration.
+func (h *harness) configure(evacuated map[string]bool, queues ...submitter.Queue) {
+	h.table.Configure(NewConfiguration(queues, evacuated), h.now)
+}
+
 // A harness drives a table without real runners: it keeps the runs that each runner
 // reports in reported.
 type harness struct {
@@ -38,11 +49,7 @@
 func newHarness(t *testing.T, generation int64, runners int) *harness {
 	t.Helper()
 	h := &harness{t: t, now: epoch, ends: make(map[string]int64), reported: make(map[string][]RunStatus)}
-	h.table = New(testLimits, testFence, generation, recorder.Discard{}, h.now)
-	h.table.SetQueues([]Queue{
-		{Name: "urgent", Service: "s", MaxAttempts: 2, Stretch: 1.5, Target: 300 * time.Millisecond},
-		{Name: "night", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 2, Target: time.Second},
-	})
+	h.table = New(testLimits, holder.Known(NewConfiguration(testQueues, nil)), testFence, generation, recorder.Discard{}, h.now)
 	h.setRunners(runners)
 	return h
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -146,6 +146,11 @@
 	}
 }
 
+// ExpectOtherRunners says that it is not known which runners a former owner may have
+// used: until all its leases have lapsed, anything may run on others than those in the
+// table.
+func (t *Table) ExpectOtherRunners() { t.expectsOthers = true }
+
 // KnownRunners returns every runner on which something may run, in no particular
 // order.
 func (t *Table) KnownRunners() []RunnerInfo {
@@ -282,6 +287,9 @@
 	if !t.hasFormerOwner {
 		return true
 	}
+	if t.expectsOthers && !t.hasLapsed(&runner{}, now) {
+		return false
+	}
 	for _, r := range t.runners {
 		if !t.knowsRunsOn(r, now) && !t.hasLapsed(r, now) {
 			return false
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -13,8 +14,10 @@
 
 // A submission is the owner's state of one accepted submission.
 type submission struct {
-	sub   *submitter.Submission
-	queue Queue
+	sub *submitter.Submission
+	// queue is not known if neither the configuration nor the submission has it. Until
+	// it is, what runs is kept, and nothing is started or failed.
+	queue holder.Optional[submitter.Queue]
 	// state is the current state. durableState becomes final only once that final
 	// state is durable.
 	state, durableState submitter.State
@@ -136,12 +139,11 @@
 		return
 	}
 	s := &submission{sub: sub, state: submitter.Queued, durableState: submitter.Queued, remaining: sub.Occurrences(), addedAt: now}
-	s.queue = t.queues[sub.Queue]
-	s.objective = objective(s)
 	t.subs[sub.ID] = s
 	if progress != nil {
 		t.restore(s, progress, now)
 	}
+	t.applyQueue(s, now)
 	if !s.state.IsFinal() {
 		t.active = append(t.active, s)
 		t.openDue(s, now)
@@ -151,6 +153,53 @@
 	t.placementDue = true
 }
 
+// applyQueue sets what follows from a submission's queue: its objective, and whether
+// one of its tasks has no attempts left.
+func (t *Table) applyQueue(s *submission, now time.Time) {
+	s.queue = t.queueOf(s.sub)
+	queue, ok := s.queue.Get()
+	if !ok || s.state.IsFinal() {
+		return
+	}
+	s.objective = objective(s, queue)
+	for _, occ := range s.occs {
+		for _, st := range occ.steps {
+			for i := range st.tasks {
+				t.failIfExhausted(s, &st.tasks[i], now)
+			}
+		}
+	}
+}
+
+// failIfExhausted fails a submission if one of its tasks has no attempts left.
+func (t *Table) failIfExhausted(s *submission, k *task, now time.Time) {
+	queue, ok := s.queue.Get()
+	if ok && !k.done && !s.state.IsFinal() && len(k.failures) >= max(1, queue.MaxAttempts) {
+		t.finish(s, submitter.Failed, now)
+	}
+}
+
+// service returns the service whose runners take the tasks of a submission, or "" if
+// its queue is not known.
+func (s *submission) service() string {
+	queue, _ := s.queue.Get()
+	return queue.Service
+}
+
+// isServedBy reports whether a submission's queue is known and its tasks run on the
+// runners of a service.
+func (s *submission) isServedBy(service string) bool {
+	queue, ok := s.queue.Get()
+	return ok && queue.Service == service
+}
+
+// needsPermits reports whether an external service decides where the tasks of a
+// submission run.
+func (s *submission) needsPermits() bool {
+	queue, ok := s.queue.Get()
+	return ok && queue.NeedsPermits
+}
+
 // unfinished removes ended submissions from the list of active ones and returns it.
 func (t *Table) unfinished() []*submission {
 	t.active = slices.DeleteFunc(t.active, func(s *submission) bool { return s.state.IsFinal() })
@@ -159,7 +208,7 @@
 
 // objective estimates the time within which a submission earns its full value: its
 // longest chain of steps times the queue's stretch factor, plus the queue's target.
-func objective(s *submission) time.Duration {
+func objective(s *submission, queue submitter.Queue) time.Duration {
 	chain := make([]time.Duration, len(s.sub.Steps))
 	var longest time.Duration
 	for i := range s.sub.Steps {
@@ -169,7 +218,7 @@
 		chain[i] += s.sub.Steps[i].Estimate
 		longest = max(longest, chain[i])
 	}
-	return time.Duration(float64(longest)*max(1, s.queue.Stretch)) + s.queue.Target
+	return time.Duration(float64(longest)*max(1, queue.Stretch)) + queue.Target
 }
 
 // restore applies the progress that a former owner has saved.
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
@@ -35,23 +36,6 @@
 // lapsed.
 const lapseMargin = 150 * time.Millisecond
 
-// A Queue is the configuration of submissions of one kind.
-type Queue struct {
-	Name    string
-	Service string // the service whose runners take the queue's tasks
-	// Priority orders the queues; lower values go first.
-	Priority int
-	// MaxAttempts is the number of failed runs of a task that fails its submission.
-	MaxAttempts int
-	// Stretch and Target give the objective of a submission: the run time of its
-	// longest chain of steps times Stretch, plus Target.
-	Stretch float64
-	Target  time.Duration
-	// NeedsPermits says that an external service decides on which runners a step
-	// may run.
-	NeedsPermits bool
-}
-
 // runsPerGeneration separates the run numbers of successive owners: the owner of
 // generation g, which had g owners before it, numbers the runs of each task from
 // g*runsPerGeneration+1.
@@ -67,6 +51,9 @@
 	// leases.
 	formerOwnerEnd time.Time
 	hasFormerOwner bool
+	// expectsOthers says that the former owner may have used runners that are not in
+	// the table.
+	expectsOthers bool
 	// settledByFormer holds the runners on which, as the former owner has reported,
 	// no stop was in flight when it ended.
 	settledByFormer map[string]bool
@@ -75,13 +62,14 @@
 	ownerConfirmedAt time.Time
 	rec              recorder.Recorder
 
-	queues  map[string]Queue       // by name
+	// config is not known until the daemon has read it. Until then, what runs is kept,
+	// and nothing is started or failed.
+	config  holder.Optional[Configuration]
 	runners map[string]*runner     // by ID
 	subs    map[string]*submission // by ID
 	// active holds the submissions in subs that have not ended, and those that have
 	// ended since unfinished last removed them.
 	active       []*submission
-	evacuated    map[string]bool // the data centres that get no new work
 	interference interferenceModel
 
 	// noRoom maps shapes to the resources of a task of the shape for which no runner
@@ -105,7 +93,7 @@
 
 // New returns the table of an owner that holds a fencing token. The generation is the
 // number of owners that the partition had before.
-func New(limits Limits, fence, generation int64, rec recorder.Recorder, now time.Time) *Table {
+func New(limits Limits, config holder.Optional[Configuration], fence, generation int64, rec recorder.Recorder, now time.Time) *Table {
 	return &Table{
 		limits:           limits,
 		fence:            fence,
@@ -115,10 +103,9 @@
 		ownerConfirmedAt: now,
 		hasFormerOwner:   generation > 0,
 		rec:              rec,
-		queues:           make(map[string]Queue),
+		config:           config,
 		runners:          make(map[string]*runner),
 		subs:             make(map[string]*submission),
-		evacuated:        make(map[string]bool),
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
 	}
@@ -131,31 +118,21 @@
 	}
 }
 
-// SetQueues replaces the configured queues.
-func (t *Table) SetQueues(queues []Queue) {
-	t.queues = make(map[string]Queue, len(queues))
-	for _, q := range queues {
-		t.queues[q.Name] = q
-	}
-	for _, s := range t.subs {
-		if q, ok := t.queues[s.sub.Queue]; ok {
-			s.queue = q
-		}
+// Configure applies a version of the configuration to new submissions and to all that
+// are in the table.
+func (t *Table) Configure(config Configuration, now time.Time) {
+	t.config = holder.Known(config)
+	for _, s := range t.unfinished() {
+		t.applyQueue(s, now)
 	}
 	t.placementDue = true
 }
 
-// SetEvacuated replaces the set of data centres that get no new work.
-func (t *Table) SetEvacuated(dataCentres map[string]bool) {
-	t.evacuated = dataCentres
-	t.placementDue = true
-}
-
 // Load returns the processor capacity of the usable runners, and the processors
 // requested by the tasks on these runners and by the tasks that wait to start.
 func (t *Table) Load() (load partitioner.Load) {
 	for _, r := range t.runners {
-		if r.isRegistered && !r.info.Draining && !t.evacuated[r.info.DataCentre] {
+		if r.isRegistered && !r.info.Draining && !t.isEvacuated(r.info.DataCentre) {
 			load.Capacity += r.info.Capacity.MilliCores
 			load.Reserved += r.used.MilliCores
 			load.Filling += r.bestEffortMilliCores
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -265,3 +265,17 @@
 		t.Errorf("state %q after as many failures as the queue allows", state)
 	}
 }
+
+// Guards against a roster that can't be read and is taken for one without runners.
+func TestNewOwnerWaitsForLeasesOfUnknownRunners(t *testing.T) {
+	h, _ := newTakeoverHarness(t, 1)
+	h.table.ExpectOtherRunners()
+	for range 6 {
+		h.poll("r0")
+		assertStarts(t, h.starts(), 0)
+		h.advance(time.Second)
+	}
+	h.poll("r0")
+	h.advance(500 * time.Millisecond)
+	assertStarts(t, h.starts(), 1)
+}
--- a/internal/version/submitter/submission.go
+++ b/internal/version/submitter/submission.go
@@ -119,6 +119,10 @@
 	// Owner is the fencing token of the partition owner that the submission was
 	// first passed to. An owner with a lower token never starts the submission.
 	Owner int64 `json:"owner"`
+	// Terms is the configuration of the queue when the submission was accepted, which
+	// counts once the queue is no longer configured. It is nil in submissions that were
+	// stored without it.
+	Terms *Queue `json:"terms,omitempty"`
 }
 
 // WithOwner returns a copy of the submission with the fencing token of the owner
