Pace best-effort tasks by the room that services have

Admission looked at the load that all tasks of a service have in common, not at what the task on that very runner showed.

Change: at each report the package pacer sets the paces of the best-effort tasks on a runner by the learnt pressures and the room of each service; a task is stopped only if it has to be slow for long, is not nearly done and another runner has room. Pace orders of one run are sent one by one. Admission uses the same room. Tasks go beside services that they hardly disturb, and leave the runners without services to those that disturb all.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -1,11 +1,8 @@
 package dispatcher
 
 import (
-	"cmp"
 	"maps"
 	"math"
-	"slices"
-	"strconv"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/isolator"
@@ -33,45 +30,17 @@
 	baseError = 0.03
 	// loadGrowth is how much a service's load may grow while a best-effort task
 	// runs beside it.
-	loadGrowth = 0.2
+	loadGrowth = 0.1
 	// peakDecay is how much the peak of a service's load falls per second.
 	peakDecay = 0.01
 	// targetMargin is how far a service's predicted utilisation has to stay below
 	// the utilisation at which its tail latency reaches its target.
-	targetMargin = 0.09
-	// minPressure is the pressure from which a best-effort task counts as a cause
-	// of a tail latency above its target.
-	minPressure = 0.03
-	// reliefMargin is how far below the utilisation at its target a service is
-	// brought after its tail latency has exceeded the target.
-	reliefMargin = 0.03
+	targetMargin = 0.06
 	// saturation is the utilisation above which a tail latency shows that the
 	// utilisation is high, but not how high.
 	saturation = 0.93
 )
 
-// Parameters of the reaction to tail latencies above their targets.
-const (
-	// haltShare is the share of Limits.HarmAfter for which a tail latency may exceed
-	// its target before all best-effort tasks on the runner halt.
-	haltShare = 0.45
-	// measureSpan is the longest time before a report that the measurements in the
-	// report cover.
-	measureSpan = 600 * time.Millisecond
-	// resumeAfter is the time for which all tail latencies have to be calm before
-	// halted tasks resume.
-	resumeAfter = 1200 * time.Millisecond
-	// calmTailRatio is the ratio to its target below which a tail latency is calm.
-	calmTailRatio = 0.8
-	// watchedTailRatio is the ratio of a tail latency to its target from which the
-	// runner is polled often: a load that changes by half within some seconds can
-	// raise a tail latency of this ratio above its target.
-	watchedTailRatio = 0.6
-	// unknownTailRatio is the ratio of a tail latency to its target that is assumed
-	// for a runner on which no service is ready yet.
-	unknownTailRatio = 1.0
-)
-
 // An interferenceModel predicts how best-effort images raise the tail latencies of
 // serving images on the same runner.
 type interferenceModel struct {
@@ -202,15 +171,44 @@
 	least := math.Inf(1)
 	for image, st := range r.services {
 		room := m.utilisation(st, targetMillis(st)) - targetMargin - st.expectedLoad(now)
-		for other, milliCores := range r.bestEffortByImage {
-			room -= m.pressures.PerCore(image, other) * r.coresOf(float64(milliCores))
+		least = min(least, room-m.pressureWith(r, image, added))
+	}
+	for _, x := range r.runs {
+		if x.isServing() && x.measure > 0 {
+			least = min(least, m.room(x, now)-m.pressureWith(r, x.st.spec.Image, added))
 		}
-		room -= m.pressures.PerCore(image, added.spec.Image) * r.coresOf(float64(added.spec.MilliCores))
-		least = min(least, room)
 	}
 	return least
 }
 
+// pressureWith returns the pressure on a serving image if one more task of a best-effort
+// step ran on the runner.
+func (m interferenceModel) pressureWith(r *runner, image string, added *stepState) (pressure float64) {
+	for other, milliCores := range r.bestEffortByImage {
+		pressure += m.pressures.PerCore(image, other) * r.coresOf(float64(milliCores))
+	}
+	return pressure + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores))
+}
+
+// match rates a runner for a task of a best-effort step by what the task does to the
+// services there, from 0 to 1.
+//
+// Load: best-effort images of which each disturbs some services and hardly any others.
+// Tasks go beside the services that they hardly disturb, so that the runners without
+// services are left for those that disturb all.
+func (m interferenceModel) match(r *runner, added *stepState, now time.Time) float64 {
+	const withoutServices = 0.7
+	if len(r.services) == 0 {
+		return withoutServices
+	}
+	headroom := m.headroom(r, added, now)
+	largest := 0.0
+	for image := range r.services {
+		largest = max(largest, m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores)))
+	}
+	return 1 - min(1, 2*largest/max(0.001, headroom+largest))
+}
+
 // adjustUse updates the totals of the runs on a runner, which are kept by kind and
 // image of their steps, when a run of a step is added (sign 1) or removed (sign -1).
 func (r *runner) adjustUse(st *stepState, sign int64) {
@@ -234,160 +232,6 @@
 	}
 }
 
-// watchTails moves or halts best-effort tasks depending on the tail latencies of
-// serving tasks on the same runner.
-//
-// Load: pairs of images that interfere with each other far more than others, which
-// nobody has declared. When a tail latency exceeds its target, the learnt pressures
-// identify the images that cause it. Their tasks move to other runners, where they
-// keep their progress. If that does not help in time, all best-effort tasks on the
-// runner halt.
-func (t *Table) watchTails(r *runner, now time.Time) {
-	t.interference.observe(r, now)
-	worst := 0.0
-	var since time.Time
-	for _, x := range r.runs {
-		if !x.isServing() {
-			continue
-		}
-		ratio := x.measure / targetMillis(x.st)
-		worst = max(worst, ratio)
-		switch {
-		case ratio <= 1:
-			x.overSince = time.Time{}
-		case x.overSince.IsZero():
-			x.overSince = now
-		}
-		if !x.overSince.IsZero() && (since.IsZero() || x.overSince.Before(since)) {
-			since = x.overSince
-		}
-	}
-	if r.worstTail = worst; worst == 0 {
-		r.worstTail = unknownTailRatio
-	}
-	if worst >= calmTailRatio {
-		r.calmSince = time.Time{}
-	} else if r.calmSince.IsZero() {
-		r.calmSince = now
-	}
-	if r.halted && (r.serving == 0 || (!r.calmSince.IsZero() && now.Sub(r.calmSince) > resumeAfter)) {
-		t.resume(r, now)
-	}
-	if since.IsZero() || r.bestEffortMilliCores == 0 {
-		return
-	}
-	if over := now.Sub(since); over >= time.Duration(haltShare*float64(t.limits.HarmAfter)) {
-		t.halt(r, now)
-	} else {
-		t.evictInterfering(r, now)
-	}
-}
-
-// evictInterfering stops as many of the interfering best-effort tasks as needed to
-// bring the worst tail latency below its target. Tasks that would lose their
-// progress are halted instead.
-func (t *Table) evictInterfering(r *runner, now time.Time) {
-	worst, excess := t.worstService(r, now)
-	if worst == nil {
-		return
-	}
-	image := worst.st.spec.Image
-	var tasks []*run
-	pressureOf := func(x *run) float64 {
-		return t.interference.pressures.PerCore(image, x.st.spec.Image) * r.coresOf(float64(x.st.spec.MilliCores))
-	}
-	for _, x := range r.runs {
-		if !x.st.spec.Fills {
-			continue
-		}
-		if x.phase == stopping || x.pace == 0 {
-			excess -= pressureOf(x) // the measured tail latency still includes this pressure
-		} else {
-			tasks = append(tasks, x)
-		}
-	}
-	slices.SortFunc(tasks, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(pressureOf(b), pressureOf(a)), b.startedAt.Compare(a.startedAt))
-	})
-	for _, x := range tasks {
-		if excess <= 0 || pressureOf(x) < minPressure {
-			return
-		}
-		excess -= pressureOf(x)
-		if x.st.spec.Checkpointing {
-			t.stop(x, now, "disturbs a service")
-		} else {
-			t.paceRun(x, 0, now)
-			r.halted = true
-		}
-	}
-}
-
-// worstService returns the run whose service has the most utilisation above that at
-// its tail latency target, and by how much its utilisation has to fall. It returns
-// nil if no service exceeds its target.
-func (t *Table) worstService(r *runner, now time.Time) (worst *run, excess float64) {
-	for _, x := range r.runs {
-		if !x.isServing() || x.overSince.IsZero() {
-			continue
-		}
-		utilisation := x.utilisation
-		if utilisation > saturation {
-			utilisation = max(utilisation, x.st.load(now)+x.pressure)
-		}
-		over := utilisation - t.interference.utilisation(x.st, targetMillis(x.st)) + reliefMargin
-		if over > excess {
-			worst, excess = x, over
-		}
-	}
-	return worst, excess
-}
-
-// halt sets the pace of every best-effort task on a runner to zero.
-func (t *Table) halt(r *runner, now time.Time) {
-	r.halted = true
-	for _, x := range r.runsByAge() {
-		if x.st.spec.Fills && x.phase != stopping && x.pace > 0 {
-			t.paceRun(x, 0, now)
-		}
-	}
-}
-
-// resume restores the full pace of halted tasks on a runner.
-func (t *Table) resume(r *runner, now time.Time) {
-	r.halted = false
-	for _, x := range r.runsByAge() {
-		if x.st.spec.Fills && x.phase != stopping && x.pace < fullPace {
-			t.paceRun(x, fullPace, now)
-		}
-	}
-}
-
-// fullPace is the pace at which a task starts, in percent.
-const fullPace = 100
-
-// paceRun orders the pace of a run, in percent of its full speed.
-func (t *Table) paceRun(x *run, pace int, now time.Time) {
-	x.pace = pace
-	t.recordRun(now, EventPaced, x, "pace "+strconv.Itoa(pace))
-	t.orders = append(t.orders, Order{
-		Kind: Pace, Runner: x.runner.info.ID, Lifetime: x.runner.info.Lifetime,
-		Task: x.id(), Run: x.number, Percent: pace,
-	})
-}
-
-// ApplyPace applies the outcome of a pace order, and repeats the order if it was not
-// answered and is still wanted.
-func (t *Table) ApplyPace(o Order, outcome Outcome, now time.Time) {
-	x := t.find(o)
-	if x == nil || outcome != Unanswered || x.phase == stopping {
-		return
-	}
-	if x.pace == o.Percent && now.Sub(x.runner.answeredAt) < staleAfter {
-		t.paceRun(x, o.Percent, now)
-	}
-}
-
 // A Memory is what an owner has learnt about interference and passes on to its
 // successors.
 type Memory struct {
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -317,7 +317,7 @@
 	score := -failureCost * float64(len(r.failedSubmissions))
 	switch {
 	case st.spec.Fills:
-		score += (r.spare()-float64(r.bestEffortMilliCores))/capacity + min(1, 2*t.interference.headroom(r, st, now))
+		score += (r.spare()-float64(r.bestEffortMilliCores))/capacity + t.interference.match(r, st, now)
 	case st.spec.TailTarget > 0:
 		score += r.scoreService(st.spec.Image)
 	default:
@@ -359,7 +359,7 @@
 // place adds a run of a task on a runner to the table, without ordering its start.
 func (t *Table) place(st *stepState, index int, r *runner, number int64, now time.Time) *run {
 	k := &st.tasks[index]
-	x := &run{st: st, index: index, number: number, runner: r, startedAt: now, progressedAt: now, pace: fullPace}
+	x := &run{st: st, index: index, number: number, runner: r, startedAt: now, progressedAt: now, pace: fullPace, confirmedPace: fullPace}
 	if len(k.runs) == 0 && !k.done {
 		st.waiting--
 	}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -163,7 +163,8 @@
 	case unwanted:
 		t.stop(x, now, "task needs no run")
 	case st.spec.Fills:
-		t.paceRun(x, fullPace, now) // the former owner may have halted it
+		x.confirmedPace = unknownPace // the former owner may have paced it
+		t.paceRun(x, fullPace, now)
 	}
 	return x
 }
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -110,7 +110,12 @@
 	utilisation   float64
 	pressure      float64 // the share that best-effort tasks on the runner are expected to take
 	utilisationAt time.Time
-	pace          int // the pace that was last ordered, in percent of full speed
+	pace          int // the wanted pace, in percent of full speed
+	// confirmedPace is the pace that the runner has confirmed, or unknownPace;
+	// isPaceOrdered says that an order is under way.
+	confirmedPace int
+	isPaceOrdered bool
+	slowSince     time.Time // when the pace was first at most slowPace, or zero
 	// overSince is when the tail latency of a serving task was first seen above its
 	// target, or zero if it is not above.
 	overSince time.Time
