Start the best-effort submission with the least work left first

Cause: in the order of due dates all waiting submissions were begun, and missed their objectives together; one that could no longer meet its objective went before those that could.

Change: among best-effort submissions of one priority the one with the least work left goes first, so that few are open at a time, and small ones, which are worth most for their work, are not held up. What can't meet its objective any more by the length of its chain comes after what can.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -33,6 +33,8 @@
 	st       *stepState
 	tier     int
 	priority int
+	// work is what is left of a best-effort submission, in milliCores times seconds.
+	work float64
 	// dueBy is the time up to which the submission earns its full value.
 	dueBy time.Time
 }
@@ -97,6 +99,7 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.work, b.work),
 			a.dueBy.Compare(b.dueBy),
 			cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID),
 		)
@@ -110,10 +113,13 @@
 	if st.spec.LongRunning {
 		return c
 	}
+	if st.spec.Fills {
+		c.work = st.s.remainingWork()
+	}
 	switch {
-	case now.After(since.Add(lateFactor * st.s.objective)):
+	case now.Add(st.s.remainingChain()).After(since.Add(lateFactor * st.s.objective)):
 		c.tier = tierExpired
-	case now.After(c.dueBy):
+	case now.Add(st.s.remainingChain()).After(c.dueBy):
 		c.tier = tierLate
 	}
 	return c
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -386,3 +386,45 @@
 		}
 	})
 }
+
+// Load: more best-effort submissions than fit. If all are started in the order of their
+// due dates, and none is finished in time, everyone waits for nothing.
+func TestShortestBestEffortSubmissionGoesFirst(t *testing.T) {
+	newFullHarness := func(t *testing.T) *harness {
+		h := newHarness(t, 0, 1)
+		h.poll("r0")
+		long := bestEffort("batch", 60)
+		h.add("long", "night", long)
+		h.add("short", "night", bestEffort("batch", 2))
+		return h
+	}
+	t.Run("by the work that is left", func(t *testing.T) {
+		h := newFullHarness(t)
+		assertFirst(t, h.starts(), "short")
+	})
+	t.Run("but after what can still meet its objective", func(t *testing.T) {
+		h := newFullHarness(t)
+		slow := bestEffort("batch", 1)
+		slow.Estimate = 500 * time.Millisecond
+		h.advance(3500 * time.Millisecond) // later than either objective
+		h.poll("r0")
+		h.add("new", "night", slow)
+		assertFirst(t, h.starts(), "new")
+	})
+	t.Run("and what can't meet its objective any more comes after the others", func(t *testing.T) {
+		h := newHarness(t, 0, 1)
+		h.poll("r0")
+		h.add("tight", "night", bestEffort("batch", 1)) // objective 3 s, takes 1 s
+		h.advance(2200 * time.Millisecond)
+		h.add("new", "night", bestEffort("batch", 4))
+		assertFirst(t, h.starts(), "new")
+	})
+}
+
+// assertFirst checks which submission the first start belongs to.
+func assertFirst(t *testing.T, orders []Order, want string) {
+	t.Helper()
+	if len(orders) == 0 || orders[0].Task.Submission != want {
+		t.Errorf("starts %+v, want %q first", orders, want)
+	}
+}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -378,3 +378,49 @@
 	}
 	return n
 }
+
+// remainingWork estimates the work that is left of a submission's open occurrences, in
+// milliCores times seconds.
+func (s *submission) remainingWork() (sum float64) {
+	for _, occ := range s.occs {
+		for _, st := range occ.steps {
+			if st.remaining == 0 {
+				continue
+			}
+			left := float64(st.remaining)
+			for i := range st.tasks {
+				if k := &st.tasks[i]; !k.done {
+					left -= k.progress()
+				}
+			}
+			sum += left * st.spec.Estimate.Seconds() * float64(st.spec.MilliCores)
+		}
+	}
+	return sum
+}
+
+// progress returns the part of a task that is done.
+func (k *task) progress() (part float64) {
+	for _, x := range k.runs {
+		part = max(part, float64(x.percent)/100)
+	}
+	return part
+}
+
+// remainingChain estimates the time that the longest chain of what is left of a
+// submission's open occurrences takes if nothing waits.
+func (s *submission) remainingChain() (longest time.Duration) {
+	for _, occ := range s.occs {
+		ends := make([]time.Duration, len(occ.steps))
+		for i, st := range occ.steps {
+			for _, predecessor := range st.spec.After {
+				ends[i] = max(ends[i], ends[predecessor])
+			}
+			if st.remaining > 0 {
+				ends[i] += st.spec.Estimate
+			}
+			longest = max(longest, ends[i])
+		}
+	}
+	return longest
+}
