Restart tasks that a new owner has taken over while a runner is silent

Cause: after a change of owners nothing was started that had been handed to the former owner until the runs on every runner were known. A runner that stays silent, or has been lost for good, holds that up until the leases have lapsed that the former owner may have renewed last, 16 s after a takeover, also for tasks that the new owner has taken over, and that failed since.

Change: a task of which this owner has started or taken over a run can run again once that run has ended, as no other run of it can exist. A task that avoids the runner on which it failed no longer keeps the rest of its step from it. The log says why a long-running task has had no run for 3 s: how many runners are full, silent, suspended, and so on.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -62,10 +62,8 @@
 	allRunsKnown := t.knowsAllRuns(now)
 	clear(t.noRoom)
 	for _, c := range t.candidates(now) {
-		if !allRunsKnown && c.st.s.sub.Owner < t.fence {
-			continue // a former owner may have started the tasks where runs are not known yet
-		}
-		t.startWaiting(c.st, now)
+		// A former owner may have started tasks where runs are not known yet.
+		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
 	}
 }
 
@@ -125,18 +123,24 @@
 	return c
 }
 
-// startWaiting starts as many waiting tasks of a step as fit.
-func (t *Table) startWaiting(st *stepState, now time.Time) {
+// startWaiting starts as many waiting tasks of a step as fit. If not all runs are known
+// that a former owner may have started, it starts tracked tasks only.
+//
+// Load: a change of owners after which a runner stays silent, or has been lost for good,
+// while tasks that the new owner has taken over fail on the others.
+func (t *Table) startWaiting(st *stepState, allRunsKnown bool, now time.Time) {
 	if t.awaitsPermits(st, now) {
 		return
 	}
 	if st.spec.Gang {
-		t.startGang(st, now)
+		if allRunsKnown {
+			t.startGang(st, now)
+		}
 		return
 	}
 	for i := range st.tasks {
 		k := &st.tasks[i]
-		if k.done || len(k.runs) > 0 {
+		if k.done || len(k.runs) > 0 || !(allRunsKnown || k.isTracked) {
 			continue
 		}
 		if t.hadNoRoom(st) {
@@ -146,6 +150,9 @@
 		r := t.choose(st, k, now)
 		if r == nil {
 			st.blockedAt = now
+			if k.avoid != "" {
+				continue // another task may run on the runner that this one avoids
+			}
 			t.recordNoRoom(st, k)
 			return
 		}
@@ -370,6 +377,7 @@
 		st.waiting--
 	}
 	k.runs = append(k.runs, x)
+	k.isTracked = true
 	k.nextRun = max(k.nextRun, number+1)
 	r.runs[runKey{x.id(), number}] = x
 	r.used = r.used.Plus(st.spec.Reserved())
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -59,6 +59,10 @@
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
 	// blockedAt is when the step last found no runner with room.
 	blockedAt time.Time
+	// waitingSince is when tasks of a long-running step were first seen without a run,
+	// or zero if all have one. warnedAt is when that was last recorded.
+	waitingSince time.Time
+	warnedAt     time.Time
 	// permits holds the received permits by runner. requestPending says that a
 	// request for permits is in flight, and the next request may be made from
 	// requestAfter on.
@@ -81,6 +85,9 @@
 	runs       []*run
 	avoid      string    // the runner on which the task last failed or made no progress
 	endedAt    time.Time // when a run of the task last ended
+	// isTracked is true once this owner has started a run of the task, or has taken one
+	// over: from then on it knows every run of the task.
+	isTracked bool
 }
 
 // A phase is a state in the life cycle of a run.
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -279,3 +279,62 @@
 	h.advance(500 * time.Millisecond)
 	assertStarts(t, h.starts(), 1)
 }
+
+// Load: a change of owners after which a runner stays silent, while tasks that the new
+// owner has taken over fail on the others. The silent runner can't run them.
+func TestTakenOverTasksRestartWhileARunnerIsSilent(t *testing.T) {
+	h := newHarness(t, 1, 3)
+	h.table.SetFormerOwnerEnd(h.now.Add(10 * time.Second))
+	step := oneCore(2)
+	step.LongRunning = true
+	h.add("a", "urgent", step)
+	task := submitter.TaskID{Submission: "a"}
+	h.reported["r0"] = []RunStatus{{Task: task, Run: 1, Percent: 100}}
+	poll := func() {
+		h.poll("r0")
+		h.poll("r1")
+	}
+	poll()
+	h.advance(time.Second)
+	poll()
+	assertStarts(t, h.starts(), 0)
+	h.reported["r0"] = nil
+	h.poll("r0", End{Task: task, Run: 1, Kind: Failure})
+	t.Run("the one that failed", func(t *testing.T) {
+		orders := h.starts()
+		assertStarts(t, orders, 1)
+		if orders[0].Task != task {
+			t.Errorf("started %s, want %s", orders[0].Task, task)
+		}
+	})
+	t.Run("but not the one that may run on the silent runner", func(t *testing.T) {
+		h.advance(time.Second)
+		poll()
+		assertStarts(t, h.starts(), 0)
+	})
+}
+
+// Guards against a task that failed on the only runner with room and keeps the other
+// tasks of its step from starting there.
+func TestTaskThatAvoidsARunnerDoesNotBlockItsStep(t *testing.T) {
+	h := newHarness(t, 0, 2)
+	h.pollAll(2)
+	h.add("full", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 8000}, LongRunning: true})
+	full := h.starts()[0].Runner
+	step := oneCore(2)
+	step.MilliCores = 5000
+	h.add("a", "urgent", step)
+	first := h.starts()
+	assertStarts(t, first, 1)
+	if first[0].Runner == full {
+		t.Fatalf("started on the full runner %s", full)
+	}
+	h.reported[first[0].Runner] = nil
+	h.poll(first[0].Runner, End{Task: first[0].Task, Run: first[0].Run, Kind: Failure})
+	h.advance(2 * blockedPause)
+	second := h.starts()
+	assertStarts(t, second, 1)
+	if second[0].Task == first[0].Task {
+		t.Errorf("started %s again on the runner on which it failed", second[0].Task)
+	}
+}
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -40,6 +40,7 @@
 			t.watchRun(x, now)
 		}
 	}
+	t.watchWaiting(now)
 	t.placementDue = true
 }
 
--- /dev/null
+++ b/internal/version/dispatcher/waiting.go
@@ -0,0 +1,76 @@
+package dispatcher
+
+import (
+	"maps"
+	"strconv"
+	"time"
+)
+
+// Times of the watch on long-running tasks without a run.
+const (
+	// warnAfter is how long a task may wait before the reason is recorded.
+	warnAfter = 3 * time.Second
+	// warnInterval is the pause before it is recorded again.
+	warnInterval = 10 * time.Second
+)
+
+// watchWaiting records why tasks of long-running steps have had no run for long.
+func (t *Table) watchWaiting(now time.Time) {
+	for _, s := range t.unfinished() {
+		for _, occ := range s.occs {
+			for _, st := range occ.steps {
+				if !st.spec.LongRunning || !st.ready || st.waiting == 0 {
+					st.waitingSince = time.Time{}
+					continue
+				}
+				if st.waitingSince.IsZero() {
+					st.waitingSince = now
+				}
+				if now.Sub(st.waitingSince) >= warnAfter && now.Sub(st.warnedAt) >= warnInterval {
+					st.warnedAt = now
+					t.recordWaiting(st, now)
+				}
+			}
+		}
+	}
+}
+
+func (t *Table) recordWaiting(st *stepState, now time.Time) {
+	pairs := []string{
+		"step", strconv.Itoa(st.index), "waiting", strconv.Itoa(st.waiting), "waitedMs", age(now, st.waitingSince),
+		"allRunsKnown", strconv.FormatBool(t.knowsAllRuns(now)),
+	}
+	obstacles := make(map[string]int)
+	for _, r := range t.runners {
+		obstacles[t.obstacle(r, st, now)]++
+	}
+	for name := range maps.Keys(obstacles) {
+		pairs = append(pairs, name, strconv.Itoa(obstacles[name]))
+	}
+	t.record(now, EventWaiting, st.s, "", pairs...)
+}
+
+// obstacle names what keeps the tasks of a step from a runner.
+func (t *Table) obstacle(r *runner, st *stepState, now time.Time) string {
+	switch {
+	case !st.s.isServedBy(r.info.Service):
+		return "otherService"
+	case !r.isRegistered:
+		return "unregistered"
+	case r.info.Draining || t.isEvacuated(r.info.DataCentre):
+		return "leaving"
+	case !t.knowsRunsOn(r, now):
+		return "runsUnknown"
+	case now.Before(r.suspendedUntil):
+		return "suspended"
+	case now.Sub(r.answeredAt) > staleAfter:
+		return "silent"
+	case !st.spec.Reserved().Fits(r.free()):
+		return "full"
+	case !st.isPermitted(r, now):
+		return "notPermitted"
+	case !t.isEligible(r, st, &task{}, now):
+		return "excluded"
+	}
+	return "eligible"
+}
