Compute the room of services once a report, not for each candidate

Cause: admission went through the runs of each runner, and the tasks of their services, for each task to be placed; the order of submissions went through all their tasks.

Change: the room of each serving image is computed when a runner reports, the chain that is left when a step is done, the work that is left from its steps.

--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -24,7 +24,7 @@
 	// lost, as far as the new owner knows: until the leases lapse that the former owner
 	// may have renewed last.
 	chaosTakeoverTime = chaosUnconfirmed + 7500*time.Millisecond
-	chaosTakeover   = 8 * time.Second
+	chaosTakeover     = 8 * time.Second
 	// chaosUnconfirmed is how long a former owner that does not answer may go on.
 	chaosUnconfirmed = 10 * time.Second
 )
--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -171,12 +171,10 @@
 	least := math.Inf(1)
 	for image, st := range r.services {
 		room := m.utilisation(st, targetMillis(st)) - targetMargin - st.expectedLoad(now)
-		least = min(least, room-m.pressureWith(r, image, added))
-	}
-	for _, x := range r.runs {
-		if x.isServing() && x.measure > 0 {
-			least = min(least, m.room(x, now)-m.pressureWith(r, x.st.spec.Image, added))
+		if measured, ok := r.room[image]; ok && now.Sub(r.roomAt) <= 2*measureSpan {
+			room = min(room, measured)
 		}
+		least = min(least, room-m.pressureWith(r, image, added))
 	}
 	return least
 }
--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,6 +49,7 @@
 // tail latency below its target, all of them halt.
 func (t *Table) watchTails(r *runner, now time.Time) {
 	t.interference.observe(r, now)
+	t.interference.updateRoom(r, now)
 	worst := 0.0
 	var since time.Time
 	for _, x := range r.runs {
@@ -106,34 +109,40 @@
 	if r.halted {
 		return make([]int, len(runs))
 	}
-	var services []*run
-	var room []float64
-	for _, x := range r.runs {
-		if x.isServing() && x.measure > 0 {
-			services = append(services, x)
-			room = append(room, t.interference.room(x, now))
-		}
+	images := slices.Sorted(maps.Keys(r.room))
+	room := make([]float64, len(images))
+	for k, image := range images {
+		room[k] = r.room[image]
 	}
 	tasks := make([]pacer.Task, len(runs))
 	for i, x := range runs {
 		tasks[i].Pace = x.pace
 		cores := r.coresOf(float64(x.st.spec.MilliCores))
-		for _, service := range services {
-			tasks[i].Shares = append(tasks[i].Shares, cores*t.interference.pressures.PerCore(service.st.spec.Image, x.st.spec.Image))
+		tasks[i].Shares = make([]float64, len(images))
+		for k, image := range images {
+			tasks[i].Shares[k] = cores * t.interference.pressures.PerCore(image, x.st.spec.Image)
 		}
 	}
 	return pacer.Paces(room, tasks)
 }
 
-// room returns the share of its capacity that best-effort tasks may take of a service.
-// The tail latency of the run, if it was measured lately, shows loads that the other
-// tasks of its step don't have.
-func (m interferenceModel) room(x *run, now time.Time) float64 {
-	load := x.st.load(now)
-	if now.Sub(x.utilisationAt) <= 2*measureSpan {
-		load = max(load, x.utilisation-x.pressure)
-	}
-	return m.utilisation(x.st, targetMillis(x.st)) - paceMargin - load
+// updateRoom computes, by serving image, the share of its capacity that best-effort
+// tasks on a runner may take: the least of all runs of the image there whose tail latency
+// has just been measured. A run may show a load that the other tasks of its step don't
+// have.
+func (m interferenceModel) updateRoom(r *runner, now time.Time) {
+	clear(r.room)
+	r.roomAt = now
+	for _, x := range r.runs {
+		if !x.isServing() || x.measure <= 0 {
+			continue
+		}
+		load := max(x.st.lastLoad, x.utilisation-x.pressure)
+		room := m.utilisation(x.st, targetMillis(x.st)) - paceMargin - load
+		if least, ok := r.room[x.st.spec.Image]; !ok || room < least {
+			r.room[x.st.spec.Image] = room
+		}
+	}
 }
 
 // moveSlow stops the task that has been slow for longest, if it keeps its progress and
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -115,9 +115,9 @@
 		c.work = st.s.remainingWork()
 	}
 	switch {
-	case now.Add(st.s.remainingChain()).After(since.Add(lateFactor * st.s.objective)):
+	case now.Add(st.occ.chain).After(since.Add(lateFactor * st.s.objective)):
 		c.tier = tierExpired
-	case now.Add(st.s.remainingChain()).After(c.dueBy):
+	case now.Add(st.occ.chain).After(c.dueBy):
 		c.tier = tierLate
 	}
 	return c
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -55,6 +55,10 @@
 	// worstTail is the highest ratio of a tail latency to its target in the newest
 	// report.
 	worstTail float64
+	// room is, by serving image, the share of its capacity that best-effort tasks may
+	// take by the newest report, at roomAt, of the runner.
+	room   map[string]float64
+	roomAt time.Time
 	// calmSince is the time since which all tail latencies have been calm, or zero.
 	calmSince         time.Time
 	bestEffortEndedAt time.Time             // when a best-effort task last ended here
@@ -86,8 +90,8 @@
 func newRunner(info RunnerInfo) *runner {
 	return &runner{
 		info: info, runs: make(map[runKey]*run), failedSubmissions: make(map[string]bool), unknownRuns: make(map[runKey]time.Time),
-		worstTail: unknownTailRatio,
-		services:  make(map[string]*stepState), servingByImage: make(map[string]int), bestEffortByImage: make(map[string]int64),
+		worstTail: unknownTailRatio, room: make(map[string]float64),
+		services: make(map[string]*stepState), servingByImage: make(map[string]int), bestEffortByImage: make(map[string]int64),
 	}
 }
 
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -44,6 +44,8 @@
 	dueAt     time.Time
 	steps     []*stepState
 	remaining int // steps not done yet
+	// chain is the estimated run time of the longest chain of steps not done yet.
+	chain time.Duration
 }
 
 // A stepState is the state of one step in one occurrence.
@@ -287,8 +289,9 @@
 }
 
 // refresh updates which steps are ready, that is, have only predecessors that are
-// done.
+// done, and the chain of steps that are left.
 func (o *occurrence) refresh() {
+	o.chain = o.remainingChain()
 	for _, st := range o.steps {
 		st.ready = true
 		for _, predecessor := range st.spec.After {
@@ -391,43 +394,24 @@
 func (s *submission) remainingWork() (sum float64) {
 	for _, occ := range s.occs {
 		for _, st := range occ.steps {
-			if st.remaining == 0 {
-				continue
-			}
-			left := float64(st.remaining)
-			for i := range st.tasks {
-				if k := &st.tasks[i]; !k.done {
-					left -= k.progress()
-				}
-			}
-			sum += left * st.spec.Estimate.Seconds() * float64(st.spec.MilliCores)
+			sum += float64(st.remaining) * st.spec.Estimate.Seconds() * float64(st.spec.MilliCores)
 		}
 	}
 	return sum
 }
 
-// progress returns the part of a task that is done.
-func (k *task) progress() (part float64) {
-	for _, x := range k.runs {
-		part = max(part, float64(x.percent)/100)
-	}
-	return part
-}
-
-// remainingChain estimates the time that the longest chain of what is left of a
-// submission's open occurrences takes if nothing waits.
-func (s *submission) remainingChain() (longest time.Duration) {
-	for _, occ := range s.occs {
-		ends := make([]time.Duration, len(occ.steps))
-		for i, st := range occ.steps {
-			for _, predecessor := range st.spec.After {
-				ends[i] = max(ends[i], ends[predecessor])
-			}
-			if st.remaining > 0 {
-				ends[i] += st.spec.Estimate
-			}
-			longest = max(longest, ends[i])
+// remainingChain estimates the time that the longest chain of the steps that are not
+// done takes if nothing waits.
+func (o *occurrence) remainingChain() (longest time.Duration) {
+	ends := make([]time.Duration, len(o.steps))
+	for i, st := range o.steps {
+		for _, predecessor := range st.spec.After {
+			ends[i] = max(ends[i], ends[predecessor])
+		}
+		if st.remaining > 0 {
+			ends[i] += st.spec.Estimate
 		}
+		longest = max(longest, ends[i])
 	}
 	return longest
 }
