Let one daemon count the runners before the parts are chosen

Cause: every daemon followed the whole registry until the split was written, and took a number that had not changed for 400 ms for final.

Change: one daemon at a time counts, under a lease, larger ones first; a number is stable only if complete reads that lie 400 ms apart returned it. All others only read the split. An owner mirrors the runners of its part, not the whole registry.

TestRunnerCountBecomesStable now asks for reads; a count without news fails it.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -58,10 +58,10 @@
 	Lifetime int64
 }
 
-// Registry follows the list of registered runners and passes each version of it
-// to a callback.
+// Registry follows the list of those registered runners whose IDs keep selects, and
+// passes each version of it to a callback.
 type Registry interface {
-	Follow(ctx context.Context, deliver func(runners []dispatcher.RunnerInfo))
+	Follow(ctx context.Context, keep func(id string) bool, deliver func(runners []dispatcher.RunnerInfo))
 }
 
 // Options configure a Conductor.
@@ -151,7 +151,7 @@
 	c.background.Go(c.saveMemory)
 	c.background.Go(c.deleteExpired)
 	c.background.Go(c.tick)
-	c.background.Go(func() { c.opts.Registry.Follow(c.ctx, c.setRunners) })
+	c.background.Go(func() { c.opts.Registry.Follow(c.ctx, c.ownsRunner, c.setRunners) })
 	c.background.Go(func() { c.follow(revision) })
 	return c, nil
 }
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -81,15 +81,12 @@
 	})
 }
 
-// setRunners applies the registry's list of runners, and runs a poll loop for each
-// runner of the part that the table wants polled.
-func (c *Conductor) setRunners(all []dispatcher.RunnerInfo) {
-	var infos []dispatcher.RunnerInfo
-	for _, info := range all {
-		if c.opts.Split.RunnerPart(info.ID) == c.opts.Part {
-			infos = append(infos, info)
-		}
-	}
+// ownsRunner reports whether a runner belongs to this owner's part.
+func (c *Conductor) ownsRunner(id string) bool { return c.opts.Split.RunnerPart(id) == c.opts.Part }
+
+// setRunners applies the registry's list of the part's runners, and runs a poll loop for
+// each of them that the table wants polled.
+func (c *Conductor) setRunners(infos []dispatcher.RunnerInfo) {
 	infos = c.updateRoster(infos)
 	c.apply(func(t *dispatcher.Table, now time.Time) {
 		t.SetRunners(infos, now)
--- a/internal/process/scheduler/agreement.go
+++ b/internal/process/scheduler/agreement.go
@@ -4,70 +4,76 @@
 	"context"
 	"errors"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
-	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
 )
 
-// splitKey is the store key of the split (the number of parts), which is written once
-// per deployment.
-const splitKey = "kumquat/split"
+// Keys of the store for the agreement on the split.
+const (
+	// splitKey holds the split (the number of parts), which is written once per
+	// deployment.
+	splitKey = "kumquat/split"
+	// countingKey exists while a daemon counts the runners, under that daemon's lease.
+	countingKey = "kumquat/counting"
+)
 
 // Times of the agreement on the split.
 const (
 	// splitTimeout is the timeout of one call to the store.
 	splitTimeout = 1200 * time.Millisecond
+	// countTimeout is the timeout of one count of the runners, which takes several calls
+	// if there are thousands.
+	countTimeout = 3 * time.Second
+	// countingTTL is the duration of the lease under which a daemon counts.
+	countingTTL = 3 * time.Second
 	// splitRetryInterval is the pause between two reads of the split.
-	splitRetryInterval = 100 * time.Millisecond
+	splitRetryInterval = 150 * time.Millisecond
 	// stableAfter is how long the number of runners must have been unchanged before
 	// a daemon proposes a split. When hundreds of runners register, they do so within
 	// one heartbeat interval of a second or more, so the number changes at much shorter
 	// intervals than this until few runners are missing.
 	stableAfter = 400 * time.Millisecond
-	// proposalDelayFactor multiplies the campaign delay in the wait before a proposal.
-	// Larger daemons have a shorter delay. They should make the proposal, which depends
-	// on the proposer's cores, because they will own the parts.
+	// proposalDelayFactor multiplies the campaign delay in the wait before a daemon
+	// counts. Larger daemons have a shorter delay. They should make the proposal, which
+	// depends on the proposer's cores, because they will own the parts.
 	proposalDelayFactor = 4
 )
 
 // A runnerCount follows the number of runners until the split is known.
 type runnerCount struct {
-	mu      sync.Mutex
 	runners int
-	since   time.Time // time of the last change of the number
+	// since is when the first of the reads began that returned the number, and last when
+	// the newest one began.
+	since, last time.Time
 }
 
-// observe updates the count from a new list of the registered runners.
-func (c *runnerCount) observe(infos []dispatcher.RunnerInfo, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(infos) != c.runners {
-		c.runners, c.since = len(infos), now
+// observe updates the count from a complete read of the registry that began at readAt.
+func (c *runnerCount) observe(runners int, readAt time.Time) {
+	if runners != c.runners {
+		c.runners, c.since = runners, readAt
 	}
+	c.last = readAt
 }
 
-// stable returns the number of runners; ok is true if there are some and their
-// number has not changed for the span.
-func (c *runnerCount) stable(now time.Time, span time.Duration) (runners int, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.runners, c.runners > 0 && now.Sub(c.since) >= span
+// isStable reports whether there are runners and all reads within the span returned the
+// same number. That no read has succeeded meanwhile does not make it stable.
+func (c *runnerCount) isStable(span time.Duration) bool {
+	return c.runners > 0 && c.last.Sub(c.since) >= span
 }
 
-// agreeOnSplit returns the deployment's split. The first daemon that has a stable
-// count of the runners writes it.
+// agreeOnSplit returns the deployment's split. A daemon that has a stable count of the
+// runners writes it.
+//
+// Load: hundreds of daemons that start at once beside thousands of runners. One daemon
+// counts at a time, and all others only read the split.
 func (s *Scheduler) agreeOnSplit(ctx context.Context) (split partitioner.Split, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	count := &runnerCount{}
-	var counting sync.WaitGroup
-	defer counting.Wait()
-	defer cancel()
-	following := false
+	startedAt := time.Now()
+	var count runnerCount
+	var lease int64
 	for {
 		split, err = s.readSplit(ctx)
 		switch {
@@ -75,14 +81,10 @@
 			return split, nil
 		case !errors.Is(err, transactor.ErrNotFound):
 			s.recordSplitFailure(ctx, "read split", err)
-		case !following:
-			following = true
-			counting.Go(func() {
-				s.opts.Registry.Follow(ctx, func(infos []dispatcher.RunnerInfo) { count.observe(infos, time.Now()) })
-			})
-		default:
-			if runners, ok := count.stable(time.Now(), stableAfter+proposalDelayFactor*s.opts.CampaignDelay(0, 0)); ok {
-				s.proposeSplit(ctx, partitioner.ChooseSplit(runners, s.opts.Cores), runners)
+		case time.Since(startedAt) < proposalDelayFactor*s.opts.CampaignDelay(0, 0):
+		case s.mayCount(ctx, &lease):
+			if s.countRunners(ctx, &count); count.isStable(stableAfter) {
+				s.proposeSplit(ctx, partitioner.ChooseSplit(count.runners, s.opts.Cores), count.runners)
 			}
 		}
 		if !pauser.Sleep(ctx, splitRetryInterval) {
@@ -91,6 +93,55 @@
 	}
 }
 
+// mayCount reports whether this daemon is the one that counts the runners. lease is that
+// of its counting key, or zero.
+func (s *Scheduler) mayCount(ctx context.Context, lease *int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, splitTimeout)
+	defer cancel()
+	var err error
+	if *lease != 0 {
+		if err = s.opts.Store.KeepAlive(ctx, *lease); err == nil {
+			return true
+		}
+		*lease = 0
+	} else if _, err = s.opts.Store.Get(ctx, countingKey); err == nil {
+		return false // another daemon counts
+	}
+	if !errors.Is(err, transactor.ErrNotFound) {
+		s.recordSplitFailure(ctx, "look for a daemon that counts the runners", err)
+		return false
+	}
+	granted, err := s.opts.Store.Grant(ctx, countingTTL)
+	if err == nil {
+		_, err = s.opts.Store.Commit(ctx, transactor.Transaction{
+			Conditions: []transactor.Condition{{Key: countingKey}},
+			Writes:     []transactor.Write{{Key: countingKey, Value: []byte(s.opts.Instance), Lease: granted}},
+		})
+	}
+	var conflict *transactor.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+	case err != nil:
+		s.recordSplitFailure(ctx, "claim the count of the runners", err)
+	default:
+		*lease = granted
+	}
+	return err == nil
+}
+
+// countRunners reads the number of runners.
+func (s *Scheduler) countRunners(ctx context.Context, count *runnerCount) {
+	ctx, cancel := context.WithTimeout(ctx, countTimeout)
+	defer cancel()
+	readAt := time.Now()
+	runners, err := s.opts.Registry.Count(ctx)
+	if err != nil {
+		s.recordSplitFailure(ctx, "count the runners", err)
+		return
+	}
+	count.observe(runners, readAt)
+}
+
 func (s *Scheduler) readSplit(ctx context.Context) (split partitioner.Split, err error) {
 	ctx, cancel := context.WithTimeout(ctx, splitTimeout)
 	defer cancel()
--- a/internal/process/scheduler/agreement_test.go
+++ b/internal/process/scheduler/agreement_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 )
 
 func TestRunnerCountBecomesStable(t *testing.T) {
@@ -12,20 +10,23 @@
 	const span = 400 * time.Millisecond
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	c := &runnerCount{}
-	observe := func(runners int, after time.Duration) {
-		c.observe(make([]dispatcher.RunnerInfo, runners), start.Add(after))
-	}
-	assertStable := func(after time.Duration, runners int, want bool) {
+	assertStable := func(name string, want bool) {
 		t.Helper()
-		if got, ok := c.stable(start.Add(after), span); ok != want || (want && got != runners) {
-			t.Errorf("after %s: %d runners, stable %v; want %d, %v", after, got, ok, runners, want)
+		if got := c.isStable(span); got != want {
+			t.Errorf("%s: stable %t, want %t", name, got, want)
 		}
 	}
-	assertStable(time.Hour, 0, false)
-	observe(20, 0)
-	assertStable(300*time.Millisecond, 20, false)
-	observe(48, 300*time.Millisecond)
-	assertStable(500*time.Millisecond, 48, false)
-	observe(48, 600*time.Millisecond) // the number is unchanged
-	assertStable(700*time.Millisecond, 48, true)
+	observe := func(runners int, after time.Duration) { c.observe(runners, start.Add(after)) }
+	assertStable("before any read", false)
+	observe(0, 0)
+	observe(0, time.Hour)
+	assertStable("without runners", false)
+	observe(20, 2*time.Hour)
+	assertStable("after one read, however old it is", false)
+	observe(20, 2*time.Hour+300*time.Millisecond)
+	assertStable("after 300 ms", false)
+	observe(48, 2*time.Hour+500*time.Millisecond)
+	assertStable("after a change", false)
+	observe(48, 2*time.Hour+900*time.Millisecond)
+	assertStable("after 400 ms", true)
 }
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -38,6 +38,13 @@
 	IsStoreLost() bool
 }
 
+// Registry lists the registered runners.
+type Registry interface {
+	conductor.Registry
+	// Count returns the number of registered runners.
+	Count(ctx context.Context) (int, error)
+}
+
 // Options configure a Scheduler.
 type Options struct {
 	// Instance distinguishes successive processes of one daemon.
@@ -54,7 +61,7 @@
 	CampaignDelay func(part, owned int) time.Duration
 	Store         transactor.Store
 	RunnerClient  conductor.RunnerClient
-	Registry      conductor.Registry
+	Registry      Registry
 	Adviser       conductor.Adviser
 	Declarations  Declarations
 	Dial          func(ctx context.Context, network, address string) (net.Conn, error)
