Keep leases alive while the store is silent and owners stop

Change: a daemon that stops keeps its parts for up to 2.5 s while the store does not answer, within the time that it drains its clients in anyway. While an owner can't confirm its record, it grants leases as long as runners allow, since nobody can succeed it meanwhile.

--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/connection/relayer"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/holder"
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/conductor"
 	"github.com/kumquatstack/kumquatstack/internal/process/counter"
 	"github.com/kumquatstack/kumquatstack/internal/process/gateway"
@@ -121,15 +122,34 @@
 	s.duties.Store(newDuties(ctx, s, split))
 }
 
+// Times of the resignation of an owner.
+const (
+	// maxResignDelay is how long a daemon that stops keeps its parts while the store does
+	// not answer.
+	maxResignDelay = 2500 * time.Millisecond
+	// resignCheckInterval is the pause between two looks at the store meanwhile.
+	resignCheckInterval = 50 * time.Millisecond
+)
+
 // Drain makes the daemon unready, so that the load balancer sends it no new clients,
 // and gives up the ownership of its parts.
+//
+// Load: daemons that are restarted in turn while the store is silent. As nobody can take
+// the parts over, the daemon keeps renewing the leases of what runs for some time.
 func (s *Scheduler) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining.Store(true)
 	s.mu.Unlock()
-	if d := s.duties.Load(); d != nil {
-		d.elector.Resign(ctx)
+	d := s.duties.Load()
+	if d == nil {
+		return
+	}
+	for until := time.Now().Add(maxResignDelay); s.opts.Declarations.IsStoreLost() && time.Now().Before(until); {
+		if !pauser.Sleep(ctx, resignCheckInterval) {
+			break
+		}
 	}
+	d.elector.Resign(ctx)
 }
 
 // Close stops the scheduler and waits until all its goroutines have ended.
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -268,6 +268,21 @@
 // takes.
 const renewWhileSilent = 2 * time.Second
 
+// confirmationOverdue is how long ago the owner's record was confirmed last if the store
+// does not answer.
+const confirmationOverdue = 1500 * time.Millisecond
+
+// leaseDuration returns how far beyond the current time leases are granted now.
+//
+// Load: a store that is silent while owners are stopped or killed. Nobody can succeed
+// them before it is back, so leases last as long as they may.
+func (t *Table) leaseDuration(now time.Time) time.Duration {
+	if now.Sub(t.ownerConfirmedAt) > confirmationOverdue {
+		return max(t.limits.LeaseDuration, t.limits.MaxLease)
+	}
+	return t.limits.LeaseDuration
+}
+
 // LeaseUntil returns the lease end to send to a runner now, in milliseconds on the
 // runner's clock, or zero if that clock is not known. The caller has to send it, as
 // it counts as sent.
@@ -280,7 +295,7 @@
 	if !ok || r.answeredAt.IsZero() {
 		return 0
 	}
-	until := r.clock + (min(now.Sub(r.answeredAt), renewWhileSilent) + t.limits.LeaseDuration).Milliseconds()
+	until := r.clock + (min(now.Sub(r.answeredAt), renewWhileSilent) + t.leaseDuration(now)).Milliseconds()
 	r.maxLeaseEnd = max(r.maxLeaseEnd, until)
 	return until
 }
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -338,3 +338,23 @@
 		t.Errorf("started %s again on the runner on which it failed", second[0].Task)
 	}
 }
+
+// Load: a store that is silent while owners are stopped or killed. Their successors come
+// only after it is back.
+func TestLeasesAreLongestWhileTheStoreIsSilent(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	lease := func() time.Duration {
+		h.poll("r0")
+		r := h.table.runners["r0"]
+		return time.Duration(h.table.LeaseUntil("r0", h.now)-r.clock) * time.Millisecond
+	}
+	if got := lease(); got != testLimits.LeaseDuration {
+		t.Errorf("lease of %s, want %s", got, testLimits.LeaseDuration)
+	}
+	h.isUnconfirmed = true
+	h.advance(2 * time.Second)
+	if got := lease(); got != testLimits.MaxLease {
+		t.Errorf("lease of %s while the owner can't confirm its record, want %s", got, testLimits.MaxLease)
+	}
+}
