--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -97,7 +97,7 @@
 	if len(runs) == 0 {
 		return
 	}
-	paces := t.paces(r, runs, now)
+	paces := t.paces(r, runs)
 	for i, x := range runs {
 		t.paceRun(x, paces[i], now)
 	}
@@ -105,7 +105,7 @@
 }
 
 // paces returns the pace of each of the best-effort runs on a runner.
-func (t *Table) paces(r *runner, runs []*run, now time.Time) []int {
+func (t *Table) paces(r *runner, runs []*run) []int {
 	if r.halted {
 		return make([]int, len(runs))
 	}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -140,7 +140,7 @@
 	}
 	for i := range st.tasks {
 		k := &st.tasks[i]
-		if k.done || len(k.runs) > 0 || !(allRunsKnown || k.isTracked) {
+		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTracked) {
 			continue
 		}
 		if t.hadNoRoom(st) {
