--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -94,7 +94,7 @@
 			runs = append(runs, x)
 		}
 	}
-	if len(runs) == 0 {
+	if len(runs) == 0 || t.needsNoChange(r, runs) {
 		return
 	}
 	paces := t.paces(r, runs)
@@ -104,6 +104,25 @@
 	t.moveSlow(runs, now)
 }
 
+// needsNoChange reports whether all best-effort tasks on a runner run at full pace, and
+// no service there has more of its capacity in use than it may have.
+func (t *Table) needsNoChange(r *runner, runs []*run) bool {
+	if r.halted {
+		return false
+	}
+	for _, x := range runs {
+		if x.pace != fullPace || x.confirmedPace != fullPace {
+			return false
+		}
+	}
+	for _, x := range r.runs {
+		if x.isServing() && x.utilisation > t.interference.utilisation(x.st, targetMillis(x.st))-paceMargin {
+			return false
+		}
+	}
+	return true
+}
+
 // paces returns the pace of each of the best-effort runs on a runner.
 func (t *Table) paces(r *runner, runs []*run) []int {
 	if r.halted {
--- a/internal/version/partitioner/split.go
+++ b/internal/version/partitioner/split.go
@@ -14,14 +14,13 @@
 // Parameters of the number of partitions.
 const (
 	// runnersPerCore is the number of runners that an owner with one core can
-	// manage. An owner of 490 runners took more than 0.8 core on the days with
-	// faults of sdg-sched-grown, and one of 245 about a third of that.
-	runnersPerCore = 320
+	// manage while faults make it stop, start and pace much at a time.
+	runnersPerCore = 160
 	// minRunners and maxRunners bound the size of a partition: smaller partitions
 	// queue tasks that a larger one could place, and larger ones exceed the
 	// processor of any host.
 	minRunners = 48
-	maxRunners = 256
+	maxRunners = 128
 )
 
 // A Split is the number of partitions, which are numbered from zero. The split
