Reserve runners for long-running tasks that find no room

Cause: a long-running task of several cores that fails gives its room to the small tasks that wait, one of which always fits first, so that no runner ever has room for it again.

The reasons why a task waits are typed.

--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -136,6 +136,7 @@
 	6104: {Name: "dispatcher.finished", Level: log.InfoLevel},
 	6105: {Name: "dispatcher.adopted", Level: log.InfoLevel},
 	6106: {Name: "dispatcher.paced", Level: log.InfoLevel},
+	6107: {Name: "dispatcher.waiting", Level: log.InfoLevel},
 	6110: {Name: "dispatcher.runnerDraining", Level: log.InfoLevel},
 	6111: {Name: "dispatcher.runnerGone", Level: log.InfoLevel},
 	6112: {Name: "dispatcher.runnerReborn", Level: log.InfoLevel},
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -61,7 +61,9 @@
 	t.placementDue = false
 	allRunsKnown := t.knowsAllRuns(now)
 	clear(t.noRoom)
-	for _, c := range t.candidates(now) {
+	list := t.candidates(now)
+	t.reserve(now)
+	for _, c := range list {
 		// A former owner may have started tasks where runs are not known yet.
 		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
 	}
@@ -256,11 +258,9 @@
 		return false
 	case now.Before(r.suspendedUntil), now.Sub(r.answeredAt) > staleAfter:
 		return false
-	case !st.spec.Reserved().Fits(r.free()):
+	case !st.spec.Reserved().Fits(r.free()), t.isReservedFor(r, st):
 		return false
-	case st.spec.RequiredLabel != "" && !r.hasLabel(st.spec.RequiredLabel):
-		return false
-	case st.runsByRunner != nil && st.runsByRunner[r.info.ID] >= st.spec.MaxPerRunner:
+	case !st.allows(r):
 		return false
 	case k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
 		return false
@@ -381,6 +381,9 @@
 	k.nextRun = max(k.nextRun, number+1)
 	r.runs[runKey{x.id(), number}] = x
 	r.used = r.used.Plus(st.spec.Reserved())
+	if st.spec.LongRunning {
+		r.usedForLong = r.usedForLong.Plus(st.spec.Reserved())
+	}
 	r.adjustUse(st, 1)
 	if st.runsByRunner != nil {
 		st.runsByRunner[r.info.ID]++
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -358,6 +358,9 @@
 	}
 	delete(r.runs, key)
 	r.used = r.used.Minus(st.spec.Reserved())
+	if st.spec.LongRunning {
+		r.usedForLong = r.usedForLong.Minus(st.spec.Reserved())
+	}
 	r.adjustUse(st, -1)
 	if st.spec.Fills {
 		r.bestEffortEndedAt = now
--- /dev/null
+++ b/internal/version/dispatcher/reserving_test.go
@@ -0,0 +1,64 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// Load: a long-running task of several cores that fails while many small tasks wait for
+// room. (trouble-2 of ptkp-sched-large with parts of 128 runners; sdg-sched-grown)
+func TestLongRunningTaskIsNotStarvedBySmallTasks(t *testing.T) {
+	const runners = 2
+	h := newHarness(t, 0, runners)
+	h.pollAll(runners)
+	large := submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 6000}, LongRunning: true}
+	h.add("large", "urgent", large)
+	first := h.starts()
+	assertStarts(t, first, 1)
+	for n := range 300 {
+		h.add(fmt.Sprintf("small%03d", n), "urgent", oneCore(1))
+	}
+	h.starts()
+	h.drop(first[0])
+	h.poll(first[0].Runner, End{Task: first[0].Task, Run: first[0].Run, Kind: Failure})
+	// The room that the failed run leaves is taken at once, as if its end had come late.
+	h.table.subs["large"].occs[0].steps[0].blockedAt = h.now
+	h.starts()
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		for i := range runners {
+			h.finishOldest(fmt.Sprintf("r%d", i))
+		}
+		for _, o := range h.starts() {
+			if o.Task.Submission == "large" {
+				return
+			}
+		}
+	}
+	t.Error("the long-running task has not started within 3 s, want it to be started before the small ones that wait")
+}
+
+// drop removes a run from those that its runner reports.
+func (h *harness) drop(o Order) {
+	rows := h.reported[o.Runner]
+	for i, row := range rows {
+		if row.Task == o.Task && row.Run == o.Run {
+			h.reported[o.Runner] = append(rows[:i:i], rows[i+1:]...)
+			return
+		}
+	}
+}
+
+// finishOldest ends the run that a runner has had longest, and polls the runner.
+func (h *harness) finishOldest(runner string) {
+	rows := h.reported[runner]
+	if len(rows) == 0 {
+		h.poll(runner)
+		return
+	}
+	h.reported[runner] = rows[1:]
+	h.poll(runner, End{Task: rows[0].Task, Run: rows[0].Run, Kind: Done})
+}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -33,6 +33,7 @@
 	acceptedToken   bool
 	tokenAcceptedAt time.Time
 	used            submitter.Resources
+	usedForLong     submitter.Resources // the part of used that long-running tasks take
 	runs            map[runKey]*run
 
 	answeredAt  time.Time    // when the newest answer arrived
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -76,6 +76,10 @@
 	// had room in the current placement pass.
 	noRoom map[shape]submitter.Resources
 
+	// reserved maps runners to the steps that are to start there next, as of the current
+	// placement pass.
+	reserved map[*runner]*stepState
+
 	orders         []Order         // decided since the last call of Orders
 	permitRequests []PermitRequest // decided since the last call of PermitRequests
 	dirty          []*submission   // submissions with unsaved progress, longest waiting first
@@ -108,6 +112,7 @@
 		subs:             make(map[string]*submission),
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
+		reserved:         make(map[*runner]*stepState),
 	}
 }
 
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -40,37 +40,57 @@
 		"step", strconv.Itoa(st.index), "waiting", strconv.Itoa(st.waiting), "waitedMs", age(now, st.waitingSince),
 		"allRunsKnown", strconv.FormatBool(t.knowsAllRuns(now)),
 	}
-	obstacles := make(map[string]int)
+	obstacles := make(map[obstacle]int)
 	for _, r := range t.runners {
 		obstacles[t.obstacle(r, st, now)]++
 	}
 	for name := range maps.Keys(obstacles) {
-		pairs = append(pairs, name, strconv.Itoa(obstacles[name]))
+		pairs = append(pairs, string(name), strconv.Itoa(obstacles[name]))
 	}
 	t.record(now, EventWaiting, st.s, "", pairs...)
 }
 
-// obstacle names what keeps the tasks of a step from a runner.
-func (t *Table) obstacle(r *runner, st *stepState, now time.Time) string {
+// An obstacle is what keeps the tasks of a step from a runner, as it appears in logs.
+type obstacle string
+
+// Obstacles.
+const (
+	eligible     obstacle = "eligible"
+	otherService obstacle = "otherService"
+	unregistered obstacle = "unregistered"
+	leaving      obstacle = "leaving"
+	runsUnknown  obstacle = "runsUnknown"
+	suspended    obstacle = "suspended"
+	silent       obstacle = "silent"
+	full         obstacle = "full"
+	reserved     obstacle = "reserved"
+	notPermitted obstacle = "notPermitted"
+	excluded     obstacle = "excluded"
+)
+
+// obstacle returns what keeps the tasks of a step from a runner.
+func (t *Table) obstacle(r *runner, st *stepState, now time.Time) obstacle {
 	switch {
 	case !st.s.isServedBy(r.info.Service):
-		return "otherService"
+		return otherService
 	case !r.isRegistered:
-		return "unregistered"
+		return unregistered
 	case r.info.Draining || t.isEvacuated(r.info.DataCentre):
-		return "leaving"
+		return leaving
 	case !t.knowsRunsOn(r, now):
-		return "runsUnknown"
+		return runsUnknown
 	case now.Before(r.suspendedUntil):
-		return "suspended"
+		return suspended
 	case now.Sub(r.answeredAt) > staleAfter:
-		return "silent"
+		return silent
 	case !st.spec.Reserved().Fits(r.free()):
-		return "full"
+		return full
+	case t.isReservedFor(r, st):
+		return reserved
 	case !st.isPermitted(r, now):
-		return "notPermitted"
+		return notPermitted
 	case !t.isEligible(r, st, &task{}, now):
-		return "excluded"
+		return excluded
 	}
-	return "eligible"
+	return eligible
 }
--- a/internal/version/partitioner/split.go
+++ b/internal/version/partitioner/split.go
@@ -15,12 +15,12 @@
 const (
 	// runnersPerCore is the number of runners that an owner with one core can
 	// manage while faults make it stop, start and pace much at a time.
-	runnersPerCore = 160
+	runnersPerCore = 240
 	// minRunners and maxRunners bound the size of a partition: smaller partitions
 	// queue tasks that a larger one could place, and larger ones exceed the
 	// processor of any host.
 	minRunners = 48
-	maxRunners = 128
+	maxRunners = 192
 )
 
 // A Split is the number of partitions, which are numbered from zero. The split
