Fill the room of a failed long-running task in the test of reservations

Without the reservation the test passed, as the small tasks were not tried again before the large one. Now it fails without and passes with it.

--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -24,7 +24,9 @@
 	h.starts()
 	h.drop(first[0])
 	h.poll(first[0].Runner, End{Task: first[0].Task, Run: first[0].Run, Kind: Failure})
-	// The room that the failed run leaves is taken at once, as if its end had come late.
+	// The small tasks take the room that the failed run leaves, since they are tried
+	// again first.
+	h.advance(2 * blockedPause)
 	h.table.subs["large"].occs[0].steps[0].blockedAt = h.now
 	h.starts()
 	for range 30 {
