Take the room of a service from what its own tail latency shows

Change: the room is what the measured utilisation leaves, plus the pressure that the model ascribes to the tasks that are there, so that an error of the model cancels out while they stay.

--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -156,8 +156,7 @@
 		if !x.isServing() || x.measure <= 0 {
 			continue
 		}
-		load := max(x.st.lastLoad, x.utilisation-x.pressure)
-		room := m.utilisation(x.st, targetMillis(x.st)) - paceMargin - load
+		room := m.utilisation(x.st, targetMillis(x.st)) - paceMargin - (x.utilisation - x.pressure)
 		if least, ok := r.room[x.st.spec.Image]; !ok || room < least {
 			r.room[x.st.spec.Image] = room
 		}
