Place short tasks where they leave the least room

Runners reserved for long-running tasks that had never run took more room away.

Change: a short task goes to the tightest fit. Runners are reserved only for long-running tasks that have run before, and for a hundredth of the runners at most. The log says of all tasks but best-effort ones why they wait. A copy of a speculative task, and a task that moves, look for another runner than their own.

--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -181,7 +181,7 @@
 	if slowest == nil || now.Sub(slowest.slowSince) < slowFor {
 		return
 	}
-	if other := t.choose(slowest.st, slowest.task(), now); other != nil && other != slowest.runner {
+	if other := t.chooseOther(slowest.st, slowest.task(), slowest.runner, now); other != nil {
 		t.stop(slowest, now, "disturbs a service")
 	}
 }
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -232,10 +232,16 @@
 
 // choose returns the best runner on which a task may start now, or nil.
 func (t *Table) choose(st *stepState, k *task, now time.Time) *runner {
+	return t.chooseOther(st, k, nil, now)
+}
+
+// chooseOther returns the best runner other than one on which a task may start now, or
+// nil.
+func (t *Table) chooseOther(st *stepState, k *task, than *runner, now time.Time) *runner {
 	var best *runner
 	bestScore := math.Inf(-1)
 	for _, r := range t.runners {
-		if !t.canStart(r, st, k, now) {
+		if r == than || !t.canStart(r, st, k, now) {
 			continue
 		}
 		score := t.score(r, st, now)
@@ -334,7 +340,8 @@
 	case st.spec.TailTarget > 0:
 		score += r.scoreService(st.spec.Image)
 	default:
-		score += float64(r.free().MilliCores)/capacity - 0.2*float64(r.bestEffortMilliCores)/capacity
+		// The tightest fit leaves the largest gaps, for tasks of many cores.
+		score -= float64(r.free().MilliCores) / capacity
 	}
 	if st.spec.Affinity != "" && !r.hasLabel(st.spec.Affinity) {
 		score -= t.limits.CrossRackSlowdown
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -7,14 +7,15 @@
 )
 
 const (
-	// reserveAfter is how long a long-running task waits for room before a runner is
-	// reserved for it.
-	reserveAfter = 500 * time.Millisecond
+	// reserveAfter is how long a long-running task that has run before waits for room
+	// until a runner is reserved for it.
+	reserveAfter = time.Second
 	// reservedShare is the largest share of the runners that are reserved at a time.
-	reservedShare = 0.05
+	reservedShare = 0.01
 )
 
-// reserve reserves runners for long-running tasks that have found no room for some time.
+// reserve reserves runners for long-running tasks that have ended and have found no room
+// for their next run for some time.
 // A reserved runner gets nothing else until enough of what runs there has ended.
 //
 // Load: long-running tasks of several cores that fail while smaller tasks wait. The room
@@ -24,7 +25,7 @@
 	clear(t.reserved)
 	most := max(1, int(reservedShare*float64(len(t.runners))))
 	for _, st := range t.longWaiting(now) {
-		for range st.waiting {
+		for range st.interrupted() {
 			if len(t.reserved) == most {
 				return
 			}
@@ -55,6 +56,16 @@
 	return steps
 }
 
+// interrupted returns the number of tasks of a step that wait for their next run.
+func (st *stepState) interrupted() (n int) {
+	for i := range st.tasks {
+		if k := &st.tasks[i]; !k.done && len(k.runs) == 0 && !k.endedAt.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // soonestRoom returns the runner on which a task of a step lacks the least room that
 // short tasks will leave, or nil if there is none.
 func (t *Table) soonestRoom(st *stepState, now time.Time) (best *runner) {
@@ -64,7 +75,7 @@
 		if t.reserved[r] != nil || !wanted.Fits(r.info.Capacity.Minus(r.usedForLong)) || !st.allows(r) {
 			continue
 		}
-		if o := t.obstacle(r, st, now); o != full && o != eligible {
+		if o := t.obstacle(r, st, now); o != full && o != memoryFull && o != eligible {
 			continue
 		}
 		lacks := wanted.MilliCores - r.free().MilliCores
--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -9,7 +9,7 @@
 )
 
 // Load: a long-running task of several cores that fails while many small tasks wait for
-// room. (trouble-2 of ptkp-sched-large with parts of 128 runners; sdg-sched-grown)
+// room. (trouble-2 of ptkp-sched-large with parts of 128 runners)
 func TestLongRunningTaskIsNotStarvedBySmallTasks(t *testing.T) {
 	const runners = 2
 	h := newHarness(t, 0, runners)
@@ -64,3 +64,17 @@
 	h.reported[runner] = rows[1:]
 	h.poll(runner, End{Task: rows[0].Task, Run: rows[0].Run, Kind: Done})
 }
+
+// Load: many small urgent tasks beside long-running ones, and large urgent tasks among
+// them. (scale-1 of ptkp-sched-large: print-clean)
+func TestSmallTasksLeaveRoomForLargeOnes(t *testing.T) {
+	const runners = 4
+	h := newHarness(t, 0, runners)
+	h.pollAll(runners)
+	for n := range 8 {
+		h.add(fmt.Sprintf("small%d", n), "urgent", oneCore(1))
+		assertStarts(t, h.starts(), 1)
+	}
+	h.add("large", "urgent", submitter.Step{Count: runners - 1, Resources: submitter.Resources{MilliCores: 8000}})
+	assertStarts(t, h.starts(), runners-1)
+}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -61,8 +61,9 @@
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
 	// blockedAt is when the step last found no runner with room.
 	blockedAt time.Time
-	// waitingSince is when tasks of a long-running step were first seen without a run,
-	// or zero if all have one. warnedAt is when that was last recorded.
+	// waitingSince is when tasks of a ready step, other than a best-effort one, were
+	// first seen without a run, or zero if all have one. warnedAt is when that was last
+	// recorded.
 	waitingSince time.Time
 	warnedAt     time.Time
 	// permits holds the received permits by runner. requestPending says that a
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -73,7 +73,7 @@
 		if !t.knowsAllRuns(now) {
 			return // the owner may not know all failures of the task yet
 		}
-		if r := t.choose(x.st, x.task(), now); r != nil && r != x.runner {
+		if r := t.chooseOther(x.st, x.task(), x.runner, now); r != nil {
 			t.start(x.st, x.index, r, now)
 		}
 		return
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Times of the watch on long-running tasks without a run.
+// Times of the watch on tasks without a run.
 const (
 	// warnAfter is how long a task may wait before the reason is recorded.
 	warnAfter = 3 * time.Second
@@ -14,12 +14,13 @@
 	warnInterval = 10 * time.Second
 )
 
-// watchWaiting records why tasks of long-running steps have had no run for long.
+// watchWaiting records why tasks of ready steps have had no run for long. Best-effort
+// tasks wait for what others leave and are left out.
 func (t *Table) watchWaiting(now time.Time) {
 	for _, s := range t.unfinished() {
 		for _, occ := range s.occs {
 			for _, st := range occ.steps {
-				if !st.spec.LongRunning || !st.ready || st.waiting == 0 {
+				if st.spec.Fills || !st.ready || st.waiting == 0 {
 					st.waitingSince = time.Time{}
 					continue
 				}
@@ -63,6 +64,7 @@
 	suspended    obstacle = "suspended"
 	silent       obstacle = "silent"
 	full         obstacle = "full"
+	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
 	reserved     obstacle = "reserved"
 	notPermitted obstacle = "notPermitted"
 	excluded     obstacle = "excluded"
@@ -83,8 +85,10 @@
 		return suspended
 	case now.Sub(r.answeredAt) > staleAfter:
 		return silent
-	case !st.spec.Reserved().Fits(r.free()):
+	case st.spec.Reserved().MilliCores > r.free().MilliCores:
 		return full
+	case !st.spec.Reserved().Fits(r.free()):
+		return memoryFull
 	case t.isReservedFor(r, st):
 		return reserved
 	case !st.isPermitted(r, now):
