Order a pace again that a runner has refused

A runner that was too busy to take a pace order, 429 or 503, was taken to have carried it out, so that a task could go on at full speed beside a service without room until another pace was wanted. Found by reading; the test fails without the change.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -188,8 +188,8 @@
 	return pressure + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores))
 }
 
-// match rates a runner for a task of a best-effort step by what the task does to the
-// services there, from 0 to 1.
+// match rates a runner for a task of a best-effort step, from 0 to 1: by the part of the
+// room of the services there that the task takes, or withoutServices if there is none.
 //
 // Load: best-effort images of which each disturbs some services and hardly any others.
 // Tasks go beside the services that they hardly disturb, so that the runners without
--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -208,21 +208,22 @@
 	})
 }
 
-// ApplyPace applies the outcome of a pace order, and repeats the order if it was not
-// answered or another pace is wanted meanwhile.
+// ApplyPace applies the outcome of a pace order. If the order was not answered, or
+// another pace is wanted meanwhile, it orders a pace again; if the runner refused the
+// order, the next report does.
 func (t *Table) ApplyPace(o Order, outcome Outcome, now time.Time) {
 	x := t.find(o)
 	if x == nil {
 		return
 	}
 	x.isPaceOrdered = false
+	x.confirmedPace = unknownPace
 	switch outcome {
 	case Succeeded:
 		x.confirmedPace = o.Percent
 	case Unanswered:
-		x.confirmedPace = unknownPace
 	default:
-		x.confirmedPace = x.pace // the runner does not know the run, or will not take orders for it
+		return
 	}
 	if x.phase != stopping && now.Sub(x.runner.answeredAt) < staleAfter {
 		t.paceRun(x, x.pace, now)
--- a/internal/version/dispatcher/pacing_test.go
+++ b/internal/version/dispatcher/pacing_test.go
@@ -173,3 +173,20 @@
 	h.table.ApplyPace(first[0], Unanswered, h.now)
 	assertPaced(t, h.carryOut(h.table.Orders()), fullPace, fullPace)
 }
+
+// Guards against a pace that a runner has refused and that counts as carried out.
+func TestRefusedPaceIsOrderedAgainWithTheNextReport(t *testing.T) {
+	h, _ := newContendedHarness(t)
+	h.reportTail(60)
+	first := h.table.Orders()
+	if kinds(first)[Pace] != 1 {
+		t.Fatalf("orders %+v, want one pace", first)
+	}
+	h.table.ApplyPace(first[0], Unhealthy, h.now)
+	if orders := h.table.Orders(); len(orders) != 0 {
+		t.Fatalf("orders %+v at once, want none before the next report", orders)
+	}
+	h.advance(500 * time.Millisecond)
+	h.reportTail(60)
+	assertPaced(t, h.carryOut(h.table.Orders()), 0, 50)
+}
