Keep one list of what keeps a task from a runner

The reasons that the log gives for a waiting task stood beside the conditions of placement, as a second list that asked the first one for the rest. Placement now asks the list of reasons. The check of an avoided runner in recordNoRoom was dead since tasks that avoid one no longer reach it.

No decision changes. In the log a runner counts as notPermitted only if nothing else keeps the task from it.

--- /dev/null
+++ b/internal/version/dispatcher/obstacle.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import "time"
+
+// An obstacle is what keeps a task from a runner, as it appears in logs.
+type obstacle string
+
+// Obstacles.
+const (
+	eligible     obstacle = "eligible" // none
+	otherService obstacle = "otherService"
+	unregistered obstacle = "unregistered"
+	leaving      obstacle = "leaving"
+	runsUnknown  obstacle = "runsUnknown"
+	suspended    obstacle = "suspended"
+	silent       obstacle = "silent"
+	full         obstacle = "full"
+	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
+	reserved     obstacle = "reserved"   // for a long-running task
+	excluded     obstacle = "excluded"   // by the step, an earlier failure, or services there
+	notPermitted obstacle = "notPermitted"
+)
+
+// obstacle returns what keeps a task from a runner now, apart from permits.
+func (t *Table) obstacle(r *runner, st *stepState, k *task, now time.Time) obstacle {
+	switch wanted := st.spec.Reserved(); {
+	case !st.s.isServedBy(r.info.Service):
+		return otherService
+	case !r.isRegistered:
+		return unregistered
+	case r.info.Draining, t.isEvacuated(r.info.DataCentre):
+		return leaving
+	case !t.knowsRunsOn(r, now):
+		return runsUnknown
+	case now.Before(r.suspendedUntil):
+		return suspended
+	case now.Sub(r.answeredAt) > staleAfter:
+		return silent
+	case wanted.MilliCores > r.free().MilliCores:
+		return full
+	case !wanted.Fits(r.free()):
+		return memoryFull
+	case t.isReservedFor(r, st):
+		return reserved
+	case !st.allows(r), k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
+		return excluded
+	case st.spec.Fills && !t.hasBestEffortRoom(r, st, now):
+		return excluded
+	}
+	return eligible
+}
+
+// hasBestEffortRoom reports whether the other tasks on a runner leave enough for one more
+// task of a best-effort step.
+func (t *Table) hasBestEffortRoom(r *runner, st *stepState, now time.Time) bool {
+	return !r.halted && r.spare() >= minBestEffortShare*float64(r.bestEffortMilliCores+st.spec.MilliCores) &&
+		t.interference.headroom(r, st, now) >= 0
+}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -155,7 +155,7 @@
 			if k.avoid != "" {
 				continue // another task may run on the runner that this one avoids
 			}
-			t.recordNoRoom(st, k)
+			t.recordNoRoom(st)
 			return
 		}
 		t.start(st, i, r, now)
@@ -186,11 +186,11 @@
 	return ok && least.Fits(st.spec.Resources)
 }
 
-// recordNoRoom records, for hadNoRoom, the size and shape of a task for which no runner
-// had room. It records nothing if the task may have been excluded from some runners by
-// its step's limit per runner, by an earlier failure or by missing permits.
-func (t *Table) recordNoRoom(st *stepState, k *task) {
-	if st.runsByRunner != nil || k.avoid != "" || st.s.needsPermits() {
+// recordNoRoom records, for hadNoRoom, the size and shape of a task that avoids no runner
+// and for which none had room. It records nothing if the task may have been excluded from
+// some runners by its step's limit per runner or by missing permits.
+func (t *Table) recordNoRoom(st *stepState) {
+	if st.runsByRunner != nil || st.s.needsPermits() {
 		return
 	}
 	t.noRoom[st.shape()] = st.spec.Resources
@@ -259,22 +259,7 @@
 
 // isEligible reports whether a task may start on a runner now, apart from permits.
 func (t *Table) isEligible(r *runner, st *stepState, k *task, now time.Time) bool {
-	switch {
-	case !r.isRegistered, !t.knowsRunsOn(r, now), r.info.Draining, !st.s.isServedBy(r.info.Service), t.isEvacuated(r.info.DataCentre):
-		return false
-	case now.Before(r.suspendedUntil), now.Sub(r.answeredAt) > staleAfter:
-		return false
-	case !st.spec.Reserved().Fits(r.free()), t.isReservedFor(r, st):
-		return false
-	case !st.allows(r):
-		return false
-	case k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
-		return false
-	case st.spec.Fills:
-		return !r.halted && r.spare() >= minBestEffortShare*float64(r.bestEffortMilliCores+st.spec.MilliCores) &&
-			t.interference.headroom(r, st, now) >= 0
-	}
-	return true
+	return t.obstacle(r, st, k, now) == eligible
 }
 
 const (
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -75,7 +75,13 @@
 		if t.reserved[r] != nil || !wanted.Fits(r.info.Capacity.Minus(r.usedForLong)) || !st.allows(r) {
 			continue
 		}
-		if o := t.obstacle(r, st, now); o != full && o != memoryFull && o != eligible {
+		switch t.obstacle(r, st, &task{}, now) {
+		case full, memoryFull:
+		case eligible:
+			if !st.isPermitted(r, now) {
+				continue
+			}
+		default:
 			continue
 		}
 		lacks := wanted.MilliCores - r.free().MilliCores
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"maps"
 	"strconv"
 	"time"
 )
@@ -43,58 +42,14 @@
 	}
 	obstacles := make(map[obstacle]int)
 	for _, r := range t.runners {
-		obstacles[t.obstacle(r, st, now)]++
+		o := t.obstacle(r, st, &task{}, now)
+		if o == eligible && !st.isPermitted(r, now) {
+			o = notPermitted
+		}
+		obstacles[o]++
 	}
-	for name := range maps.Keys(obstacles) {
-		pairs = append(pairs, string(name), strconv.Itoa(obstacles[name]))
+	for o, runners := range obstacles {
+		pairs = append(pairs, string(o), strconv.Itoa(runners))
 	}
 	t.record(now, EventWaiting, st.s, "", pairs...)
 }
-
-// An obstacle is what keeps the tasks of a step from a runner, as it appears in logs.
-type obstacle string
-
-// Obstacles.
-const (
-	eligible     obstacle = "eligible"
-	otherService obstacle = "otherService"
-	unregistered obstacle = "unregistered"
-	leaving      obstacle = "leaving"
-	runsUnknown  obstacle = "runsUnknown"
-	suspended    obstacle = "suspended"
-	silent       obstacle = "silent"
-	full         obstacle = "full"
-	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
-	reserved     obstacle = "reserved"
-	notPermitted obstacle = "notPermitted"
-	excluded     obstacle = "excluded"
-)
-
-// obstacle returns what keeps the tasks of a step from a runner.
-func (t *Table) obstacle(r *runner, st *stepState, now time.Time) obstacle {
-	switch {
-	case !st.s.isServedBy(r.info.Service):
-		return otherService
-	case !r.isRegistered:
-		return unregistered
-	case r.info.Draining || t.isEvacuated(r.info.DataCentre):
-		return leaving
-	case !t.knowsRunsOn(r, now):
-		return runsUnknown
-	case now.Before(r.suspendedUntil):
-		return suspended
-	case now.Sub(r.answeredAt) > staleAfter:
-		return silent
-	case st.spec.Reserved().MilliCores > r.free().MilliCores:
-		return full
-	case !st.spec.Reserved().Fits(r.free()):
-		return memoryFull
-	case t.isReservedFor(r, st):
-		return reserved
-	case !st.isPermitted(r, now):
-		return notPermitted
-	case !t.isEligible(r, st, &task{}, now):
-		return excluded
-	}
-	return eligible
-}
