Compute the longest chain of steps in one place

The chain that is left of an occurrence was a copy of the one that the objective is made of, which differs in leaving out the steps that are done.

--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -224,16 +224,24 @@
 // objective estimates the time within which a submission earns its full value: its
 // longest chain of steps times the queue's stretch factor, plus the queue's target.
 func objective(s *submission, queue submitter.Queue) time.Duration {
-	chain := make([]time.Duration, len(s.sub.Steps))
-	var longest time.Duration
-	for i := range s.sub.Steps {
-		for _, predecessor := range s.sub.Steps[i].After {
-			chain[i] = max(chain[i], chain[predecessor])
+	longest := longestChain(s.sub.Steps, func(int) bool { return false })
+	return time.Duration(float64(longest)*max(1, queue.Stretch)) + queue.Target
+}
+
+// longestChain estimates the time that the longest chain of those steps takes that are
+// not done, if nothing waits.
+func longestChain(steps []submitter.Step, isDone func(step int) bool) (longest time.Duration) {
+	ends := make([]time.Duration, len(steps))
+	for i := range steps {
+		for _, predecessor := range steps[i].After {
+			ends[i] = max(ends[i], ends[predecessor])
 		}
-		chain[i] += s.sub.Steps[i].Estimate
-		longest = max(longest, chain[i])
+		if !isDone(i) {
+			ends[i] += steps[i].Estimate
+		}
+		longest = max(longest, ends[i])
 	}
-	return time.Duration(float64(longest)*max(1, queue.Stretch)) + queue.Target
+	return longest
 }
 
 // restore applies the progress that a former owner has saved.
@@ -286,13 +294,13 @@
 	}
 	s.occs = append(s.occs, occ)
 	s.opened++
-	occ.refresh()
+	occ.refresh(s.sub.Steps)
 }
 
 // refresh updates which steps are ready, that is, have only predecessors that are
 // done, and the chain of steps that are left.
-func (o *occurrence) refresh() {
-	o.chain = o.remainingChain()
+func (o *occurrence) refresh(steps []submitter.Step) {
+	o.chain = longestChain(steps, func(step int) bool { return o.steps[step].remaining == 0 })
 	for _, st := range o.steps {
 		st.ready = true
 		for _, predecessor := range st.spec.After {
@@ -320,7 +328,7 @@
 		if st.occ.remaining == 0 {
 			st.s.remaining--
 		}
-		st.occ.refresh()
+		st.occ.refresh(st.s.sub.Steps)
 	}
 	t.placementDue = true
 }
@@ -400,19 +408,3 @@
 	}
 	return sum
 }
-
-// remainingChain estimates the time that the longest chain of the steps that are not
-// done takes if nothing waits.
-func (o *occurrence) remainingChain() (longest time.Duration) {
-	ends := make([]time.Duration, len(o.steps))
-	for i, st := range o.steps {
-		for _, predecessor := range st.spec.After {
-			ends[i] = max(ends[i], ends[predecessor])
-		}
-		if st.remaining > 0 {
-			ends[i] += st.spec.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
