--- a/internal/process/scheduler/agreement.go
+++ b/internal/process/scheduler/agreement.go
@@ -112,21 +112,31 @@
 		return false
 	}
 	granted, err := s.opts.Store.Grant(ctx, countingTTL)
+	created := false
 	if err == nil {
-		_, err = s.opts.Store.Commit(ctx, transactor.Transaction{
-			Conditions: []transactor.Condition{{Key: countingKey}},
-			Writes:     []transactor.Write{{Key: countingKey, Value: []byte(s.opts.Instance), Lease: granted}},
-		})
+		created, err = s.create(ctx, transactor.Write{Key: countingKey, Value: []byte(s.opts.Instance), Lease: granted})
 	}
-	var conflict *transactor.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-	case err != nil:
+	if err != nil {
 		s.recordSplitFailure(ctx, "claim the count of the runners", err)
-	default:
+	}
+	if created {
 		*lease = granted
 	}
-	return err == nil
+	return created
+}
+
+// create writes a key unless it exists, and reports whether it did.
+func (s *Scheduler) create(ctx context.Context, write transactor.Write) (created bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, splitTimeout)
+	defer cancel()
+	_, err = s.opts.Store.Commit(ctx, transactor.Transaction{
+		Conditions: []transactor.Condition{{Key: write.Key}}, Writes: []transactor.Write{write},
+	})
+	var conflict *transactor.ConflictError
+	if errors.As(err, &conflict) {
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // countRunners reads the number of runners.
@@ -156,20 +166,14 @@
 // reads the stored split afterwards.
 func (s *Scheduler) proposeSplit(ctx context.Context, split partitioner.Split, runners int) {
 	value, err := split.Encode()
+	created := false
 	if err == nil {
-		callCtx, cancel := context.WithTimeout(ctx, splitTimeout)
-		defer cancel()
-		_, err = s.opts.Store.Commit(callCtx, transactor.Transaction{
-			Conditions: []transactor.Condition{{Key: splitKey}},
-			Writes:     []transactor.Write{{Key: splitKey, Value: value}},
-		})
+		created, err = s.create(ctx, transactor.Write{Key: splitKey, Value: value})
 	}
-	var conflict *transactor.ConflictError
 	switch {
-	case errors.As(err, &conflict):
 	case err != nil:
 		s.recordSplitFailure(ctx, "propose split", err)
-	default:
+	case created:
 		s.opts.Recorder.Record(time.Now(), EventSplit, recorder.Fields{
 			"parts": strconv.Itoa(split.Parts), "runners": strconv.Itoa(runners),
 			"cores": strconv.FormatFloat(s.opts.Cores, 'f', 2, 64),
