Pass the configuration to an owner in one way

A term began with the configuration as an argument and got it once more right after, in case it had changed while the records were loaded. Now a table begins without one, and gets it when its conductor is published. Start, New and their callers lose an argument.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
-	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/launcher"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
@@ -125,14 +124,14 @@
 // and stalled tasks.
 const tickInterval = 200 * time.Millisecond
 
-// Start begins a term: it loads the stored records and takes over the runners. Without
-// a configuration, it keeps the leases of what runs there until Configure is called.
-func Start(ctx context.Context, opts Options, config holder.Optional[dispatcher.Configuration]) (c *Conductor, err error) {
+// Start begins a term: it loads the stored records and takes over the runners. Until
+// Configure is called, it only keeps the leases of what runs there.
+func Start(ctx context.Context, opts Options) (c *Conductor, err error) {
 	now := time.Now()
 	c = &Conductor{
 		opts:       opts,
 		keys:       KeysOf(opts.Part),
-		table:      dispatcher.New(opts.Limits, config, opts.Fence, opts.Generation, opts.Recorder, now),
+		table:      dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
 		address:    make(map[string]string),
 		pollers:    make(map[string]context.CancelFunc),
 		revs:       make(map[string]int64),
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// publish makes a conductor visible as the owner of its part, with the latest
+// configuration, if one has been read.
+func (d *duties) publish(part int, c *conductor.Conductor) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.conductors[part].Store(c)
+	if config, ok := d.s.config.Get(); ok {
+		c.Configure(config.Dispatch)
+	}
+}
+
 // serveOwner runs the duties of a part's owner for one term.
 func (d *duties) serveOwner(ctx context.Context, term *elector.Term) {
 	owner, former := term.Owner, term.Former
@@ -112,13 +123,13 @@
 		OnDeposed:   func(reason string) { term.Depose(time.Now(), reason) },
 	}
 	for ctx.Err() == nil {
-		c, err := conductor.Start(ctx, opts, d.s.dispatchConfiguration())
+		c, err := conductor.Start(ctx, opts)
 		if err != nil {
 			d.s.opts.Recorder.Record(time.Now(), EventLoadFailed, recorder.Fields{"part": strconv.Itoa(owner.Part), "error": err.Error()})
 			pauser.Sleep(ctx, loadRetryDelay)
 			continue
 		}
-		d.s.startServing(c, d.conductors[owner.Part].Store)
+		d.publish(owner.Part, c)
 		d.s.opts.Recorder.Record(time.Now(), EventServing, recorder.Fields{
 			"part": strconv.Itoa(owner.Part), "fence": strconv.FormatInt(owner.Fence, 10),
 		})
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -251,24 +251,3 @@
 	}
 	return delay
 }
-
-// dispatchConfiguration returns the part of the configuration that owners decide by, if
-// it is known.
-func (s *Scheduler) dispatchConfiguration() holder.Optional[dispatcher.Configuration] {
-	config, ok := s.config.Get()
-	if !ok {
-		return holder.Optional[dispatcher.Configuration]{}
-	}
-	return holder.Known(config.Dispatch)
-}
-
-// startServing makes a conductor visible as the owner of its part, with the latest
-// configuration.
-func (s *Scheduler) startServing(c *conductor.Conductor, publish func(*conductor.Conductor)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	publish(c)
-	if config, ok := s.config.Get(); ok {
-		c.Configure(config.Dispatch)
-	}
-}
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -9,7 +9,6 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
@@ -141,7 +140,8 @@
 func (c *chaos) takeOver(generation int64) {
 	c.fence = testFence + generation
 	former := c.table
-	c.table = New(testLimits, holder.Known(NewConfiguration(testQueues, nil)), c.fence, generation, recorder.Discard{}, c.now)
+	c.table = New(testLimits, c.fence, generation, recorder.Discard{}, c.now)
+	c.table.Configure(NewConfiguration(testQueues, nil), c.now)
 	if former != nil {
 		c.table.ExpectRunners(former.KnownRunners())
 		c.table.SetFormerOwnerEnd(c.now.Add(chaosUnconfirmed))
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
@@ -49,7 +48,8 @@
 func newHarness(t *testing.T, generation int64, runners int) *harness {
 	t.Helper()
 	h := &harness{t: t, now: epoch, ends: make(map[string]int64), reported: make(map[string][]RunStatus)}
-	h.table = New(testLimits, holder.Known(NewConfiguration(testQueues, nil)), testFence, generation, recorder.Discard{}, h.now)
+	h.table = New(testLimits, testFence, generation, recorder.Discard{}, h.now)
+	h.configure(nil, testQueues...)
 	h.setRunners(runners)
 	return h
 }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -62,8 +62,8 @@
 	ownerConfirmedAt time.Time
 	rec              recorder.Recorder
 
-	// config is not known until the daemon has read it. Until then, what runs is kept,
-	// and nothing is started or failed.
+	// config is not known until the first Configure. Until then, what runs is kept, and
+	// nothing is started or failed.
 	config  holder.Optional[Configuration]
 	runners map[string]*runner     // by ID
 	subs    map[string]*submission // by ID
@@ -96,8 +96,8 @@
 }
 
 // New returns the table of an owner that holds a fencing token. The generation is the
-// number of owners that the partition had before.
-func New(limits Limits, config holder.Optional[Configuration], fence, generation int64, rec recorder.Recorder, now time.Time) *Table {
+// number of owners that the partition had before. The table has no configuration yet.
+func New(limits Limits, fence, generation int64, rec recorder.Recorder, now time.Time) *Table {
 	return &Table{
 		limits:           limits,
 		fence:            fence,
@@ -107,7 +107,6 @@
 		ownerConfirmedAt: now,
 		hasFormerOwner:   generation > 0,
 		rec:              rec,
-		config:           config,
 		runners:          make(map[string]*runner),
 		subs:             make(map[string]*submission),
 		interference:     newInterferenceModel(),
