Sort the best-effort runs of a runner only to pace them

Every report sorted all runs of its runner, most of them for nothing. The lease of an owner that can't confirm its record took the larger of two limits of which one bounds the other, which Limits now says.

--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -89,7 +89,7 @@
 // services there have, and moves a task that has to be slow for long.
 func (t *Table) steer(r *runner, now time.Time) {
 	var runs []*run
-	for _, x := range r.runsByAge() {
+	for _, x := range r.runs {
 		if x.st.spec.Fills && x.phase != stopping {
 			runs = append(runs, x)
 		}
@@ -97,6 +97,7 @@
 	if len(runs) == 0 || t.needsNoChange(r, runs) {
 		return
 	}
+	sortByAge(runs)
 	paces := t.paces(r, runs)
 	for i, x := range runs {
 		t.paceRun(x, paces[i], now)
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -215,10 +215,15 @@
 	for _, x := range r.runs {
 		runs = append(runs, x)
 	}
-	slices.SortFunc(runs, func(a, b *run) int { return a.startedAt.Compare(b.startedAt) })
+	sortByAge(runs)
 	return runs
 }
 
+// sortByAge sorts runs, oldest first.
+func sortByAge(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int { return a.startedAt.Compare(b.startedAt) })
+}
+
 // lapsedBy returns the time by which every lease on a runner has lapsed if it is
 // not renewed, including those of orders that arrive late.
 func (t *Table) lapsedBy(r *runner) time.Time {
@@ -279,7 +284,7 @@
 // them before it is back, so leases last as long as they may.
 func (t *Table) leaseDuration(now time.Time) time.Duration {
 	if now.Sub(t.ownerConfirmedAt) > confirmationOverdue {
-		return max(t.limits.LeaseDuration, t.limits.MaxLease)
+		return t.limits.MaxLease
 	}
 	return t.limits.LeaseDuration
 }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -15,7 +15,8 @@
 
 // Limits are the bounds of the platform that decisions depend on.
 type Limits struct {
-	// LeaseDuration is how far beyond the current time a lease is granted or renewed.
+	// LeaseDuration is how far beyond the current time a lease is granted or renewed,
+	// at most MaxLease.
 	LeaseDuration time.Duration
 	// MaxLease is the longest lease that a runner grants.
 	MaxLease time.Duration
