--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,17 +154,7 @@
 }
 
 func (c *chaos) sorted() []*simRunner {
-	return slices.SortedFunc(maps.Values(c.runners), func(a, b *simRunner) int { return cmpString(a.id, b.id) })
-}
-
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return slices.SortedFunc(maps.Values(c.runners), func(a, b *simRunner) int { return strings.Compare(a.id, b.id) })
 }
 
 func (c *chaos) register() {
@@ -191,16 +182,15 @@
 			r.reset(c.now)
 			c.register()
 		case 2:
-			for _, key := range sortedKeys(r.running) {
-				r.end(key, Failure)
-				break
+			if keys := sortedKeys(r.running); len(keys) > 0 {
+				r.end(keys[0], Failure)
 			}
 		}
 	}
 }
 
 func sortedKeys(runs map[runKey]bool) []runKey {
-	return slices.SortedFunc(maps.Keys(runs), func(a, b runKey) int { return cmpString(a.task.String(), b.task.String()) })
+	return slices.SortedFunc(maps.Keys(runs), func(a, b runKey) int { return strings.Compare(a.task.String(), b.task.String()) })
 }
 
 // step advances the time by chaosStep.
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -32,13 +32,20 @@
 
 func TestNewOwnerWaitsForLeasesOfSilentRunners(t *testing.T) {
 	h, _ := newTakeoverHarness(t, 2)
-	for range 5 {
+	assertStartsAfterLeases(t, h)
+}
+
+// assertStartsAfterLeases polls r0 and checks that a task starts 6.5 s from now, which is
+// later than the longest lease ends, and not in the first 5 s.
+func assertStartsAfterLeases(t *testing.T, h *harness) {
+	t.Helper()
+	for range 6 {
 		h.poll("r0")
 		assertStarts(t, h.starts(), 0)
 		h.advance(time.Second)
 	}
 	h.poll("r0")
-	h.advance(1500 * time.Millisecond)
+	h.advance(500 * time.Millisecond)
 	assertStarts(t, h.starts(), 1)
 }
 
@@ -270,14 +277,7 @@
 func TestNewOwnerWaitsForLeasesOfUnknownRunners(t *testing.T) {
 	h, _ := newTakeoverHarness(t, 1)
 	h.table.ExpectOtherRunners()
-	for range 6 {
-		h.poll("r0")
-		assertStarts(t, h.starts(), 0)
-		h.advance(time.Second)
-	}
-	h.poll("r0")
-	h.advance(500 * time.Millisecond)
-	assertStarts(t, h.starts(), 1)
+	assertStartsAfterLeases(t, h)
 }
 
 // Load: a change of owners after which a runner stays silent, while tasks that the new
