Measure how long orders wait in the owner before they are sent

The logs of tasks that were started seconds after their end could not tell whether the order had waited in the daemon or was delayed on its way. A histogram now has the time from decision to sending of every order, and an event names each that waited for more than half a second.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -239,7 +239,7 @@
 		}
 	}
 	for i := range orders {
-		c.send(addresses[i], orders[i])
+		c.send(addresses[i], orders[i], now)
 	}
 	for _, request := range requests {
 		c.background.Go(func() { c.requestPermits(request) })
--- a/internal/process/conductor/events.go
+++ b/internal/process/conductor/events.go
@@ -13,4 +13,7 @@
 	// EventAdviceFailed is recorded when a request for permits fails; it is
 	// repeated later.
 	EventAdviceFailed recorder.Number = 6203
+	// EventOrderDelayed is recorded when an order has waited in the daemon for long
+	// before it was sent.
+	EventOrderDelayed recorder.Number = 6204
 )
--- a/internal/process/conductor/metrics.go
+++ b/internal/process/conductor/metrics.go
@@ -23,6 +23,7 @@
 	polls       *expvar.Int
 	pollsFailed *expvar.Int
 	orderTimes  *counter.Histogram
+	orderWaits  *counter.Histogram
 	pollTimes   *counter.Histogram
 }
 
@@ -34,6 +35,7 @@
 	}
 	set.Publish(OrdersByOutcome, m.byOutcome)
 	m.orderTimes = set.Histogram(OrderTimes)
+	m.orderWaits = set.Histogram(OrderWaits)
 	m.pollTimes = set.Histogram(LookTimes)
 	return m
 }
@@ -41,6 +43,9 @@
 const (
 	// OrderTimes is the histogram of the durations of orders.
 	OrderTimes counter.Name = "orderTimes"
+	// OrderWaits is the histogram of the times for which orders waited in the daemon
+	// before they were sent.
+	OrderWaits counter.Name = "orderWaits"
 	// LookTimes is the histogram of the durations of polls, less the time for which
 	// the runner was allowed to hold them open.
 	LookTimes counter.Name = "lookTimes"
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 )
 
@@ -21,6 +23,9 @@
 const (
 	// orderTimeout is the timeout of one order.
 	orderTimeout = 400 * time.Millisecond
+	// delayedAfter is the time from the decision of an order to its sending after which
+	// the delay is recorded.
+	delayedAfter = 500 * time.Millisecond
 	// pollWait is how long a runner holds a poll open for a run to end.
 	pollWait = time.Second
 	// contendedWait replaces pollWait where serving tasks share a runner with
@@ -38,7 +43,7 @@
 )
 
 // send sends an order to a runner in the background.
-func (c *Conductor) send(address string, order dispatcher.Order) {
+func (c *Conductor) send(address string, order dispatcher.Order, decidedAt time.Time) {
 	c.background.Go(func() {
 		select {
 		case c.orderSlots <- struct{}{}:
@@ -47,6 +52,7 @@
 		}
 		defer func() { <-c.orderSlots }()
 		began := time.Now()
+		c.noteWait(order, began.Sub(decidedAt), began)
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 		defer cancel()
 		result := c.opts.RunnerClient.Send(ctx, address, order, c.opts.Fence)
@@ -63,6 +69,19 @@
 	})
 }
 
+// noteWait observes how long an order has waited in this daemon until it is sent, and
+// records an event if that was long.
+func (c *Conductor) noteWait(order dispatcher.Order, waited time.Duration, now time.Time) {
+	c.opts.Metrics.orderWaits.Observe(waited)
+	if waited < delayedAfter {
+		return
+	}
+	c.opts.Recorder.Record(now, EventOrderDelayed, recorder.Fields{
+		"id": order.Task.Submission, "task": order.Task.String(), "run": strconv.FormatInt(order.Run, 10),
+		"kind": order.Kind.String(), "runner": order.Runner, "waitedMs": strconv.FormatInt(waited.Milliseconds(), 10),
+	})
+}
+
 // applyResult passes the result of an order to the table.
 func (c *Conductor) applyResult(order dispatcher.Order, result OrderResult) {
 	outcome := result.Outcome
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -146,6 +146,7 @@
 	6201: {Name: "conductor.recordUnreadable", Level: log.InfoLevel},
 	6202: {Name: "conductor.storeFailed", Level: log.InfoLevel},
 	6203: {Name: "conductor.adviceFailed", Level: log.InfoLevel},
+	6204: {Name: "conductor.orderDelayed", Level: log.InfoLevel},
 	6300: {Name: "gateway.accepted", Level: log.InfoLevel},
 	6301: {Name: "gateway.rejected", Level: log.InfoLevel},
 	6302: {Name: "gateway.outcomeUnknown", Level: log.InfoLevel},
