--- /dev/null
+++ b/internal/process/conductor/rig_test.go
@@ -0,0 +1,143 @@
+package conductor
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
+	"github.com/kumquatstack/kumquatstack/internal/pauser"
+	"github.com/kumquatstack/kumquatstack/internal/process/counter"
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
+	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// waitTimeout bounds the waits for expected conditions.
+const waitTimeout = 10 * time.Second
+
+// An emptyStore is a store that holds nothing and accepts every write.
+type emptyStore struct {
+	mu       sync.Mutex
+	revision int64
+}
+
+func (*emptyStore) Get(context.Context, string) (item transactor.Item, err error) {
+	return item, transactor.ErrNotFound
+}
+
+func (*emptyStore) List(context.Context, string) ([]transactor.Item, int64, error) {
+	return nil, 1, nil
+}
+
+func (*emptyStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]transactor.Event, int64, error) {
+	pauser.Sleep(ctx, wait)
+	return nil, after, ctx.Err()
+}
+
+func (s *emptyStore) Commit(context.Context, transactor.Transaction) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	return s.revision, nil
+}
+
+func (*emptyStore) Grant(context.Context, time.Duration) (int64, error) { return 1, nil }
+func (*emptyStore) KeepAlive(context.Context, int64) error              { return nil }
+func (*emptyStore) Revoke(context.Context, int64) error                 { return nil }
+
+// A fixedRegistry lists the same runners all the time.
+type fixedRegistry []dispatcher.RunnerInfo
+
+func (r fixedRegistry) Follow(ctx context.Context, _ func(id string) bool, deliver func([]dispatcher.RunnerInfo)) {
+	deliver(r)
+	<-ctx.Done()
+}
+
+// A heldClient answers polls at once, and holds orders back until they are released.
+type heldClient struct {
+	mu       sync.Mutex
+	sent     []dispatcher.Order
+	began    time.Time
+	released chan struct{}
+}
+
+func (c *heldClient) Poll(ctx context.Context, _ dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
+	pauser.Sleep(ctx, min(poll.Wait, 50*time.Millisecond))
+	return dispatcher.Report{Lifetime: 1, Clock: c.clock()}, ctx.Err()
+}
+
+func (c *heldClient) Send(_ context.Context, _ string, order dispatcher.Order, _ int64) OrderResult {
+	c.mu.Lock()
+	c.sent = append(c.sent, order)
+	c.mu.Unlock()
+	<-c.released
+	return OrderResult{Outcome: dispatcher.Succeeded, Clock: c.clock(), Lifetime: 1}
+}
+
+func (c *heldClient) clock() int64 { return time.Since(c.began).Milliseconds() + 1 }
+
+// orders returns the orders sent so far.
+func (c *heldClient) orders() []dispatcher.Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.sent)
+}
+
+// startHeld starts the term of an owner of one large runner that holds orders back.
+func startHeld(t *testing.T) (c *Conductor, client *heldClient) {
+	t.Helper()
+	client = &heldClient{began: time.Now(), released: make(chan struct{})}
+	opts := Options{
+		Limits: dispatcher.Limits{LeaseDuration: 4500 * time.Millisecond, MaxLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond},
+		Store:  &emptyStore{}, RunnerClient: client, Recorder: recorder.Discard{}, Metrics: NewMetrics(counter.New()),
+		Registry: fixedRegistry{{
+			ID: "r", Service: "s", Address: "a", DataCentre: "z", Lifetime: 1,
+			Capacity: submitter.Resources{MilliCores: 1_000_000, MemoryMB: 1_000_000},
+		}},
+		Split: partitioner.Split{Parts: 1}, Fence: 1,
+		ConfirmedAt: time.Now, OnDeposed: func(reason string) { t.Errorf("deposed: %s", reason) },
+	}
+	c, err := Start(t.Context(), opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	c.Configure(dispatcher.NewConfiguration([]submitter.Queue{{Name: "q", Service: "s", MaxAttempts: 2}}, nil))
+	return c, client
+}
+
+// submit submits a submission of small tasks.
+func submit(c *Conductor, id string, tasks int) {
+	c.Submit(&submitter.Submission{
+		ID: id, Queue: "q", AcceptedAt: time.Now(),
+		Steps: []submitter.Step{{Count: tasks, Resources: submitter.Resources{MilliCores: 100, MemoryMB: 1}, Estimate: time.Second}},
+	})
+}
+
+// release lets the held orders, and all later ones, be carried out.
+func (c *heldClient) release() { close(c.released) }
+
+// countOf returns how many of the orders are of a kind and for a submission.
+func countOf(orders []dispatcher.Order, kind dispatcher.Kind, submission string) (n int) {
+	for _, o := range orders {
+		if o.Kind == kind && o.Task.Submission == submission {
+			n++
+		}
+	}
+	return n
+}
+
+// assertEventually waits until a condition holds.
+func assertEventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(waitTimeout); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("timeout:", what)
+}
