Confirm orders when they are sent, and decide no more starts than can be sent

Cause: the owner decided orders at once and sent them when one of 96 slots was free. Nothing bounded the wait and nothing looked at an order again before it left. A copy decided at 31.8 s was started at 35.0 s, after the first copy was done at 31.8 s; stops waited behind starts; a start that took longer than its lease was refused, decided again and queued again, which kept the owner busy. The class of fault: a decision is carried out on a state that has passed.

Change: a start, stop or pace is confirmed by the table right before it is sent. A start that is not wanted any more, or whose runner is leaving, unregistered, silent or another incarnation, is withdrawn; the lease begins when the start is sent. At most 128 starts are decided ahead; the others are decided when they can be sent.

Why it works: between the confirmation and the wire there is only the order's own timeout of 0.4 s, whatever the load.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -113,8 +113,8 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background launcher.Group
-	orderSlots chan struct{} // limits concurrent orders
-	adviserMu  sync.Mutex    // serialises requests to the adviser
+	queue      orderQueue
+	adviserMu  sync.Mutex // serialises requests to the adviser
 }
 
 // maxConcurrentOrders limits the orders that are sent to runners concurrently.
@@ -129,15 +129,14 @@
 func Start(ctx context.Context, opts Options) (c *Conductor, err error) {
 	now := time.Now()
 	c = &Conductor{
-		opts:       opts,
-		keys:       KeysOf(opts.Part),
-		table:      dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
-		address:    make(map[string]string),
-		pollers:    make(map[string]context.CancelFunc),
-		revs:       make(map[string]int64),
-		unsaved:    make(chan struct{}, 1),
-		saved:      make(chan struct{}),
-		orderSlots: make(chan struct{}, maxConcurrentOrders),
+		opts:    opts,
+		keys:    KeysOf(opts.Part),
+		table:   dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
+		address: make(map[string]string),
+		pollers: make(map[string]context.CancelFunc),
+		revs:    make(map[string]int64),
+		unsaved: make(chan struct{}, 1),
+		saved:   make(chan struct{}),
 	}
 	c.table.SetFormerOwnerEnd(opts.FormerOwnerEnd)
 	c.ctx, c.cancel = context.WithCancel(ctx)
@@ -227,10 +226,6 @@
 	orders := c.table.Orders()
 	requests := c.table.PermitRequests()
 	dirty := c.table.IsDirty()
-	addresses := make([]string, len(orders))
-	for i := range orders {
-		addresses[i] = c.address[orders[i].Runner]
-	}
 	c.mu.Unlock()
 	if dirty {
 		select {
@@ -238,9 +233,7 @@
 		default:
 		}
 	}
-	for i := range orders {
-		c.send(addresses[i], orders[i], now)
-	}
+	c.enqueue(orders, now)
 	for _, request := range requests {
 		c.background.Go(func() { c.requestPermits(request) })
 	}
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -42,31 +42,51 @@
 	saveWaitTimeout = 300 * time.Millisecond
 )
 
-// send sends an order to a runner in the background.
-func (c *Conductor) send(address string, order dispatcher.Order, decidedAt time.Time) {
-	c.background.Go(func() {
-		select {
-		case c.orderSlots <- struct{}{}:
-		case <-c.ctx.Done():
-			return
-		}
-		defer func() { <-c.orderSlots }()
-		began := time.Now()
-		c.noteWait(order, began.Sub(decidedAt), began)
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
-		defer cancel()
-		result := c.opts.RunnerClient.Send(ctx, address, order, c.opts.Fence)
-		outcome := result.Outcome
-		if c.ctx.Err() != nil {
-			return
-		}
-		c.opts.Metrics.observeOrder(order.Kind, outcome, time.Since(began))
-		if outcome == dispatcher.Fenced {
-			c.opts.OnDeposed("runner " + order.Runner + " has seen a higher fencing token")
+// enqueue lets orders be sent in the background.
+func (c *Conductor) enqueue(orders []dispatcher.Order, now time.Time) {
+	for range c.queue.push(orders, maxConcurrentOrders, now) {
+		c.background.Go(c.sendQueued)
+	}
+}
+
+// sendQueued sends queued orders until none is left or the term ends.
+func (c *Conductor) sendQueued() {
+	for {
+		next, ok := c.queue.pop()
+		if !ok || c.ctx.Err() != nil {
 			return
 		}
-		c.applyResult(order, result)
+		c.send(next)
+	}
+}
+
+// send sends an order to a runner, if the order still holds, and applies the result.
+func (c *Conductor) send(queued queuedOrder) {
+	var order dispatcher.Order
+	var address string
+	ok := false
+	c.apply(func(t *dispatcher.Table, now time.Time) {
+		order, ok = t.Confirm(queued.Order, now)
+		address = c.address[order.Runner]
 	})
+	if !ok {
+		return
+	}
+	began := time.Now()
+	c.noteWait(order, began.Sub(queued.decidedAt), began)
+	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+	defer cancel()
+	result := c.opts.RunnerClient.Send(ctx, address, order, c.opts.Fence)
+	outcome := result.Outcome
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.opts.Metrics.observeOrder(order.Kind, outcome, time.Since(began))
+	if outcome == dispatcher.Fenced {
+		c.opts.OnDeposed("runner " + order.Runner + " has seen a higher fencing token")
+		return
+	}
+	c.applyResult(order, result)
 }
 
 // noteWait observes how long an order has waited in this daemon until it is sent, and
--- a/internal/process/conductor/rig_test.go
+++ b/internal/process/conductor/rig_test.go
@@ -121,10 +121,10 @@
 // release lets the held orders, and all later ones, be carried out.
 func (c *heldClient) release() { close(c.released) }
 
-// countOf returns how many of the orders are of a kind and for a submission.
-func countOf(orders []dispatcher.Order, kind dispatcher.Kind, submission string) (n int) {
+// startsOf returns how many of the orders are starts of a submission.
+func startsOf(orders []dispatcher.Order, submission string) (n int) {
 	for _, o := range orders {
-		if o.Kind == kind && o.Task.Submission == submission {
+		if o.Kind == dispatcher.Start && o.Task.Submission == submission {
 			n++
 		}
 	}
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -121,6 +121,7 @@
 	now     time.Time
 	runners map[string]*simRunner
 	subs    []*submitter.Submission
+	waiting []delayedOrder // decided and not sent yet; at is when they are sent
 	delayed []delayedOrder
 	results []result
 	faulty  bool
@@ -261,10 +262,34 @@
 	}
 }
 
+// dueOrders returns the orders to send now. While there are faults, some wait before they
+// are sent.
+func (c *chaos) dueOrders() (due []Order) {
+	for _, o := range c.table.Orders() {
+		wait := 0
+		if c.faulty && rapid.IntRange(0, 10).Draw(c.t, "waits") == 1 {
+			wait = rapid.IntRange(0, 4000).Draw(c.t, "wait")
+		}
+		c.waiting = append(c.waiting, delayedOrder{c.now.Add(time.Duration(wait) * time.Millisecond), o, c.fence})
+	}
+	c.waiting = slices.DeleteFunc(c.waiting, func(d delayedOrder) bool {
+		if c.now.Before(d.at) {
+			return false
+		}
+		if d.fence == c.fence { // else the owner that decided the order has ended
+			if o, ok := c.table.Confirm(d.order, c.now); ok {
+				due = append(due, o)
+			}
+		}
+		return true
+	})
+	return due
+}
+
 // send passes the orders of the table to the runners. Some get no answer, and are carried
 // out at once, late, or never.
 func (c *chaos) send() {
-	for _, o := range c.table.Orders() {
+	for _, o := range c.dueOrders() {
 		r := c.runners[o.Runner]
 		timeout := result{c.now.Add(400 * time.Millisecond), o, Unanswered, c.fence}
 		lost := 0
--- /dev/null
+++ b/internal/version/dispatcher/confirm.go
@@ -0,0 +1,85 @@
+package dispatcher
+
+import "time"
+
+// maxQueuedStarts is the number of starts that may be decided and not sent yet. Further
+// starts are decided later, by what is known and most urgent then.
+const maxQueuedStarts = 128
+
+// Confirm returns an order as it is to be sent now, or false if it must not be sent: what
+// it was decided by may have changed while it waited. The caller calls it right before it
+// sends the order. A start that is not sent, or is to be stopped already, is withdrawn: its
+// run ends.
+//
+// Load: bursts in which an owner decides orders faster than it can send them.
+func (t *Table) Confirm(o Order, now time.Time) (confirmed Order, ok bool) {
+	x := t.find(o)
+	switch {
+	case x == nil:
+		return o, o.Kind == Stop // perhaps of a run that is not in the table
+	case o.Kind == Stop && x.isQueued:
+		t.end(x, now, "withdrawn: to be stopped")
+		return o, false
+	case o.Kind == Stop:
+		return o, true
+	case o.Kind == Pace:
+		o.Percent = x.pace
+		return o, true
+	}
+	if reason := t.withdrawal(x, o, now); reason != "" {
+		t.end(x, now, "withdrawn: "+reason)
+		return o, false
+	}
+	t.dequeue(x)
+	o.Until = t.LeaseUntil(o.Runner, now)
+	o.Ticket = x.st.permits[o.Runner].ticket
+	return o, true
+}
+
+// withdrawal returns why a start that has been decided must not be sent now, or "".
+func (t *Table) withdrawal(x *run, o Order, now time.Time) string {
+	if x.phase != starting {
+		return "to be stopped"
+	}
+	if o.Lifetime != x.runner.info.Lifetime {
+		return "runner was restarted"
+	}
+	if !x.st.isPermitted(x.runner, now) {
+		return string(notPermitted)
+	}
+	switch kept := t.obstacle(x.runner, x.st, &task{}, now); kept {
+	case otherService, unregistered, leaving, runsUnknown, silent:
+		return string(kept)
+	default:
+		return "" // what depends on room counts this run itself
+	}
+}
+
+// enqueue notes that a start has been decided and is not sent yet.
+func (t *Table) enqueue(x *run) {
+	x.isQueued = true
+	t.queuedStarts++
+}
+
+// dequeue notes that a start has been sent or withdrawn.
+func (t *Table) dequeue(x *run) {
+	if !x.isQueued {
+		return
+	}
+	x.isQueued = false
+	t.queuedStarts--
+	if t.isPlacementDeferred && t.queuedStarts <= maxQueuedStarts/2 {
+		t.isPlacementDeferred = false
+		t.placementDue = true
+	}
+}
+
+// isQueueFull reports whether further starts have to be decided later. The placement pass
+// is then repeated as soon as half of the queued starts are left.
+func (t *Table) isQueueFull() bool {
+	if t.queuedStarts < maxQueuedStarts {
+		return false
+	}
+	t.isPlacementDeferred = true
+	return true
+}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -64,6 +64,9 @@
 	list := t.candidates(now)
 	t.reserve(now)
 	for _, c := range list {
+		if t.isQueueFull() {
+			return
+		}
 		// A former owner may have started tasks where runs are not known yet.
 		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
 	}
@@ -145,6 +148,9 @@
 		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTracked) {
 			continue
 		}
+		if t.isQueueFull() {
+			return
+		}
 		if t.hadNoRoom(st) {
 			st.blockedAt = now
 			return
@@ -395,6 +401,7 @@
 	r := x.runner
 	until := t.LeaseUntil(r.info.ID, now)
 	t.recordRun(now, EventStarted, x, "placed")
+	t.enqueue(x)
 	t.orders = append(t.orders, Order{
 		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
 		Spec: x.st.s.sub.Spec, Checkpoint: x.task().checkpoint, Until: until, Ticket: x.st.permits[r.info.ID].ticket,
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -357,6 +357,7 @@
 		return
 	}
 	delete(r.runs, key)
+	t.dequeue(x)
 	r.used = r.used.Minus(st.spec.Reserved())
 	if st.spec.LongRunning {
 		r.usedForLong = r.usedForLong.Minus(st.spec.Reserved())
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -58,6 +58,7 @@
 	if x == nil {
 		return
 	}
+	t.dequeue(x)
 	if r := x.runner; lifetime > r.info.Lifetime {
 		t.resetRunner(r, lifetime, now) // this also stops the run, whose start was not confirmed
 		return
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -109,6 +109,7 @@
 	number       int64
 	runner       *runner
 	phase        phase
+	isQueued     bool // the start is decided and not sent yet
 	startedAt    time.Time
 	confirmedAt  time.Time
 	percent      int       // reported progress; 100 means ready for a long-running task
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -81,7 +81,13 @@
 	// placement pass.
 	reserved map[*runner]*stepState
 
-	orders         []Order         // decided since the last call of Orders
+	orders []Order // decided since the last call of Orders
+	// queuedStarts is the number of starts that are decided and not sent yet.
+	queuedStarts int
+	// isPlacementDeferred says that a placement pass ended early as too many starts were
+	// queued.
+	isPlacementDeferred bool
+
 	permitRequests []PermitRequest // decided since the last call of PermitRequests
 	dirty          []*submission   // submissions with unsaved progress, longest waiting first
 	// placementDue says that the next Schedule has to run a placement pass.
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -70,8 +70,8 @@
 	stalledFor := now.Sub(x.progressedAt)
 	silentFor := now.Sub(x.runner.answeredAt)
 	if x.st.spec.Speculative && (stalledFor > copyAfter || silentFor > copyAfter) && len(x.task().runs) == 1 && !x.task().done {
-		if !t.knowsAllRuns(now) {
-			return // the owner may not know all failures of the task yet
+		if !t.knowsAllRuns(now) || t.isQueueFull() {
+			return // the owner may not know all failures of the task yet, or is busy
 		}
 		if r := t.chooseOther(x.st, x.task(), x.runner, now); r != nil {
 			t.start(x.st, x.index, r, now)
