Keep a run that its runner lists, although its start was not answered in time

An owner short of processor time reads the answers to its starts after their timeout. A run that a report has listed needs no answer to its start. The test failed before with a stop order.

--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -209,6 +209,20 @@
 	})
 }
 
+// Guards against stopping a run that the runner lists, because the answer to its start was
+// late. An owner short of processor time stopped and restarted tasks for ever.
+func TestUnansweredStartThatTheRunnerLists(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	start := h.decideOne(oneCore(1))
+	h.reported["r0"] = []RunStatus{{Task: start.Task, Run: start.Run}}
+	h.poll("r0")
+	h.table.ApplyStart(start, Unanswered, 0, h.now)
+	if orders := h.table.Orders(); len(orders) != 0 {
+		t.Errorf("orders %+v, want none", orders)
+	}
+}
+
 func TestUnansweredStartAtARestartedRunner(t *testing.T) {
 	h := newHarness(t, 0, 2)
 	h.pollAll(2)
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -63,6 +63,9 @@
 		t.resetRunner(r, lifetime, now) // this also stops the run, whose start was not confirmed
 		return
 	}
+	if outcome == Unanswered && x.acknowledged {
+		return // the runner has listed the run meanwhile
+	}
 	if outcome == Succeeded {
 		x.acknowledged = true
 		if x.phase == starting {
