Ask right before each call to a runner whether the owner may still act

A successor assumes that an owner which can't confirm its record stops after 10 s. The owner looked at that limit only between two renewals, each of which may take 2.9 s, and a process that had been suspended went on with its orders and polls before the next renewal. Its calls are refused by every runner that the successor has reached, but not by those that it has not: there both could start the same task.

Each order and poll now asks the term first, by a clock that includes suspension.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -87,6 +87,9 @@
 	// ConfirmedAt returns the latest time at which this daemon is known to have
 	// been the owner.
 	ConfirmedAt func() time.Time
+	// MayAct reports whether this daemon may still act as the owner. It is asked right
+	// before each call to a runner.
+	MayAct func() bool
 	// OnDeposed is called when there is evidence of another owner.
 	OnDeposed func(reason string)
 }
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -72,6 +72,10 @@
 	if !ok {
 		return
 	}
+	if !c.opts.MayAct() {
+		c.applyResult(order, OrderResult{Outcome: dispatcher.NotSent})
+		return
+	}
 	began := time.Now()
 	c.noteWait(order, began.Sub(queued.decidedAt), began)
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
@@ -157,6 +161,10 @@
 		if !ok {
 			return
 		}
+		if !c.opts.MayAct() {
+			pauser.Sleep(ctx, pollRetryDelay)
+			continue
+		}
 		sentAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, poll.Wait+pollTimeout)
 		report, err := c.opts.RunnerClient.Poll(callCtx, to, poll)
--- a/internal/process/conductor/orders_test.go
+++ b/internal/process/conductor/orders_test.go
@@ -1,6 +1,9 @@
 package conductor
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Guards against starts that wait to be sent for seconds and are sent although their task
 // is done or cancelled by then.
@@ -23,3 +26,26 @@
 		t.Errorf("%d starts of a cancelled submission were sent", n)
 	}
 }
+
+// Guards against a process that acts, after a pause, on an ownership that has run out.
+func TestPausedOwnerSendsNothing(t *testing.T) {
+	t.Parallel()
+	c, client := startHeld(t)
+	client.release()
+	submit(c, "before", 1)
+	assertEventually(t, "the owner starts tasks", func() bool { return startsOf(client.orders(), "before") == 1 })
+	client.isPaused.Store(true)
+	submit(c, "paused", 1)
+	polls := client.polls.Load()
+	time.Sleep(3 * pollRetryDelay)
+	if n := startsOf(client.orders(), "paused"); n != 0 {
+		t.Errorf("%d starts were sent", n)
+	}
+	if n := client.polls.Load() - polls; n > 1 {
+		t.Errorf("%d polls were sent", n)
+	}
+	t.Run("until it is confirmed as the owner", func(t *testing.T) {
+		client.isPaused.Store(false)
+		assertEventually(t, "the task is started", func() bool { return startsOf(client.orders(), "paused") == 1 })
+	})
+}
--- a/internal/process/conductor/rig_test.go
+++ b/internal/process/conductor/rig_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,9 +64,13 @@
 	sent     []dispatcher.Order
 	began    time.Time
 	released chan struct{}
+	// isPaused says that the owner has been paused for longer than it may act.
+	isPaused atomic.Bool
+	polls    atomic.Int64
 }
 
 func (c *heldClient) Poll(ctx context.Context, _ dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
+	c.polls.Add(1)
 	pauser.Sleep(ctx, min(poll.Wait, 50*time.Millisecond))
 	return dispatcher.Report{Lifetime: 1, Clock: c.clock()}, ctx.Err()
 }
@@ -99,7 +104,7 @@
 			Capacity: submitter.Resources{MilliCores: 1_000_000, MemoryMB: 1_000_000},
 		}},
 		Split: partitioner.Split{Parts: 1}, Fence: 1,
-		ConfirmedAt: time.Now, OnDeposed: func(reason string) { t.Errorf("deposed: %s", reason) },
+		ConfirmedAt: time.Now, MayAct: func() bool { return !client.isPaused.Load() }, OnDeposed: func(reason string) { t.Errorf("deposed: %s", reason) },
 	}
 	c, err := Start(t.Context(), opts)
 	if err != nil {
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -392,7 +392,7 @@
 	}
 	owner.presence = owner.Fence // both keys have the revision of their transaction
 	term = newTerm(ctx, e, owner, last, lease)
-	term.confirmedBoot = startBoot
+	term.confirmedBoot.Store(int64(startBoot))
 	term.confirm(claimedAt)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -28,7 +28,7 @@
 	confirmed atomic.Pointer[time.Time]
 	// confirmedBoot is the bootTime, which includes suspension of the host, at the
 	// last confirmation by claim or renew.
-	confirmedBoot time.Duration
+	confirmedBoot atomic.Int64
 }
 
 func newTerm(ctx context.Context, e *Elector, owner, former Owner, lease int64) *Term {
@@ -53,6 +53,16 @@
 // this daemon, so that no other daemon owned the part.
 func (t *Term) ConfirmedAt() time.Time { return *t.confirmed.Load() }
 
+// MayAct reports whether the owner may still act: the term has not ended, and the record
+// was confirmed recently enough, also counting the time for which the host was suspended.
+// A successor relies on it.
+func (t *Term) MayAct() bool { return t.ctx.Err() == nil && t.unconfirmedFor() <= MaxUnconfirmed }
+
+// unconfirmedFor returns the time since the last confirmation by claim or renew.
+func (t *Term) unconfirmedFor() time.Duration {
+	return bootTime() - time.Duration(t.confirmedBoot.Load())
+}
+
 // confirm notes that the owner record still named this daemon at the given time.
 func (t *Term) confirm(at time.Time) {
 	if last := t.confirmed.Load(); last == nil || at.After(*last) {
@@ -86,14 +96,14 @@
 		if err == nil {
 			err = t.checkRecord()
 		}
-		if err != nil && bootTime()-t.confirmedBoot > MaxUnconfirmed {
+		if err != nil && t.unconfirmedFor() > MaxUnconfirmed {
 			t.Depose(time.Now(), "the owner record could not be confirmed")
 			return
 		}
 		switch {
 		case t.ctx.Err() != nil:
 		case err == nil:
-			t.confirmedBoot = startBoot
+			t.confirmedBoot.Store(int64(startBoot))
 			t.confirm(checkedAt)
 		case errors.Is(err, errReplaced):
 			t.Depose(time.Now(), err.Error())
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -119,8 +119,8 @@
 		Adviser: d.s.opts.Adviser, Recorder: d.s.opts.Recorder, Metrics: d.s.metrics,
 		Part: owner.Part, Split: d.split, OwnerKey: elector.RecordKey(owner.Part),
 		Fence: owner.Fence, Generation: owner.Generation, FormerOwnerEnd: formerEnd,
-		ConfirmedAt: term.ConfirmedAt,
-		OnDeposed:   func(reason string) { term.Depose(time.Now(), reason) },
+		ConfirmedAt: term.ConfirmedAt, MayAct: term.MayAct,
+		OnDeposed: func(reason string) { term.Depose(time.Now(), reason) },
 	}
 	for ctx.Err() == nil {
 		c, err := conductor.Start(ctx, opts)
