Take a former owner for ended only once its term has ended

A daemon that was elected and still loads its records does not serve yet. Its successor took that for the end of the term, while the other one, on a slow store, goes on to serve until it learns of the successor. At a runner that only the other one reaches, the successor would then count leases as lapsed that are still renewed, and start tasks again. A term that ends before it has served is now reported as ended, too.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -169,11 +169,6 @@
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.Configure(config, now) })
 }
 
-// FormerOwnerEnded tells the table that the former owner has stopped.
-func (c *Conductor) FormerOwnerEnded() {
-	c.apply(func(t *dispatcher.Table, now time.Time) { t.FormerOwnerEnded(now) })
-}
-
 // MarkSettled tells the table that the former owner has stopped, and on which
 // runners the former owner had no stop order in progress.
 func (c *Conductor) MarkSettled(runners []string) {
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -122,6 +122,8 @@
 		ConfirmedAt: term.ConfirmedAt, MayAct: term.MayAct,
 		OnDeposed: func(reason string) { term.Depose(time.Now(), reason) },
 	}
+	ended := relayer.TermStatus{Ended: owner.Fence}
+	defer func() { d.endedTerms[owner.Part].Store(&ended) }()
 	for ctx.Err() == nil {
 		c, err := conductor.Start(ctx, opts)
 		if err != nil {
@@ -136,7 +138,7 @@
 		<-ctx.Done()
 		d.conductors[owner.Part].Store(nil)
 		c.Close()
-		d.endedTerms[owner.Part].Store(&relayer.TermStatus{Ended: owner.Fence, Settled: c.Settled()})
+		ended.Settled = c.Settled()
 	}
 }
 
@@ -148,22 +150,30 @@
 	for ctx.Err() == nil && time.Now().Before(formerEnd) {
 		if c := d.conductors[former.Part].Load(); c != nil {
 			term, err := d.formerTerm(ctx, former)
-			switch {
-			case err != nil:
-			case term.Instance == former.Instance && term.Ended == former.Fence:
-				c.MarkSettled(term.Settled)
+			if err == nil && isOver(term, former) {
+				c.MarkSettled(settledBy(term, former))
 				return
-			case term.Instance != former.Instance:
-				c.FormerOwnerEnded()
-				return
-			case !term.Serves:
-				c.FormerOwnerEnded() // a later answer may list the settled runners
 			}
 		}
 		pauser.Sleep(ctx, askInterval)
 	}
 }
 
+// isOver reports whether the term of a former owner has ended, by what its daemon reports
+// about its terms. A daemon that does not serve may still be loading the records of that
+// term, and begin to serve before it learns of its successor.
+func isOver(term relayer.TermStatus, former elector.Owner) bool {
+	return term.Instance != former.Instance || term.Ended == former.Fence
+}
+
+// settledBy returns the runners that a former owner has left without a stop in progress.
+func settledBy(term relayer.TermStatus, former elector.Owner) []string {
+	if term.Instance != former.Instance {
+		return nil // of a later process
+	}
+	return term.Settled
+}
+
 // formerTerm asks the former owner's daemon for its status for the part.
 func (d *duties) formerTerm(ctx context.Context, former elector.Owner) (relayer.TermStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
