--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/standin/memorystore"
 )
 
 const (
@@ -20,7 +21,7 @@
 // A group is a set of electors that share a store.
 type group struct {
 	t        *testing.T
-	store    *memoryStore
+	store    *memorystore.Store
 	parts    int
 	electors []*Elector
 
@@ -31,7 +32,7 @@
 // newGroup starts electors named e0, e1 and so on.
 func newGroup(t *testing.T, electors, parts int) *group {
 	t.Helper()
-	g := &group{t: t, store: newMemoryStore(), parts: parts, running: make(map[int]map[string]*Term)}
+	g := &group{t: t, store: memorystore.New(), parts: parts, running: make(map[int]map[string]*Term)}
 	for part := range parts {
 		g.running[part] = make(map[string]*Term)
 	}
@@ -163,7 +164,7 @@
 	t.Parallel()
 	g := newGroup(t, 2, 1)
 	former := g.term(0)
-	g.store.removeKey(presenceKey(0))
+	g.store.Remove(presenceKey(0))
 	g.await("the former term to end", func() bool { return former.ctx.Err() != nil })
 	g.await("a successor", func() bool { return g.term(0).Owner.Fence > former.Owner.Fence })
 }
