Watch for the split instead of polling it

Cause: daemons learnt of the split at their next read, up to 150 ms and a call apart. Each one's campaign delay began there, so the polls decided as much about the order of claims as the delays did. The daemon that had written the split slept like the others.

Change: a daemon reads the split once and then watches its key, for 500 ms at a time, after each of which it looks whether another daemon still counts the runners. A watch without an answer ends after 1.2 s more; after errors and compactions the daemon pauses and reads again. The daemon that counts watches for 150 ms between two counts, as often as it read before, and returns the split that it has written at once.

The store answers all waiting watches when the key is written, so daemons learn of it within a call's time, or two if it looks for the counting key meanwhile. A waiting daemon makes two calls in 500 ms instead of two in 150 ms.

--- a/internal/process/scheduler/agreement.go
+++ b/internal/process/scheduler/agreement.go
@@ -30,8 +30,12 @@
 	countTimeout = 3 * time.Second
 	// countingTTL is the duration of the lease under which a daemon counts.
 	countingTTL = 3 * time.Second
-	// splitRetryInterval is the pause between two reads of the split.
-	splitRetryInterval = 150 * time.Millisecond
+	// splitWatchWait is how long a watch for the split waits. After it the daemon checks
+	// whether another one still counts the runners.
+	splitWatchWait = 500 * time.Millisecond
+	// countInterval is the pause between two counts of the runners, and after a failed
+	// call.
+	countInterval = 150 * time.Millisecond
 	// stableAfter is how long the number of runners must have been unchanged before
 	// a daemon proposes a split. When hundreds of runners register, they do so within
 	// one heartbeat interval of a second or more, so the number changes at much shorter
@@ -43,6 +47,12 @@
 	proposalDelayFactor = 4
 )
 
+// unknownRevision makes awaitSplit read the split instead of watching for it.
+const unknownRevision = -1
+
+// errSplitExists is returned if another daemon has written a split first.
+var errSplitExists = errors.New("the split exists already")
+
 // A runnerCount follows the number of runners until the split is known.
 type runnerCount struct {
 	runners int
@@ -69,30 +79,72 @@
 // runners writes it.
 //
 // Load: hundreds of daemons that start at once beside thousands of runners. One daemon
-// counts at a time, and all others only read the split.
+// counts at a time, and all others watch for the split.
 func (s *Scheduler) agreeOnSplit(ctx context.Context) (split partitioner.Split, err error) {
 	startedAt := time.Now()
 	var count runnerCount
 	var lease int64
+	revision, wait := int64(unknownRevision), time.Duration(0)
 	for {
-		split, err = s.readSplit(ctx)
+		split, revision, err = s.awaitSplit(ctx, revision, wait)
+		untilProposal := proposalDelayFactor*s.opts.CampaignDelay(0, 0) - time.Since(startedAt)
 		switch {
 		case err == nil:
 			return split, nil
+		case errors.Is(err, transactor.ErrCompacted):
+			pauser.Sleep(ctx, countInterval)
 		case !errors.Is(err, transactor.ErrNotFound):
 			s.recordSplitFailure(ctx, "read split", err)
-		case time.Since(startedAt) < proposalDelayFactor*s.opts.CampaignDelay(0, 0):
-		case s.mayCount(ctx, &lease):
-			if s.countRunners(ctx, &count); count.isStable(stableAfter) {
-				s.proposeSplit(ctx, partitioner.ChooseSplit(count.runners, s.opts.Cores), count.runners)
+			pauser.Sleep(ctx, countInterval)
+		case untilProposal > 0:
+			wait = min(splitWatchWait, untilProposal)
+		case !s.mayCount(ctx, &lease):
+			wait = splitWatchWait
+		default:
+			wait = countInterval
+			if s.countRunners(ctx, &count); !count.isStable(stableAfter) {
+				break
+			}
+			if split, err = s.proposeSplit(ctx, count.runners); err == nil {
+				return split, nil
 			}
 		}
-		if !pauser.Sleep(ctx, splitRetryInterval) {
+		if ctx.Err() != nil {
 			return split, ctx.Err()
 		}
 	}
 }
 
+// awaitSplit waits up to the given time for the split to be written after a revision,
+// or reads it if the revision is unknown. It returns ErrNotFound if there is no split.
+// revision is where the next call continues.
+func (s *Scheduler) awaitSplit(ctx context.Context, after int64, wait time.Duration) (split partitioner.Split, revision int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+splitTimeout)
+	defer cancel()
+	var items []transactor.Item
+	if after == unknownRevision {
+		items, revision, err = s.opts.Store.List(ctx, splitKey)
+	} else {
+		var events []transactor.Event
+		events, revision, err = s.opts.Store.Watch(ctx, splitKey, after, wait)
+		for _, event := range events {
+			if !event.Deleted {
+				items = append(items, event.Item)
+			}
+		}
+	}
+	if err != nil {
+		return split, unknownRevision, err
+	}
+	for _, item := range items {
+		if item.Key == splitKey {
+			split, err = partitioner.Decode(item.Value)
+			return split, unknownRevision, err
+		}
+	}
+	return split, revision, transactor.ErrNotFound
+}
+
 // mayCount reports whether this daemon is the one that counts the runners. lease is that
 // of its counting key, or zero.
 func (s *Scheduler) mayCount(ctx context.Context, lease *int64) bool {
@@ -152,19 +204,10 @@
 	count.observe(runners, readAt)
 }
 
-func (s *Scheduler) readSplit(ctx context.Context) (split partitioner.Split, err error) {
-	ctx, cancel := context.WithTimeout(ctx, splitTimeout)
-	defer cancel()
-	item, err := s.opts.Store.Get(ctx, splitKey)
-	if err != nil {
-		return split, err
-	}
-	return partitioner.Decode(item.Value)
-}
-
-// proposeSplit writes a split unless there is one already. In both cases the caller
-// reads the stored split afterwards.
-func (s *Scheduler) proposeSplit(ctx context.Context, split partitioner.Split, runners int) {
+// proposeSplit writes and returns a split for a number of runners. It fails if there is
+// one already.
+func (s *Scheduler) proposeSplit(ctx context.Context, runners int) (split partitioner.Split, err error) {
+	split = partitioner.ChooseSplit(runners, s.opts.Cores)
 	value, err := split.Encode()
 	created := false
 	if err == nil {
@@ -173,12 +216,15 @@
 	switch {
 	case err != nil:
 		s.recordSplitFailure(ctx, "propose split", err)
-	case created:
-		s.opts.Recorder.Record(time.Now(), EventSplit, recorder.Fields{
-			"parts": strconv.Itoa(split.Parts), "runners": strconv.Itoa(runners),
-			"cores": strconv.FormatFloat(s.opts.Cores, 'f', 2, 64),
-		})
+		return split, err
+	case !created:
+		return split, errSplitExists
 	}
+	s.opts.Recorder.Record(time.Now(), EventSplit, recorder.Fields{
+		"parts": strconv.Itoa(split.Parts), "runners": strconv.Itoa(runners),
+		"cores": strconv.FormatFloat(s.opts.Cores, 'f', 2, 64),
+	})
+	return split, nil
 }
 
 func (s *Scheduler) recordSplitFailure(ctx context.Context, action string, err error) {
