Let small daemons wait for those that the split was chosen for

Orders, stops and ends took seconds, so tasks ran on after their cancellation and were started late.

Cause: larger daemons go first by a campaign delay of 40 ms for each halving of the processor share. Each daemon counts it from when it notices that the part is vacant, and they notice further apart than the 82 ms between these two sizes.

Change: the stored split names the cores that it was chosen for; records without them are read as before. A daemon with fewer waits 100 ms more for each halving, and one with at least as many waits no longer than before. As a large one would otherwise take the parts of many small ones, its third and further parts cost it 100 ms for each doubling. The wait is known to the scheduler only, so the campaign delays move to a file of their own.

The difference between two sizes now exceeds the time by which daemons of a fleet differ in noticing, which is that of two or three calls.

--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -42,10 +42,7 @@
 		s: s, split: split, conductors: make([]atomic.Pointer[conductor.Conductor], split.Parts),
 		endedTerms: make([]atomic.Pointer[relayer.TermStatus], split.Parts),
 	}
-	d.elector = elector.New(elector.Options{
-		Store: s.opts.Store, Instance: s.opts.Instance, Address: s.opts.PeerAddress, Parts: split.Parts,
-		CampaignDelay: s.campaignDelay, Recorder: s.opts.Recorder, Serve: d.serveOwner,
-	})
+	d.elector = d.newElector(d.serveOwner)
 	d.gateway = gateway.New(gateway.Options{
 		Store: s.opts.Store, Elector: d.elector, Peers: s.client, Recorder: s.opts.Recorder,
 		Split: split, LocalOwner: d.localOwner, IsStoreLost: s.opts.Declarations.IsStoreLost,
@@ -54,6 +51,15 @@
 	return d
 }
 
+// newElector returns an elector that runs serve while the daemon owns a part.
+func (d *duties) newElector(serve func(ctx context.Context, term *elector.Term)) *elector.Elector {
+	opts := &d.s.opts
+	return elector.New(elector.Options{
+		Store: opts.Store, Instance: opts.Instance, Address: opts.PeerAddress, Parts: d.split.Parts,
+		CampaignDelay: d.campaignDelay, Recorder: opts.Recorder, Serve: serve,
+	})
+}
+
 // close stops the duties and waits until they have ended.
 func (d *duties) close() {
 	d.elector.Close()
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -234,20 +234,3 @@
 		duties.configure(config.Dispatch)
 	}
 }
-
-// unconfiguredDelay is how long a daemon that has not read the configuration waits in
-// an election in favour of those that have: it could start nothing.
-const unconfiguredDelay = 300 * time.Millisecond
-
-// campaignDelay returns how long this daemon waits in the election for a part, given
-// the number of parts that it owns.
-//
-// Load: daemons that restart in turn while the store is out. The records of owners may
-// be readable again before the configuration is.
-func (s *Scheduler) campaignDelay(part, owned int) time.Duration {
-	delay := s.opts.CampaignDelay(part, owned)
-	if _, ok := s.config.Get(); !ok {
-		delay += unconfiguredDelay
-	}
-	return delay
-}
--- a/internal/version/partitioner/split.go
+++ b/internal/version/partitioner/split.go
@@ -27,6 +27,9 @@
 // of a deployment never changes, because submissions stay in their partition.
 type Split struct {
 	Parts int `json:"parts"`
+	// Cores is the number of cores of an owner for which the number of partitions was
+	// chosen; zero if not known.
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // ChooseSplit returns the split for a number of runners and the cores available
@@ -36,7 +39,7 @@
 	if cores > 0 {
 		size = min(maxRunners, max(minRunners, cores*runnersPerCore))
 	}
-	return Split{Parts: max(1, int(math.Round(float64(runners)/size)))}
+	return Split{Parts: max(1, int(math.Round(float64(runners)/size))), Cores: max(0, cores)}
 }
 
 // Decode reads a split from the form that Encode returns.
--- a/internal/version/partitioner/split_test.go
+++ b/internal/version/partitioner/split_test.go
@@ -84,6 +84,22 @@
 			t.Errorf("decoded %v, %v, want 3 partitions", got, err)
 		}
 	})
+	t.Run("the cores that the number was chosen for", func(t *testing.T) {
+		t.Parallel()
+		data, err := ChooseSplit(490, 0.8).Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Decode(data); err != nil || got.Cores != 0.8 {
+			t.Errorf("decoded %+v, %v, want 0.8 cores", got, err)
+		}
+	})
+	t.Run("a split without cores", func(t *testing.T) {
+		t.Parallel()
+		if got, err := Decode([]byte(`{"parts":3}`)); err != nil || got != (Split{Parts: 3}) {
+			t.Errorf("decoded %+v, %v, want 3 partitions of unknown cores", got, err)
+		}
+	})
 	for _, bad := range []string{"", "{}", `{"parts":-1}`, "x"} {
 		t.Run("bad "+bad, func(t *testing.T) {
 			t.Parallel()
