Start the campaign delay anew when a part becomes vacant again

What callers could see: a part that changed owners twice within some hundred milliseconds, as in a series of stops, went to a daemon that should have let others go first. Found by reading; no report shows it. The longer wait of small daemons makes it likelier.

Cause: a campaign slept until its delay had passed and then only looked whether the part was vacant. If another daemon had owned it and given it up meanwhile, the campaign claimed it at once, while the others' delays began at the later vacancy.

Change: a campaign ends without a claim if the part's record has another fencing token than when it began. The elector then reads the records and starts a new campaign.

Evidence, on the code before:

TestDelayStartsAnewAtEachVacancy: owner e2, want e1, which has the shorter delay

Each claim changes the record, so a campaign that sees the same token has waited its delay for this vacancy.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -315,11 +315,12 @@
 }
 
 // claimInTurn waits for this daemon's turn in the election and claims a part. It
-// returns no term if the part is no longer vacant or another daemon claims it first.
+// returns no term if another daemon has claimed it since the campaign began, even if it
+// is vacant again: the delay starts anew then.
 func (e *Elector) claimInTurn(ctx context.Context, part int) (term *Term, err error) {
-	delay := ageDelay(time.Since(e.startedAt))
+	delay, fence := ageDelay(time.Since(e.startedAt)), e.Current(part).Fence
 	for waited := time.Duration(0); ; {
-		term, remaining, err := e.tryClaim(ctx, part, waited-delay)
+		term, remaining, err := e.tryClaim(ctx, part, fence, waited-delay)
 		if remaining <= 0 {
 			return term, err
 		}
@@ -330,21 +331,21 @@
 	}
 }
 
-// tryClaim claims a part if it is still vacant and the campaign delay has passed;
-// otherwise it returns the part of the delay that remains. waited is how long the
-// campaign has lasted, less the daemon's age delay.
+// tryClaim claims a part if it is still vacant, its record still has the given fencing
+// token, and the campaign delay has passed; otherwise it returns the part of the delay
+// that remains. waited is how long the campaign has lasted, less the daemon's age delay.
 //
 // Load: the end of a daemon that owned several parts, or of all daemons. Each part
 // that this daemon wins lengthens its delay for the next, so that the parts spread
 // over all daemons of similar size.
-func (e *Elector) tryClaim(ctx context.Context, part int, waited time.Duration) (term *Term, remaining time.Duration, err error) {
+func (e *Elector) tryClaim(ctx context.Context, part int, fence int64, waited time.Duration) (term *Term, remaining time.Duration, err error) {
 	e.claimMu.Lock()
 	defer e.claimMu.Unlock()
 	if wait := e.opts.CampaignDelay(part, e.ownedCount()); waited < wait {
 		return nil, wait - waited, nil
 	}
 	last := e.Current(part)
-	if !e.isVacant(last) || e.hasResigned() {
+	if last.Fence != fence || !e.isVacant(last) || e.hasResigned() {
 		return nil, 0, nil
 	}
 	term, err = e.claim(ctx, last)
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -214,3 +215,28 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a daemon that counts its delay from an earlier vacancy of the part, and
+// so claims it before daemons with shorter delays.
+func TestDelayStartsAnewAtEachVacancy(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := &group{t: t, store: memorystore.New(), parts: 1, running: map[int]map[string]*Term{0: {}}}
+		for i, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+			e := New(Options{
+				Store: g.store, Instance: fmt.Sprint("e", i), Address: fmt.Sprint("host", i), Parts: 1,
+				CampaignDelay: func(int, int) time.Duration { return delay },
+				Recorder:      recorder.Discard{}, Serve: g.serve,
+			})
+			g.electors = append(g.electors, e)
+			e.Run(t.Context())
+			defer e.Close()
+		}
+		time.Sleep(250 * time.Millisecond)
+		g.electors[0].Resign(t.Context())
+		time.Sleep(time.Second)
+		if owner := g.owners()[0]; owner != "e1" {
+			t.Errorf("owner %s, want e1, which has the shorter delay", owner)
+		}
+	})
+}
