--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+	"github.com/kumquatstack/kumquatstack/internal/standin/memorystore"
 )
 
 const (
@@ -20,7 +22,7 @@
 // A group is a set of electors that share a store.
 type group struct {
 	t        *testing.T
-	store    *memoryStore
+	store    *memorystore.Store
 	parts    int
 	electors []*Elector
 
@@ -31,7 +33,7 @@
 // newGroup starts electors named e0, e1 and so on.
 func newGroup(t *testing.T, electors, parts int) *group {
 	t.Helper()
-	g := &group{t: t, store: newMemoryStore(), parts: parts, running: make(map[int]map[string]*Term)}
+	g := &group{t: t, store: memorystore.New(), parts: parts, running: make(map[int]map[string]*Term)}
 	for part := range parts {
 		g.running[part] = make(map[string]*Term)
 	}
@@ -163,7 +165,7 @@
 	t.Parallel()
 	g := newGroup(t, 2, 1)
 	former := g.term(0)
-	g.store.removeKey(presenceKey(0))
+	g.store.Remove(presenceKey(0))
 	g.await("the former term to end", func() bool { return former.ctx.Err() != nil })
 	g.await("a successor", func() bool { return g.term(0).Owner.Fence > former.Owner.Fence })
 }
@@ -213,3 +215,28 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a daemon that counts its delay from an earlier vacancy of the part, and
+// so claims it before daemons with shorter delays.
+func TestDelayStartsAnewAtEachVacancy(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := &group{t: t, store: memorystore.New(), parts: 1, running: map[int]map[string]*Term{0: {}}}
+		for i, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+			e := New(Options{
+				Store: g.store, Instance: fmt.Sprint("e", i), Address: fmt.Sprint("host", i), Parts: 1,
+				CampaignDelay: func(int, int) time.Duration { return delay },
+				Recorder:      recorder.Discard{}, Serve: g.serve,
+			})
+			g.electors = append(g.electors, e)
+			e.Run(t.Context())
+			defer e.Close()
+		}
+		time.Sleep(250 * time.Millisecond)
+		g.electors[0].Resign(t.Context())
+		time.Sleep(time.Second)
+		if owner := g.owners()[0]; owner != "e1" {
+			t.Errorf("owner %s, want e1, which has the shorter delay", owner)
+		}
+	})
+}
