Send paces before starts

During a burst there is always a start that waits, so that paces, which came last, were not sent at all, and best-effort tasks went on disturbing services. Found in review, by a probe in which one pace behind 128 starts was not sent within 10,000 orders. There is at most one pace a run under way, so paces can't hold up starts for long.

--- a/internal/process/conductor/orderqueue.go
+++ b/internal/process/conductor/orderqueue.go
@@ -13,9 +13,10 @@
 	decidedAt time.Time
 }
 
-// precedence lists the kinds of orders, those that are sent first first. Stops free room,
-// and what they stop may be on its way to run twice.
-var precedence = [...]dispatcher.Kind{dispatcher.Stop, dispatcher.Start, dispatcher.Pace}
+// precedence lists the kinds of orders, those that are sent first first. Starts go last:
+// during a burst there is always one that waits, while stops free room and paces protect
+// services, and there is at most one pace a run.
+var precedence = [...]dispatcher.Kind{dispatcher.Stop, dispatcher.Pace, dispatcher.Start}
 
 // An orderQueue holds the orders that wait to be sent, and counts the senders: goroutines
 // that each send one order at a time until the queue is empty. It is safe for concurrent
