Let orders wait while an owner may not act

They were answered as not sent, so that each task was placed on one runner after the other, all of them were suspended, and a task used up hundreds of run numbers in the seconds until the owner was deposed or confirmed. Found in review. Orders now wait and are confirmed when the owner may act again.

--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -35,6 +35,9 @@
 	idleWait = 1500 * time.Millisecond
 	// pollTimeout is the time that a poll may take beyond its wait.
 	pollTimeout = 700 * time.Millisecond
+	// authorityRetryDelay is the pause before an owner that may not act looks whether it
+	// may again.
+	authorityRetryDelay = 100 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// saveWaitTimeout limits how long the next poll is delayed until the ended runs
@@ -62,6 +65,11 @@
 
 // send sends an order to a runner, if the order still holds, and applies the result.
 func (c *Conductor) send(queued queuedOrder) {
+	for !c.opts.MayAct() {
+		if !pauser.Sleep(c.ctx, authorityRetryDelay) {
+			return
+		}
+	}
 	var order dispatcher.Order
 	var address string
 	ok := false
@@ -72,10 +80,6 @@
 	if !ok {
 		return
 	}
-	if !c.opts.MayAct() {
-		c.applyResult(order, OrderResult{Outcome: dispatcher.NotSent})
-		return
-	}
 	began := time.Now()
 	c.noteWait(order, began.Sub(queued.decidedAt), began)
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
@@ -162,7 +166,7 @@
 			return
 		}
 		if !c.opts.MayAct() {
-			pauser.Sleep(ctx, pollRetryDelay)
+			pauser.Sleep(ctx, authorityRetryDelay)
 			continue
 		}
 		sentAt := time.Now()
--- a/internal/process/conductor/orders_test.go
+++ b/internal/process/conductor/orders_test.go
@@ -37,7 +37,7 @@
 	client.isPaused.Store(true)
 	submit(c, "paused", 1)
 	polls := client.polls.Load()
-	time.Sleep(3 * pollRetryDelay)
+	time.Sleep(5 * authorityRetryDelay)
 	if n := startsOf(client.orders(), "paused"); n != 0 {
 		t.Errorf("%d starts were sent", n)
 	}
