Queue one stop a run, and drop stops of runs that have ended

A stop was repeated 0.7 s and the stop's own timeout after its decision, also while the first one still waited to be sent, and stops went out for runs that had ended meanwhile. A wave of cancellations could so send each stop twice, ahead of all starts. Found in review. A stop is now repeated that long after it was sent.

--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -16,11 +16,12 @@
 	x := t.find(o)
 	switch {
 	case x == nil:
-		return o, o.Kind == Stop // perhaps of a run that is not in the table
+		return o, o.isUnknown
 	case o.Kind == Stop && x.isQueued:
 		t.end(x, now, "withdrawn: to be stopped")
 		return o, false
 	case o.Kind == Stop:
+		x.isStopQueued, x.stopOrderedAt = false, now
 		return o, true
 	case o.Kind == Pace:
 		o.Percent = x.pace
--- a/internal/version/dispatcher/confirm_test.go
+++ b/internal/version/dispatcher/confirm_test.go
@@ -116,11 +116,26 @@
 	})
 	t.Run("the stop of a run that is not in the table", func(t *testing.T) {
 		h := newHarness(t, 0, 1)
-		stop := Order{Kind: Stop, Runner: "r0", Task: submitter.TaskID{Submission: "unknown"}, Run: 1}
-		if _, ok := h.table.Confirm(stop, h.now); !ok {
+		h.reported["r0"] = []RunStatus{{Task: submitter.TaskID{Submission: "unknown"}, Run: 1}}
+		h.poll("r0")
+		h.advance(unknownRunGrace + time.Millisecond)
+		h.poll("r0")
+		stops := h.table.Orders()
+		if len(stops) != 1 {
+			t.Fatalf("orders %+v, want one stop", stops)
+		}
+		if _, ok := h.table.Confirm(stops[0], h.now); !ok {
 			t.Error("not sent")
 		}
 	})
+	t.Run("not the stop of a run that has ended", func(t *testing.T) {
+		h, start, stop := newStopHarness(t)
+		h.reported["r0"] = nil
+		h.poll("r0", End{Task: start.Task, Run: start.Run, Kind: Done})
+		if _, ok := h.table.Confirm(stop, h.now); ok {
+			t.Error("sent")
+		}
+	})
 }
 
 // Load: bursts of more tasks than the owner can start at a time. What is decided late is
@@ -148,3 +163,38 @@
 	}
 	assertStarts(t, next, maxQueuedStarts/2)
 }
+
+// newStopHarness returns a harness with a run on r0 of which the stop was ordered.
+func newStopHarness(t *testing.T) (h *harness, start, stop Order) {
+	t.Helper()
+	h = newHarness(t, 0, 1)
+	h.poll("r0")
+	h.add("a", "urgent", oneCore(1))
+	starts := h.starts()
+	assertStarts(t, starts, 1)
+	h.table.Cancel("a", h.now)
+	stops := h.table.Orders()
+	if len(stops) != 1 || stops[0].Kind != Stop {
+		t.Fatalf("orders %+v, want one stop", stops)
+	}
+	return h, starts[0], stops[0]
+}
+
+// Guards against stops that are repeated while the first one still waits to be sent, and
+// then hold up all other orders.
+func TestStopIsNotRepeatedBeforeItIsSent(t *testing.T) {
+	h, _, stop := newStopHarness(t)
+	assertStops := func(want int) {
+		t.Helper()
+		h.advance(stopRetryAfter + testLimits.StopTimeout + time.Millisecond)
+		h.poll("r0")
+		if n := kinds(h.table.Orders())[Stop]; n != want {
+			t.Errorf("%d further stops, want %d", n, want)
+		}
+	}
+	assertStops(0)
+	if _, ok := h.table.Confirm(stop, h.now); !ok {
+		t.Fatal("the stop is not sent")
+	}
+	t.Run("but after it", func(*testing.T) { assertStops(1) })
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -187,7 +187,7 @@
 // stopUnknown orders the stop of a run that is not in the table.
 func (t *Table) stopUnknown(r *runner, key runKey, now time.Time) {
 	r.unknownStoppedAt = now
-	t.orders = append(t.orders, Order{Kind: Stop, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: key.task, Run: key.run})
+	t.orders = append(t.orders, Order{Kind: Stop, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: key.task, Run: key.run, isUnknown: true})
 }
 
 // step returns the state of a task's step, after setting up all occurrences up to
@@ -383,11 +383,21 @@
 	if x.phase == stopping {
 		return
 	}
-	x.phase, x.stopOrderedAt, x.stoppedAt = stopping, now, time.Time{}
+	x.phase, x.stoppedAt = stopping, time.Time{}
 	t.recordRun(now, EventStopping, x, reason)
-	t.orders = append(t.orders, t.stopOrder(x))
+	t.orderStop(x, now)
 }
 
-func (t *Table) stopOrder(x *run) Order {
+// orderStop orders the stop of a run, unless a stop of the run waits to be sent.
+func (t *Table) orderStop(x *run, now time.Time) {
+	x.stopOrderedAt = now
+	if x.isStopQueued {
+		return
+	}
+	x.isStopQueued = true
+	t.orders = append(t.orders, stopOrder(x))
+}
+
+func stopOrder(x *run) Order {
 	return Order{Kind: Stop, Runner: x.runner.info.ID, Lifetime: x.runner.info.Lifetime, Task: x.id(), Run: x.number}
 }
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -103,6 +103,7 @@
 	if x == nil {
 		return
 	}
+	x.isStopQueued = false
 	switch outcome {
 	case Succeeded:
 		x.acknowledged = true
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -133,6 +133,7 @@
 	// stopOrderedAt is when a stop was last ordered, stoppedAt when the runner
 	// first confirmed one.
 	stopOrderedAt time.Time
+	isStopQueued  bool // the stop is decided and not sent yet
 	stoppedAt     time.Time
 	// acknowledged says that the runner has confirmed the run or a stop of it: from
 	// then on the runner's reports tell whether it runs.
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -191,6 +191,8 @@
 	Ticket     string // ticket of the permit, if the queue needs permits
 	// Until is the end of the lease, in milliseconds on the runner's clock.
 	Until int64
+	// isUnknown says that the run to stop is not in the table.
+	isUnknown bool
 	// Percent is the pace that a paced task gets, in percent of its full speed.
 	Percent int
 }
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -59,8 +59,7 @@
 func (t *Table) watchRun(x *run, now time.Time) {
 	if x.phase == stopping {
 		if now.Sub(x.stopOrderedAt) > stopRetryAfter+t.limits.StopTimeout {
-			x.stopOrderedAt = now
-			t.orders = append(t.orders, t.stopOrder(x))
+			t.orderStop(x, now)
 		}
 		return
 	}
