Withdraw a gang as a whole

Members were confirmed one by one, so that some of a gang could be sent and the others be withdrawn, by a change of the configuration or as a permit came near its end; those that were sent then waited for the others in vain (GANG). Found in review; the test of a gang whose queue moves failed before. A start for a runner that was suspended meanwhile is withdrawn, too.

--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxQueuedStarts is the number of starts that may be decided and not sent yet. Further
 // starts are decided later, by what is known and most urgent then.
@@ -18,7 +21,7 @@
 	case x == nil:
 		return o, o.isUnknown
 	case o.Kind == Stop && x.isQueued:
-		t.end(x, now, "withdrawn: to be stopped")
+		t.withdraw(x, now, "to be stopped")
 		return o, false
 	case o.Kind == Stop:
 		x.isStopQueued, x.stopOrderedAt = false, now
@@ -27,8 +30,8 @@
 		o.Percent = x.pace
 		return o, true
 	}
-	if reason := t.withdrawal(x, o, now); reason != "" {
-		t.end(x, now, "withdrawn: "+reason)
+	if reason := t.withdrawal(x, now); reason != "" {
+		t.withdraw(x, now, reason)
 		return o, false
 	}
 	t.dequeue(x)
@@ -37,22 +40,35 @@
 	return o, true
 }
 
-// withdrawal returns why a start that has been decided must not be sent now, or "".
-func (t *Table) withdrawal(x *run, o Order, now time.Time) string {
-	if x.phase != starting {
-		return "to be stopped"
+// withdraw ends a run whose start is not sent. The other members of its gang are withdrawn
+// or stopped, as they would wait for it in vain.
+func (t *Table) withdraw(x *run, now time.Time, reason string) {
+	t.end(x, now, "withdrawn: "+reason)
+	if !x.st.spec.Gang {
+		return
 	}
-	if o.Lifetime != x.runner.info.Lifetime {
-		return "runner was restarted"
+	for i := range x.st.tasks {
+		for _, member := range slices.Clone(x.st.tasks[i].runs) {
+			if member.isQueued {
+				t.end(member, now, "withdrawn: gang is incomplete")
+			} else {
+				t.stop(member, now, "gang is incomplete")
+			}
+		}
 	}
-	if !x.st.isPermitted(x.runner, now) {
-		return string(notPermitted)
+}
+
+// withdrawal returns why a start that has been decided must not be sent now, or "".
+func (t *Table) withdrawal(x *run, now time.Time) string {
+	if x.phase != starting {
+		return "to be stopped" // for instance as the runner was restarted
 	}
-	switch kept := t.obstacle(x.runner, x.st, &task{}, now); kept {
-	case otherService, unregistered, leaving, runsUnknown, silent:
-		return string(kept)
+	anyTask := &task{} // one that avoids no runner
+	switch o := t.obstacle(x.runner, x.st, anyTask, now); o {
+	case otherService, unregistered, leaving, runsUnknown, suspended, silent:
+		return string(o)
 	default:
-		return "" // what depends on room counts this run itself
+		return "" // an obstacle that depends on room, which this run takes up itself
 	}
 }
 
--- a/internal/version/dispatcher/confirm_test.go
+++ b/internal/version/dispatcher/confirm_test.go
@@ -58,6 +58,7 @@
 			reborn.Lifetime = 2
 			h.table.SetRunners([]RunnerInfo{reborn}, h.now)
 		}},
+		{"runner suspended", func(h *harness) { h.table.suspend(h.table.runners["r0"], h.now) }},
 		{"runner silent", func(h *harness) { h.now = h.now.Add(staleAfter + time.Millisecond) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -198,3 +199,27 @@
 	}
 	t.Run("but after it", func(*testing.T) { assertStops(1) })
 }
+
+// Guards against members of a gang that wait for one whose start was withdrawn.
+func TestGangIsWithdrawnAsAWhole(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	step := oneCore(4)
+	step.Gang = true
+	h.add("a", "urgent", step)
+	members := h.decide()
+	assertStarts(t, members, 4)
+	if _, ok := h.table.Confirm(members[0], h.now); !ok {
+		t.Fatal("the first member is not started")
+	}
+	h.configure(nil, submitter.Queue{Name: "urgent", Service: "other"})
+	for _, o := range members[1:] {
+		if _, ok := h.table.Confirm(o, h.now); ok {
+			t.Errorf("member %d is started", o.Task.Index)
+		}
+	}
+	stops := h.table.Orders()
+	if len(stops) != 1 || stops[0].Kind != Stop || stops[0].Task != members[0].Task {
+		t.Errorf("orders %+v, want a stop of the first member", stops)
+	}
+}
