Poll a runner again that the table had dropped

The poll loop of a runner ended when the table dropped the runner, and stayed registered: if the runner's entry came back in the next list, no loop was started, and nothing ran there until a list without it or a new owner. Found in review. The test of a runner that comes back timed out before.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -106,9 +106,9 @@
 
 	mu      sync.Mutex
 	table   *dispatcher.Table
-	address map[string]string             // addresses of runners, by runner ID
-	pollers map[string]context.CancelFunc // cancel poll loops, by runner ID
-	revs    map[string]int64              // store revisions of the progress keys, by submission ID
+	address map[string]string  // addresses of runners, by runner ID
+	pollers map[string]*poller // running poll loops, by runner ID
+	revs    map[string]int64   // store revisions of the progress keys, by submission ID
 
 	unsaved    chan struct{} // signals that the table has progress to save
 	savedMu    sync.Mutex
@@ -136,7 +136,7 @@
 		keys:    KeysOf(opts.Part),
 		table:   dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
 		address: make(map[string]string),
-		pollers: make(map[string]context.CancelFunc),
+		pollers: make(map[string]*poller),
 		revs:    make(map[string]int64),
 		unsaved: make(chan struct{}, 1),
 		saved:   make(chan struct{}),
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -142,20 +142,37 @@
 			polled[info.ID] = true
 			c.address[info.ID] = info.Address
 			if c.pollers[info.ID] == nil {
-				ctx, cancel := context.WithCancel(c.ctx)
-				c.pollers[info.ID] = cancel
-				c.background.Go(func() { c.pollRunner(ctx, info.ID) })
+				c.startPoller(info.ID)
 			}
 		}
-		for id, cancel := range c.pollers {
+		for id, p := range c.pollers {
 			if !polled[id] {
-				cancel()
+				p.cancel()
 				delete(c.pollers, id)
 			}
 		}
 	})
 }
 
+// A poller is a running poll loop of one runner.
+type poller struct{ cancel context.CancelFunc }
+
+// startPoller starts the poll loop of a runner. c.mu must be held.
+func (c *Conductor) startPoller(id string) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	p := &poller{cancel: cancel}
+	c.pollers[id] = p
+	c.background.Go(func() {
+		defer cancel()
+		c.pollRunner(ctx, id)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.pollers[id] == p {
+			delete(c.pollers, id) // the table has dropped the runner, which may come back
+		}
+	})
+}
+
 // pollRunner polls one runner repeatedly: it renews the runner's leases and passes
 // its reports to the table.
 func (c *Conductor) pollRunner(ctx context.Context, id string) {
--- a/internal/process/conductor/orders_test.go
+++ b/internal/process/conductor/orders_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 )
 
 // Guards against starts that wait to be sent for seconds and are sent although their task
@@ -49,3 +51,24 @@
 		assertEventually(t, "the task is started", func() bool { return startsOf(client.orders(), "paused") == 1 })
 	})
 }
+
+// Guards against a runner that is dropped, comes back under its id, and is never polled
+// again, so that nothing runs there until the owner changes.
+func TestRunnerThatComesBackIsPolled(t *testing.T) {
+	t.Parallel()
+	c, client := startHeld(t)
+	assertEventually(t, "the runner is polled", func() bool { return client.polls.Load() > 0 })
+	client.isSilent.Store(true)
+	client.registry <- nil
+	assertEventually(t, "the runner is dropped", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, known := c.table.Runner("r")
+		return !known
+	})
+	client.isSilent.Store(false)
+	time.Sleep(2 * pollRetryDelay)
+	polls := client.polls.Load()
+	client.registry <- []dispatcher.RunnerInfo{heldRunner}
+	assertEventually(t, "the runner is polled again", func() bool { return client.polls.Load() > polls })
+}
--- a/internal/process/conductor/rig_test.go
+++ b/internal/process/conductor/rig_test.go
@@ -50,12 +50,24 @@
 func (*emptyStore) KeepAlive(context.Context, int64) error              { return nil }
 func (*emptyStore) Revoke(context.Context, int64) error                 { return nil }
 
-// A fixedRegistry lists the same runners all the time.
-type fixedRegistry []dispatcher.RunnerInfo
+// A listRegistry delivers the lists of runners that a test sends.
+type listRegistry chan []dispatcher.RunnerInfo
+
+func (r listRegistry) Follow(ctx context.Context, _ func(id string) bool, deliver func([]dispatcher.RunnerInfo)) {
+	for {
+		select {
+		case list := <-r:
+			deliver(list)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
-func (r fixedRegistry) Follow(ctx context.Context, _ func(id string) bool, deliver func([]dispatcher.RunnerInfo)) {
-	deliver(r)
-	<-ctx.Done()
+// heldRunner is the registry entry of the runner that a heldClient stands for.
+var heldRunner = dispatcher.RunnerInfo{
+	ID: "r", Service: "s", Address: "a", DataCentre: "z", Lifetime: 1,
+	Capacity: submitter.Resources{MilliCores: 1_000_000, MemoryMB: 1_000_000},
 }
 
 // A heldClient answers polls at once, and holds orders back until they are released.
@@ -64,13 +76,18 @@
 	sent     []dispatcher.Order
 	began    time.Time
 	released chan struct{}
+	registry listRegistry
 	// isPaused says that the owner has been paused for longer than it may act.
 	isPaused atomic.Bool
 	polls    atomic.Int64
+	isSilent atomic.Bool // polls fail
 }
 
 func (c *heldClient) Poll(ctx context.Context, _ dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
 	c.polls.Add(1)
+	if c.isSilent.Load() {
+		return report, ErrConnectionClosed
+	}
 	pauser.Sleep(ctx, min(poll.Wait, 50*time.Millisecond))
 	return dispatcher.Report{Lifetime: 1, Clock: c.clock()}, ctx.Err()
 }
@@ -95,15 +112,12 @@
 // startHeld starts the term of an owner of one large runner that holds orders back.
 func startHeld(t *testing.T) (c *Conductor, client *heldClient) {
 	t.Helper()
-	client = &heldClient{began: time.Now(), released: make(chan struct{})}
+	client = &heldClient{began: time.Now(), released: make(chan struct{}), registry: make(listRegistry)}
 	opts := Options{
 		Limits: dispatcher.Limits{LeaseDuration: 4500 * time.Millisecond, MaxLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond},
 		Store:  &emptyStore{}, RunnerClient: client, Recorder: recorder.Discard{}, Metrics: NewMetrics(counter.New()),
-		Registry: fixedRegistry{{
-			ID: "r", Service: "s", Address: "a", DataCentre: "z", Lifetime: 1,
-			Capacity: submitter.Resources{MilliCores: 1_000_000, MemoryMB: 1_000_000},
-		}},
-		Split: partitioner.Split{Parts: 1}, Fence: 1,
+		Registry: client.registry,
+		Split:    partitioner.Split{Parts: 1}, Fence: 1,
 		ConfirmedAt: time.Now, MayAct: func() bool { return !client.isPaused.Load() }, OnDeposed: func(reason string) { t.Errorf("deposed: %s", reason) },
 	}
 	c, err := Start(t.Context(), opts)
@@ -111,6 +125,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
+	client.registry <- []dispatcher.RunnerInfo{heldRunner}
 	c.Configure(dispatcher.NewConfiguration([]submitter.Queue{{Name: "q", Service: "s", MaxAttempts: 2}}, nil))
 	return c, client
 }
