Use the clock of a runner only if its incarnation is known

Callers could see all tasks of a restarted runner run twice.

Cause: answers to orders need not say which incarnation of the runner gave them, and ObserveClock took each for the current one. A late answer of the former incarnation set the clock ahead. The readings in later reports were smaller and ignored, so the runner counted as silent, its leases as lapsed, and its tasks were started elsewhere while they ran.

Change: the reading of an answer counts only if the answer names the current incarnation. Other answers still show that something listens at the runner's address, which only delays that the runner counts as gone. Reports name the incarnation always, and renew the reading at least once per poll.

--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -57,15 +57,24 @@
 // stopped: the submission may be in the store but not in the table yet.
 const unknownRunGrace = 5 * time.Second
 
-// ObserveClock updates the last known reading of a runner's clock. The argument clock is
-// the reading in any answer of the runner, in milliseconds, and lifetime is the incarnation
-// of the runner that answered, or zero if unknown. Answers of an incarnation other than
-// the known one are ignored.
+// ObserveClock records an answer of a runner to an order. The argument clock is the
+// reading of the runner's clock in that answer, in milliseconds, and lifetime is the
+// incarnation that answered, or zero if unknown. The reading of an unknown incarnation is
+// not used: the answer may be a late one of a former incarnation, whose clock was ahead.
 func (t *Table) ObserveClock(id string, lifetime, clock int64, now time.Time) {
 	r, ok := t.runners[id]
-	if !ok || (lifetime != 0 && lifetime != r.info.Lifetime) {
-		return
+	switch {
+	case !ok:
+	case lifetime == 0:
+		r.silentSince, r.closed = time.Time{}, false
+	case lifetime == r.info.Lifetime:
+		t.observeClock(r, clock, now)
 	}
+}
+
+// observeClock updates the last known reading of the clock of a runner's current
+// incarnation.
+func (t *Table) observeClock(r *runner, clock int64, now time.Time) {
 	if r.answeredAt.IsZero() {
 		// A former owner may have renewed the runner's leases just before.
 		r.maxLeaseEnd = max(r.maxLeaseEnd, clock+t.limits.MaxLease.Milliseconds())
@@ -86,7 +95,7 @@
 	if rep.Lifetime > r.info.Lifetime {
 		t.resetRunner(r, rep.Lifetime, now)
 	}
-	t.ObserveClock(id, rep.Lifetime, rep.Clock, now)
+	t.observeClock(r, rep.Clock, now)
 	if !r.acceptedToken {
 		r.acceptedToken, r.tokenAcceptedAt = true, now
 		t.placementDue = true
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -38,6 +38,10 @@
 	now      time.Time
 	ends     map[string]int64       // number of the last end by runner
 	reported map[string][]RunStatus // runs that the next poll reports, by runner
+	// lifetimes and bornAt say, by runner, which incarnation it has after restarts, and
+	// when that was started.
+	lifetimes map[string]int64
+	bornAt    map[string]time.Time
 	// isUnconfirmed says that the owner does not reach its record, so that its
 	// ownership is not confirmed.
 	isUnconfirmed bool
@@ -47,7 +51,10 @@
 // answered yet.
 func newHarness(t *testing.T, generation int64, runners int) *harness {
 	t.Helper()
-	h := &harness{t: t, now: epoch, ends: make(map[string]int64), reported: make(map[string][]RunStatus)}
+	h := &harness{
+		t: t, now: epoch, ends: make(map[string]int64), reported: make(map[string][]RunStatus),
+		lifetimes: make(map[string]int64), bornAt: make(map[string]time.Time),
+	}
 	h.table = New(testLimits, testFence, generation, recorder.Discard{}, h.now)
 	h.configure(nil, testQueues...)
 	h.setRunners(runners)
@@ -72,6 +79,18 @@
 	h.table.Tick(h.now)
 }
 
+// lifetime returns the incarnation of a runner.
+func (h *harness) lifetime(runner string) int64 { return max(1, h.lifetimes[runner]) }
+
+// clock returns the reading of a runner's clock.
+func (h *harness) clock(runner string) int64 {
+	born, ok := h.bornAt[runner]
+	if !ok {
+		born = epoch
+	}
+	return h.now.Sub(born).Milliseconds() + 1000
+}
+
 // poll answers a poll of a runner with its reported runs and some ends.
 func (h *harness) poll(runner string, ends ...End) {
 	for i := range ends {
@@ -81,7 +100,7 @@
 	h.table.LeaseUntil(runner, h.now)
 	sent := h.now
 	h.now = h.now.Add(time.Millisecond)
-	h.table.Report(runner, Report{Lifetime: 1, Clock: h.now.Sub(epoch).Milliseconds() + 1000, Running: h.reported[runner], Ended: ends}, sent, h.now)
+	h.table.Report(runner, Report{Lifetime: h.lifetime(runner), Clock: h.clock(runner), Running: h.reported[runner], Ended: ends}, sent, h.now)
 }
 
 // pollAll polls every runner.
@@ -112,7 +131,7 @@
 		}
 		starts = append(starts, o)
 		h.reported[o.Runner] = append(h.reported[o.Runner], RunStatus{Task: o.Task, Run: o.Run})
-		h.table.ApplyStart(o, Succeeded, 1, h.now)
+		h.table.ApplyStart(o, Succeeded, h.lifetime(o.Runner), h.now)
 	}
 	return starts
 }
