Keep the run of an unanswered start on a restarted runner until it is over

Callers could see two runs of one task.

Cause: after a restart of a runner, a start that was not answered stays in the table, as the new process may carry it out. The restart also clears the time of the runner's last answer, and without that time the leases counted as lapsed MaxLease after the end of the former owner, which is mostly long past. The next Tick ended the run, and the task was started elsewhere while the late start ran on the new process. A missing answer stood for two things: a runner that only a former owner has reached, and a runner that this owner has sent orders to.

Change: a run whose start was ordered before the restart, and that no report of the new process has listed, lapses only when no such start can be carried out any more and its lease has ended. The new process counts from another clock, so that the lease end in the order does not bound it, but the longest lease does. A stop that the runner confirms, or a report that lists the run, settles it earlier.

TestLateStartAtARestartedRunner fails before the change: 1 start elsewhere half a second after the restart, want 0.

--- a/internal/version/dispatcher/lifetime_test.go
+++ b/internal/version/dispatcher/lifetime_test.go
@@ -44,3 +44,73 @@
 		h.pollAll(2)
 	}
 }
+
+// startUnanswered submits a submission of one task, whose start is not answered, and
+// returns where the task is to start and the stop of it.
+func (h *harness) startUnanswered() (runner string, stop Order) {
+	h.t.Helper()
+	h.add("a", "urgent", oneCore(1))
+	h.table.Schedule(h.now)
+	orders := h.table.Orders()
+	assertStarts(h.t, orders, 1)
+	h.table.ApplyStart(orders[0], Unanswered, 0, h.now)
+	return orders[0].Runner, h.stop()
+}
+
+// stop returns the one order of the table, which has to be a stop.
+func (h *harness) stop() Order {
+	h.t.Helper()
+	orders := h.table.Orders()
+	if len(orders) != 1 || orders[0].Kind != Stop {
+		h.t.Fatalf("orders %+v, want a stop", orders)
+	}
+	return orders[0]
+}
+
+// Guards against ending a run whose start may still be carried out by a restarted runner:
+// a lease of the former owner, long past, was taken for that of the run, and the task was
+// started elsewhere.
+func TestLateStartAtARestartedRunner(t *testing.T) {
+	newRestarted := func(t *testing.T) (h *harness, runner, other string) {
+		t.Helper()
+		h = newHarness(t, 0, 2)
+		h.advance(time.Hour)
+		h.pollAll(2)
+		runner, _ = h.startUnanswered()
+		h.restart(runner)
+		other = "r0"
+		if runner == "r0" {
+			other = "r1"
+		}
+		return h, runner, other
+	}
+	t.Run("keeps its task while it may begin", func(t *testing.T) {
+		h, runner, other := newRestarted(t)
+		for range 10 {
+			h.advance(500 * time.Millisecond)
+			assertStarts(t, h.starts(), 0)
+			h.poll(other)
+			h.poll(runner)
+		}
+	})
+	t.Run("is over once a stop has taken effect", func(t *testing.T) {
+		h, _, _ := newRestarted(t)
+		h.table.ApplyStop(h.stop(), Succeeded, h.now)
+		h.advance(700 * time.Millisecond)
+		assertStarts(t, h.starts(), 0)
+		h.pollAll(2)
+		h.advance(time.Millisecond)
+		assertStarts(t, h.starts(), 1)
+	})
+	t.Run("is over once its lease must have lapsed", func(t *testing.T) {
+		h, _, other := newRestarted(t)
+		for range 24 {
+			h.poll(other)
+			h.advance(500 * time.Millisecond)
+			assertStarts(t, h.starts(), 0)
+		}
+		h.poll(other)
+		h.advance(500 * time.Millisecond)
+		assertStarts(t, h.starts(), 1)
+	})
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -132,7 +132,7 @@
 	if x.phase == starting {
 		x.phase, x.confirmedAt = running, now
 	}
-	x.acknowledged = true
+	x.acknowledged, x.isCarriedOver = true, false
 	if row.Percent != x.percent || !x.hasStatus {
 		x.progressedAt = now
 	}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -74,6 +74,7 @@
 	case Unanswered:
 		// The order may still be carried out: only a stop, the runner's report or
 		// the end of the lease shows where the task is.
+		x.unansweredAt = now
 		t.suspend(x.runner, now)
 		t.stop(x, now, "start was not answered")
 	case NotSent, Unhealthy, NoRoom, TooLate, OtherLifetime, Invalid, NotPermitted:
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -36,6 +36,8 @@
 	usedForLong     submitter.Resources // the part of used that long-running tasks take
 	runs            map[runKey]*run
 
+	// restartedAt is when this owner last learnt that the process was restarted, or zero.
+	restartedAt time.Time
 	answeredAt  time.Time    // when the newest answer arrived
 	clock       int64        // the runner's clock in that answer, ms
 	maxLeaseEnd int64        // the latest lease end that was sent, ms on the runner's clock
@@ -180,13 +182,14 @@
 // resetRunner handles a new incarnation of a runner under the same ID.
 func (t *Table) resetRunner(r *runner, lifetime int64, now time.Time) {
 	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
-	r.info.Lifetime = lifetime
+	r.info.Lifetime, r.restartedAt = lifetime, now
 	for _, x := range r.runsByAge() {
 		if x.acknowledged {
 			t.end(x, now, "runner was restarted")
 			continue
 		}
 		// The start may still be carried out, by the new incarnation.
+		x.isCarriedOver = true
 		x.phase = running
 		t.stop(x, now, "unanswered start on a restarted runner")
 	}
@@ -234,6 +237,32 @@
 	return r.answeredAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
 }
 
+// maxOrderDelay is the longest time for which an order may be on its way once it has
+// counted as unanswered.
+const maxOrderDelay = 6 * time.Second
+
+// carriedOverUntil returns the time by which a run whose start was ordered before the
+// runner's restart has lapsed, if the runner never answers. The runner's clock is another
+// since, so the lease end in the order does not bound it.
+func (t *Table) carriedOverUntil(x *run) time.Time {
+	begunBy := x.runner.restartedAt
+	switch {
+	case !x.unansweredAt.IsZero():
+		begunBy = later(begunBy, x.unansweredAt.Add(maxOrderDelay))
+	case x.confirmedAt.IsZero():
+		begunBy = begunBy.Add(maxOrderDelay)
+	}
+	return begunBy.Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // hasLapsed reports whether every lease on a runner has lapsed. A successor may
 // renew leases at runners that this owner does not reach, so it also requires that
 // this owner had no successor when the leases ended.
@@ -241,10 +270,21 @@
 	if r.hasLeft() {
 		return true
 	}
-	end := t.lapsedBy(r)
+	return t.isPast(t.lapsedBy(r), now)
+}
+
+// isPast reports whether the end of a lease has passed and this owner had no successor
+// then.
+func (t *Table) isPast(end, now time.Time) bool {
 	return !now.Before(end) && !t.ownerConfirmedAt.Before(end)
 }
 
+// runHasLapsed reports whether the lease of a run has lapsed on a runner all of whose
+// own leases have.
+func (t *Table) runHasLapsed(x *run, now time.Time) bool {
+	return !x.isCarriedOver || x.runner.hasLeft() || t.isPast(t.carriedOverUntil(x), now)
+}
+
 // SetFormerOwnerEnd sets the time up to which a former owner may have renewed
 // leases at runners that this owner does not reach. A time before the one that is
 // already set is ignored.
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -111,6 +111,7 @@
 	phase        phase
 	startedAt    time.Time
 	confirmedAt  time.Time
+	unansweredAt time.Time // when the start counted as unanswered, or zero
 	percent      int       // reported progress; 100 means ready for a long-running task
 	progressedAt time.Time // when percent last changed
 	measure      float64   // see RunStatus.Measure
@@ -136,6 +137,9 @@
 	// acknowledged says that the runner has confirmed the run or a stop of it: from
 	// then on the runner's reports tell whether it runs.
 	acknowledged bool
+	// isCarriedOver says that the runner was restarted after the start was ordered, and
+	// that no report of the new process has listed the run.
+	isCarriedOver bool
 }
 
 func (x *run) task() *task { return &x.st.tasks[x.index] }
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -44,13 +44,19 @@
 	t.placementDue = true
 }
 
-// lapse ends all runs on a runner if the runner's leases have lapsed.
+// lapse ends the runs on a runner whose leases have lapsed.
 func (t *Table) lapse(r *runner, now time.Time) {
 	if len(r.runs) == 0 || !t.hasLapsed(r, now) {
 		return
 	}
+	lapsed := slices.DeleteFunc(r.runsByAge(), func(x *run) bool { return !t.runHasLapsed(x, now) })
+	if len(lapsed) == 0 {
+		return
+	}
 	t.recordRunner(now, EventRunnerLapsed, r, "no lease renewal was answered")
-	t.dropRuns(r, now, "lease lapsed")
+	for _, x := range lapsed {
+		t.end(x, now, "lease lapsed")
+	}
 }
 
 // watchRun repeats the stop of a run if it had no effect, starts a second copy of a
