Tie a run to a runner's process only once a report of that process lists it

Callers could see two runs of one task.

Cause: the answer to a start need not say which process gave it. If a runner had been restarted, the new process could answer a start before the owner heard of the restart. The run then counted as one of the old process, and when the registry showed the new one, it was ended in the table as "runner was restarted" and started elsewhere, while it ran. The same held for a stop that the old process had confirmed, while the start was still on its way to the new one.

Change: on a restart, a run ends only if a report of the old process listed it. Any other stays until a report of the new process that was requested after the answer lists it or leaves it out, until a stop is confirmed to have taken effect there, or until its lease must have lapsed.

TestStartAnsweredAfterARestart fails before the change: 1 start elsewhere as soon as the registry shows the restart, want 0. TestRestartedRunnerFreesItsTasks ended a run at once that was answered but not listed, which is the fault; it now lists the run first, and still requires that the task starts at once.

--- a/internal/version/dispatcher/lifetime_test.go
+++ b/internal/version/dispatcher/lifetime_test.go
@@ -114,3 +114,49 @@
 		assertStarts(t, h.starts(), 1)
 	})
 }
+
+// Guards against ending a run that a restarted runner has begun. The new process had
+// answered the start before the owner learnt of the restart, and the task was started
+// elsewhere.
+func TestStartAnsweredAfterARestart(t *testing.T) {
+	newAnswered := func(t *testing.T) (h *harness, runner string) {
+		t.Helper()
+		h = newHarness(t, 0, 2)
+		h.pollAll(2)
+		h.advance(time.Second)
+		h.pollAll(2)
+		h.add("a", "urgent", oneCore(1))
+		h.table.Schedule(h.now)
+		orders := h.table.Orders()
+		assertStarts(t, orders, 1)
+		runner = orders[0].Runner
+		h.table.ApplyStart(orders[0], Succeeded, 0, h.now)
+		h.restart(runner)
+		h.reported[runner] = []RunStatus{{Task: orders[0].Task, Run: orders[0].Run}}
+		assertStarts(t, h.starts(), 0)
+		return h, runner
+	}
+	t.Run("is kept while the new process lists it", func(t *testing.T) {
+		h, _ := newAnswered(t)
+		for range 10 {
+			h.advance(500 * time.Millisecond)
+			assertStarts(t, h.starts(), 0)
+			h.pollAll(2)
+		}
+	})
+	t.Run("ends if the new process does not list it", func(t *testing.T) {
+		h, runner := newAnswered(t)
+		h.reported[runner] = nil
+		h.advance(500 * time.Millisecond)
+		assertStarts(t, h.starts(), 0)
+		h.poll(runner)
+		assertStarts(t, h.starts(), 1)
+	})
+	t.Run("ends at the next restart once the process has listed it", func(t *testing.T) {
+		h, runner := newAnswered(t)
+		h.advance(500 * time.Millisecond)
+		h.pollAll(2)
+		h.restart(runner)
+		assertStarts(t, h.starts(), 1)
+	})
+}
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -229,6 +229,7 @@
 	h.pollAll(2)
 	h.add("a", "urgent", oneCore(1))
 	orders := h.starts()
+	h.poll(orders[0].Runner) // lists the run
 	infos := []RunnerInfo{}
 	for i := range 2 {
 		info, _ := h.table.Runner(fmt.Sprint("r", i))
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -132,7 +132,7 @@
 	if x.phase == starting {
 		x.phase, x.confirmedAt = running, now
 	}
-	x.acknowledged, x.isCarriedOver = true, false
+	x.isListed, x.isCarriedOver = true, false
 	if row.Percent != x.percent || !x.hasStatus {
 		x.progressedAt = now
 	}
@@ -166,7 +166,7 @@
 	k := &st.tasks[key.task.Index]
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	x := t.place(st, key.task.Index, r, key.run, now)
-	x.phase, x.confirmedAt, x.acknowledged = running, now, true
+	x.phase, x.confirmedAt, x.isListed = running, now, true
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
 	switch {
 	case unwanted:
@@ -217,7 +217,7 @@
 		id.Index >= 0 && id.Index < s.sub.Steps[id.Step].Count
 }
 
-// endUnlisted ends the acknowledged runs of a runner that are not listed in its
+// endUnlisted ends the confirmed runs of a runner that are not listed in its
 // report, which was requested at sentAt and lists the given number of ends. A run
 // that is being stopped is not listed, but takes up room until its end is listed or
 // the stop must have taken effect. A run that was confirmed after sentAt may be
@@ -228,7 +228,7 @@
 		return
 	}
 	for key, x := range r.runs {
-		if listed[key] || !x.acknowledged || !x.confirmedAt.Before(sentAt) {
+		if listed[key] || x.phase == starting || !x.confirmedAt.Before(sentAt) {
 			continue
 		}
 		if x.phase == stopping && (x.stoppedAt.IsZero() || sentAt.Sub(x.stoppedAt) < t.maxStopTime()) {
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -63,9 +63,9 @@
 		return
 	}
 	if outcome == Succeeded {
-		x.acknowledged = true
+		x.confirmedAt = now
 		if x.phase == starting {
-			x.phase, x.confirmedAt, x.progressedAt = running, now, now
+			x.phase, x.progressedAt = running, now
 		}
 		return
 	}
@@ -102,7 +102,6 @@
 	}
 	switch outcome {
 	case Succeeded:
-		x.acknowledged = true
 		if x.stoppedAt.IsZero() {
 			x.stoppedAt = now
 		}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -184,14 +184,16 @@
 	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
 	r.info.Lifetime, r.restartedAt = lifetime, now
 	for _, x := range r.runsByAge() {
-		if x.acknowledged {
+		if x.isListed {
 			t.end(x, now, "runner was restarted")
 			continue
 		}
-		// The start may still be carried out, by the new incarnation.
+		// The new incarnation may have answered the start, or may still carry it out.
 		x.isCarriedOver = true
-		x.phase = running
-		t.stop(x, now, "unanswered start on a restarted runner")
+		if x.phase != running {
+			x.phase = running
+			t.stop(x, now, "unanswered start on a restarted runner")
+		}
 	}
 	r.acceptedToken = false
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -134,9 +134,9 @@
 	// first confirmed one.
 	stopOrderedAt time.Time
 	stoppedAt     time.Time
-	// acknowledged says that the runner has confirmed the run or a stop of it: from
-	// then on the runner's reports tell whether it runs.
-	acknowledged bool
+	// isListed says that a report of the runner's current incarnation has listed the
+	// run. Answers to orders may come from an incarnation that is not known yet.
+	isListed bool
 	// isCarriedOver says that the runner was restarted after the start was ordered, and
 	// that no report of the new process has listed the run.
 	isCarriedOver bool
