Count the outcome of a stop only for the process that it was ordered for

Callers could see two runs of one task.

Cause: a stop that was under way when a runner restarted could be confirmed, or refused for another incarnation, after the owner had learnt of the restart. It was taken for a stop at the new process: the next report of that process ended the run in the table, and the task was started elsewhere. The process could still carry out the unanswered start, as it had never been told to stop it.

Change: such outcomes are ignored. A restart orders the stop again, for the new process, and that one decides. If the process that confirms it is a still newer one, the next restart that the owner learns of orders it once more.

TestStopConfirmedBeforeARestart fails before the change: 1 start, want 0, for both outcomes.

--- a/internal/version/dispatcher/lifetime_test.go
+++ b/internal/version/dispatcher/lifetime_test.go
@@ -160,3 +160,29 @@
 		assertStarts(t, h.starts(), 1)
 	})
 }
+
+// Guards against taking the stop at a former process for one at the restarted runner: the
+// late start was carried out after it.
+func TestStopConfirmedBeforeARestart(t *testing.T) {
+	for _, outcome := range []Outcome{Succeeded, OtherLifetime} {
+		t.Run(outcome.String(), func(t *testing.T) {
+			h := newHarness(t, 0, 2)
+			h.pollAll(2)
+			h.advance(time.Second)
+			h.pollAll(2)
+			runner, stop := h.startUnanswered()
+			h.restart(runner)
+			again := h.stop()
+			h.table.ApplyStop(stop, outcome, h.now)
+			h.advance(700 * time.Millisecond)
+			h.pollAll(2)
+			h.advance(time.Millisecond)
+			assertStarts(t, h.starts(), 0)
+			h.table.ApplyStop(again, Succeeded, h.now)
+			h.advance(700 * time.Millisecond)
+			h.pollAll(2)
+			h.advance(time.Millisecond)
+			assertStarts(t, h.starts(), 1)
+		})
+	}
+}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -94,10 +94,12 @@
 
 // ApplyStop applies the outcome of a stop order. A confirmed stop does not end the
 // run: the end is taken from a report of the runner. A run that never began has no
-// end in any report, so endUnlisted ends it once the stop must have taken effect.
+// end in any report, so endUnlisted ends it once the stop must have taken effect. The
+// outcome of a stop that was ordered before the runner's restart says nothing about the
+// new process, which may still carry out the start.
 func (t *Table) ApplyStop(o Order, outcome Outcome, now time.Time) {
 	x := t.find(o)
-	if x == nil {
+	if x == nil || o.Lifetime != x.runner.info.Lifetime {
 		return
 	}
 	switch outcome {
