Take only a refused connection as proof that a draining runner has ended

Callers could see two runs of one task.

Cause: a draining runner without a registry entry counted as gone once a poll found its connection closed. The store drops entries of runners that are alive, and a network that resets an open connection closes it as well, so that a runner could be taken for gone, and its tasks started elsewhere, while they ran.

Change: only a refused connection counts. After the end of a process, the next poll, 250 ms later, opens a new connection and is refused. If the host is gone as well, nothing answers, and the runs end when their leases have lapsed.

--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -13,9 +13,10 @@
 // owner.
 var ErrFenced = errors.New("runner has seen a higher fencing token")
 
-// ErrConnectionClosed is returned for a runner that has closed its connection or
-// port, as a runner does when its process ends.
-var ErrConnectionClosed = errors.New("runner has closed its connection")
+// ErrConnectionRefused is returned for a runner at whose address no process accepts
+// connections, as after the end of its process. A connection that was closed while it was
+// open does not show that: the network may have cut it.
+var ErrConnectionRefused = errors.New("runner's address refuses connections")
 
 // Times of calls to runners.
 const (
@@ -170,7 +171,7 @@
 // has stopped answering.
 func (c *Conductor) notePollFailure(id string, err error) {
 	c.apply(func(t *dispatcher.Table, now time.Time) {
-		if t.PollFailed(id, errors.Is(err, ErrConnectionClosed), now) {
+		if t.PollFailed(id, errors.Is(err, ErrConnectionRefused), now) {
 			c.opts.Recorder.Record(now, EventRunnerSilent, map[string]string{"runner": id, "error": err.Error()})
 		}
 	})
--- a/internal/version/dispatcher/expire_test.go
+++ b/internal/version/dispatcher/expire_test.go
@@ -91,7 +91,7 @@
 		h.table.PollFailed(leaving, false, h.now)
 		assertStarts(t, h.starts(), 0)
 	})
-	t.Run("has left if it had closed its connection before", func(t *testing.T) {
+	t.Run("has left if its address refused connections before", func(t *testing.T) {
 		h := newHarness(t, 0, 2)
 		h.pollAll(2)
 		h.add("a", "urgent", oneCore(1))
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -66,7 +66,7 @@
 	switch {
 	case !ok:
 	case lifetime == 0:
-		r.silentSince, r.closed = time.Time{}, false
+		r.silentSince, r.refused = time.Time{}, false
 	case lifetime == r.info.Lifetime:
 		t.observeClock(r, clock, now)
 	}
@@ -82,7 +82,7 @@
 	if clock >= r.clock {
 		r.clock, r.answeredAt = clock, now
 	}
-	r.silentSince, r.closed = time.Time{}, false
+	r.silentSince, r.refused = time.Time{}, false
 }
 
 // Report applies a runner's report, which was requested at sentAt under the owner's
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -131,14 +131,14 @@
 }
 
 // PollFailed records that a poll of a runner was not answered, and whether the
-// runner had closed its connection or its port. It reports whether this is the
-// first failure since the runner's last answer.
-func (t *Table) PollFailed(id string, closed bool, now time.Time) bool {
+// runner's address refused the connection. It reports whether this is the first failure
+// since the runner's last answer.
+func (t *Table) PollFailed(id string, refused bool, now time.Time) bool {
 	r, ok := t.runners[id]
 	if !ok {
 		return false
 	}
-	r.closed = closed
+	r.refused = refused
 	t.endIfLeft(r, now)
 	if !r.silentSince.IsZero() {
 		return false
