Let a task wait while a restarted runner may carry out its unanswered start

Callers could see two runs of one task.

Cause: once a restarted runner had confirmed the stop of an unanswered start, the run was ended and its task started elsewhere. If the runner restarted again, the newest process knew nothing of that stop and carried out the start.

Change: the run of an unanswered start on a runner that was restarted since stays in the table until no order from before can arrive any more. Each restart orders the stop again. Tasks on runners that were not restarted do not wait.

The subtest "may begin after a second restart" fails before the change, and so does a random play with processes that orders don't tell apart: 1 start, want 0.

--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -234,6 +234,9 @@
 		if x.phase == stopping && (x.stoppedAt.IsZero() || sentAt.Sub(x.stoppedAt) < t.maxStopTime()) {
 			continue
 		}
+		if x.mayBegin(now) {
+			continue
+		}
 		t.end(x, now, "no longer listed")
 	}
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -243,18 +243,29 @@
 // counted as unanswered.
 const maxOrderDelay = 6 * time.Second
 
-// carriedOverUntil returns the time by which a run whose start was ordered before the
-// runner's restart has lapsed, if the runner never answers. The runner's clock is another
-// since, so the lease end in the order does not bound it.
-func (t *Table) carriedOverUntil(x *run) time.Time {
-	begunBy := x.runner.restartedAt
+// begunBy returns the time by which a run has begun, if it ever does, whose start was
+// ordered before the runner's restart.
+func (x *run) begunBy() time.Time {
 	switch {
 	case !x.unansweredAt.IsZero():
-		begunBy = later(begunBy, x.unansweredAt.Add(maxOrderDelay))
+		return x.unansweredAt.Add(maxOrderDelay)
 	case x.confirmedAt.IsZero():
-		begunBy = begunBy.Add(maxOrderDelay)
+		return x.runner.restartedAt.Add(maxOrderDelay)
+	default:
+		return x.confirmedAt
 	}
-	return begunBy.Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
+}
+
+// mayBegin reports whether a runner may still carry out the start of a run that was
+// ordered before a restart. It may have been restarted once more since it has confirmed a
+// stop.
+func (x *run) mayBegin(now time.Time) bool { return x.isCarriedOver && now.Before(x.begunBy()) }
+
+// carriedOverUntil returns the time by which a run whose start was ordered before the
+// runner's restart has lapsed, if the runner never answers. The runner's clock is another
+// since, so the lease end in the order does not bound it.
+func (t *Table) carriedOverUntil(x *run) time.Time {
+	return later(x.runner.restartedAt, x.begunBy()).Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
 }
 
 // later returns the later of two times.
