--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -57,15 +57,24 @@
 // stopped: the submission may be in the store but not in the table yet.
 const unknownRunGrace = 5 * time.Second
 
-// ObserveClock updates the last known reading of a runner's clock. The argument clock is
-// the reading in any answer of the runner, in milliseconds, and lifetime is the incarnation
-// of the runner that answered, or zero if unknown. Answers of an incarnation other than
-// the known one are ignored.
+// ObserveClock records an answer of a runner to an order. The argument clock is the
+// reading of the runner's clock in that answer, in milliseconds, and lifetime is the
+// incarnation that answered, or zero if unknown. The reading of an unknown incarnation is
+// not used: the answer may be a late one of a former incarnation, whose clock was ahead.
 func (t *Table) ObserveClock(id string, lifetime, clock int64, now time.Time) {
 	r, ok := t.runners[id]
-	if !ok || (lifetime != 0 && lifetime != r.info.Lifetime) {
-		return
+	switch {
+	case !ok:
+	case lifetime == 0:
+		r.silentSince, r.refused = time.Time{}, false
+	case lifetime == r.info.Lifetime:
+		t.observeClock(r, clock, now)
 	}
+}
+
+// observeClock updates the last known reading of the clock of a runner's current
+// incarnation.
+func (t *Table) observeClock(r *runner, clock int64, now time.Time) {
 	if r.answeredAt.IsZero() {
 		// A former owner may have renewed the runner's leases just before.
 		r.maxLeaseEnd = max(r.maxLeaseEnd, clock+t.limits.MaxLease.Milliseconds())
@@ -73,7 +82,7 @@
 	if clock >= r.clock {
 		r.clock, r.answeredAt = clock, now
 	}
-	r.silentSince, r.closed = time.Time{}, false
+	r.silentSince, r.refused = time.Time{}, false
 }
 
 // Report applies a runner's report, which was requested at sentAt under the owner's
@@ -86,7 +95,7 @@
 	if rep.Lifetime > r.info.Lifetime {
 		t.resetRunner(r, rep.Lifetime, now)
 	}
-	t.ObserveClock(id, rep.Lifetime, rep.Clock, now)
+	t.observeClock(r, rep.Clock, now)
 	if !r.acceptedToken {
 		r.acceptedToken, r.tokenAcceptedAt = true, now
 		t.placementDue = true
@@ -123,7 +132,7 @@
 	if x.phase == starting {
 		x.phase, x.confirmedAt = running, now
 	}
-	x.acknowledged = true
+	x.isListed, x.isCarriedOver = true, false
 	if row.Percent != x.percent || !x.hasStatus {
 		x.progressedAt = now
 	}
@@ -157,7 +166,7 @@
 	k := &st.tasks[key.task.Index]
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	x := t.place(st, key.task.Index, r, key.run, now)
-	x.phase, x.confirmedAt, x.acknowledged = running, now, true
+	x.phase, x.confirmedAt, x.isListed = running, now, true
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
 	switch {
 	case unwanted:
@@ -208,7 +217,7 @@
 		id.Index >= 0 && id.Index < s.sub.Steps[id.Step].Count
 }
 
-// endUnlisted ends the acknowledged runs of a runner that are not listed in its
+// endUnlisted ends the confirmed runs of a runner that are not listed in its
 // report, which was requested at sentAt and lists the given number of ends. A run
 // that is being stopped is not listed, but takes up room until its end is listed or
 // the stop must have taken effect. A run that was confirmed after sentAt may be
@@ -219,12 +228,15 @@
 		return
 	}
 	for key, x := range r.runs {
-		if listed[key] || !x.acknowledged || !x.confirmedAt.Before(sentAt) {
+		if listed[key] || x.phase == starting || !x.confirmedAt.Before(sentAt) {
 			continue
 		}
 		if x.phase == stopping && (x.stoppedAt.IsZero() || sentAt.Sub(x.stoppedAt) < t.maxStopTime()) {
 			continue
 		}
+		if x.mayBegin(now) {
+			continue
+		}
 		t.end(x, now, "no longer listed")
 	}
 }
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -67,9 +67,9 @@
 		return // the runner has listed the run meanwhile
 	}
 	if outcome == Succeeded {
-		x.acknowledged = true
+		x.confirmedAt = now
 		if x.phase == starting {
-			x.phase, x.confirmedAt, x.progressedAt = running, now, now
+			x.phase, x.progressedAt = running, now
 		}
 		return
 	}
@@ -78,6 +78,7 @@
 	case Unanswered:
 		// The order may still be carried out: only a stop, the runner's report or
 		// the end of the lease shows where the task is.
+		x.unansweredAt = now
 		t.suspend(x.runner, now)
 		t.stop(x, now, "start was not answered")
 	case NotSent, Unhealthy, NoRoom, TooLate, OtherLifetime, Invalid, NotPermitted:
@@ -97,16 +98,17 @@
 
 // ApplyStop applies the outcome of a stop order. A confirmed stop does not end the
 // run: the end is taken from a report of the runner. A run that never began has no
-// end in any report, so endUnlisted ends it once the stop must have taken effect.
+// end in any report, so endUnlisted ends it once the stop must have taken effect. The
+// outcome of a stop that was ordered before the runner's restart says nothing about the
+// new process, which may still carry out the start.
 func (t *Table) ApplyStop(o Order, outcome Outcome, now time.Time) {
 	x := t.find(o)
-	if x == nil {
+	if x == nil || o.Lifetime != x.runner.info.Lifetime {
 		return
 	}
 	x.isStopQueued = false
 	switch outcome {
 	case Succeeded:
-		x.acknowledged = true
 		if x.stoppedAt.IsZero() {
 			x.stoppedAt = now
 		}
@@ -134,14 +136,14 @@
 }
 
 // PollFailed records that a poll of a runner was not answered, and whether the
-// runner had closed its connection or its port. It reports whether this is the
-// first failure since the runner's last answer.
-func (t *Table) PollFailed(id string, closed bool, now time.Time) bool {
+// runner's address refused the connection. It reports whether this is the first failure
+// since the runner's last answer.
+func (t *Table) PollFailed(id string, refused bool, now time.Time) bool {
 	r, ok := t.runners[id]
 	if !ok {
 		return false
 	}
-	r.closed = closed
+	r.refused = refused
 	t.endIfLeft(r, now)
 	if !r.silentSince.IsZero() {
 		return false
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -36,6 +36,8 @@
 	usedForLong     submitter.Resources // the part of used that long-running tasks take
 	runs            map[runKey]*run
 
+	// restartedAt is when this owner last learnt that the process was restarted, or zero.
+	restartedAt time.Time
 	answeredAt  time.Time    // when the newest answer arrived
 	clock       int64        // the runner's clock in that answer, ms
 	maxLeaseEnd int64        // the latest lease end that was sent, ms on the runner's clock
@@ -45,7 +47,7 @@
 	failedSubmissions map[string]bool      // submissions that failed here since the last success
 	suspendedUntil    time.Time            // when the runner may get new work again
 	silentSince       time.Time            // when a poll first failed since the last answer, or zero
-	closed            bool                 // the newest poll found a closed connection or port
+	refused           bool                 // the newest poll found that nothing listens at the address
 	unknownRuns       map[runKey]time.Time // when runs of unknown submissions were first reported
 	// unknownStoppedAt is when a stop was last ordered for a run that is not in the
 	// table.
@@ -129,7 +131,7 @@
 }
 
 // endIfLeft ends the runs of a runner that was draining and has left: its registry
-// entry is gone and its process has closed its connections. A missing entry alone
+// entry is gone and nothing listens at its address. A missing entry alone
 // is not enough, since the store may drop the entry of a runner that is still
 // running.
 func (t *Table) endIfLeft(r *runner, now time.Time) {
@@ -139,7 +141,7 @@
 	}
 }
 
-func (r *runner) hasLeft() bool { return !r.isRegistered && r.info.Draining && r.closed }
+func (r *runner) hasLeft() bool { return !r.isRegistered && r.info.Draining && r.refused }
 
 // ExpectRunners adds the runners on which a former owner may have started runs. The
 // registry may have dropped the entries of some that are still running.
@@ -180,15 +182,18 @@
 // resetRunner handles a new incarnation of a runner under the same ID.
 func (t *Table) resetRunner(r *runner, lifetime int64, now time.Time) {
 	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
-	r.info.Lifetime = lifetime
+	r.info.Lifetime, r.restartedAt = lifetime, now
 	for _, x := range r.runsByAge() {
-		if x.acknowledged {
+		if x.isListed {
 			t.end(x, now, "runner was restarted")
 			continue
 		}
-		// The start may still be carried out, by the new incarnation.
-		x.phase = running
-		t.stop(x, now, "unanswered start on a restarted runner")
+		// The new incarnation may have answered the start, or may still carry it out.
+		x.isCarriedOver = true
+		if x.phase != running {
+			x.phase = running
+			t.stop(x, now, "unanswered start on a restarted runner")
+		}
 	}
 	r.acceptedToken = false
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
@@ -234,6 +239,43 @@
 	return r.answeredAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
 }
 
+// maxOrderDelay is the longest time for which an order may be on its way once it has
+// counted as unanswered.
+const maxOrderDelay = 6 * time.Second
+
+// begunBy returns the time by which a run has begun, if it ever does, whose start was
+// ordered before the runner's restart.
+func (x *run) begunBy() time.Time {
+	switch {
+	case !x.unansweredAt.IsZero():
+		return x.unansweredAt.Add(maxOrderDelay)
+	case x.confirmedAt.IsZero():
+		return x.runner.restartedAt.Add(maxOrderDelay)
+	default:
+		return x.confirmedAt
+	}
+}
+
+// mayBegin reports whether a runner may still carry out the start of a run that was
+// ordered before a restart. It may have been restarted once more since it has confirmed a
+// stop.
+func (x *run) mayBegin(now time.Time) bool { return x.isCarriedOver && now.Before(x.begunBy()) }
+
+// carriedOverUntil returns the time by which a run whose start was ordered before the
+// runner's restart has lapsed, if the runner never answers. The runner's clock is another
+// since, so the lease end in the order does not bound it.
+func (t *Table) carriedOverUntil(x *run) time.Time {
+	return later(x.runner.restartedAt, x.begunBy()).Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // hasLapsed reports whether every lease on a runner has lapsed. A successor may
 // renew leases at runners that this owner does not reach, so it also requires that
 // this owner had no successor when the leases ended.
@@ -241,10 +283,21 @@
 	if r.hasLeft() {
 		return true
 	}
-	end := t.lapsedBy(r)
+	return t.isPast(t.lapsedBy(r), now)
+}
+
+// isPast reports whether the end of a lease has passed and this owner had no successor
+// then.
+func (t *Table) isPast(end, now time.Time) bool {
 	return !now.Before(end) && !t.ownerConfirmedAt.Before(end)
 }
 
+// runHasLapsed reports whether the lease of a run has lapsed on a runner all of whose
+// own leases have.
+func (t *Table) runHasLapsed(x *run, now time.Time) bool {
+	return !x.isCarriedOver || x.runner.hasLeft() || t.isPast(t.carriedOverUntil(x), now)
+}
+
 // SetFormerOwnerEnd sets the time up to which a former owner may have renewed
 // leases at runners that this owner does not reach. A time before the one that is
 // already set is ignored.
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -112,6 +112,7 @@
 	isQueued     bool // the start is decided and not sent yet
 	startedAt    time.Time
 	confirmedAt  time.Time
+	unansweredAt time.Time // when the start counted as unanswered, or zero
 	percent      int       // reported progress; 100 means ready for a long-running task
 	progressedAt time.Time // when percent last changed
 	measure      float64   // see RunStatus.Measure
@@ -135,9 +136,12 @@
 	stopOrderedAt time.Time
 	isStopQueued  bool // the stop is decided and not sent yet
 	stoppedAt     time.Time
-	// acknowledged says that the runner has confirmed the run or a stop of it: from
-	// then on the runner's reports tell whether it runs.
-	acknowledged bool
+	// isListed says that a report of the runner's current incarnation has listed the
+	// run. Answers to orders may come from an incarnation that is not known yet.
+	isListed bool
+	// isCarriedOver says that the runner was restarted after the start was ordered, and
+	// that no report of the new process has listed the run.
+	isCarriedOver bool
 }
 
 func (x *run) task() *task { return &x.st.tasks[x.index] }
