--- a/internal/process/conductor/rig_test.go
+++ b/internal/process/conductor/rig_test.go
@@ -86,7 +86,7 @@
 func (c *heldClient) Poll(ctx context.Context, _ dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
 	c.polls.Add(1)
 	if c.isSilent.Load() {
-		return report, ErrConnectionClosed
+		return report, ErrConnectionRefused
 	}
 	pauser.Sleep(ctx, min(poll.Wait, 50*time.Millisecond))
 	return dispatcher.Report{Lifetime: 1, Clock: c.clock()}, ctx.Err()
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -352,7 +352,7 @@
 		if c.faulty && rapid.IntRange(0, 10).Draw(c.t, "waits") == 1 {
 			wait = rapid.IntRange(0, 4000).Draw(c.t, "wait")
 		}
-		c.waiting = append(c.waiting, delayedOrder{c.now.Add(time.Duration(wait) * time.Millisecond), o, c.fence})
+		c.waiting = append(c.waiting, delayedOrder{at: c.now.Add(time.Duration(wait) * time.Millisecond), order: o, fence: c.fence})
 	}
 	c.waiting = slices.DeleteFunc(c.waiting, func(d delayedOrder) bool {
 		if c.now.Before(d.at) {
--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -25,6 +25,7 @@
 		return o, false
 	case o.Kind == Stop:
 		x.isStopQueued, x.stopOrderedAt = false, now
+		o.Lifetime = x.runner.info.Lifetime
 		return o, true
 	case o.Kind == Pace:
 		o.Percent = x.pace
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -63,7 +63,7 @@
 		t.resetRunner(r, lifetime, now) // this also stops the run, whose start was not confirmed
 		return
 	}
-	if outcome == Unanswered && x.acknowledged {
+	if outcome == Unanswered && x.isListed {
 		return // the runner has listed the run meanwhile
 	}
 	if outcome == Succeeded {
@@ -103,10 +103,13 @@
 // new process, which may still carry out the start.
 func (t *Table) ApplyStop(o Order, outcome Outcome, now time.Time) {
 	x := t.find(o)
-	if x == nil || o.Lifetime != x.runner.info.Lifetime {
+	if x == nil {
 		return
 	}
 	x.isStopQueued = false
+	if o.Lifetime != x.runner.info.Lifetime {
+		return
+	}
 	switch outcome {
 	case Succeeded:
 		if x.stoppedAt.IsZero() {
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -191,7 +191,7 @@
 		// The new incarnation may have answered the start, or may still carry it out.
 		x.isCarriedOver = true
 		if x.phase != running {
-			x.phase = running
+			x.phase, x.isStopQueued = running, false
 			t.stop(x, now, "unanswered start on a restarted runner")
 		}
 	}
