Believe what a runner says of its own capacity

A runner whose capacity had shrunk was given starts over it until its registry entry said so and was delivered, although its answers to polls said it at once. An entry that lagged behind the runner, or one of a former incarnation, raised the capacity again.

Cause: the registry entry was the only source of a capacity, and the last entry to be delivered counted, whatever incarnation it was of.

Change: a report may state the capacity. An amount that has shrunk counts at once, whoever says so. An amount that has grown counts unless the statement may be older than one that said less: for a runner that reports its capacity, only a report that was requested after the registry last said less. An entry counts when it changes, as the registry delivers unchanged ones again. Event 6116 records each change with its source and what the runs take up. What runs goes on, and nothing starts until it fits.

--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -40,6 +40,9 @@
 	EventRunnerSuspended recorder.Number = 6113
 	// EventRunnerLapsed is recorded when the leases of a silent runner have lapsed.
 	EventRunnerLapsed recorder.Number = 6114
+	// EventRunnerCapacity is recorded when the capacity of a runner has changed, with
+	// what its runs take up.
+	EventRunnerCapacity recorder.Number = 6116
 )
 
 // record records an event about a submission. The pairs are alternating names and
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
@@ -51,6 +52,9 @@
 	Clock    int64 // ms on the runner's clock
 	Running  []RunStatus
 	Ended    []End
+	// Capacity is the runner's capacity at the time of the report, if the report states
+	// it.
+	Capacity holder.Optional[submitter.Resources]
 }
 
 // unknownRunGrace is how long a run of an unknown submission may go on before it is
@@ -87,6 +91,7 @@
 		t.resetRunner(r, rep.Lifetime, now)
 	}
 	t.ObserveClock(id, rep.Lifetime, rep.Clock, now)
+	t.reportCapacity(r, rep.Capacity, sentAt, now)
 	if !r.acceptedToken {
 		r.acceptedToken, r.tokenAcceptedAt = true, now
 		t.placementDue = true
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -12,12 +12,13 @@
 type RunnerInfo struct {
 	ID string `json:"id"`
 	// Service names the service whose queues the runner takes tasks from.
-	Service    string              `json:"service"`
-	Address    string              `json:"address"`
-	DataCentre string              `json:"dataCentre"`
-	Rack       string              `json:"rack,omitempty"`
-	Labels     []string            `json:"labels,omitempty"`
-	Capacity   submitter.Resources `json:"capacity"`
+	Service    string   `json:"service"`
+	Address    string   `json:"address"`
+	DataCentre string   `json:"dataCentre"`
+	Rack       string   `json:"rack,omitempty"`
+	Labels     []string `json:"labels,omitempty"`
+	// Capacity may shrink and grow while the runner runs.
+	Capacity submitter.Resources `json:"capacity"`
 	// Lifetime distinguishes successive incarnations of a runner under one ID.
 	Lifetime int64 `json:"lifetime"`
 	Draining bool  `json:"draining,omitempty"`
@@ -32,6 +33,7 @@
 	// token.
 	acceptedToken   bool
 	tokenAcceptedAt time.Time
+	capacity        capacityStatements
 	used            submitter.Resources
 	usedForLong     submitter.Resources // the part of used that long-running tasks take
 	runs            map[runKey]*run
@@ -113,8 +115,10 @@
 		if r.info.Draining != info.Draining && info.Draining {
 			t.recordRunner(now, EventRunnerDraining, r, "registry entry says draining")
 		}
+		t.registerCapacity(r, info, now)
+		capacity := r.info.Capacity
 		r.info = info
-		r.info.Lifetime = lifetime
+		r.info.Lifetime, r.info.Capacity = lifetime, capacity
 		r.isRegistered = true
 	}
 	for id, r := range t.runners {
@@ -191,6 +195,7 @@
 		t.stop(x, now, "unanswered start on a restarted runner")
 	}
 	r.acceptedToken = false
+	r.capacity = capacityStatements{}
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
 	r.lastEnd, r.pending = 0, nil
 	clear(r.unknownRuns)
--- a/internal/version/submitter/submission.go
+++ b/internal/version/submitter/submission.go
@@ -45,6 +45,11 @@
 	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
 }
 
+// Min returns the smaller of each amount of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMB, o.MemoryMB), min(r.GPUs, o.GPUs)}
+}
+
 // A Step is a number of identical tasks that become ready together.
 type Step struct {
 	Count int `json:"count"`
