--- a/internal/version/dispatcher/capacity.go
+++ b/internal/version/dispatcher/capacity.go
@@ -76,3 +76,7 @@
 func formatResources(r submitter.Resources) string {
 	return fmt.Sprintf("%d milliCores, %d MB, %d GPUs", r.MilliCores, r.MemoryMB, r.GPUs)
 }
+
+// isOvercommitted reports whether the runs on a runner, with those whose starts were not
+// sent yet, exceed its capacity.
+func (r *runner) isOvercommitted() bool { return !r.used.Fits(r.info.Capacity) }
