Play capacities that change at random

One more play of the table in virtual time: runners shrink and grow, which the registry delivers up to 2.8 s later and reports state in half of the plays, beside tasks that fail, orders that are lost or late, runners that are cut off or crash, and a change of owner. Checked at each start: the runner is not overcommitted by what the owner knows, nor brought over what it has had within 4.5 s (the platform's 3 s and a heartbeat of 1.5 s). At the end all tasks run. The plays of long-running tasks check their starts as well; they draw the same faults as before.

In it a stop takes no time, so it does not show that what is being stopped counts (TestRunsBeingStoppedTakeUpAShrunkRunner does).

--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
@@ -46,6 +47,7 @@
 	ended    []End
 	lastEnd  int64
 	polledAt time.Time
+	resizes  []resize // oldest first
 }
 
 func (r *simRunner) clock(now time.Time) int64 { return now.Sub(r.bornAt).Milliseconds() + 1 }
@@ -124,12 +126,16 @@
 	delayed []delayedOrder
 	results []result
 	faulty  bool
+	// resizing says that runners shrink and grow as well.
+	resizing bool
+	// statesCapacity says that runners state their capacities in their reports.
+	statesCapacity bool
 }
 
 func newChaos(t *rapid.T, runners int) *chaos {
 	c := &chaos{t: t, now: epoch, runners: make(map[string]*simRunner), faulty: true}
 	for i := range runners {
-		r := &simRunner{id: fmt.Sprintf("r%d", i)}
+		r := &simRunner{id: fmt.Sprintf("r%d", i), resizes: []resize{{c.now, testCapacity, c.now}}}
 		r.reset(c.now)
 		c.runners[r.id] = r
 	}
@@ -161,7 +167,7 @@
 	var infos []RunnerInfo
 	for _, r := range c.sorted() {
 		if !r.isDown {
-			infos = append(infos, RunnerInfo{ID: r.id, Service: "s", DataCentre: "z", Capacity: testCapacity, Lifetime: r.lifetime})
+			infos = append(infos, RunnerInfo{ID: r.id, Service: "s", DataCentre: "z", Capacity: r.registered(c.now), Lifetime: r.lifetime})
 		}
 	}
 	c.table.SetRunners(infos, c.now)
@@ -186,6 +192,9 @@
 				r.end(keys[0], Failure)
 			}
 		}
+		if c.resizing {
+			c.resizeAtRandom(r)
+		}
 	}
 }
 
@@ -214,6 +223,9 @@
 		}
 	}
 	c.carryOutDelayed()
+	if c.resizing {
+		c.register()
+	}
 	c.poll()
 	c.deliver()
 	c.table.ConfirmOwnership(c.now)
@@ -257,6 +269,9 @@
 		for _, key := range sortedKeys(r.running) {
 			rep.Running = append(rep.Running, RunStatus{Task: key.task, Run: key.run, Percent: 100})
 		}
+		if c.statesCapacity {
+			rep.Capacity = holder.Known(r.capacity())
+		}
 		c.table.Report(r.id, rep, c.now, c.now)
 	}
 }
@@ -266,6 +281,7 @@
 func (c *chaos) send() {
 	for _, o := range c.table.Orders() {
 		r := c.runners[o.Runner]
+		c.checkStart(r, o)
 		timeout := result{c.now.Add(400 * time.Millisecond), o, Unanswered, c.fence}
 		lost := 0
 		if c.faulty {
