Wait for the entry of a restarted runner before starting work there

A runner that came back under its id, as another kind, was given starts by the capacity and the labels of its former incarnation until its new registry entry was delivered: more than it has room for, or tasks whose label it lacks.

Cause: a report of a new incarnation resets what is known of the runner but its registry entry, and placement asked only whether there was one.

Change: a runner counts as unregistered until the registry has shown an entry of the incarnation that reports. An entry that names no incarnation counts for any.

The cost is that a restarted runner is idle until its first entry is delivered; not measured.

--- a/internal/version/dispatcher/capacity.go
+++ b/internal/version/dispatcher/capacity.go
@@ -27,7 +27,7 @@
 // registerCapacity applies the capacity in a runner's registry entry, which is delivered
 // again while it stays the same.
 func (t *Table) registerCapacity(r *runner, info RunnerInfo, now time.Time) {
-	if info.Lifetime < r.info.Lifetime {
+	if info.Lifetime != 0 && info.Lifetime < r.info.Lifetime {
 		return // the entry of a former incarnation
 	}
 	stated := info.Capacity
@@ -80,3 +80,10 @@
 // isOvercommitted reports whether the runs on a runner, with those whose starts were not
 // sent yet, exceed its capacity.
 func (r *runner) isOvercommitted() bool { return !r.used.Fits(r.info.Capacity) }
+
+// hasEntry reports whether the registry has shown an entry of the runner's incarnation,
+// which may have another capacity and other labels than the former one.
+func (r *runner) hasEntry() bool {
+	_, ok := r.capacity.registered.Get()
+	return ok
+}
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -26,7 +26,7 @@
 	switch wanted := st.spec.Reserved(); {
 	case !st.s.isServedBy(r.info.Service):
 		return otherService
-	case !r.isRegistered:
+	case !r.isRegistered, !r.hasEntry():
 		return unregistered
 	case r.info.Draining, t.isEvacuated(r.info.DataCentre):
 		return leaving
--- a/internal/version/dispatcher/shrinking_test.go
+++ b/internal/version/dispatcher/shrinking_test.go
@@ -233,3 +233,28 @@
 		t.Errorf("load %+v, want 6000 of 4000 milliCores", load)
 	}
 }
+
+// Guards against starts on a restarted runner by the capacity and the labels of its former
+// incarnation, which may have been of another kind.
+func TestRestartedRunnerWaitsForItsEntry(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, 0, 1)
+	h.pollAll(1)
+	h.add("a", "urgent", oneCore(8))
+	h.table.Report("r0", Report{Lifetime: 2, Clock: 1}, h.now, h.now.Add(time.Millisecond))
+	h.register(testCapacity, 1)
+	assertStarts(t, h.starts(), 0)
+	h.register(withCores(4), 2)
+	h.advance(2 * blockedPause)
+	h.table.Report("r0", Report{Lifetime: 2, Clock: 200}, h.now, h.now.Add(time.Millisecond))
+	assertStarts(t, h.starts(), 4)
+}
+
+func TestEntryWithoutAnIncarnationCounts(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, 0, 1)
+	h.table.Report("r0", Report{Lifetime: 2, Clock: 1}, h.now, h.now.Add(time.Millisecond))
+	h.register(withCores(4), 0)
+	h.add("a", "urgent", oneCore(8))
+	assertStarts(t, h.starts(), 4)
+}
