--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/kumquatstack/kumquatstack/internal/holder"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
@@ -60,6 +61,7 @@
 	// stoppedBy holds, by run, the last incarnation that has confirmed a stop of it to the
 	// owner.
 	stoppedBy map[runKey]int64
+	resizes   []resize // oldest first
 }
 
 func (r *simRunner) clock(now time.Time) int64 { return now.Sub(r.bornAt).Milliseconds() + 1 }
@@ -164,6 +166,10 @@
 	refusesOthers bool
 	// namesLifetime says that answers to orders name the incarnation.
 	namesLifetime bool
+	// resizing says that runners shrink and grow as well.
+	resizing bool
+	// statesCapacity says that runners state their capacities in their reports.
+	statesCapacity bool
 }
 
 func newChaos(t *rapid.T, runners int) *chaos {
@@ -172,7 +178,10 @@
 		refusesOthers: rapid.Bool().Draw(t, "refusesOthers"), namesLifetime: rapid.Bool().Draw(t, "namesLifetime"),
 	}
 	for i := range runners {
-		r := &simRunner{id: fmt.Sprintf("r%d", i), stoppedBy: make(map[runKey]int64)}
+		r := &simRunner{
+			id: fmt.Sprintf("r%d", i), stoppedBy: make(map[runKey]int64),
+			resizes: []resize{{c.now, testCapacity, c.now}},
+		}
 		r.reset(c.now)
 		r.listed = r.lifetime
 		c.runners[r.id] = r
@@ -205,7 +214,7 @@
 	var infos []RunnerInfo
 	for _, r := range c.sorted() {
 		if r.listed > 0 {
-			infos = append(infos, RunnerInfo{ID: r.id, Service: "s", DataCentre: "z", Capacity: testCapacity, Lifetime: r.listed})
+			infos = append(infos, RunnerInfo{ID: r.id, Service: "s", DataCentre: "z", Capacity: r.registered(c.now), Lifetime: r.listed})
 		}
 	}
 	c.table.SetRunners(infos, c.now)
@@ -234,6 +243,9 @@
 				r.end(keys[0], Failure)
 			}
 		}
+		if c.resizing {
+			c.resizeAtRandom(r)
+		}
 	}
 }
 
@@ -266,6 +278,9 @@
 		}
 	}
 	c.carryOutDelayed()
+	if c.isResizeDue() {
+		c.register()
+	}
 	c.poll()
 	c.deliver()
 	c.table.ConfirmOwnership(c.now)
@@ -331,6 +346,9 @@
 		for _, key := range sortedKeys(r.running) {
 			rep.Running = append(rep.Running, RunStatus{Task: key.task, Run: key.run, Percent: 100})
 		}
+		if c.statesCapacity {
+			rep.Capacity = holder.Known(r.capacity())
+		}
 		c.reports = append(c.reports, lateReport{c.now.Add(c.delay("report", chaosAnswerTime)), r.id, rep, c.now, c.fence})
 	}
 	c.reports = slices.DeleteFunc(c.reports, func(late lateReport) bool {
@@ -373,6 +391,7 @@
 func (c *chaos) send() {
 	for _, o := range c.dueOrders() {
 		r := c.runners[o.Runner]
+		c.checkStart(r, o)
 		timeout := result{at: c.now.Add(400 * time.Millisecond), order: o, outcome: Unanswered, fence: c.fence}
 		lost := 0
 		if c.faulty {
@@ -431,26 +450,44 @@
 	c.table.Saved(c.table.Unsaved(1000))
 }
 
-// runsOf returns the runners on which a task runs.
-func (c *chaos) runsOf(id submitter.TaskID) (on []string) {
+// runs returns the runners on which each task runs.
+func (c *chaos) runs() map[submitter.TaskID][]string {
+	runs := make(map[submitter.TaskID][]string)
 	for _, r := range c.sorted() {
 		for key := range r.running {
-			if key.task == id {
-				on = append(on, r.id)
-			}
+			runs[key.task] = append(runs[key.task], r.id)
 		}
 	}
-	return on
+	return runs
 }
 
-// check fails the play if a task runs twice at once.
-func (c *chaos) check() {
+// tasks returns all tasks of the play, in order.
+func (c *chaos) tasks() (ids []submitter.TaskID) {
 	for _, sub := range c.subs {
 		for i := range sub.Steps[0].Count {
-			id := submitter.TaskID{Submission: sub.ID, Index: i}
-			if on := c.runsOf(id); len(on) > 1 {
-				c.t.Fatalf("%s: task %s runs on %v", c.now.Sub(epoch), id, on)
-			}
+			ids = append(ids, submitter.TaskID{Submission: sub.ID, Index: i})
+		}
+	}
+	return ids
+}
+
+// check fails the play if a task runs twice at once.
+func (c *chaos) check() {
+	runs := c.runs()
+	for _, id := range c.tasks() {
+		if on := runs[id]; len(on) > 1 {
+			c.t.Fatalf("%s: task %s runs on %v", c.now.Sub(epoch), id, on)
+		}
+	}
+}
+
+// assertAllRun checks that each task runs on one runner.
+func (c *chaos) assertAllRun() {
+	c.t.Helper()
+	runs := c.runs()
+	for _, id := range c.tasks() {
+		if on := runs[id]; len(on) != 1 {
+			c.t.Errorf("task %s runs on %v at %s, want one runner", id, on, c.now.Sub(epoch))
 		}
 	}
 }
@@ -497,13 +534,6 @@
 		for c.now.Before(settled) {
 			c.step()
 		}
-		for _, sub := range c.subs {
-			for i := range sub.Steps[0].Count {
-				id := submitter.TaskID{Submission: sub.ID, Index: i}
-				if on := c.runsOf(id); len(on) != 1 {
-					r.Errorf("task %s runs on %v at %s, want one runner", id, on, settled.Sub(epoch))
-				}
-			}
-		}
+		c.assertAllRun()
 	})
 }
--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -64,12 +64,15 @@
 	if x.phase != starting {
 		return "to be stopped" // for instance as the runner was restarted
 	}
+	if x.runner.isOvercommitted() {
+		return string(full) // the runner has shrunk
+	}
 	anyTask := &task{} // one that avoids no runner
 	switch o := t.obstacle(x.runner, x.st, anyTask, now); o {
 	case otherService, unregistered, leaving, runsUnknown, suspended, silent:
 		return string(o)
 	default:
-		return "" // an obstacle that depends on room, which this run takes up itself
+		return "" // the others depend on room, which this run takes up itself
 	}
 }
 
--- a/internal/version/dispatcher/confirm_test.go
+++ b/internal/version/dispatcher/confirm_test.go
@@ -58,6 +58,7 @@
 			reborn.Lifetime = 2
 			h.table.SetRunners([]RunnerInfo{reborn}, h.now)
 		}},
+		{"runner shrunk", func(h *harness) { h.registerCapacity(submitter.Resources{}, 1) }},
 		{"runner suspended", func(h *harness) { h.table.suspend(h.table.runners["r0"], h.now) }},
 		{"runner silent", func(h *harness) { h.now = h.now.Add(staleAfter + time.Millisecond) }},
 	} {
