Keep a cancellation that reaches the owner before its submission

A daemon that stored a submission may fail to tell the owner at once, while another one tells it of the cancellation. The owner ignored that, and ran the submission once it heard of it, until it read the cancellation from the store, seconds later. Found in review; the test failed before with one start.

--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -443,3 +443,17 @@
 		t.Errorf("starts %+v, want %q first", orders, want)
 	}
 }
+
+// Guards against a submission that runs although it was cancelled, as its cancellation
+// reached the owner first.
+func TestCancellationBeforeItsSubmission(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	h.table.Cancel("a", h.now)
+	h.advance(time.Second)
+	h.add("a", "urgent", oneCore(1))
+	assertStarts(t, h.starts(), 0)
+	if state, _ := h.table.State("a"); state != submitter.Cancelled {
+		t.Errorf("state %q, want cancelled", state)
+	}
+}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -171,6 +171,10 @@
 		t.claimEnds(s, now)
 		t.completeIfDone(s, now)
 	}
+	if _, cancelled := t.earlyCancels[sub.ID]; cancelled {
+		delete(t.earlyCancels, sub.ID)
+		t.Cancel(sub.ID, now)
+	}
 	t.placementDue = true
 }
 
@@ -339,10 +343,19 @@
 	t.placementDue = true
 }
 
-// Cancel cancels a submission whose cancellation is already durable.
+// earlyCancelRetention is how long the cancellation of an unknown submission is kept: by
+// then the submission is found in the store.
+const earlyCancelRetention = 30 * time.Second
+
+// Cancel cancels a submission whose cancellation is already durable. The submission may
+// reach the table later than its cancellation.
 func (t *Table) Cancel(id string, now time.Time) {
 	s, ok := t.subs[id]
-	if !ok || s.state.IsFinal() {
+	if !ok {
+		t.earlyCancels[id] = now
+		return
+	}
+	if s.state.IsFinal() {
 		return
 	}
 	s.cancelled = true
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -92,6 +92,8 @@
 	dirty          []*submission   // submissions with unsaved progress, longest waiting first
 	// placementDue says that the next Schedule has to run a placement pass.
 	placementDue bool
+	// earlyCancels holds when submissions were cancelled that are not in the table yet.
+	earlyCancels map[string]time.Time
 	// finished holds the submissions that have ended, oldest first.
 	finished []finishedSubmission
 }
@@ -119,6 +121,7 @@
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
 		reserved:         make(map[*runner]*stepState),
+		earlyCancels:     make(map[string]time.Time),
 	}
 }
 
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +41,7 @@
 			t.watchRun(x, now)
 		}
 	}
+	maps.DeleteFunc(t.earlyCancels, func(_ string, at time.Time) bool { return now.Sub(at) > earlyCancelRetention })
 	t.watchWaiting(now)
 	t.placementDue = true
 }
