Count a submission as started once a start is sent

It counted from the decision, also if the start was withdrawn or a gang found no room, so that the number of pending submissions was too low and the state said running (MIXED). Found in review; the test failed before with none pending.

--- a/internal/version/dispatcher/confirm_test.go
+++ b/internal/version/dispatcher/confirm_test.go
@@ -224,3 +224,21 @@
 		t.Errorf("orders %+v, want a stop of the first member", stops)
 	}
 }
+
+// Guards against a submission that counts as started although its start was not sent.
+func TestSubmissionIsPendingUntilAStartIsSent(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	start := h.decideOne(oneCore(1))
+	assertPending := func(want int) {
+		t.Helper()
+		if got := h.table.Pending("urgent"); got != want {
+			t.Errorf("%d submissions are pending, want %d", got, want)
+		}
+	}
+	assertPending(1)
+	if _, ok := h.table.Confirm(start, h.now); !ok {
+		t.Fatal("the start is not sent")
+	}
+	assertPending(0)
+}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -386,16 +386,17 @@
 	if st.runsByRunner != nil {
 		st.runsByRunner[r.info.ID]++
 	}
-	s := st.s
-	if !s.hasStarted {
-		s.hasStarted = true
-		if !s.state.IsFinal() {
-			s.state = submitter.Running
-		}
-	}
 	return x
 }
 
+// markStarted notes that a task of the submission was started.
+func (s *submission) markStarted() {
+	s.hasStarted = true
+	if s.state == submitter.Queued {
+		s.state = submitter.Running
+	}
+}
+
 // orderStart orders the start of a placed run.
 func (t *Table) orderStart(x *run, now time.Time) {
 	r := x.runner
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -172,6 +172,7 @@
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	x := t.place(st, key.task.Index, r, key.run, now)
 	x.phase, x.confirmedAt, x.isListed = running, now, true
+	s.markStarted()
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
 	switch {
 	case unwanted:
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -68,6 +68,7 @@
 	}
 	if outcome == Succeeded {
 		x.confirmedAt = now
+		x.st.s.markStarted()
 		if x.phase == starting {
 			x.phase, x.progressedAt = running, now
 		}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -276,8 +276,7 @@
 				t.markDone(st, k)
 			}
 		}
-		s.hasStarted = true
-		s.state = submitter.Running
+		s.markStarted()
 	}
 }
 
