--- a/internal/process/conductor/rig_test.go
+++ b/internal/process/conductor/rig_test.go
@@ -81,14 +81,18 @@
 	isPaused atomic.Bool
 	polls    atomic.Int64
 	isSilent atomic.Bool // polls fail
+	silent   string      // the address at which no runner answers
 }
 
-func (c *heldClient) Poll(ctx context.Context, _ dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
+func (c *heldClient) Poll(ctx context.Context, to dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
 	c.polls.Add(1)
 	if c.isSilent.Load() {
 		return report, ErrConnectionRefused
 	}
 	pauser.Sleep(ctx, min(poll.Wait, 50*time.Millisecond))
+	if to.Address == c.silent {
+		return report, context.DeadlineExceeded
+	}
 	return dispatcher.Report{Lifetime: 1, Clock: c.clock()}, ctx.Err()
 }
 
@@ -112,22 +116,48 @@
 // startHeld starts the term of an owner of one large runner that holds orders back.
 func startHeld(t *testing.T) (c *Conductor, client *heldClient) {
 	t.Helper()
-	client = &heldClient{began: time.Now(), released: make(chan struct{}), registry: make(listRegistry)}
-	opts := Options{
+	client = newHeldClient()
+	return start(t, client, heldOptions(t, client), heldRunner), client
+}
+
+func newHeldClient() *heldClient {
+	return &heldClient{began: time.Now(), released: make(chan struct{}), registry: make(listRegistry)}
+}
+
+// startSuccessor starts the term of an owner of the same runner and of a silent one,
+// which succeeds another owner. Owners before that one may act until earlierEnd.
+func startSuccessor(t *testing.T, earlierEnd time.Time) (c *Conductor, client *heldClient) {
+	t.Helper()
+	client = newHeldClient()
+	client.silent = "silent"
+	opts := heldOptions(t, client)
+	opts.Generation, opts.FormerOwnerEnd, opts.EarlierOwnersEnd = 2, time.Now().Add(10*time.Second), earlierEnd
+	silent := dispatcher.RunnerInfo{ID: "silent", Service: "s", Address: "silent", Lifetime: 1}
+	return start(t, client, opts, heldRunner, silent), client
+}
+
+// heldOptions returns the options of an owner of one large runner.
+func heldOptions(t *testing.T, client *heldClient) Options {
+	return Options{
 		Limits: dispatcher.Limits{LeaseDuration: 4500 * time.Millisecond, MaxLease: 6 * time.Second, StopTimeout: 200 * time.Millisecond},
 		Store:  &emptyStore{}, RunnerClient: client, Recorder: recorder.Discard{}, Metrics: NewMetrics(counter.New()),
 		Registry: client.registry,
 		Split:    partitioner.Split{Parts: 1}, Fence: 1,
 		ConfirmedAt: time.Now, MayAct: func() bool { return !client.isPaused.Load() }, OnDeposed: func(reason string) { t.Errorf("deposed: %s", reason) },
 	}
+}
+
+// start starts a term with a queue and runners, which ends with the test.
+func start(t *testing.T, client *heldClient, opts Options, runners ...dispatcher.RunnerInfo) *Conductor {
+	t.Helper()
 	c, err := Start(t.Context(), opts)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	client.registry <- []dispatcher.RunnerInfo{heldRunner}
+	client.registry <- runners
 	c.Configure(dispatcher.NewConfiguration([]submitter.Queue{{Name: "q", Service: "s", MaxAttempts: 2}}, nil))
-	return c, client
+	return c
 }
 
 // submit submits a submission of small tasks.
