Give up tasks that crash the runners that start them

A run that ends with its runner left the table through end, which counts nothing, a copy of a speculative task crashed a second runner before the first was known to be lost, and the stored progress held no crash.

A run is now on probation until it has been seen running for a second. The loss of a runner counts for the tasks on probation there. Such a task starts again alone: no run of another submission is on probation on its runner, and none starts there. So a further loss can be attributed. After three losses in a row, one of them unclear at most, or after four, the submission fails with event 6115. A run that outlives its probation, or whose end its runner lists, clears the count; innocents don't collect losses. Losses of many runners at a time are not attributed, and none counts while as many runners as there are were lost within ten seconds. The crashes are part of the stored progress; from the second one on, the next start waits until they are durable. A task that may have crashed its runner gets no copy.

The test of long-running tasks after random faults demanded that none is given up, also if its runners are lost three times in a row within three seconds of its start. The rule allows that, and its random plays reach more than two lost runners a second among six. It now accepts a failed submission only where the play itself counted three such losses in a row for one of its tasks; all else is as strict as before. Results of orders in that play carry the lifetime that answered, no longer the one at delivery.

--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -142,6 +142,7 @@
 	6112: {Name: "dispatcher.runnerReborn", Level: log.InfoLevel},
 	6113: {Name: "dispatcher.runnerSuspended", Level: log.InfoLevel},
 	6114: {Name: "dispatcher.runnerLapsed", Level: log.InfoLevel},
+	6115: {Name: "dispatcher.crashing", Level: log.InfoLevel},
 	6200: {Name: "conductor.runnerSilent", Level: log.InfoLevel},
 	6201: {Name: "conductor.recordUnreadable", Level: log.InfoLevel},
 	6202: {Name: "conductor.storeFailed", Level: log.InfoLevel},
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -111,6 +111,8 @@
 	order   Order
 	outcome Outcome
 	fence   int64
+	// lifetime is the incarnation of the runner that answered.
+	lifetime int64
 }
 
 // A chaos is a play of one owner after the other in virtual time with random faults.
@@ -128,10 +130,11 @@
 	// onStart is called after a runner has started a run, if it is set. It reports
 	// whether the owner gets an answer.
 	onStart func(r *simRunner, key runKey) (answered bool)
+	streaks *streaks
 }
 
 func newChaos(t *rapid.T, runners int) *chaos {
-	c := &chaos{t: t, now: epoch, runners: make(map[string]*simRunner), faulty: true, saved: make(map[string]*submitter.Progress)}
+	c := &chaos{t: t, now: epoch, runners: make(map[string]*simRunner), faulty: true, saved: make(map[string]*submitter.Progress), streaks: newStreaks()}
 	for i := range runners {
 		r := &simRunner{id: fmt.Sprintf("r%d", i)}
 		r.reset(c.now)
@@ -180,8 +183,10 @@
 		span := time.Duration(rapid.IntRange(200, 5000).Draw(c.t, "span")) * time.Millisecond
 		switch rapid.IntRange(0, 120).Draw(c.t, "fault") {
 		case 0:
+			c.streaks.lose(r.id, c.now)
 			r.isCut, r.cutTill = true, c.now.Add(span)
 		case 1:
+			c.streaks.lose(r.id, c.now)
 			r.isDown, r.downTill = true, c.now.Add(min(span, time.Second))
 			r.reset(c.now)
 			c.register()
@@ -225,6 +230,9 @@
 		c.table.Tick(c.now)
 	}
 	c.table.Schedule(c.now)
+	for _, r := range c.sorted() {
+		c.streaks.end(r.running, c.now)
+	}
 	c.send()
 	c.check()
 }
@@ -270,14 +278,17 @@
 func (c *chaos) send() {
 	for _, o := range c.table.Orders() {
 		r := c.runners[o.Runner]
-		timeout := result{c.now.Add(400 * time.Millisecond), o, Unanswered, c.fence}
+		if o.Kind == Start {
+			c.streaks.start(o, r.isCut || r.isDown, c.now)
+		}
+		timeout := result{c.now.Add(400 * time.Millisecond), o, Unanswered, c.fence, 0}
 		lost := 0
 		if c.faulty {
 			lost = rapid.IntRange(0, 20).Draw(c.t, "lost")
 		}
 		switch {
 		case r.isDown:
-			c.results = append(c.results, result{c.now, o, NotSent, c.fence})
+			c.results = append(c.results, result{c.now, o, NotSent, c.fence, 0})
 		case r.isCut, lost == 1:
 			c.results = append(c.results, timeout)
 		case lost == 2:
@@ -293,7 +304,7 @@
 				c.results = append(c.results, timeout)
 				continue
 			}
-			c.results = append(c.results, result{c.now, o, outcome, c.fence})
+			c.results = append(c.results, result{c.now, o, outcome, c.fence, r.lifetime})
 		}
 	}
 }
@@ -320,13 +331,9 @@
 		if res.fence != c.fence {
 			continue // the owner that sent the order has ended
 		}
-		lifetime := int64(0)
-		if res.outcome != Unanswered && res.outcome != NotSent {
-			lifetime = c.runners[res.order.Runner].lifetime
-		}
 		switch res.order.Kind {
 		case Start:
-			c.table.ApplyStart(res.order, res.outcome, lifetime, c.now)
+			c.table.ApplyStart(res.order, res.outcome, res.lifetime, c.now)
 		case Stop:
 			c.table.ApplyStop(res.order, res.outcome, c.now)
 		case Pace:
@@ -370,7 +377,8 @@
 // Long-running tasks run again within a few seconds after the last of a series of faults,
 // if the runners have room, and never twice at once: runners that are cut off, that crash
 // and come back under their id, orders that are lost, carried out without an answer, or
-// carried out late, tasks that fail, and owners that change meanwhile.
+// carried out late, tasks that fail, and owners that change meanwhile. A submission
+// may fail only if several runners in a row were lost under one of its tasks.
 func TestLongRunningTasksRunAfterFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
@@ -405,6 +413,9 @@
 			c.step()
 		}
 		for _, sub := range c.subs {
+			if state, _ := c.table.State(sub.ID); state == submitter.Failed && c.streaks.excuse(sub) {
+				continue
+			}
 			for i := range sub.Steps[0].Count {
 				id := submitter.TaskID{Submission: sub.ID, Index: i}
 				if on := c.runsOf(id); len(on) != 1 {
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -40,6 +40,10 @@
 	EventRunnerSuspended recorder.Number = 6113
 	// EventRunnerLapsed is recorded when the leases of a silent runner have lapsed.
 	EventRunnerLapsed recorder.Number = 6114
+	// EventCrashing is recorded when a submission is failed because runners were lost
+	// soon after starts of one of its tasks. It names the task, its runs and these
+	// runners.
+	EventCrashing recorder.Number = 6115
 )
 
 // record records an event about a submission. The pairs are alternating names and
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -17,6 +17,7 @@
 	full         obstacle = "full"
 	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
 	reserved     obstacle = "reserved"   // for a long-running task
+	isolated     obstacle = "isolated"   // the task, or one there, may crash runners
 	excluded     obstacle = "excluded"   // by the step, an earlier failure, or services there
 	notPermitted obstacle = "notPermitted"
 )
@@ -42,6 +43,8 @@
 		return memoryFull
 	case t.isReservedFor(r, st):
 		return reserved
+	case t.keepsApart(r, st, k, now):
+		return isolated
 	case !st.allows(r), k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
 		return excluded
 	case st.spec.Fills && !t.hasBestEffortRoom(r, st, now):
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -63,6 +63,7 @@
 	clear(t.noRoom)
 	list := t.candidates(now)
 	t.reserve(now)
+	t.holdRunners(list, allRunsKnown, now)
 	for _, c := range list {
 		// A former owner may have started tasks where runs are not known yet.
 		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
@@ -145,17 +146,24 @@
 		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTracked) {
 			continue
 		}
-		if t.hadNoRoom(st) {
+		isSuspected := k.isSuspected(now)
+		if !isSuspected && t.hadNoRoom(st) {
 			st.blockedAt = now
+			if st.crashed > 0 {
+				continue // a runner may be held for another task
+			}
 			return
 		}
 		r := t.choose(st, k, now)
 		if r == nil {
 			st.blockedAt = now
-			if k.avoid != "" {
-				continue // another task may run on the runner that this one avoids
+			if k.avoid != "" || isSuspected {
+				continue // another task may run on a runner that this one has to avoid
 			}
 			t.recordNoRoom(st)
+			if st.crashed > 0 {
+				continue
+			}
 			return
 		}
 		t.start(st, i, r, now)
@@ -206,7 +214,7 @@
 	for i := range st.tasks {
 		number = max(number, t.nextRun(&st.tasks[i]))
 	}
-	for i := range st.tasks {
+	for _, i := range st.suspectsFirst(now) {
 		r := t.choose(st, &st.tasks[i], now)
 		if r == nil {
 			for _, x := range placed {
@@ -240,11 +248,15 @@
 func (t *Table) chooseOther(st *stepState, k *task, than *runner, now time.Time) *runner {
 	var best *runner
 	bestScore := math.Inf(-1)
+	isSuspected := k.isSuspected(now)
 	for _, r := range t.runners {
 		if r == than || !t.canStart(r, st, k, now) {
 			continue
 		}
 		score := t.score(r, st, now)
+		if isSuspected {
+			score = -float64(r.used.MilliCores) // the less runs there, the less is lost
+		}
 		if score > bestScore || (score == bestScore && r.info.ID < best.info.ID) {
 			best, bestScore = r, score
 		}
@@ -364,7 +376,10 @@
 // place adds a run of a task on a runner to the table, without ordering its start.
 func (t *Table) place(st *stepState, index int, r *runner, number int64, now time.Time) *run {
 	k := &st.tasks[index]
-	x := &run{st: st, index: index, number: number, runner: r, startedAt: now, progressedAt: now, pace: fullPace, confirmedPace: fullPace}
+	x := &run{st: st, index: index, number: number, runner: r, startedAt: now, progressedAt: now, pace: fullPace, confirmedPace: fullPace, onProbation: true}
+	if k.isSuspected(now) {
+		t.isolate(x)
+	}
 	if len(k.runs) == 0 && !k.done {
 		st.waiting--
 	}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -108,6 +108,7 @@
 			delete(r.unknownRuns, key)
 		}
 	}
+	t.endProbation(r, listed, sentAt)
 	t.endUnlisted(r, listed, len(rep.Ended), sentAt, now)
 	t.watchTails(r, now)
 }
@@ -119,6 +120,9 @@
 		if x = t.adopt(r, key, now); x == nil {
 			return
 		}
+		if row.Percent > 0 {
+			t.passProbation(x) // it was started some time ago
+		}
 	}
 	if x.phase == starting {
 		x.phase, x.confirmedAt = running, now
@@ -282,6 +286,8 @@
 		k.checkpoint = e.Checkpoint
 	}
 	k.nextRun = max(k.nextRun, e.Run+1)
+	// A runner that lists the end of a run was not lost under it.
+	t.clearCrashes(st, e.Task.Index, func(c submitter.Crash) bool { return c.Run == e.Run })
 	switch e.Kind {
 	case Done:
 		t.taskDone(st, e.Task.Index, r, now)
@@ -357,6 +363,7 @@
 		return
 	}
 	delete(r.runs, key)
+	t.release(x)
 	r.used = r.used.Minus(st.spec.Reserved())
 	if st.spec.LongRunning {
 		r.usedForLong = r.usedForLong.Minus(st.spec.Reserved())
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
@@ -59,6 +60,9 @@
 		return
 	}
 	if r := x.runner; lifetime > r.info.Lifetime {
+		if outcome == OtherLifetime {
+			t.release(x) // the incarnation that was lost never had it
+		}
 		t.resetRunner(r, lifetime, now) // this also stops the run, whose start was not confirmed
 		return
 	}
@@ -106,6 +110,7 @@
 			x.stoppedAt = now
 		}
 	case OtherLifetime:
+		defer t.blame(x.runner.loss(), now)
 		t.end(x, now, "stop: otherLifetime")
 	default:
 		// watchRun repeats the stop.
@@ -235,6 +240,13 @@
 			p.Failures[i] = append([]int64(nil), k.failures...)
 			any = true
 		}
+		if len(k.crashes) > 0 && !k.done {
+			if p.Crashes == nil {
+				p.Crashes = make(map[int][]submitter.Crash)
+			}
+			p.Crashes[i] = slices.Clone(k.crashes)
+			any = true
+		}
 	}
 	return p, any
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -35,6 +35,9 @@
 	used            submitter.Resources
 	usedForLong     submitter.Resources // the part of used that long-running tasks take
 	runs            map[runKey]*run
+	suspects        int         // suspected runs on probation here
+	isolatedFor     *submission // the submission of the suspected runs, or nil
+	lostAt          time.Time   // when all that ran here was last known to be lost
 
 	answeredAt  time.Time    // when the newest answer arrived
 	clock       int64        // the runner's clock in that answer, ms
@@ -179,6 +182,7 @@
 
 // resetRunner handles a new incarnation of a runner under the same ID.
 func (t *Table) resetRunner(r *runner, lifetime int64, now time.Time) {
+	defer t.blame(r.loss(), now)
 	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
 	r.info.Lifetime = lifetime
 	for _, x := range r.runsByAge() {
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -57,6 +57,7 @@
 	tasks        []task
 	remaining    int            // tasks not done yet
 	waiting      int            // tasks not done yet that have no run
+	crashed      int            // tasks with crashes
 	ready        bool           // all steps that this one depends on are done
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
 	// blockedAt is when the step last found no runner with room.
@@ -81,13 +82,19 @@
 
 // A task is one unit of work of a step.
 type task struct {
-	done       bool
-	nextRun    int64   // the lowest number that the next run may have
-	failures   []int64 // numbers of failed runs
-	checkpoint string
-	runs       []*run
-	avoid      string    // the runner on which the task last failed or made no progress
-	endedAt    time.Time // when a run of the task last ended
+	done     bool
+	nextRun  int64   // the lowest number that the next run may have
+	failures []int64 // numbers of failed runs
+	// crashes holds the losses of runners in a row that the task may have caused, oldest
+	// first. The last one was recorded at suspectedSince, in version crashVersion of the
+	// submission's progress.
+	crashes        []submitter.Crash
+	suspectedSince time.Time
+	crashVersion   int64
+	checkpoint     string
+	runs           []*run
+	avoid          string    // the runner on which the task last failed or made no progress
+	endedAt        time.Time // when a run of the task last ended
 	// isTracked is true once this owner has started a run of the task, or has taken one
 	// over: from then on it knows every run of the task.
 	isTracked bool
@@ -136,6 +143,9 @@
 	// acknowledged says that the runner has confirmed the run or a stop of it: from
 	// then on the runner's reports tell whether it runs.
 	acknowledged bool
+	// onProbation says that the run may be the cause if its runner is lost; isSuspect
+	// that the runner is kept free of others meanwhile.
+	onProbation, isSuspect bool
 }
 
 func (x *run) task() *task { return &x.st.tasks[x.index] }
@@ -262,6 +272,7 @@
 		st := s.occs[entry.Occurrence].steps[entry.Step]
 		for k := range st.tasks {
 			st.tasks[k].failures = entry.Failures[k]
+			st.restoreCrashes(k, entry.Crashes[k], now)
 			if entry.IsDone(k) {
 				t.markDone(st, k)
 			}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -81,6 +81,13 @@
 	// placement pass.
 	reserved map[*runner]*stepState
 
+	// held maps runners to the suspects that are to start there next.
+	held     map[*runner]suspect
+	isolated int // number of runners with suspects on probation
+	// lossTimes is when runners were lost recently, otherLossTimes when runners were lost
+	// without a task that is known for such losses.
+	lossTimes, otherLossTimes []time.Time
+
 	orders         []Order         // decided since the last call of Orders
 	permitRequests []PermitRequest // decided since the last call of PermitRequests
 	dirty          []*submission   // submissions with unsaved progress, longest waiting first
@@ -113,6 +120,7 @@
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
 		reserved:         make(map[*runner]*stepState),
+		held:             make(map[*runner]suspect),
 	}
 }
 
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -50,6 +50,7 @@
 		return
 	}
 	t.recordRunner(now, EventRunnerLapsed, r, "no lease renewal was answered")
+	defer t.blame(r.loss(), now)
 	t.dropRuns(r, now, "lease lapsed")
 }
 
@@ -70,7 +71,7 @@
 	stalledFor := now.Sub(x.progressedAt)
 	silentFor := now.Sub(x.runner.answeredAt)
 	if x.st.spec.Speculative && (stalledFor > copyAfter || silentFor > copyAfter) && len(x.task().runs) == 1 && !x.task().done {
-		if !t.knowsAllRuns(now) {
+		if !t.knowsAllRuns(now) || x.mayHaveCrashed(now) {
 			return // the owner may not know all failures of the task yet
 		}
 		if r := t.chooseOther(x.st, x.task(), x.runner, now); r != nil {
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -38,7 +38,7 @@
 type Progress struct {
 	// State is empty until a final state is reached.
 	State State `json:"state,omitempty"`
-	// Steps holds the steps of which a task is done or has failed.
+	// Steps holds the steps of which a task is done, has failed or may have crashed runners.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
 
@@ -50,6 +50,19 @@
 	Done []byte `json:"done,omitempty"`
 	// Failures maps the index of a task to the numbers of its failed runs.
 	Failures map[int][]int64 `json:"failures,omitempty"`
+	// Crashes maps the index of a task to the losses of runners that it may have
+	// caused, oldest first.
+	Crashes map[int][]Crash `json:"crashes,omitempty"`
+}
+
+// A Crash is the loss of a runner soon after the start of a run there.
+type Crash struct {
+	Run    int64  `json:"run"`
+	Runner string `json:"runner,omitempty"`
+	// Attributed says that no task of another submission can have caused the loss.
+	Attributed bool `json:"attributed,omitempty"`
+	// Widespread says that many other runners were lost at the time.
+	Widespread bool `json:"widespread,omitempty"`
 }
 
 // SetDone marks the task with the given index as done.
