--- a/internal/version/dispatcher/suspect_test.go
+++ b/internal/version/dispatcher/suspect_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// playOut advances the time until all submissions have ended, or by a duration.
+func (p *crashPlay) playOut(span time.Duration) {
+	for end := p.now.Add(span); p.now.Before(end) && !p.allEnded(); {
+		p.play(chaosStep)
+	}
+}
+
+func (p *crashPlay) allEnded() bool {
+	return !slices.ContainsFunc(p.subs, func(sub *submitter.Submission) bool {
+		state, _ := p.table.State(sub.ID)
+		return !state.IsFinal()
+	})
+}
+
 // work crashes the runners of deadly tasks and ends the tasks that have done their work.
 func (p *crashPlay) work() {
 	for _, r := range p.sorted() {
@@ -181,7 +195,7 @@
 					p.submit(fmt.Sprintf("neighbour%d", i), step, false)
 				}
 				p.submit("deadly", step, true)
-				p.play(45 * time.Second)
+				p.playOut(45 * time.Second)
 				p.assertBounded()
 			})
 		})
@@ -214,7 +228,7 @@
 			p.submit(fmt.Sprintf("%s%d", kind, i), kinds[kind], i%4 == 0)
 		}
 		p.loseSome(15 * time.Second)
-		p.play(30 * time.Second)
+		p.playOut(30 * time.Second)
 		p.assertBounded()
 	})
 }
@@ -230,7 +244,7 @@
 		p.submit("deadly", step, true)
 		p.play(time.Duration(rapid.IntRange(0, 15_000).Draw(r, "takeover")) * time.Millisecond)
 		p.takeOver(1)
-		p.play(60 * time.Second)
+		p.playOut(60 * time.Second)
 		p.assertBounded()
 	})
 }
