--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -122,6 +122,7 @@
 			delete(r.unknownRuns, key)
 		}
 	}
+	t.endProbation(r, listed, sentAt)
 	t.endUnlisted(r, listed, len(rep.Ended), sentAt, now)
 	t.watchTails(r, now)
 }
@@ -133,6 +134,9 @@
 		if x = t.adopt(r, key, now); x == nil {
 			return
 		}
+		if row.Percent > 0 {
+			t.passProbation(x) // it was started some time ago
+		}
 	}
 	if x.phase == starting {
 		x.phase, x.confirmedAt = running, now
@@ -300,6 +304,8 @@
 		k.checkpoint = e.Checkpoint
 	}
 	k.nextRun = max(k.nextRun, e.Run+1)
+	// A runner that lists the end of a run was not lost under it.
+	t.clearCrashes(st, e.Task.Index, func(c submitter.Crash) bool { return c.Run == e.Run })
 	switch e.Kind {
 	case Done:
 		t.taskDone(st, e.Task.Index, r, now)
@@ -376,6 +382,7 @@
 	}
 	delete(r.runs, key)
 	t.dequeue(x)
+	t.release(x)
 	r.used = r.used.Minus(st.spec.Reserved())
 	if st.spec.LongRunning {
 		r.usedForLong = r.usedForLong.Minus(st.spec.Reserved())
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -103,6 +103,15 @@
 	h.table.Report(runner, Report{Lifetime: h.lifetime(runner), Clock: h.clock(runner), Running: h.reported[runner], Ended: ends}, sent, h.now)
 }
 
+// stall lets the runs make no progress for so long that copies are started, while every
+// runner answers.
+func (h *harness) stall(runners int) {
+	h.pollAll(runners)
+	h.advance(copyAfter / 2)
+	h.pollAll(runners)
+	h.advance(copyAfter/2 + time.Millisecond)
+}
+
 // pollAll polls every runner.
 func (h *harness) pollAll(runners int) {
 	for i := range runners {
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -37,6 +37,9 @@
 	used            submitter.Resources
 	usedForLong     submitter.Resources // the part of used that long-running tasks take
 	runs            map[runKey]*run
+	suspects        int         // suspected runs on probation here
+	isolatedFor     *submission // the submission of the suspected runs, or nil
+	lostAt          time.Time   // when all that ran here was last known to be lost
 
 	// restartedAt is when this owner last learnt that the process was restarted, or zero.
 	restartedAt time.Time
@@ -185,6 +188,7 @@
 
 // resetRunner handles a new incarnation of a runner under the same ID.
 func (t *Table) resetRunner(r *runner, lifetime int64, now time.Time) {
+	defer t.blame(r.loss(), now)
 	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
 	r.info.Lifetime, r.restartedAt = lifetime, now
 	for _, x := range r.runsByAge() {
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -56,6 +56,7 @@
 		return
 	}
 	t.recordRunner(now, EventRunnerLapsed, r, "no lease renewal was answered")
+	defer t.blame(r.loss(), now)
 	for _, x := range lapsed {
 		t.end(x, now, "lease lapsed")
 	}
@@ -77,7 +78,7 @@
 	stalledFor := now.Sub(x.progressedAt)
 	silentFor := now.Sub(x.runner.answeredAt)
 	if x.st.spec.Speculative && (stalledFor > copyAfter || silentFor > copyAfter) && len(x.task().runs) == 1 && !x.task().done {
-		if !t.knowsAllRuns(now) || t.isQueueFull() {
+		if !t.knowsAllRuns(now) || t.isQueueFull() || x.mayHaveCrashed(now) {
 			return // the owner may not know all failures of the task yet, or is busy
 		}
 		if r := t.chooseOther(x.st, x.task(), x.runner, now); r != nil {
