Take a draining runner for gone once its connection was closed and none can be opened

A closed connection, after which no other can be opened and no answer comes, is proof beside the missing entry of a runner that was draining.

--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -351,7 +351,11 @@
 		r.polledAt = c.now
 		until := c.table.LeaseUntil(r.id, c.now)
 		if r.isDown || r.isCut {
-			c.table.PollFailed(r.id, r.isDown, c.now)
+			failure := NoAnswer
+			if r.isDown {
+				failure = ConnectionRefused
+			}
+			c.table.PollFailed(r.id, failure, c.now)
 			continue
 		}
 		r.fence = max(r.fence, c.fence)
--- a/internal/version/dispatcher/expire_test.go
+++ b/internal/version/dispatcher/expire_test.go
@@ -83,14 +83,33 @@
 			h.pollAll(2)
 			assertStarts(t, h.starts(), 0)
 		}
-		h.table.PollFailed(leaving, true, h.now)
+		h.table.PollFailed(leaving, ConnectionRefused, h.now)
 		assertStarts(t, h.starts(), 1)
 	})
 	t.Run("has not left if it is only silent", func(t *testing.T) {
 		h, leaving := newDrainedHarness(t)
-		h.table.PollFailed(leaving, false, h.now)
+		h.table.PollFailed(leaving, NoAnswer, h.now)
 		assertStarts(t, h.starts(), 0)
 	})
+	for _, c := range []struct {
+		name     string
+		failures []PollFailure
+		starts   int
+	}{
+		{"connection closed", []PollFailure{ConnectionClosed}, 0},
+		{"no connection", []PollFailure{NotConnected}, 0},
+		{"connection closed, no answer, no connection", []PollFailure{ConnectionClosed, NoAnswer, NotConnected}, 0},
+		// A host that is gone refuses nothing: its runs waited for the ends of their leases.
+		{"connection closed, then no connection", []PollFailure{ConnectionClosed, NotConnected}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h, leaving := newDrainedHarness(t)
+			for _, failure := range c.failures {
+				h.table.PollFailed(leaving, failure, h.now)
+			}
+			assertStarts(t, h.starts(), c.starts)
+		})
+	}
 	t.Run("has left if its address refused connections before", func(t *testing.T) {
 		h := newHarness(t, 0, 2)
 		h.pollAll(2)
@@ -106,7 +125,7 @@
 			info.Draining = true
 			h.table.SetRunners([]RunnerInfo{info}, h.now)
 		}
-		h.table.PollFailed(orders[0].Runner, true, h.now)
+		h.table.PollFailed(orders[0].Runner, ConnectionRefused, h.now)
 		assertStarts(t, h.starts(), 0)
 		h.table.SetRunners(staying, h.now)
 		assertStarts(t, h.starts(), 1)
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -52,7 +52,8 @@
 	failedSubmissions map[string]bool      // submissions that failed here since the last success
 	suspendedUntil    time.Time            // when the runner may get new work again
 	silentSince       time.Time            // when a poll first failed since the last answer, or zero
-	refused           bool                 // the newest poll found that nothing listens at the address
+	closed            bool                 // a poll's connection was closed, and none could be opened since
+	hasEnded          bool                 // the newest poll showed that the process has ended
 	unknownRuns       map[runKey]time.Time // when runs of unknown submissions were first reported
 	// unknownStoppedAt is when a stop was last ordered for a run that is not in the
 	// table.
@@ -138,7 +139,7 @@
 }
 
 // endIfLeft ends the runs of a runner that was draining and has left: its registry
-// entry is gone and nothing listens at its address. A missing entry alone
+// entry is gone and its process has ended. A missing entry alone
 // is not enough, since the store may drop the entry of a runner that is still
 // running.
 func (t *Table) endIfLeft(r *runner, now time.Time) {
@@ -148,7 +149,7 @@
 	}
 }
 
-func (r *runner) hasLeft() bool { return !r.isRegistered && r.info.Draining && r.refused }
+func (r *runner) hasLeft() bool { return !r.isRegistered && r.info.Draining && r.hasEnded }
 
 // ExpectRunners adds the runners on which a former owner may have started runs. The
 // registry may have dropped the entries of some that are still running.
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -262,7 +262,7 @@
 	h.table.MarkSettled([]string{"r0", "left"}, h.now)
 	h.poll("r0")
 	assertStarts(t, h.starts(), 0)
-	h.table.PollFailed("left", true, h.now)
+	h.table.PollFailed("left", ConnectionRefused, h.now)
 	assertStarts(t, h.starts(), 1)
 }
 
