Try a step on the runner that is reserved for it, whatever others have found

Long-running tasks had no run for ten seconds and more although a runner was reserved for one of them and had room (6107 with eligible=1): a step of the same shape, for which the reserved runner is closed, was tried first and found no room, which then counted for the step with the reservation as well. The unit test failed before.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -153,7 +153,7 @@
 			return
 		}
 		isSuspected := k.isSuspected(now)
-		if !isSuspected && t.hadNoRoom(st) {
+		if !isSuspected && t.hadNoRoom(st) && !t.hasReserved(st) {
 			st.blockedAt = now
 			if st.crashed > 0 {
 				continue // a runner may be held for another task
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -106,3 +106,14 @@
 	holder := t.reserved[r]
 	return holder != nil && holder != st
 }
+
+// hasReserved reports whether a runner is reserved for a step, which is then tried although
+// others of its shape have found no room.
+func (t *Table) hasReserved(st *stepState) bool {
+	for _, holder := range t.reserved {
+		if holder == st {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -78,3 +78,43 @@
 	h.add("large", "urgent", submitter.Step{Count: runners - 1, Resources: submitter.Resources{MilliCores: 8000}})
 	assertStarts(t, h.starts(), runners-1)
 }
+
+// Guards against a task that does not start on the runner that is reserved for it, because
+// a task of the same size, for which that runner is closed, was tried first.
+func TestReservedRunnerIsUsed(t *testing.T) {
+	const runners = 2
+	h := newHarness(t, 0, runners)
+	h.pollAll(runners)
+	large := submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 6000}, LongRunning: true}
+	lost := make(map[string]Order)
+	for _, id := range []string{"first", "second"} {
+		h.add(id, "urgent", large)
+		h.now = h.now.Add(time.Second)
+		lost[id] = h.starts()[0]
+	}
+	for n := range 300 {
+		h.add(fmt.Sprintf("small%03d", n), "urgent", oneCore(1))
+	}
+	h.starts()
+	for _, id := range []string{"second", "first"} { // the second one waits for longer
+		h.drop(lost[id])
+		h.poll(lost[id].Runner, End{Task: lost[id].Task, Run: lost[id].Run, Kind: Stopped})
+		h.advance(2 * blockedPause)
+		for _, waiting := range []string{"first", "second"} {
+			h.table.subs[waiting].occs[0].steps[0].blockedAt = h.now
+		}
+		h.starts()
+	}
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		for i := range runners {
+			h.finishOldest(fmt.Sprintf("r%d", i))
+		}
+		for _, o := range h.starts() {
+			if o.Task.Submission == "second" {
+				return
+			}
+		}
+	}
+	t.Error("the task that has waited longest has not started within 3 s")
+}
