--- a/internal/version/dispatcher/isolation.go
+++ b/internal/version/dispatcher/isolation.go
@@ -73,7 +73,7 @@
 	case holder != nil && holder != st.s:
 		return true
 	case !k.isSuspected(now):
-		return false
+		return len(k.crashes) > 0 && r.hasOtherSuspect(st.s)
 	case k.awaitsRecord(st.s), holder == nil && t.hasEnoughIsolated():
 		return true
 	}
@@ -85,6 +85,18 @@
 	return false
 }
 
+// hasOtherSuspect reports whether a run of another submission is on probation on a runner
+// whose task may have crashed a runner before. Two such tasks are never put together: all
+// that were lost at once would be lost at once again.
+func (r *runner) hasOtherSuspect(s *submission) bool {
+	for _, x := range r.runs {
+		if x.onProbation && x.st.s != s && len(x.task().crashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // hasEnoughIsolated reports whether suspects may take up no further runner.
 func (t *Table) hasEnoughIsolated() bool {
 	return t.isolated+len(t.held) >= max(minSuspectRunners, int(suspectShare*float64(len(t.runners))))
