--- a/internal/version/dispatcher/isolation.go
+++ b/internal/version/dispatcher/isolation.go
@@ -73,24 +73,20 @@
 	case holder != nil && holder != st.s:
 		return true
 	case !k.isSuspected(now):
-		return len(k.crashes) > 0 && r.hasOtherSuspect(st.s)
+		return len(k.crashes) > 0 && r.hasOthersOnProbation(st.s, func(x *run) bool { return len(x.task().crashes) > 0 })
 	case k.awaitsRecord(st.s), holder == nil && t.hasEnoughIsolated():
 		return true
+	default:
+		return r.hasOthersOnProbation(st.s, func(*run) bool { return true })
 	}
-	for _, x := range r.runs {
-		if x.onProbation && x.st.s != st.s {
-			return true
-		}
-	}
-	return false
 }
 
-// hasOtherSuspect reports whether a run of another submission is on probation on a runner
-// whose task may have crashed a runner before. Two such tasks are never put together: all
-// that were lost at once would be lost at once again.
-func (r *runner) hasOtherSuspect(s *submission) bool {
+// hasOthersOnProbation reports whether a run of another submission that counts is on
+// probation on a runner. Two tasks that may have crashed runners are never put together:
+// all that were lost at once would be lost at once again.
+func (r *runner) hasOthersOnProbation(s *submission, counts func(x *run) bool) bool {
 	for _, x := range r.runs {
-		if x.onProbation && x.st.s != s && len(x.task().crashes) > 0 {
+		if x.onProbation && x.st.s != s && counts(x) {
 			return true
 		}
 	}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -404,14 +404,6 @@
 	return x
 }
 
-// markStarted notes that a task of the submission was started.
-func (s *submission) markStarted() {
-	s.hasStarted = true
-	if s.state == submitter.Queued {
-		s.state = submitter.Running
-	}
-}
-
 // orderStart orders the start of a placed run.
 func (t *Table) orderStart(x *run, now time.Time) {
 	r := x.runner
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -327,11 +327,7 @@
 // FormerOwnerEnded records that the former owner has stopped, so that it renews no
 // more leases. Owners before it may still do so.
 func (t *Table) FormerOwnerEnded(now time.Time) {
-	end := now
-	if t.earlierOwnersEnd.After(now) {
-		end = t.earlierOwnersEnd
-	}
-	if end.Before(t.formerOwnerEnd) {
+	if end := later(now, t.earlierOwnersEnd); end.Before(t.formerOwnerEnd) {
 		t.formerOwnerEnd = end
 		t.placementDue = true
 	}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -291,6 +291,14 @@
 	}
 }
 
+// markStarted notes that a task of the submission was started.
+func (s *submission) markStarted() {
+	s.hasStarted = true
+	if s.state == submitter.Queued {
+		s.state = submitter.Running
+	}
+}
+
 // openDue sets up the occurrences of a submission that are due.
 func (t *Table) openDue(s *submission, now time.Time) {
 	for s.opened < s.sub.Occurrences() && (s.sub.Schedule == nil || !s.sub.DueAt(s.opened).After(now)) {
