Share the set-up of the tests of reservations

Three steps stood twice: filling runners with small tasks, losing the room of a run to them, and waiting for a start beside them.

--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -18,29 +18,48 @@
 	h.add("large", "urgent", large)
 	first := h.starts()
 	assertStarts(t, first, 1)
+	h.fillWithSmallTasks()
+	h.loseRoom(first[0], Failure, "large")
+	if !h.startsBesideSmallTasks("large", runners) {
+		t.Error("the long-running task has not started within 3 s, want it to be started before the small ones that wait")
+	}
+}
+
+// fillWithSmallTasks submits more small tasks than there is room for.
+func (h *harness) fillWithSmallTasks() {
 	for n := range 300 {
 		h.add(fmt.Sprintf("small%03d", n), "urgent", oneCore(1))
 	}
 	h.starts()
-	h.drop(first[0])
-	h.poll(first[0].Runner, End{Task: first[0].Task, Run: first[0].Run, Kind: Failure})
-	// The small tasks take the room that the failed run leaves, since they are tried
-	// again first.
+}
+
+// loseRoom ends a run, and lets small tasks take the room that it leaves: they are tried
+// again before the waiting submissions.
+func (h *harness) loseRoom(o Order, kind EndKind, waiting ...string) {
+	h.drop(o)
+	h.poll(o.Runner, End{Task: o.Task, Run: o.Run, Kind: kind})
 	h.advance(2 * blockedPause)
-	h.table.subs["large"].occs[0].steps[0].blockedAt = h.now
+	for _, id := range waiting {
+		h.table.subs[id].occs[0].steps[0].blockedAt = h.now
+	}
 	h.starts()
+}
+
+// startsBesideSmallTasks reports whether a task of a submission starts within 3 s, in
+// which each runner finishes ten tasks a second.
+func (h *harness) startsBesideSmallTasks(submission string, runners int) bool {
 	for range 30 {
 		h.advance(100 * time.Millisecond)
 		for i := range runners {
 			h.finishOldest(fmt.Sprintf("r%d", i))
 		}
 		for _, o := range h.starts() {
-			if o.Task.Submission == "large" {
-				return
+			if o.Task.Submission == submission {
+				return true
 			}
 		}
 	}
-	t.Error("the long-running task has not started within 3 s, want it to be started before the small ones that wait")
+	return false
 }
 
 // drop removes a run from those that its runner reports.
@@ -92,29 +111,11 @@
 		h.now = h.now.Add(time.Second)
 		lost[id] = h.starts()[0]
 	}
-	for n := range 300 {
-		h.add(fmt.Sprintf("small%03d", n), "urgent", oneCore(1))
-	}
-	h.starts()
+	h.fillWithSmallTasks()
 	for _, id := range []string{"second", "first"} { // the second one waits for longer
-		h.drop(lost[id])
-		h.poll(lost[id].Runner, End{Task: lost[id].Task, Run: lost[id].Run, Kind: Stopped})
-		h.advance(2 * blockedPause)
-		for _, waiting := range []string{"first", "second"} {
-			h.table.subs[waiting].occs[0].steps[0].blockedAt = h.now
-		}
-		h.starts()
+		h.loseRoom(lost[id], Stopped, "first", "second")
 	}
-	for range 30 {
-		h.advance(100 * time.Millisecond)
-		for i := range runners {
-			h.finishOldest(fmt.Sprintf("r%d", i))
-		}
-		for _, o := range h.starts() {
-			if o.Task.Submission == "second" {
-				return
-			}
-		}
+	if !h.startsBesideSmallTasks("second", runners) {
+		t.Error("the task that has waited longest has not started within 3 s")
 	}
-	t.Error("the task that has waited longest has not started within 3 s")
 }
