Tell from the metrics and events what waiting tasks wait for

An owner's status is published for each of its parts: runners, awaited runners, processors that are free and that long-running tasks take, and long-running tasks that wait. 6107 names the runners that are awaited, 6117 says when all runs of former owners have become known.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -218,6 +218,13 @@
 	return c.table.Pending(queue)
 }
 
+// Status returns a summary of the part for the metrics.
+func (c *Conductor) Status() dispatcher.Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Status(time.Now())
+}
+
 // apply applies a change to the table, lets the table schedule tasks, and sends the
 // resulting orders and permit requests.
 func (c *Conductor) apply(change func(t *dispatcher.Table, now time.Time)) {
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"net/http"
 	"strconv"
@@ -96,6 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
+	opts.Metrics.Publish(OwnedParts, expvar.Func(func() any { return s.statuses() }))
 	ctx, s.cancel = context.WithCancel(ctx)
 	s.peerServer = &http.Server{Handler: relayer.NewHandler(s.term, s.localOwner, s.submissionStore), ReadHeaderTimeout: 5 * time.Second}
 	s.background.Go(func() {
@@ -196,6 +198,19 @@
 	return parts
 }
 
+// statuses returns the status of each part that this daemon serves as the owner.
+func (s *Scheduler) statuses() map[int]dispatcher.Status {
+	statuses := make(map[int]dispatcher.Status)
+	if d := s.duties.Load(); d != nil {
+		for part := range d.conductors {
+			if c := d.conductors[part].Load(); c != nil {
+				statuses[part] = c.Status()
+			}
+		}
+	}
+	return statuses
+}
+
 // localOwner returns a part's owner if it is this process, else nil.
 func (s *Scheduler) localOwner(part int) relayer.Owner {
 	if d := s.duties.Load(); d != nil {
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -47,6 +47,9 @@
 	// EventRunnerCapacity is recorded when the capacity of a runner has changed, with
 	// what its runs take up.
 	EventRunnerCapacity recorder.Number = 6116
+	// EventRunsKnown is recorded once a new owner knows all runs that its predecessor may
+	// have started, with the runners that it has waited for last.
+	EventRunsKnown recorder.Number = 6117
 )
 
 // record records an event about a submission. The pairs are alternating names and
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -385,12 +385,24 @@
 	if t.expectsOthers && !t.hasLapsed(&runner{}, now) {
 		return false
 	}
+	return len(t.awaited(now, 1)) == 0
+}
+
+// awaited returns up to limit runners on which a former owner may have started runs that
+// are not in the table and have not lapsed.
+func (t *Table) awaited(now time.Time, limit int) (runners []*runner) {
+	if !t.hasFormerOwner {
+		return nil
+	}
 	for _, r := range t.runners {
+		if len(runners) == limit {
+			break
+		}
 		if !t.knowsRunsOn(r, now) && !t.hasLapsed(r, now) {
-			return false
+			runners = append(runners, r)
 		}
 	}
-	return true
+	return runners
 }
 
 // knowsRunsOn reports whether every run on a runner is in the table. A runner's
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -55,6 +55,9 @@
 	// renewed leases, even if the former one has ended.
 	earlierOwnersEnd time.Time
 	hasFormerOwner   bool
+	// lastAwaited names the runners that were awaited at the last tick. It is empty once
+	// all runs are known.
+	lastAwaited string
 	// expectsOthers says that the former owner may have used runners that are not in
 	// the table.
 	expectsOthers bool
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -1,8 +1,12 @@
 package dispatcher
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 )
 
 // Times of the watch on tasks without a run.
@@ -48,8 +52,33 @@
 		}
 		obstacles[o]++
 	}
+	if awaited := t.awaitedIDs(now); awaited != "" {
+		pairs = append(pairs, "awaits", awaited)
+	}
 	for o, runners := range obstacles {
 		pairs = append(pairs, string(o), strconv.Itoa(runners))
 	}
 	t.record(now, EventWaiting, st.s, "", pairs...)
 }
+
+// maxAwaitedIDs is the number of awaited runners that an event names.
+const maxAwaitedIDs = 3
+
+// awaitedIDs names some of the runners that are awaited.
+func (t *Table) awaitedIDs(now time.Time) string {
+	var ids []string
+	for _, r := range t.awaited(now, maxAwaitedIDs) {
+		ids = append(ids, r.info.ID)
+	}
+	slices.Sort(ids)
+	return strings.Join(ids, " ")
+}
+
+// watchAwaited records when all runs of former owners have become known.
+func (t *Table) watchAwaited(now time.Time) {
+	last := t.lastAwaited
+	t.lastAwaited = t.awaitedIDs(now)
+	if last != "" && t.lastAwaited == "" {
+		t.rec.Record(now, EventRunsKnown, recorder.Fields{"waitedMs": age(now, t.ownedSince), "awaited": last})
+	}
+}
