--- a/internal/process/scheduler/succession_test.go
+++ b/internal/process/scheduler/succession_test.go
@@ -18,6 +18,7 @@
 	"github.com/kumquatstack/kumquatstack/internal/standin/memorystore"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
 	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 // An emptyRegistry has no runners.
@@ -73,6 +74,7 @@
 	store     *memorystore.Store
 	listeners map[string]*pipeListener // by host
 	cutOff    atomic.Value             // the host that no daemon reaches
+	pool      *pool                    // the runners; nil if there are none
 	daemons   []*duties
 }
 
@@ -103,6 +105,11 @@
 	s := newDaemon(y.store, host, 1)
 	s.opts.PeerAddress += ":80"
 	s.opts.Registry = emptyRegistry{}
+	if y.pool != nil {
+		s.opts.Registry, s.opts.RunnerClient = y.pool, y.pool
+		s.opts.Limits = poolLimits
+		s.config.Set(Configuration{Version: 1, Dispatch: dispatcher.NewConfiguration([]submitter.Queue{{Name: "q", Service: "s", MaxAttempts: 2}}, nil)})
+	}
 	s.client, s.metrics = relayer.NewClient(y.dial), conductor.NewMetrics(counter.New())
 	d := &duties{
 		s: s, split: partitioner.Split{Parts: 1},
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -45,12 +45,23 @@
 		"allRunsKnown", strconv.FormatBool(t.knowsAllRuns(now)),
 	}
 	obstacles := make(map[obstacle]int)
+	var mostFree int64
 	for _, r := range t.runners {
 		o := t.obstacle(r, st, &task{}, now)
 		if o == eligible && !st.isPermitted(r, now) {
 			o = notPermitted
 		}
 		obstacles[o]++
+		if o == full {
+			mostFree = max(mostFree, r.free().MilliCores)
+		}
+	}
+	status := t.Status(now)
+	for name, milliCores := range map[string]int64{
+		"wantsMilliCores": st.spec.MilliCores, "mostFreeMilliCores": mostFree, "freeMilliCores": status.Free,
+		"longRunningMilliCores": status.LongRunning, "capacityMilliCores": status.Capacity,
+	} {
+		pairs = append(pairs, name, strconv.FormatInt(milliCores, 10))
 	}
 	if awaited := t.awaitedIDs(now); awaited != "" {
 		pairs = append(pairs, "awaits", awaited)
