Tell the next owner when leases lapse at runners that it never hears from

Callers saw long-running tasks without a run for 17 to 19 s, and everything else that the former owner had taken over waited as long. Cause: a new owner starts nothing that it has not taken over itself until it knows every run of its predecessor. A runner that left while that one was suspended never answers; for it, the longest lease that can be granted counted, from when the predecessor said that it has ended. That process knows better, and was not asked.

An owner whose term has ended now reports for each runner how long leases may last, with the runners that are settled.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -106,6 +106,9 @@
 	// Settled are the runners for which no stop command was in progress when that
 	// term ended.
 	Settled []string `json:"settled,omitempty"`
+	// LeasesMS is, by runner, how long from this report on the leases of that term may
+	// last, in milliseconds. Those on other runners have lapsed. It is null if not known.
+	LeasesMS map[string]int64 `json:"leasesMs"`
 }
 
 // A Client calls the owners of parts. It is safe for concurrent use.
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -173,18 +173,30 @@
 	c.apply(func(t *dispatcher.Table, now time.Time) { t.Configure(config, now) })
 }
 
-// MarkSettled tells the table that the former owner has stopped, and on which
-// runners the former owner had no stop order in progress.
-func (c *Conductor) MarkSettled(runners []string) {
-	c.apply(func(t *dispatcher.Table, now time.Time) { t.MarkSettled(runners, now) })
+// A Handover is what an owner whose term has ended leaves to its successor.
+type Handover struct {
+	// Settled are the runners on which the owner had no stop order in progress, so that the
+	// successor can use them without waiting.
+	Settled []string
+	// Lapses are the times by which the leases on the other runners have lapsed; nil if not
+	// known. See dispatcher.Table.Lapses.
+	Lapses map[string]time.Time
 }
 
-// Settled returns the runners on which this owner has no stop order in progress, so that
-// a successor can use them without waiting. It may be called after Close.
-func (c *Conductor) Settled() []string {
+// TakeOver tells the table that the former owner has stopped, and what it has left.
+func (c *Conductor) TakeOver(handover Handover) {
+	c.apply(func(t *dispatcher.Table, now time.Time) {
+		t.MarkSettled(handover.Settled, now)
+		t.ExpectLapses(handover.Lapses)
+	})
+}
+
+// Handover returns what this owner leaves to its successor. It is called after Close.
+func (c *Conductor) Handover() Handover {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Settled(time.Now())
+	now := time.Now()
+	return Handover{Settled: c.table.Settled(now), Lapses: c.table.Lapses(now)}
 }
 
 // Submit adds an accepted submission and returns the part's load including the
--- a/internal/process/conductor/takeover_test.go
+++ b/internal/process/conductor/takeover_test.go
@@ -15,7 +15,7 @@
 		c, client := startSuccessor(t, time.Now().Add(earlierEnd))
 		client.release()
 		submit(c, "a", 1)
-		c.MarkSettled([]string{"r"})
+		c.TakeOver(Handover{Settled: []string{"r"}})
 		time.Sleep(earlierEnd + longestLease)
 		if n := startsOf(client.orders(), "a"); n != 0 {
 			t.Errorf("%d starts while leases of earlier owners may last, want none", n)
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -33,14 +33,20 @@
 	elector    *elector.Elector
 	gateway    *gateway.Gateway
 	conductors []atomic.Pointer[conductor.Conductor] // by part; nil if not owned
-	endedTerms []atomic.Pointer[relayer.TermStatus]  // by part: this daemon's last ended term
+	endedTerms []atomic.Pointer[endedTerm]           // by part: this daemon's last ended term
+}
+
+// An endedTerm is a term of this daemon that has ended.
+type endedTerm struct {
+	fence    int64
+	handover conductor.Handover
 }
 
 // newDuties starts the duties; close stops them.
 func newDuties(ctx context.Context, s *Scheduler, split partitioner.Split) *duties {
 	d := &duties{
 		s: s, split: split, conductors: make([]atomic.Pointer[conductor.Conductor], split.Parts),
-		endedTerms: make([]atomic.Pointer[relayer.TermStatus], split.Parts),
+		endedTerms: make([]atomic.Pointer[endedTerm], split.Parts),
 	}
 	d.elector = d.newElector(d.serveOwner)
 	d.gateway = gateway.New(gateway.Options{
@@ -83,13 +89,28 @@
 	term := relayer.TermStatus{}
 	if part >= 0 && part < len(d.endedTerms) {
 		if ended := d.endedTerms[part].Load(); ended != nil {
-			term = *ended
+			term = ended.status(time.Now())
 		}
 	}
 	term.Instance, term.Serves = d.s.opts.Instance, d.localOwner(part) != nil
 	return term
 }
 
+// status returns the report about an ended term.
+func (e *endedTerm) status(now time.Time) relayer.TermStatus {
+	status := relayer.TermStatus{Ended: e.fence, Settled: e.handover.Settled}
+	if e.handover.Lapses == nil {
+		return status
+	}
+	status.LeasesMS = make(map[string]int64, len(e.handover.Lapses))
+	for id, lapse := range e.handover.Lapses {
+		if left := lapse.Sub(now); left > 0 {
+			status.LeasesMS[id] = left.Milliseconds() + 1
+		}
+	}
+	return status
+}
+
 // configure passes a configuration to the parts that this daemon owns.
 func (d *duties) configure(config dispatcher.Configuration) {
 	for part := range d.conductors {
@@ -130,7 +151,7 @@
 		ConfirmedAt:      term.ConfirmedAt, MayAct: term.MayAct,
 		OnDeposed: func(reason string) { term.Depose(time.Now(), reason) },
 	}
-	ended := relayer.TermStatus{Ended: owner.Fence}
+	ended := endedTerm{fence: owner.Fence}
 	defer func() { d.endedTerms[owner.Part].Store(&ended) }()
 	for ctx.Err() == nil {
 		c, err := conductor.Start(ctx, opts)
@@ -146,7 +167,7 @@
 		<-ctx.Done()
 		d.conductors[owner.Part].Store(nil)
 		c.Close()
-		ended.Settled = c.Settled()
+		ended.handover = c.Handover()
 	}
 }
 
@@ -179,8 +200,8 @@
 	return ctx.Err() == nil
 }
 
-// hasEnded asks the former owner whether it has stopped, and on which runners it had no
-// stop order in progress. Once the former owner is known to have stopped, this daemon
+// hasEnded asks the former owner whether it has stopped, and for what it leaves to this
+// owner. Once the former owner is known to have stopped, this daemon
 // need not assume that it renews leases at runners that do not answer.
 func (d *duties) hasEnded(ctx context.Context, former elector.Owner) bool {
 	c := d.conductors[former.Part].Load()
@@ -191,7 +212,7 @@
 	if err != nil || !isOver(term, former) {
 		return false
 	}
-	c.MarkSettled(settledBy(term, former))
+	c.TakeOver(handoverOf(term, former, time.Now()))
 	return true
 }
 
@@ -202,12 +223,21 @@
 	return term.Instance != former.Instance || term.Ended == former.Fence
 }
 
-// settledBy returns the runners that a former owner has left without a stop in progress.
-func settledBy(term relayer.TermStatus, former elector.Owner) []string {
+// handoverOf returns what a former owner has left, by a report that was received at a
+// time.
+func handoverOf(term relayer.TermStatus, former elector.Owner, receivedAt time.Time) (handover conductor.Handover) {
 	if term.Instance != former.Instance {
-		return nil // of a later process
+		return handover // of a later process
+	}
+	handover.Settled = term.Settled
+	if term.LeasesMS == nil {
+		return handover
+	}
+	handover.Lapses = make(map[string]time.Time, len(term.LeasesMS))
+	for id, left := range term.LeasesMS {
+		handover.Lapses[id] = receivedAt.Add(time.Duration(left) * time.Millisecond)
 	}
-	return term.Settled
+	return handover
 }
 
 // formerTerm asks the former owner's daemon for its status for the part.
--- a/internal/process/scheduler/succession_test.go
+++ b/internal/process/scheduler/succession_test.go
@@ -113,7 +113,7 @@
 	s.client, s.metrics = relayer.NewClient(y.dial), conductor.NewMetrics(counter.New())
 	d := &duties{
 		s: s, split: partitioner.Split{Parts: 1},
-		conductors: make([]atomic.Pointer[conductor.Conductor], 1), endedTerms: make([]atomic.Pointer[relayer.TermStatus], 1),
+		conductors: make([]atomic.Pointer[conductor.Conductor], 1), endedTerms: make([]atomic.Pointer[endedTerm], 1),
 	}
 	d.elector = d.newElector(d.serveOwner)
 	server := &http.Server{Handler: relayer.NewHandler(d.term, d.localOwner, nil), ReadHeaderTimeout: time.Second}
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -170,7 +170,9 @@
 	resizing bool
 	// statesCapacity says that runners state their capacities in their reports.
 	statesCapacity bool
-	saved          map[string]*submitter.Progress // durable progress by submission
+	// handsOver says that each owner reports to its successor what it leaves.
+	handsOver bool
+	saved     map[string]*submitter.Progress // durable progress by submission
 	// onStart is called after a runner has started a run, if it is set. It reports
 	// whether the owner gets an answer.
 	onStart func(r *simRunner, key runKey) (answered bool)
@@ -207,6 +209,10 @@
 		c.table.ExpectRunners(former.KnownRunners())
 		c.table.SetFormerOwnerEnd(c.now.Add(chaosUnconfirmed))
 	}
+	if former != nil && c.handsOver {
+		c.table.MarkSettled(former.Settled(c.now), c.now)
+		c.table.ExpectLapses(former.Lapses(c.now))
+	}
 	for _, sub := range c.subs {
 		c.table.Add(sub, c.saved[sub.ID], c.now)
 	}
@@ -546,43 +552,58 @@
 // carried out late, tasks that fail, and owners that change meanwhile. A submission
 // may fail only if several runners in a row were lost under one of its tasks.
 func TestLongRunningTasksRunAfterFaults(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(r *rapid.T) { playLongRunning(newChaos(r, 6), chaosTakeoverTime) })
+}
+
+// The same with owners that report to their successors what they leave. Nothing has to be
+// waited for then but the leases that the former owner has granted.
+func TestLongRunningTasksRunAfterHandovers(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		c := newChaos(r, 6)
-		lost := c.runners["r5"]       // is lost for good some time
-		var carriedOver time.Duration // when starts that the lost runner may have carried out have lapsed
-		lossAt := time.Duration(rapid.IntRange(0, int(chaosFaultsEnd/time.Millisecond)).Draw(r, "loss")) * time.Millisecond
-		for i := range 4 {
-			step := oneCore(4)
-			step.LongRunning = true
-			if i == 0 {
-				step.MaxPerRunner = 1
-			}
-			sub := &submitter.Submission{ID: fmt.Sprintf("s%d", i), Queue: "urgent", Steps: []submitter.Step{step}, AcceptedAt: c.now, Owner: c.fence}
-			c.subs = append(c.subs, sub)
-			c.table.Add(sub, nil, c.now)
-		}
-		takeover := time.Duration(rapid.IntRange(0, int(2*chaosTakeover/time.Millisecond)).Draw(r, "takeover")) * time.Millisecond
-		for generation := int64(1); c.now.Sub(epoch) < chaosFaultsEnd; c.step() {
-			if !lost.isLost && c.now.Sub(epoch) > lossAt {
-				if lost.restarts > 0 {
-					carriedOver = lost.bornAt.Sub(epoch) + chaosCarryOverTime
-				}
-				lost.isLost, lost.isDown, lost.downTill = true, true, c.now.Add(time.Hour)
-				lost.reset(c.now)
-				lost.listed, lost.listedAt = 0, time.Time{}
-				c.register()
-			}
-			if generation == 1 && c.now.Sub(epoch) > takeover {
-				c.takeOver(generation)
-				generation++
+		c.handsOver = true
+		playLongRunning(c, chaosTakeoverTime-chaosUnconfirmed)
+	})
+}
+
+// playLongRunning lets long-running tasks run through faults and a change of owner, after
+// which a task may run on a lost runner for some time.
+func playLongRunning(c *chaos, takeoverTime time.Duration) {
+	r := c.t
+	lost := c.runners["r5"]       // is lost for good some time
+	var carriedOver time.Duration // when starts that the lost runner may have carried out have lapsed
+	lossAt := time.Duration(rapid.IntRange(0, int(chaosFaultsEnd/time.Millisecond)).Draw(r, "loss")) * time.Millisecond
+	for i := range 4 {
+		step := oneCore(4)
+		step.LongRunning = true
+		if i == 0 {
+			step.MaxPerRunner = 1
+		}
+		sub := &submitter.Submission{ID: fmt.Sprintf("s%d", i), Queue: "urgent", Steps: []submitter.Step{step}, AcceptedAt: c.now, Owner: c.fence}
+		c.subs = append(c.subs, sub)
+		c.table.Add(sub, nil, c.now)
+	}
+	takeover := time.Duration(rapid.IntRange(0, int(2*chaosTakeover/time.Millisecond)).Draw(r, "takeover")) * time.Millisecond
+	for generation := int64(1); c.now.Sub(epoch) < chaosFaultsEnd; c.step() {
+		if !lost.isLost && c.now.Sub(epoch) > lossAt {
+			if lost.restarts > 0 {
+				carriedOver = lost.bornAt.Sub(epoch) + chaosCarryOverTime
 			}
+			lost.isLost, lost.isDown, lost.downTill = true, true, c.now.Add(time.Hour)
+			lost.reset(c.now)
+			lost.listed, lost.listedAt = 0, time.Time{}
+			c.register()
 		}
-		c.faulty = false
-		settled := epoch.Add(max(chaosFaultsEnd+chaosSettleTime, takeover+chaosTakeoverTime, carriedOver))
-		for c.now.Before(settled) {
-			c.step()
+		if generation == 1 && c.now.Sub(epoch) > takeover {
+			c.takeOver(generation)
+			generation++
 		}
-		c.assertAllRun()
-	})
+	}
+	c.faulty = false
+	settled := epoch.Add(max(chaosFaultsEnd+chaosSettleTime, takeover+takeoverTime, carriedOver))
+	for c.now.Before(settled) {
+		c.step()
+	}
+	c.assertAllRun()
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -243,7 +243,7 @@
 // not renewed, including those of orders that arrive late.
 func (t *Table) lapsedBy(r *runner) time.Time {
 	if r.answeredAt.IsZero() {
-		return t.formerOwnerEnd.Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
+		return t.formerLapse(r.info.ID)
 	}
 	left := time.Duration(max(0, r.maxLeaseEnd-r.clock)) * time.Millisecond
 	return r.answeredAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
@@ -275,7 +275,7 @@
 // runner's restart has lapsed, if the runner never answers. The runner's clock is another
 // since, so the lease end in the order does not bound it.
 func (t *Table) carriedOverUntil(x *run) time.Time {
-	return later(x.runner.restartedAt, x.begunBy()).Add(scaleDrift(t.limits.MaxLease)).Add(lapseMargin)
+	return t.longestLeaseFrom(later(x.runner.restartedAt, x.begunBy()))
 }
 
 // later returns the later of two times.
@@ -382,7 +382,7 @@
 	if !t.hasFormerOwner {
 		return true
 	}
-	if t.expectsOthers && !t.hasLapsed(&runner{}, now) {
+	if t.expectsOthers && !t.othersHaveLapsed(now) {
 		return false
 	}
 	return len(t.awaited(now, 1)) == 0
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -55,6 +55,8 @@
 	// renewed leases, even if the former one has ended.
 	earlierOwnersEnd time.Time
 	hasFormerOwner   bool
+	// formerLapses is what the former owner has reported by Lapses; nil if it has not.
+	formerLapses map[string]time.Time
 	// lastAwaited names the runners that were awaited at the last tick. It is empty once
 	// all runs are known.
 	lastAwaited string
