Leave released runners off the roster, so that no successor waits for them

A new owner waits for every runner on the roster. A draining runner stayed there until it had left, its registry entry was gone and its leases had lapsed; if the owner ended just then, all that its successor had taken over waited for leases on a runner on which nothing had run any more. The former owner may have been killed, so that it can't tell.

A draining runner is left off the roster once all that ran there has ended: no owner starts anything on it again. A draining runner that the registry lists and the roster does not is not awaited.

--- a/internal/process/conductor/roster.go
+++ b/internal/process/conductor/roster.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
@@ -37,34 +38,26 @@
 	return nil
 }
 
-// updateRoster stores a roster that includes the runners of a new list. It returns
-// the runners of the list that are on the stored roster: no others may be used.
-func (c *Conductor) updateRoster(infos []dispatcher.RunnerInfo) []dispatcher.RunnerInfo {
+// updateRoster stores the roster of a table that gets a new list of runners. It returns
+// those of the list that may be used: the ones on the stored roster, and draining ones.
+func (c *Conductor) updateRoster(listed []dispatcher.RunnerInfo) []dispatcher.RunnerInfo {
 	c.mu.Lock()
-	known := c.table.KnownRunners()
+	wanted := c.table.Roster(listed, time.Now())
 	c.mu.Unlock()
-	wanted := make(map[string]dispatcher.RunnerInfo, len(known)+len(infos))
-	for _, info := range slices.Concat(known, infos) {
-		wanted[info.ID] = info
-	}
 	if c.roster.equals(wanted) {
-		return infos
+		return listed
 	}
 	if err := c.saveRoster(wanted); err != nil {
 		c.noteStoreFailure("save roster", err)
-		return slices.DeleteFunc(slices.Clone(infos), func(info dispatcher.RunnerInfo) bool {
+		return slices.DeleteFunc(slices.Clone(listed), func(info dispatcher.RunnerInfo) bool {
 			_, ok := c.roster.saved[info.ID]
-			return !ok
+			return !ok && !info.Draining
 		})
 	}
-	return infos
+	return listed
 }
 
-func (c *Conductor) saveRoster(wanted map[string]dispatcher.RunnerInfo) error {
-	infos := make([]dispatcher.RunnerInfo, 0, len(wanted))
-	for _, info := range wanted {
-		infos = append(infos, info)
-	}
+func (c *Conductor) saveRoster(infos []dispatcher.RunnerInfo) error {
 	value, err := json.Marshal(infos)
 	if err != nil {
 		return err
@@ -90,12 +83,12 @@
 
 // equals reports whether the stored roster has the same runners, with the same
 // addresses and the same draining state.
-func (r *roster) equals(wanted map[string]dispatcher.RunnerInfo) bool {
+func (r *roster) equals(wanted []dispatcher.RunnerInfo) bool {
 	if len(wanted) != len(r.saved) {
 		return false
 	}
-	for id, info := range wanted {
-		saved, ok := r.saved[id]
+	for _, info := range wanted {
+		saved, ok := r.saved[info.ID]
 		if !ok || saved.Address != info.Address || saved.Draining != info.Draining {
 			return false
 		}
--- a/internal/version/dispatcher/capacity_test.go
+++ b/internal/version/dispatcher/capacity_test.go
@@ -16,7 +16,7 @@
 
 // registerCapacity delivers the registry with another capacity of runner r0.
 func (h *harness) registerCapacity(capacity submitter.Resources, lifetime int64) {
-	infos := h.table.KnownRunners()
+	infos := h.table.Roster(nil, h.now)
 	for i := range infos {
 		if infos[i].ID == "r0" {
 			infos[i].Capacity, infos[i].Lifetime = capacity, lifetime
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -206,7 +206,7 @@
 	c.table = New(testLimits, c.fence, generation, recorder.Discard{}, c.now)
 	c.table.Configure(NewConfiguration(testQueues, nil), c.now)
 	if former != nil {
-		c.table.ExpectRunners(former.KnownRunners())
+		c.table.ExpectRunners(former.Roster(nil, c.now))
 		c.table.SetFormerOwnerEnd(c.now.Add(chaosUnconfirmed))
 	}
 	if former != nil && c.handsOver {
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,6 +30,9 @@
 	info RunnerInfo
 	// isRegistered is false once the registry has dropped the runner's entry.
 	isRegistered bool
+	// wasReleased says that former owners have left nothing on the runner and started
+	// nothing there after that.
+	wasReleased bool
 	// acceptedToken is true once the runner has reported under the owner's fencing
 	// token.
 	acceptedToken   bool
@@ -112,6 +116,7 @@
 		r, ok := t.runners[info.ID]
 		if !ok {
 			r = newRunner(info)
+			r.wasReleased = t.isRosterKnown && info.Draining
 			t.runners[info.ID] = r
 		}
 		if info.Lifetime > r.info.Lifetime {
@@ -154,6 +159,7 @@
 // ExpectRunners adds the runners on which a former owner may have started runs. The
 // registry may have dropped the entries of some that are still running.
 func (t *Table) ExpectRunners(infos []RunnerInfo) {
+	t.isRosterKnown = true
 	for _, info := range infos {
 		if _, ok := t.runners[info.ID]; !ok {
 			t.runners[info.ID] = newRunner(info)
@@ -166,14 +172,30 @@
 // table.
 func (t *Table) ExpectOtherRunners() { t.expectsOthers = true }
 
-// KnownRunners returns every runner on which something may run, in no particular
-// order.
-func (t *Table) KnownRunners() []RunnerInfo {
-	infos := make([]RunnerInfo, 0, len(t.runners))
-	for _, r := range t.runners {
-		infos = append(infos, r.info)
+// Roster returns the runners on which something may run now, or once those that the
+// registry lists are used, in no particular order. A successor waits for what runs there.
+//
+// Load: runners that leave while owners change. A draining runner is left out as soon as
+// all that ran there has ended, long before it leaves.
+func (t *Table) Roster(listed []RunnerInfo, now time.Time) []RunnerInfo {
+	infos := make(map[string]RunnerInfo, len(t.runners)+len(listed))
+	for id, r := range t.runners {
+		infos[id] = r.info
 	}
-	return infos
+	for _, info := range listed {
+		infos[info.ID] = info
+	}
+	maps.DeleteFunc(infos, func(id string, info RunnerInfo) bool {
+		r, ok := t.runners[id]
+		return ok && info.Draining && info.Lifetime == r.info.Lifetime && t.isReleased(r, now)
+	})
+	return slices.Collect(maps.Values(infos))
+}
+
+// isReleased reports whether nothing runs on a draining runner. No owner starts anything
+// there any more.
+func (t *Table) isReleased(r *runner, now time.Time) bool {
+	return r.info.Draining && len(r.runs) == 0 && (r.wasReleased || t.knowsRunsOn(r, now))
 }
 
 // Runners returns the runners that have to be polled.
@@ -191,6 +213,7 @@
 func (t *Table) resetRunner(r *runner, lifetime int64, now time.Time) {
 	defer t.blame(r.loss(), now)
 	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
+	r.wasReleased = false
 	r.info.Lifetime, r.restartedAt = lifetime, now
 	for _, x := range r.runsByAge() {
 		if x.isListed {
@@ -398,7 +421,7 @@
 		if len(runners) == limit {
 			break
 		}
-		if !t.knowsRunsOn(r, now) && !t.hasLapsed(r, now) {
+		if !r.wasReleased && !t.knowsRunsOn(r, now) && !t.hasLapsed(r, now) {
 			runners = append(runners, r)
 		}
 	}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -63,6 +63,8 @@
 	// expectsOthers says that the former owner may have used runners that are not in
 	// the table.
 	expectsOthers bool
+	// isRosterKnown says that the former owner's roster was read.
+	isRosterKnown bool
 	// settledByFormer holds the runners on which, as the former owner has reported,
 	// no stop was in flight when it ended.
 	settledByFormer map[string]bool
