--- /dev/null
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -0,0 +1,265 @@
+package dispatcher
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// interruptionBound is how long a long-running task may be without a run while there is
+// room for it: 6 s after its last run and 3 s more.
+const interruptionBound = 9 * time.Second
+
+// A crowd is a deployment under a backlog of short tasks, on which long-running tasks are
+// interrupted.
+type crowd struct {
+	*harness
+	runners int
+	taskFor time.Duration        // how long a short task runs, give or take a half
+	placed  int                  // short tasks that were started
+	endsAt  map[runKey]time.Time // when the short tasks end
+	running map[string]string    // runners of the running long-running tasks, by task
+	left    map[string]bool      // runners that have left
+	drains  map[string]bool      // runners that have announced that they leave
+}
+
+// newCrowd returns a crowd in which each submission of long-running tasks has started.
+func newCrowd(t *testing.T, runners int, steps ...submitter.Step) *crowd {
+	t.Helper()
+	c := newIdleCrowd(t, 0, runners)
+	wanted := 0
+	for i, step := range steps {
+		c.add(fmt.Sprintf("long%02d", i), "urgent", step)
+		c.place()
+		wanted += step.Count
+	}
+	if len(c.running) != wanted {
+		t.Fatalf("%d long-running tasks have started, want %d", len(c.running), wanted)
+	}
+	return c
+}
+
+// newIdleCrowd returns a crowd without tasks, whose owner has a generation.
+func newIdleCrowd(t *testing.T, generation int64, runners int) *crowd {
+	t.Helper()
+	c := &crowd{
+		harness: newHarness(t, generation, runners), runners: runners, taskFor: 800 * time.Millisecond,
+		endsAt: make(map[runKey]time.Time), running: make(map[string]string), left: make(map[string]bool), drains: make(map[string]bool),
+	}
+	c.pollAll(runners)
+	return c
+}
+
+// lasting returns a step of long-running tasks.
+func lasting(count int, milliCores int64) submitter.Step {
+	return submitter.Step{Count: count, Resources: submitter.Resources{MilliCores: milliCores, MemoryMB: 1000}, LongRunning: true}
+}
+
+// place runs a placement pass, and notes what has started.
+func (c *crowd) place() {
+	for _, o := range c.starts() {
+		if c.table.subs[o.Task.Submission].sub.Steps[o.Task.Step].LongRunning {
+			c.running[o.Task.String()] = o.Runner
+			continue
+		}
+		c.placed++
+		c.endsAt[runKey{o.Task, o.Run}] = c.now.Add(c.taskFor/2 + c.taskFor*time.Duration(c.placed%11)/10)
+	}
+}
+
+// fill submits more short tasks than there is room for.
+func (c *crowd) fill(queue string, step submitter.Step) {
+	for n := range 500 {
+		c.add(fmt.Sprintf("short%03d", n), queue, step)
+	}
+	c.run(2 * c.taskFor)
+}
+
+// run lets the time pass: each runner reports the ends of its short tasks each 100 ms, one
+// runner after the other, and a placement pass follows each report.
+func (c *crowd) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.advance(0)
+		for range 2 {
+			for i := range c.runners {
+				c.now = c.now.Add(100*time.Millisecond/time.Duration(c.runners) - time.Millisecond)
+				c.report(fmt.Sprintf("r%d", i))
+				c.place()
+			}
+		}
+	}
+}
+
+// report polls a runner, which lists the ends of its short tasks.
+func (c *crowd) report(runner string) {
+	if c.left[runner] {
+		c.now = c.now.Add(time.Millisecond)
+		return
+	}
+	var ends []End
+	c.reported[runner] = slices.DeleteFunc(c.reported[runner], func(row RunStatus) bool {
+		at, ok := c.endsAt[runKey{row.Task, row.Run}]
+		if !ok || c.now.Before(at) {
+			return false
+		}
+		ends = append(ends, End{Task: row.Task, Run: row.Run, Kind: Done})
+		return true
+	})
+	c.poll(runner, ends...)
+}
+
+// busiest returns the runners on which the most long-running tasks run.
+func (c *crowd) busiest(n int) []string {
+	tasks := make(map[string]int)
+	for _, runner := range c.running {
+		tasks[runner]++
+	}
+	runners := make([]string, 0, len(tasks))
+	for runner := range tasks {
+		runners = append(runners, runner)
+	}
+	slices.Sort(runners)
+	slices.SortStableFunc(runners, func(a, b string) int { return tasks[b] - tasks[a] })
+	return runners[:n]
+}
+
+// drain lets runners announce that they leave.
+func (c *crowd) drain(runners []string) {
+	for _, runner := range runners {
+		c.drains[runner] = true
+	}
+	c.register()
+}
+
+// register lists the runners that have not left.
+func (c *crowd) register() {
+	var infos []RunnerInfo
+	for i := range c.runners {
+		id := fmt.Sprintf("r%d", i)
+		if !c.left[id] {
+			infos = append(infos, RunnerInfo{ID: id, Service: "s", DataCentre: "z", Capacity: testCapacity, Lifetime: 1, Draining: c.drains[id]})
+		}
+	}
+	c.table.SetRunners(infos, c.now)
+}
+
+// leave lets the runners that drain end with all that runs there. It returns the
+// long-running tasks that were interrupted.
+func (c *crowd) leave() (interrupted []string) {
+	for runner := range c.drains {
+		c.left[runner] = true
+		c.reported[runner] = nil
+		c.table.PollFailed(runner, ConnectionRefused, c.now)
+	}
+	for task, runner := range c.running {
+		if c.left[runner] {
+			interrupted = append(interrupted, task)
+			delete(c.running, task)
+		}
+	}
+	c.register()
+	return interrupted
+}
+
+// assertRunAgain checks that interrupted tasks run again within the bound.
+func (c *crowd) assertRunAgain(interrupted []string) {
+	c.t.Helper()
+	waiting := make([]string, 0, len(interrupted))
+	for step := time.Duration(0); step <= interruptionBound; step += 500 * time.Millisecond {
+		waiting = waiting[:0]
+		for _, task := range interrupted {
+			if c.running[task] == "" {
+				waiting = append(waiting, task)
+			}
+		}
+		if len(waiting) == 0 {
+			c.t.Logf("%d tasks run again after %v", len(interrupted), step)
+			return
+		}
+		c.run(500 * time.Millisecond)
+	}
+	slices.Sort(waiting)
+	c.t.Errorf("%d of %d interrupted tasks are still waiting after %v: %v", len(waiting), len(interrupted), interruptionBound, waiting)
+}
+
+// Load: long-running tasks that are interrupted at once while short ones wait for room.
+func TestManyInterruptedTasksRunAgain(t *testing.T) {
+	steps := slices.Repeat([]submitter.Step{lasting(20, 3000)}, 11)
+	t.Run("beside short tasks of the same priority", func(t *testing.T) {
+		c := newCrowd(t, 150, steps...)
+		c.fill("urgent", oneCore(20))
+		c.drain(c.busiest(35))
+		c.assertRunAgain(c.leave())
+	})
+	t.Run("beside short tasks of several cores", func(t *testing.T) {
+		c := newCrowd(t, 150, steps...)
+		short := oneCore(20)
+		short.MilliCores = 2500
+		c.fill("urgent", short)
+		c.drain(c.busiest(35))
+		c.assertRunAgain(c.leave())
+	})
+	t.Run("with a limit per runner", func(t *testing.T) {
+		apart := slices.Clone(steps)
+		for i := range apart {
+			apart[i].MaxPerRunner = 1
+		}
+		c := newCrowd(t, 150, apart...)
+		c.fill("urgent", oneCore(20))
+		c.drain(c.busiest(35))
+		c.assertRunAgain(c.leave())
+	})
+	t.Run("beside tasks of lower priority that fill the runners", func(t *testing.T) {
+		c := newCrowd(t, 150, steps...)
+		short := oneCore(20)
+		short.MilliCores = 2000
+		c.taskFor = 2 * time.Second
+		c.fill("night", short)
+		c.drain(c.busiest(35))
+		c.assertRunAgain(c.leave())
+	})
+	t.Run("under a former owner", func(t *testing.T) {
+		c := newIdleCrowd(t, 1, 150)
+		c.run(3 * time.Second) // until all runs are known
+		c.fill("urgent", oneCore(20))
+		c.add("long", "urgent", lasting(40, 5000))
+		var interrupted []string
+		for i := range 40 {
+			interrupted = append(interrupted, submitter.TaskID{Submission: "long", Index: i}.String())
+		}
+		c.assertRunAgain(interrupted)
+	})
+	t.Run("in a part of few runners", func(t *testing.T) {
+		c := newCrowd(t, 6, slices.Repeat([]submitter.Step{lasting(2, 3000)}, 4)...)
+		c.fill("urgent", oneCore(20))
+		c.drain(c.busiest(1))
+		c.assertRunAgain(c.leave())
+	})
+}
+
+// Guards against long-running tasks that wait although there is room for all of them: many
+// were interrupted at once, and runners were reserved for one task after the other.
+func TestInterruptedTasksThatNeedMostOfARunnerRunAgain(t *testing.T) {
+	c := newCrowd(t, 150, slices.Repeat([]submitter.Step{lasting(20, 5000)}, 5)...)
+	c.fill("urgent", oneCore(20))
+	c.drain(c.busiest(40))
+	c.assertRunAgain(c.leave())
+}
+
+// Guards against a part that is full of new long-running tasks when runners leave that have
+// said so: what runs there finds no room.
+func TestNewTasksLeaveRoomForThoseOfLeavingRunners(t *testing.T) {
+	c := newCrowd(t, 20, lasting(10, 3000), lasting(10, 3000))
+	c.drain(c.busiest(5))
+	for n := range 6 {
+		c.add(fmt.Sprintf("new%d", n), "urgent", lasting(5, 3000))
+		c.run(500 * time.Millisecond)
+	}
+	if len(c.running) == 20 {
+		t.Error("no new task has started, want those to start that leave enough room")
+	}
+	c.assertRunAgain(c.leave())
+}
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -402,6 +402,16 @@
 	})
 }
 
+// Guards against long-running submissions that are sent to a part which seems to have room,
+// as the demand of the tasks on its leaving runners isn't known there.
+func TestLoadCountsTasksOfLeavingRunners(t *testing.T) {
+	c := newCrowd(t, 2, lasting(4, 3000))
+	c.drain([]string{"r0"})
+	if got, want := c.table.Load(), (partitioner.Load{Capacity: 8000, Reserved: 12_000}); got != want {
+		t.Errorf("load %+v, want %+v", got, want)
+	}
+}
+
 // Load: more best-effort submissions than fit. If all are started in the order of their
 // due dates, and none is finished in time, everyone waits for nothing.
 func TestShortestBestEffortSubmissionGoesFirst(t *testing.T) {
