Reserve room for all long-running tasks that were interrupted

What callers saw: long-running tasks that wait for many seconds beside short tasks although there is room for all of them.

Cause: one runner in a hundred was reserved at a time, that is, one in a part of 163 runners; each for one task, and closed to everything else, while dozens of tasks had been interrupted at once. Tasks that had ended under a former owner got none, as this owner knew no end.

Now the room itself is reserved, for all tasks of all steps that have waited for a second, on the runners that lack least; short tasks may use what is left of such a runner. The bound is half of the processors that long-running tasks leave, so that short tasks keep the other half. Room is reserved at each tick instead of at each placement pass, and given up as the tasks start. A task that has never run doesn't take the room of one of its own step that has.

TestInterruptedTasksThatNeedMostOfARunnerRunAgain failed before ("11 of 40 interrupted tasks are still waiting after 9s", with the rig of this commit, in which running tasks report progress); now they run after 2 s. TestManyInterruptedTasksRunAgain: 70 tasks after 2 to 2.5 s instead of 5 to 7.5 s.

--- /dev/null
+++ b/internal/version/dispatcher/interrupted.go
@@ -0,0 +1,22 @@
+package dispatcher
+
+// isNew reports whether a task is a long-running one that has never run. Those that a former
+// owner has accepted may have.
+func (t *Table) isNew(st *stepState, k *task) bool {
+	return st.spec.LongRunning && len(k.runs) == 0 && k.endedAt.IsZero() && (!t.hasFormerOwner || st.s.sub.Owner >= t.fence)
+}
+
+// interrupted returns the number of long-running tasks of a ready step that have run before
+// and wait for their next run. Those that may run on a runner whose runs are not known yet
+// are left out.
+func (t *Table) interrupted(st *stepState, allRunsKnown bool) (n int) {
+	if !st.spec.LongRunning || !st.ready || st.waiting == 0 || st.s.state.IsFinal() {
+		return 0
+	}
+	for i := range st.tasks {
+		if k := &st.tasks[i]; !k.done && len(k.runs) == 0 && !t.isNew(st, k) && (allRunsKnown || k.isTracked) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -108,6 +108,11 @@
 		ends = append(ends, End{Task: row.Task, Run: row.Run, Kind: Done})
 		return true
 	})
+	for i, row := range c.reported[runner] {
+		if c.running[row.Task.String()] == runner {
+			c.reported[runner][i].Percent = 100 // it is at work
+		}
+	}
 	c.poll(runner, ends...)
 }
 
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -16,7 +16,7 @@
 	silent       obstacle = "silent"
 	full         obstacle = "full"
 	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
-	reserved     obstacle = "reserved"   // for a long-running task
+	reserved     obstacle = "reserved"   // for long-running tasks
 	isolated     obstacle = "isolated"   // the task, or one there, may crash runners
 	excluded     obstacle = "excluded"   // by the step, an earlier failure, or services there
 	notPermitted obstacle = "notPermitted"
@@ -41,7 +41,7 @@
 		return full
 	case !wanted.Fits(r.free()):
 		return memoryFull
-	case t.isReservedFor(r, st):
+	case !wanted.Fits(t.unreserved(r, st, k)):
 		return reserved
 	case t.keepsApart(r, st, k, now):
 		return isolated
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -62,7 +62,6 @@
 	allRunsKnown := t.knowsAllRuns(now)
 	clear(t.noRoom)
 	list := t.candidates(now)
-	t.reserve(now)
 	t.holdRunners(list, allRunsKnown, now)
 	for _, c := range list {
 		if t.isQueueFull() {
@@ -153,10 +152,10 @@
 			return
 		}
 		isSuspected := k.isSuspected(now)
-		if !isSuspected && t.hadNoRoom(st) && !t.hasReserved(st) {
+		if !isSuspected && t.hadNoRoom(st, k) && !t.hasReservedRoom(st) {
 			st.blockedAt = now
-			if st.crashed > 0 {
-				continue // a runner may be held for another task
+			if st.crashed > 0 || t.isNew(st, k) {
+				continue // a runner may be held for another task, or owed to it
 			}
 			return
 		}
@@ -166,8 +165,8 @@
 			if k.avoid != "" || isSuspected {
 				continue // another task may run on a runner that this one has to avoid
 			}
-			t.recordNoRoom(st)
-			if st.crashed > 0 {
+			t.recordNoRoom(st, k)
+			if st.crashed > 0 || t.isNew(st, k) {
 				continue
 			}
 			return
@@ -176,38 +175,39 @@
 	}
 }
 
-// A shape holds the properties of a step, other than its resources, that decide on
-// which runners its tasks may start.
+// A shape holds the properties of a task, other than its resources, that decide on
+// which runners it may start.
 type shape struct {
 	service    string
 	label      string
 	image      string
 	bestEffort bool
 	affinity   string
+	isNew      bool
 }
 
-func (st *stepState) shape() shape {
-	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity}
+func (t *Table) shapeOf(st *stepState, k *task) shape {
+	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k)}
 }
 
 // hadNoRoom reports whether no runner in this placement pass had room for a task of
-// the same shape that was no larger than those of the step.
+// the same shape that was no larger than the given one.
 //
 // Load: bursts in which hundreds of steps wait. Without this check, each of them
 // would try every runner.
-func (t *Table) hadNoRoom(st *stepState) bool {
-	least, ok := t.noRoom[st.shape()]
+func (t *Table) hadNoRoom(st *stepState, k *task) bool {
+	least, ok := t.noRoom[t.shapeOf(st, k)]
 	return ok && least.Fits(st.spec.Resources)
 }
 
 // recordNoRoom records, for hadNoRoom, the size and shape of a task that avoids no runner
 // and for which none had room. It records nothing if the task may have been excluded from
 // some runners by its step's limit per runner or by missing permits.
-func (t *Table) recordNoRoom(st *stepState) {
+func (t *Table) recordNoRoom(st *stepState, k *task) {
 	if st.runsByRunner != nil || st.s.needsPermits() {
 		return
 	}
-	t.noRoom[st.shape()] = st.spec.Resources
+	t.noRoom[t.shapeOf(st, k)] = st.spec.Resources
 }
 
 // startGang starts all members of a gang together, or none.
@@ -238,10 +238,10 @@
 // unplace removes a placed run from the table before its start is ordered. It records
 // no event and causes no placement pass.
 func (t *Table) unplace(x *run) {
-	rec, placementDue := t.rec, t.placementDue
+	rec, placementDue, endedAt := t.rec, t.placementDue, x.task().endedAt
 	t.rec = discard
 	t.end(x, x.startedAt, "")
-	t.rec, t.placementDue = rec, placementDue
+	t.rec, t.placementDue, x.task().endedAt = rec, placementDue, endedAt
 }
 
 // choose returns the best runner on which a task may start now, or nil.
@@ -389,6 +389,7 @@
 	if len(k.runs) == 0 && !k.done {
 		st.waiting--
 	}
+	t.claim(r, st)
 	k.runs = append(k.runs, x)
 	k.isTracked = true
 	k.nextRun = max(k.nextRun, number+1)
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -4,47 +4,69 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 const (
 	// reserveAfter is how long a long-running task that has run before waits for room
-	// until a runner is reserved for it.
+	// until room is reserved for it.
 	reserveAfter = time.Second
-	// reservedShare is the largest share of the runners that are reserved at a time.
-	reservedShare = 0.01
+	// reservedShare is the largest share of the processors that long-running tasks leave
+	// which is reserved at a time, so that short tasks go on.
+	reservedShare = 0.5
 )
 
-// reserve reserves runners for long-running tasks that have ended and have found no room
-// for their next run for some time.
-// A reserved runner gets nothing else until enough of what runs there has ended.
+// A reservation is the room on a runner that is kept for tasks of some steps.
+type reservation struct {
+	room  submitter.Resources
+	tasks map[*stepState]int
+}
+
+// reserve reserves room for long-running tasks that have ended and have found no room
+// for their next run for some time. Reserved room gets nothing else: what runs there ends,
+// and the task starts.
 //
-// Load: long-running tasks of several cores that fail while smaller tasks wait. The room
-// that each small task leaves goes to the next small one, so that no runner ever has room
-// for the large one.
+// Load: long-running tasks of several cores that fail, or lose their runners together,
+// while smaller tasks wait. The room that each small task leaves goes to the next small
+// one, so that no runner ever has room for the large one.
 func (t *Table) reserve(now time.Time) {
 	clear(t.reserved)
-	most := max(1, int(reservedShare*float64(len(t.runners))))
-	for _, st := range t.longWaiting(now) {
-		for range st.interrupted() {
-			if len(t.reserved) == most {
-				return
-			}
-			r := t.soonestRoom(st, now)
+	allRunsKnown := t.knowsAllRuns(now)
+	steps := t.longWaiting(allRunsKnown, now)
+	if len(steps) == 0 {
+		return
+	}
+	left := int64(0)
+	for _, r := range t.runners {
+		if t.isUsable(r) {
+			left += max(0, r.roomForLong().MilliCores)
+		}
+	}
+	left = int64(reservedShare * float64(left))
+	for _, st := range steps {
+		runners := t.reservable(st, now)
+		for range t.interrupted(st, allRunsKnown) {
+			r := t.soonestRoom(st, runners)
 			if r == nil {
 				break
 			}
-			t.reserved[r] = st
+			left -= st.spec.MilliCores
+			if left < 0 && len(t.reserved) > 0 {
+				return
+			}
+			t.reserveOn(r, st)
 		}
 	}
 }
 
-// longWaiting returns the long-running steps with tasks that have waited for room for
-// some time, the one that has waited longest first.
-func (t *Table) longWaiting(now time.Time) (steps []*stepState) {
+// longWaiting returns the long-running steps with tasks that have run before and have
+// waited for room for some time, the one that has waited longest first.
+func (t *Table) longWaiting(allRunsKnown bool, now time.Time) (steps []*stepState) {
 	for _, s := range t.active {
 		for _, occ := range s.occs {
 			for _, st := range occ.steps {
-				if st.spec.LongRunning && st.waiting > 0 && !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= reserveAfter {
+				if !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= reserveAfter && t.interrupted(st, allRunsKnown) > 0 {
 					steps = append(steps, st)
 				}
 			}
@@ -56,35 +78,41 @@
 	return steps
 }
 
-// interrupted returns the number of tasks of a step that wait for their next run.
-func (st *stepState) interrupted() (n int) {
-	for i := range st.tasks {
-		if k := &st.tasks[i]; !k.done && len(k.runs) == 0 && !k.endedAt.IsZero() {
-			n++
+// reservable returns the runners on which a task of a step that has run before may start
+// once short tasks have left room.
+func (t *Table) reservable(st *stepState, now time.Time) (runners []*runner) {
+	for _, r := range t.runners {
+		switch t.obstacle(r, st, &task{endedAt: now}, now) {
+		case full, memoryFull, reserved:
+		case eligible:
+			if !st.isPermitted(r, now) {
+				continue
+			}
+		default:
+			continue
+		}
+		if st.hasLabel(r) {
+			runners = append(runners, r)
 		}
 	}
-	return n
+	return runners
 }
 
-// soonestRoom returns the runner on which a task of a step lacks the least room that
-// short tasks will leave, or nil if there is none.
-func (t *Table) soonestRoom(st *stepState, now time.Time) (best *runner) {
+// soonestRoom returns the runner on which one more task of a step lacks the least room
+// that short tasks will leave, or nil if there is none.
+func (t *Table) soonestRoom(st *stepState, runners []*runner) (best *runner) {
 	var least int64
 	wanted := st.spec.Reserved()
-	for _, r := range t.runners {
-		if t.reserved[r] != nil || !wanted.Fits(r.info.Capacity.Minus(r.usedForLong)) || !st.allows(r) {
-			continue
+	for _, r := range runners {
+		var kept submitter.Resources
+		tasks := 0
+		if other, ok := t.reserved[r]; ok {
+			kept, tasks = other.room, other.tasks[st]
 		}
-		switch t.obstacle(r, st, &task{}, now) {
-		case full, memoryFull:
-		case eligible:
-			if !st.isPermitted(r, now) {
-				continue
-			}
-		default:
+		if !wanted.Fits(r.roomForLong().Minus(kept)) || !st.allowsMore(r, tasks) {
 			continue
 		}
-		lacks := wanted.MilliCores - r.free().MilliCores
+		lacks := wanted.MilliCores + kept.MilliCores - r.free().MilliCores
 		if best == nil || lacks < least || (lacks == least && r.info.ID < best.info.ID) {
 			best, least = r, lacks
 		}
@@ -94,26 +122,85 @@
 
 // allows reports whether a step's label and limit per runner allow one more of its tasks
 // on a runner.
-func (st *stepState) allows(r *runner) bool {
-	if st.spec.RequiredLabel != "" && !r.hasLabel(st.spec.RequiredLabel) {
-		return false
+func (st *stepState) allows(r *runner) bool { return st.hasLabel(r) && st.allowsMore(r, 0) }
+
+// hasLabel reports whether a runner has the label that a step requires.
+func (st *stepState) hasLabel(r *runner) bool {
+	return st.spec.RequiredLabel == "" || r.hasLabel(st.spec.RequiredLabel)
+}
+
+// allowsMore reports whether a step's limit per runner allows one more of its tasks on a
+// runner beside those that run there and some others.
+func (st *stepState) allowsMore(r *runner, others int) bool {
+	return st.runsByRunner == nil || st.runsByRunner[r.info.ID]+others < st.spec.MaxPerRunner
+}
+
+// reserveOn reserves room on a runner for one more task of a step.
+func (t *Table) reserveOn(r *runner, st *stepState) {
+	kept, ok := t.reserved[r]
+	if !ok {
+		kept = &reservation{tasks: make(map[*stepState]int)}
+		t.reserved[r] = kept
 	}
-	return st.runsByRunner == nil || st.runsByRunner[r.info.ID] < st.spec.MaxPerRunner
+	kept.room = kept.room.Plus(st.spec.Reserved())
+	kept.tasks[st]++
 }
 
-// isReservedFor reports whether a runner is reserved for another step.
-func (t *Table) isReservedFor(r *runner, st *stepState) bool {
-	holder := t.reserved[r]
-	return holder != nil && holder != st
+// claim gives up the room that is reserved for a task of a step which starts on a runner,
+// or that for another one of its tasks if none is reserved there.
+func (t *Table) claim(r *runner, st *stepState) {
+	if !st.spec.LongRunning || len(t.reserved) == 0 {
+		return
+	}
+	if kept, ok := t.reserved[r]; !ok || kept.tasks[st] == 0 {
+		r = t.reservedFor(st, func(*runner, *reservation) bool { return true })
+	}
+	kept, ok := t.reserved[r]
+	if !ok {
+		return
+	}
+	kept.room = kept.room.Minus(st.spec.Reserved())
+	if kept.tasks[st]--; kept.tasks[st] == 0 {
+		delete(kept.tasks, st)
+	}
+	if len(kept.tasks) == 0 {
+		delete(t.reserved, r)
+	}
+}
+
+// reservedFor returns a runner with room reserved for a step that meets a condition, or
+// nil.
+func (t *Table) reservedFor(st *stepState, meets func(r *runner, kept *reservation) bool) *runner {
+	for r, kept := range t.reserved {
+		if kept.tasks[st] > 0 && meets(r, kept) {
+			return r
+		}
+	}
+	return nil
 }
 
-// hasReserved reports whether a runner is reserved for a step, which is then tried although
-// others of its shape have found no room.
-func (t *Table) hasReserved(st *stepState) bool {
-	for _, holder := range t.reserved {
-		if holder == st {
-			return true
+// hasReservedRoom reports whether the room that is reserved for a step has become free.
+// The step is then tried although others of its shape have found no room.
+func (t *Table) hasReservedRoom(st *stepState) bool {
+	if !st.spec.LongRunning || len(t.reserved) == 0 {
+		return false
+	}
+	wanted := st.spec.Reserved()
+	return t.reservedFor(st, func(r *runner, _ *reservation) bool { return wanted.Fits(r.free()) }) != nil
+}
+
+// unreserved returns the free room on a runner that is not reserved for tasks of other
+// steps. A task that has never run leaves that for its own step, too.
+func (t *Table) unreserved(r *runner, st *stepState, k *task) submitter.Resources {
+	kept, ok := t.reserved[r]
+	if !ok {
+		return r.free()
+	}
+	room := r.free().Minus(kept.room)
+	if !t.isNew(st, k) {
+		for range kept.tasks[st] {
+			room = room.Plus(st.spec.Reserved())
 		}
 	}
-	return false
+	return submitter.Resources{MilliCores: max(0, room.MilliCores), MemoryMB: max(0, room.MemoryMB), GPUs: max(0, room.GPUs)}
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -452,4 +452,12 @@
 
 func (r *runner) free() submitter.Resources { return r.info.Capacity.Minus(r.used) }
 
+// roomForLong returns the room on a runner that long-running tasks leave.
+func (r *runner) roomForLong() submitter.Resources { return r.info.Capacity.Minus(r.usedForLong) }
+
+// isUsable reports whether a runner may get new work, as far as the registry says.
+func (t *Table) isUsable(r *runner) bool {
+	return r.isRegistered && !r.info.Draining && !t.isEvacuated(r.info.DataCentre)
+}
+
 func (r *runner) hasLabel(label string) bool { return slices.Contains(r.info.Labels, label) }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -83,9 +83,8 @@
 	// had room in the current placement pass.
 	noRoom map[shape]submitter.Resources
 
-	// reserved maps runners to the steps that are to start there next, as of the current
-	// placement pass.
-	reserved map[*runner]*stepState
+	// reserved is the room that is reserved on runners, as of the last tick.
+	reserved map[*runner]*reservation
 
 	// held maps runners to the suspects that are to start there next.
 	held     map[*runner]suspect
@@ -133,7 +132,7 @@
 		subs:             make(map[string]*submission),
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
-		reserved:         make(map[*runner]*stepState),
+		reserved:         make(map[*runner]*reservation),
 		earlyCancels:     make(map[string]time.Time),
 		held:             make(map[*runner]suspect),
 	}
@@ -160,7 +159,7 @@
 // requested by the tasks on these runners and by the tasks that wait to start.
 func (t *Table) Load() (load partitioner.Load) {
 	for _, r := range t.runners {
-		if r.isRegistered && !r.info.Draining && !t.isEvacuated(r.info.DataCentre) {
+		if t.isUsable(r) {
 			load.Capacity += r.info.Capacity.MilliCores
 			load.Reserved += r.used.MilliCores
 			load.Filling += r.bestEffortMilliCores
