Keep room for long-running tasks on runners that leave

Cause: runners say 11 s before that they leave, and new long-running tasks go on to start on the others meanwhile.

Now the owner counts, by service, how many tasks of the mean size of those that are owed room (interrupted ones and those on draining runners) fit on the usable runners, short tasks aside. While that is no more than are owed room, a task that has never run starts only on runners where it takes no such room. Labels and limits per runner are not part of the count. It is made at each tick and at each change of the registry. Waiting longer costs a new submission some worth; a task that has run and does not run again is lost.

TestNewTasksLeaveRoomForThoseOfLeavingRunners failed before ("10 of 10 interrupted tasks are still waiting after 9s"); now 10 new tasks start in time, and those of the leaving runners run again in 0.5 s.

--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -17,6 +17,7 @@
 	full         obstacle = "full"
 	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
 	reserved     obstacle = "reserved"   // for long-running tasks
+	owed         obstacle = "owed"       // to long-running tasks that have run before
 	isolated     obstacle = "isolated"   // the task, or one there, may crash runners
 	excluded     obstacle = "excluded"   // by the step, an earlier failure, or services there
 	notPermitted obstacle = "notPermitted"
@@ -43,6 +44,8 @@
 		return memoryFull
 	case !wanted.Fits(t.unreserved(r, st, k)):
 		return reserved
+	case t.isOwed(r, st, k):
+		return owed
 	case t.keepsApart(r, st, k, now):
 		return isolated
 	case !st.allows(r), k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -389,6 +389,7 @@
 	if len(k.runs) == 0 && !k.done {
 		st.waiting--
 	}
+	t.takeSpare(r, st, k)
 	t.claim(r, st)
 	k.runs = append(k.runs, x)
 	k.isTracked = true
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -135,6 +135,7 @@
 		t.recordRunner(now, EventRunnerGone, r, "registry entry is gone")
 		t.endIfLeft(r, now)
 	}
+	t.countOwed(now)
 	t.placementDue = true
 }
 
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -86,6 +86,9 @@
 	// reserved is the room that is reserved on runners, as of the last tick.
 	reserved map[*runner]*reservation
 
+	// owed is the room that is owed to long-running tasks, by service, as of the last tick.
+	owed map[string]*owedRoom
+
 	// held maps runners to the suspects that are to start there next.
 	held     map[*runner]suspect
 	isolated int // number of runners with suspects on probation
@@ -133,6 +136,7 @@
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
 		reserved:         make(map[*runner]*reservation),
+		owed:             make(map[string]*owedRoom),
 		earlyCancels:     make(map[string]time.Time),
 		held:             make(map[*runner]suspect),
 	}
