Count long-running tasks on leaving runners in a part's load

New submissions went to the part of which most runners were about to leave.

Cause: the load that a part reports left out its leaving runners together with what runs there, so that the part seemed as empty as the others until its runners had left.

TestLoadCountsTasksOfLeavingRunners failed before ("load {Capacity:8000 Reserved:6000}", want 12,000 reserved).

--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -160,13 +160,17 @@
 }
 
 // Load returns the processor capacity of the usable runners, and the processors
-// requested by the tasks on these runners and by the tasks that wait to start.
+// requested by the tasks on these runners, by the tasks that wait to start, and by the
+// long-running tasks on runners that leave, which will need room elsewhere.
 func (t *Table) Load() (load partitioner.Load) {
 	for _, r := range t.runners {
-		if t.isUsable(r) {
+		switch {
+		case t.isUsable(r):
 			load.Capacity += r.info.Capacity.MilliCores
 			load.Reserved += r.used.MilliCores
 			load.Filling += r.bestEffortMilliCores
+		case r.info.Draining, !r.isRegistered:
+			load.Reserved += r.usedForLong.MilliCores
 		}
 	}
 	for _, s := range t.unfinished() {
