--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -16,7 +16,8 @@
 	silent       obstacle = "silent"
 	full         obstacle = "full"
 	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
-	reserved     obstacle = "reserved"   // for a long-running task
+	reserved     obstacle = "reserved"   // for long-running tasks
+	owed         obstacle = "owed"       // to long-running tasks that have run before
 	isolated     obstacle = "isolated"   // the task, or one there, may crash runners
 	excluded     obstacle = "excluded"   // by the step, an earlier failure, or services there
 	notPermitted obstacle = "notPermitted"
@@ -41,8 +42,10 @@
 		return full
 	case !wanted.Fits(r.free()):
 		return memoryFull
-	case t.isReservedFor(r, st):
+	case !wanted.Fits(t.unreserved(r, st, k)):
 		return reserved
+	case t.isOwed(r, st, k):
+		return owed
 	case t.keepsApart(r, st, k, now):
 		return isolated
 	case !st.allows(r), k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -87,9 +87,11 @@
 	// had room in the current placement pass.
 	noRoom map[shape]submitter.Resources
 
-	// reserved maps runners to the steps that are to start there next, as of the current
-	// placement pass.
-	reserved map[*runner]*stepState
+	// reserved is the room that is reserved on runners, as of the last tick.
+	reserved map[*runner]*reservation
+
+	// owed is the room that is owed to long-running tasks, by service, as of the last tick.
+	owed map[string]*owedRoom
 
 	// held maps runners to the suspects that are to start there next.
 	held     map[*runner]suspect
@@ -137,7 +139,8 @@
 		subs:             make(map[string]*submission),
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
-		reserved:         make(map[*runner]*stepState),
+		reserved:         make(map[*runner]*reservation),
+		owed:             make(map[string]*owedRoom),
 		earlyCancels:     make(map[string]time.Time),
 		held:             make(map[*runner]suspect),
 	}
@@ -161,13 +164,17 @@
 }
 
 // Load returns the processor capacity of the usable runners, and the processors
-// requested by the tasks on these runners and by the tasks that wait to start.
+// requested by the tasks on these runners, by the tasks that wait to start, and by the
+// long-running tasks on runners that leave, which will need room elsewhere.
 func (t *Table) Load() (load partitioner.Load) {
 	for _, r := range t.runners {
-		if r.isRegistered && !r.info.Draining && !t.isEvacuated(r.info.DataCentre) {
+		switch {
+		case t.isUsable(r):
 			load.Capacity += r.info.Capacity.MilliCores
 			load.Reserved += r.used.MilliCores
 			load.Filling += r.bestEffortMilliCores
+		case r.info.Draining, !r.isRegistered:
+			load.Reserved += r.usedForLong.MilliCores
 		}
 	}
 	for _, s := range t.unfinished() {
