Move long-running tasks from leaving runners as soon as another one has room

What was left on a runner that had announced that it leaves was interrupted when it left: dozens of tasks at once, all to be started then, and without anybody to see it while owners change. The next owner waited for such a runner for 10 s and more if the former one had been killed, as nobody could tell when its leases lapse.

Long-running tasks now move during the notice, one of a step after the other, to a runner on which room is kept for them. TestLongRunningTasksMoveFromLeavingRunners and TestTasksAfterARunnerLeftAndTheOwnerWasKilled fail without the move (nothing runs 3 s after the change of owner).

--- a/internal/process/scheduler/departure_test.go
+++ b/internal/process/scheduler/departure_test.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,14 +51,39 @@
 	time.Sleep(5 * time.Second) // the owner's watch of submissions
 }
 
-// assertRunsOn waits for tasks to run on a runner, and on no other.
-func (y *dynasty) assertRunsOn(runner string, within time.Duration) {
+// assertRunsOn waits for tasks to run on some runners, and on no others.
+func (y *dynasty) assertRunsOn(runners string, within time.Duration) {
 	y.t.Helper()
-	var on []string
+	var on string
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
-		if on = y.pool.runsOn(); slices.Equal(on, []string{runner}) {
+		if on = strings.Join(y.pool.runsOn(), " "); on == runners {
 			return
 		}
 	}
-	y.t.Errorf("tasks run on %v after %s, want %s", on, within, runner)
+	y.t.Errorf("tasks run on %q after %s, want %s", on, within, runners)
+}
+
+// Guards against a new owner that waits for a runner which left as the former owner was
+// killed, and starts nothing that it has taken over meanwhile.
+func TestTasksAfterARunnerLeftAndTheOwnerWasKilled(t *testing.T) {
+	t.Parallel()
+	runDynasty(t, func(y *dynasty) {
+		const presence, restartBound = 2 * time.Second, 3 * time.Second
+		y.pool = newPool("r0")
+		y.start(0)
+		y.submitLongRunning("a")
+		y.submitLongRunning("b")
+		y.assertRunsOn("r0", time.Second)
+		y.pool.join("r1")
+		y.pool.drain("r0")
+		time.Sleep(5 * time.Second)
+		y.pool.leave("r0")
+		y.cutOff.Store("host0:80") // for good
+		y.daemons[0].elector.Close()
+		time.Sleep(presence)
+		y.store.Remove("kumquat/owner/0/presence")
+		y.start(1)
+		y.pool.join("r2")
+		y.assertRunsOn("r1 r2", restartBound)
+	})
 }
--- a/internal/process/scheduler/pool_test.go
+++ b/internal/process/scheduler/pool_test.go
@@ -67,7 +67,7 @@
 	p.listed = slices.DeleteFunc(p.listed, func(r dispatcher.RunnerInfo) bool { return r.ID == id })
 }
 
-// runsOn returns the runners on which anything runs.
+// runsOn returns the runners on which anything runs, sorted.
 func (p *pool) runsOn() (ids []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,6 +76,7 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
--- /dev/null
+++ b/internal/version/dispatcher/moving.go
@@ -0,0 +1,98 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+const (
+	// movingShare bounds the moves that are under way at a time, as a share of the runners.
+	movingShare = 0.05
+	// moveTimeout is how long room is kept for a move.
+	moveTimeout = 3 * time.Second
+)
+
+// A move is the stop of a run on a leaving runner whose task is to run on another one.
+type move struct {
+	x       *run
+	to      *runner
+	beganAt time.Time
+}
+
+// isOver reports whether the move needs no room any more.
+func (m move) isOver(now time.Time) bool {
+	k := m.x.task()
+	hasNextRun := len(k.runs) > 0 && k.runs[0] != m.x
+	return hasNextRun || m.x.st.s.state.IsFinal() || now.Sub(m.beganAt) > moveTimeout
+}
+
+// moveFromLeaving moves long-running tasks from draining runners to others that have room
+// for them.
+//
+// Load: runners that leave one after the other or together. What is left on them is
+// interrupted at a time that the owner does not choose, all at once, and maybe while no owner
+// looks.
+func (t *Table) moveFromLeaving(now time.Time) {
+	most := max(1, int(movingShare*float64(len(t.runners))))
+	var noRoom *submitter.Resources // a size for which no runner had room
+	for _, x := range t.movable(now) {
+		if len(t.moves) >= most {
+			return
+		}
+		wanted := x.st.spec.Reserved()
+		if (noRoom != nil && noRoom.Fits(wanted)) || !x.st.isComplete() {
+			continue
+		}
+		to := t.chooseOther(x.st, x.task(), x.runner, now)
+		if to == nil {
+			if x.st.runsByRunner == nil {
+				noRoom = &wanted
+			}
+			continue
+		}
+		t.moves = append(t.moves, move{x: x, to: to, beganAt: now})
+		t.reserveOn(to, x.st)
+		t.stop(x, now, "runner leaves")
+	}
+}
+
+// reserveForMoves reserves room for the moves that are under way.
+func (t *Table) reserveForMoves(now time.Time) {
+	t.moves = slices.DeleteFunc(t.moves, func(m move) bool { return m.isOver(now) })
+	for _, m := range t.moves {
+		t.reserveOn(m.to, m.x.st)
+	}
+}
+
+// movable returns the long-running runs on draining runners that answer, in the order in
+// which they are moved.
+func (t *Table) movable(now time.Time) (runs []*run) {
+	for _, r := range t.runners {
+		if !r.info.Draining || !r.isRegistered || now.Sub(r.answeredAt) > staleAfter {
+			continue
+		}
+		for _, x := range r.runs {
+			if spec := x.st.spec; spec.LongRunning && !spec.Gang && x.phase == running && x.isListed && !x.st.s.state.IsFinal() {
+				runs = append(runs, x)
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.id().String(), b.id().String()))
+	})
+	return runs
+}
+
+// isComplete reports whether each task of a step has a run that goes on. The tasks of a
+// step are moved one after the other.
+func (st *stepState) isComplete() bool {
+	for i := range st.tasks {
+		if k := &st.tasks[i]; len(k.runs) != 1 || k.runs[0].phase == stopping {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/version/dispatcher/moving_test.go
@@ -0,0 +1,93 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// longRunning returns a step of long-running tasks.
+func longRunning(count int, milliCores int64) submitter.Step {
+	return submitter.Step{Count: count, Resources: submitter.Resources{MilliCores: milliCores}, LongRunning: true}
+}
+
+// newMovingHarness returns a harness with two runners and a step of long-running tasks on
+// one of them, which drains then.
+func newMovingHarness(t *testing.T, step submitter.Step) (h *harness, other string) {
+	t.Helper()
+	h = newHarness(t, 0, 2)
+	h.pollAll(2)
+	h.add("a", "urgent", step)
+	orders := h.starts()
+	assertStarts(t, orders, step.Count)
+	leaving := orders[0].Runner
+	other = "r0"
+	if leaving == "r0" {
+		other = "r1"
+	}
+	h.pollAll(2)
+	h.drain(leaving)
+	return h, other
+}
+
+// stops advances the time by a tick and returns the number of stops that are ordered. The
+// stopped runs end.
+func (h *harness) stops() (n int) {
+	h.advance(200 * time.Millisecond)
+	for _, o := range h.table.Orders() {
+		if o.Kind != Stop {
+			continue
+		}
+		n++
+		h.drop(o)
+		h.poll(o.Runner, End{Task: o.Task, Run: o.Run, Kind: Stopped})
+	}
+	return n
+}
+
+func assertStops(t *testing.T, h *harness, want int) {
+	t.Helper()
+	if got := h.stops(); got != want {
+		t.Errorf("%d stops, want %d", got, want)
+	}
+}
+
+// Guards against long-running tasks that stay on a runner which has announced that it leaves
+// until they are interrupted.
+func TestLongRunningTasksMoveFromLeavingRunners(t *testing.T) {
+	t.Run("one of a step after the other", func(t *testing.T) {
+		h, other := newMovingHarness(t, longRunning(2, 1000))
+		for range 2 {
+			assertStops(t, h, 1)
+			starts := h.starts()
+			assertStarts(t, starts, 1)
+			if starts[0].Runner != other {
+				t.Errorf("started on %s, want %s", starts[0].Runner, other)
+			}
+			h.pollAll(2)
+		}
+		assertStops(t, h, 0)
+	})
+	t.Run("only to a runner with room", func(t *testing.T) {
+		h, other := newMovingHarness(t, longRunning(1, 5000))
+		h.add("short", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 5000}})
+		assertStarts(t, h.starts(), 1)
+		assertStops(t, h, 0)
+		h.finishOldest(other)
+		assertStops(t, h, 1)
+	})
+	t.Run("to room that nothing else takes meanwhile", func(t *testing.T) {
+		h, _ := newMovingHarness(t, longRunning(1, 5000))
+		h.advance(200 * time.Millisecond)
+		h.add("short", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 5000}})
+		assertStarts(t, h.starts(), 0)
+		h.advance(moveTimeout + time.Millisecond)
+		h.pollAll(2)
+		assertStarts(t, h.starts(), 1)
+	})
+	t.Run("best-effort and short tasks stay", func(t *testing.T) {
+		h, _ := newMovingHarness(t, oneCore(2))
+		assertStops(t, h, 0)
+	})
+}
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -32,6 +32,7 @@
 // one, so that no runner ever has room for the large one.
 func (t *Table) reserve(now time.Time) {
 	clear(t.reserved)
+	t.reserveForMoves(now)
 	allRunsKnown := t.knowsAllRuns(now)
 	steps := t.longWaiting(allRunsKnown, now)
 	if len(steps) == 0 {
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -93,6 +93,8 @@
 	// owed is the room that is owed to long-running tasks, by service, as of the last tick.
 	owed map[string]*owedRoom
 
+	moves []move // under way
+
 	// held maps runners to the suspects that are to start there next.
 	held     map[*runner]suspect
 	isolated int // number of runners with suspects on probation
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -46,6 +46,7 @@
 	t.watchAwaited(now)
 	t.countOwed(now)
 	t.reserve(now)
+	t.moveFromLeaving(now)
 	t.placementDue = true
 }
 
