Write rare events before frequent ones, so that a full log does not lose them

The lines that tell of a change of owner were missing in the logs of the incident: an owner of 160 runners writes over a thousand lines a second, and an output that takes only so much at a time keeps what comes first. The first 16 lines of each kind of event now precede the rest of each write, and the rest is dropped first. TestRareLinesPrecedeFrequentOnes.

--- a/internal/process/recorder/linewriter.go
+++ b/internal/process/recorder/linewriter.go
@@ -15,6 +15,11 @@
 const (
 	// bufferLimit is the size of the unwritten lines, in bytes, beyond which new lines are dropped.
 	bufferLimit = 128 << 10
+	// bulkLimit is that beyond which new bulk lines are dropped.
+	bulkLimit = 96 << 10
+	// bulkAfter is the number of lines of one kind of event after which further ones are bulk
+	// lines until the next write.
+	bulkAfter = 16
 	// flushInterval is the time between two writes of the buffer, so that one write takes many
 	// lines.
 	flushInterval = 100 * time.Millisecond
@@ -23,23 +28,39 @@
 // A LineWriter is a Recorder that writes a line of space-separated key=value pairs for each event,
 // for example "at=15:04:05.000 level=info event=2100 name=sharder.taskAssigned daemon=atl-1
 // task=casts/3". Recording never waits for the output: a line that finds the buffer full is
-// dropped, and a later line states how many were. A LineWriter is safe for concurrent use.
+// dropped, and a later line states how many were. Bulk lines are dropped first, and written after
+// the others, so that a burst of one kind of event does not displace other kinds. A LineWriter is
+// safe for concurrent use.
 type LineWriter struct {
 	out     io.Writer
 	daemon  string
 	mu      sync.Mutex
-	buffer  []byte       // the lines to write
-	spare   []byte       // the buffer of the last write, reused for the next lines
-	dropped atomic.Int64 // lines dropped since the last line that stated their number
+	first   lineBuffer
+	bulk    lineBuffer
+	counts  map[Number]int // lines recorded since the last write
+	dropped atomic.Int64   // lines dropped since the last line that stated their number
 	stop    chan struct{}
 	done    chan struct{}
 }
 
 var _ Recorder = (*LineWriter)(nil)
 
+// A lineBuffer holds lines to write.
+type lineBuffer struct {
+	lines []byte
+	spare []byte // the buffer of the last write, reused for the next lines
+}
+
+// take returns the lines and leaves an empty buffer.
+func (b *lineBuffer) take() (lines []byte) {
+	lines = b.lines
+	b.lines, b.spare = b.spare[:0], nil
+	return lines
+}
+
 // NewLineWriter returns a LineWriter that names the given daemon in each line.
 func NewLineWriter(out io.Writer, daemon string) *LineWriter {
-	w := &LineWriter{out: out, daemon: daemon, stop: make(chan struct{}), done: make(chan struct{})}
+	w := &LineWriter{out: out, daemon: daemon, counts: make(map[Number]int), stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -63,27 +84,36 @@
 	slices.Sort(names)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.buffer) > bufferLimit {
+	buffer, limit := &w.first, bufferLimit
+	if w.counts[number]++; w.counts[number] > bulkAfter {
+		buffer, limit = &w.bulk, bulkLimit
+	}
+	if len(w.first.lines)+len(w.bulk.lines) > limit {
 		w.dropped.Add(1)
 		return
 	}
 	if n := w.dropped.Swap(0); n > 0 {
-		w.buffer = append(w.buffer, "linesDropped="...)
-		w.buffer = append(strconv.AppendInt(w.buffer, n, 10), '\n')
+		buffer.lines = append(buffer.lines, "linesDropped="...)
+		buffer.lines = append(strconv.AppendInt(buffer.lines, n, 10), '\n')
 	}
-	w.buffer = append(w.buffer, "at="...)
-	w.buffer = now.UTC().AppendFormat(w.buffer, "15:04:05.000")
-	w.buffer = append(w.buffer, " level="...)
-	w.buffer = append(w.buffer, entry.Level.String()...)
-	w.buffer = append(w.buffer, " event="...)
-	w.buffer = strconv.AppendInt(w.buffer, int64(number), 10)
-	w.buffer = append(append(w.buffer, " name="...), entry.Name...)
-	w.buffer = append(append(w.buffer, " daemon="...), w.daemon...)
+	buffer.lines = w.appendLine(buffer.lines, now, number, entry, names, fields)
+}
+
+// appendLine appends the line of an event, with the fields in the order of names.
+func (w *LineWriter) appendLine(line []byte, now time.Time, number Number, entry Entry, names []string, fields Fields) []byte {
+	line = append(line, "at="...)
+	line = now.UTC().AppendFormat(line, "15:04:05.000")
+	line = append(line, " level="...)
+	line = append(line, entry.Level.String()...)
+	line = append(line, " event="...)
+	line = strconv.AppendInt(line, int64(number), 10)
+	line = append(append(line, " name="...), entry.Name...)
+	line = append(append(line, " daemon="...), w.daemon...)
 	for _, name := range names {
-		w.buffer = append(append(append(w.buffer, ' '), name...), '=')
-		w.buffer = appendValue(w.buffer, fields[name])
+		line = append(append(append(line, ' '), name...), '=')
+		line = appendValue(line, fields[name])
 	}
-	w.buffer = append(w.buffer, '\n')
+	return append(line, '\n')
 }
 
 // appendValue appends a value, quoted if it is empty or has characters that would make the line
@@ -118,14 +148,16 @@
 
 func (w *LineWriter) flush() {
 	w.mu.Lock()
-	lines := w.buffer
-	w.buffer, w.spare = w.spare[:0], nil
+	first, bulk := w.first.take(), w.bulk.take()
+	clear(w.counts)
 	w.mu.Unlock()
-	if len(lines) > 0 {
-		// An error of the log itself can't be logged.
-		_, _ = w.out.Write(lines)
+	for _, lines := range [][]byte{first, bulk} {
+		if len(lines) > 0 {
+			// An error of the log itself can't be logged.
+			_, _ = w.out.Write(lines)
+		}
 	}
 	w.mu.Lock()
-	w.spare = lines
+	w.first.spare, w.bulk.spare = first, bulk
 	w.mu.Unlock()
 }
--- a/internal/process/recorder/linewriter_test.go
+++ b/internal/process/recorder/linewriter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -65,3 +67,22 @@
 		t.Error("dropped lines are not counted")
 	}
 }
+
+// Guards against rare events that are missing in the log, since frequent ones fill the buffer or
+// stand before them in an output that takes only so much at a time.
+func TestRareLinesPrecedeFrequentOnes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) { // no write begins before all is recorded
+		var out bytes.Buffer
+		w := NewLineWriter(&out, "d1")
+		for range 5_000 {
+			w.Record(lineTime, 6100, Fields{"id": "0123456789abcdef"})
+		}
+		w.Record(lineTime, 6117, nil)
+		w.Close()
+		lines := strings.Split(out.String(), "\n")
+		if at := slices.IndexFunc(lines, func(line string) bool { return strings.Contains(line, "event=6117") }); at != bulkAfter+1 {
+			t.Errorf("the rare event is line %d of %d, want line %d", at, len(lines), bulkAfter+1)
+		}
+	})
+}
