Don't hold a loss against a bystander while its cause may be known

Callers saw a submission as failed that had crashed nothing. A task is given up after three lost runners in a row of which one may be unclear, that is, shared with a task of another submission. The unclear one counted even if the task beside it went on to crash runners and was itself given up for this very loss.

The table now keeps, for each shared loss, the runs that may have caused it, and drops those whose task is done or has outlived its probation. While a task of another submission is left, three losses are not enough; four are, as before, so the bound for tasks that crash runners is unchanged. A task of a submission that has failed or was cancelled stays, since it never proves harmless. The stored progress is unchanged: after a change of owner the former rule holds for the losses taken over. A task that is done is cleared of its losses.

--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -347,6 +347,7 @@
 		return
 	}
 	k.done = true
+	t.clearCrashes(st, index, anyCrash)
 	if len(k.runs) == 0 {
 		st.waiting--
 	}
--- a/internal/version/dispatcher/suspect.go
+++ b/internal/version/dispatcher/suspect.go
@@ -15,8 +15,8 @@
 	// after its start.
 	probation = time.Second
 	// maxClearCrashes is the number of runners lost in a row, each while a run of the
-	// task was on probation, after which the task is given up if, in all cases but one,
-	// only runs of its submission were on probation there.
+	// task was on probation, after which the task is given up if none of them is shared
+	// with another submission and all but one are attributed to its own.
 	maxClearCrashes = 3
 	// maxCrashes is the number after which it is given up in any case.
 	maxCrashes = 4
@@ -72,23 +72,56 @@
 	if t.haveOtherCause(now) {
 		return
 	}
-	for _, x := range l.suspects {
-		k, s := x.task(), x.st.s
-		if k.done || s.state.IsFinal() || k.hasCrash(x.number) || k.outlivesProbation() {
-			continue
-		}
-		crash.Run = x.number
-		if len(k.crashes) == 0 {
-			x.st.crashed++
+	suspects := slices.DeleteFunc(l.suspects, func(x *run) bool { return x.task().done || x.task().outlivesProbation() })
+	for _, x := range suspects {
+		if !x.st.s.state.IsFinal() && !x.task().hasCrash(x.number) {
+			t.recordCrash(x, crash, now)
 		}
-		k.crashes = append(k.crashes, crash)
-		k.suspectedSince = now
-		t.markDirty(s)
-		k.crashVersion = s.version
+	}
+	if len(suspects) > 0 && !areOfOneSubmission(suspects) {
+		t.sharedLosses = append(t.sharedLosses, suspects)
+	}
+	for _, x := range suspects {
 		t.failIfCrashing(x.st, x.index, now)
 	}
 }
 
+// recordCrash records a loss for the task of a run that may have caused it.
+func (t *Table) recordCrash(x *run, crash submitter.Crash, now time.Time) {
+	k, s := x.task(), x.st.s
+	crash.Run = x.number
+	if len(k.crashes) == 0 {
+		x.st.crashed++
+	}
+	k.crashes = append(k.crashes, crash)
+	k.suspectedSince = now
+	t.markDirty(s)
+	k.crashVersion = s.version
+}
+
+// excludeCleared drops from the shared losses the runs that have not caused them, and those
+// losses that are no longer shared.
+func (t *Table) excludeCleared() {
+	for i, suspects := range t.sharedLosses {
+		t.sharedLosses[i] = slices.DeleteFunc(suspects, (*run).isCleared)
+	}
+	t.sharedLosses = slices.DeleteFunc(t.sharedLosses, func(suspects []*run) bool {
+		return len(suspects) == 0 || areOfOneSubmission(suspects) || haveEnded(suspects)
+	})
+}
+
+// isCleared reports whether a run that may have caused a loss has not, as its task has
+// proved harmless since. The tasks of a submission that has failed are never cleared.
+func (x *run) isCleared() bool {
+	k := x.task()
+	return k.done || (!x.st.s.state.IsFinal() && !k.hasCrash(x.number))
+}
+
+// haveEnded reports whether the submissions of all runs have ended.
+func haveEnded(runs []*run) bool {
+	return !slices.ContainsFunc(runs, func(x *run) bool { return !x.st.s.state.IsFinal() })
+}
+
 // isWidespread counts the loss of a runner, and reports whether it is one of so many
 // that a task is an unlikely cause.
 //
@@ -132,7 +165,7 @@
 // failIfCrashing fails a submission if too many runners were lost under one of its tasks.
 func (t *Table) failIfCrashing(st *stepState, index int, now time.Time) {
 	k, s := &st.tasks[index], st.s
-	if _, ok := s.queue.Get(); !ok || !k.crashesTooOften() {
+	if _, ok := s.queue.Get(); !ok || s.state.IsFinal() || !t.crashesTooOften(k) {
 		return
 	}
 	var runs, runners []string
@@ -145,14 +178,25 @@
 }
 
 // crashesTooOften reports whether too many runners were lost under a task.
-func (k *task) crashesTooOften() bool {
+func (t *Table) crashesTooOften(k *task) bool {
+	if len(k.crashes) < maxClearCrashes || len(k.crashes) >= maxCrashes {
+		return len(k.crashes) >= maxCrashes
+	}
 	unclear := 0
 	for _, c := range k.crashes {
 		if !c.Attributed {
 			unclear++
 		}
 	}
-	return len(k.crashes) >= maxCrashes || (len(k.crashes) >= maxClearCrashes && unclear <= 1)
+	return unclear <= 1 && !t.sharesLoss(k)
+}
+
+// sharesLoss reports whether a task of another submission may have caused one of the losses
+// that count for a task.
+func (t *Table) sharesLoss(k *task) bool {
+	return slices.ContainsFunc(t.sharedLosses, func(suspects []*run) bool {
+		return slices.ContainsFunc(suspects, func(x *run) bool { return x.task() == k })
+	})
 }
 
 // endProbation ends the probation of the runs listed in a report that was requested at
@@ -170,9 +214,11 @@
 // task of suspicion.
 func (t *Table) passProbation(x *run) {
 	t.release(x)
-	t.clearCrashes(x.st, x.index, func(submitter.Crash) bool { return true })
+	t.clearCrashes(x.st, x.index, anyCrash)
 }
 
+func anyCrash(submitter.Crash) bool { return true }
+
 // clearCrashes removes crashes from a task's record.
 func (t *Table) clearCrashes(st *stepState, index int, isCleared func(submitter.Crash) bool) {
 	k := &st.tasks[index]
@@ -184,6 +230,7 @@
 	if len(k.crashes) == 0 {
 		st.crashed--
 	}
+	t.excludeCleared()
 	t.markDirty(st.s)
 }
 
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -93,6 +93,9 @@
 	// lossTimes is when runners were lost recently, otherLossTimes when runners were lost
 	// without a task that is known for such losses.
 	lossTimes, otherLossTimes []time.Time
+	// sharedLosses holds, for each loss of a runner that tasks of several submissions may
+	// have caused, the runs that are not cleared yet.
+	sharedLosses [][]*run
 
 	orders []Order // decided since the last call of Orders
 	// queuedStarts is the number of starts that are decided and not sent yet.
