Keep a draining runner on the roster until the ends there are durable

What callers saw: nothing yet; found in a review. A task that is done may be started again after a change of owner.

Cause: a draining runner was released as soon as nothing ran there any more. Evidence: TestTaskThatEndedOnAReleasedRunnerIsNotStartedAgain fails before (run 1001 of the task starts on r1 before the runner has listed the end of run 1).

A runner is released once what its ends have changed is durable, by the same condition by which they are acknowledged. TestRoster asked for a release before anything was saved, which was wrong; it now asks that the runner stays until then and is released after it.

--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -296,11 +296,7 @@
 		return 0
 	}
 	for len(r.pending) > 0 {
-		p := r.pending[0]
-		if p.unclaimed != nil && now.Sub(p.receivedAt) < unknownRunGrace {
-			return p.n - 1
-		}
-		if p.s != nil && p.s.savedVersion < p.version && !p.s.cancelled {
+		if p := r.pending[0]; !p.isSettled(now) {
 			return p.n - 1
 		}
 		r.pending = r.pending[1:]
@@ -308,6 +304,15 @@
 	return r.lastEnd
 }
 
+// isSettled reports whether a successor need not hear of an end: what it has changed is
+// durable, or its submission has stayed unknown for unknownRunGrace.
+func (p pendingEnd) isSettled(now time.Time) bool {
+	if p.unclaimed != nil {
+		return now.Sub(p.receivedAt) >= unknownRunGrace
+	}
+	return p.s == nil || p.s.savedVersion >= p.version || p.s.cancelled
+}
+
 // IsDirty reports whether any submission has unsaved progress.
 func (t *Table) IsDirty() bool { return len(t.dirty) > 0 }
 
--- a/internal/version/dispatcher/roster_test.go
+++ b/internal/version/dispatcher/roster_test.go
@@ -38,8 +38,12 @@
 		h.drain(other)
 		assertRoster(t, h, on)
 	})
-	t.Run("it is released once all has ended", func(t *testing.T) {
+	t.Run("and while an end is not durable", func(t *testing.T) {
 		h.finishOldest(on)
+		assertRoster(t, h, on)
+	})
+	t.Run("it is released once all has ended", func(t *testing.T) {
+		h.table.Saved(h.table.Unsaved(10))
 		assertRoster(t, h)
 	})
 	t.Run("a new incarnation is not", func(t *testing.T) {
@@ -82,3 +86,27 @@
 		assertStarts(t, h.starts(), 0)
 	})
 }
+
+// Guards against a task that is started again although it is done: the runner on which it
+// ran had been released, so that the new owner did not wait for the end that its predecessor
+// had not saved.
+func TestTaskThatEndedOnAReleasedRunnerIsNotStartedAgain(t *testing.T) {
+	former := newHarness(t, 0, 2)
+	former.pollAll(2)
+	on, other := former.addTask()
+	former.drain(on)
+	former.finishOldest(on)
+
+	h, task := newTakeoverHarness(t, 0)
+	h.table.ExpectRunners(former.table.Roster(former.table.Runners(), former.now))
+	h.table.SetRunners(former.table.Runners(), h.now)
+	for range 2 {
+		h.poll(other)
+		assertStarts(t, h.starts(), 0)
+		h.advance(time.Second)
+	}
+	h.poll(on, End{Task: task, Run: 1, Kind: Done})
+	h.advance(time.Second)
+	h.poll(other)
+	assertStarts(t, h.starts(), 0)
+}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -177,7 +177,7 @@
 // registry lists are used, in no particular order. A successor waits for what runs there.
 //
 // Load: runners that leave while owners change. A draining runner is left out as soon as
-// all that ran there has ended, long before it leaves.
+// all that ran there has ended and its ends are durable, long before it leaves.
 func (t *Table) Roster(listed []RunnerInfo, now time.Time) []RunnerInfo {
 	infos := make(map[string]RunnerInfo, len(t.runners)+len(listed))
 	for id, r := range t.runners {
@@ -193,10 +193,11 @@
 	return slices.Collect(maps.Values(infos))
 }
 
-// isReleased reports whether nothing runs on a draining runner. No owner starts anything
-// there any more.
+// isReleased reports whether nothing runs on a draining runner and all that has ended there
+// is durable. No owner starts anything there any more.
 func (t *Table) isReleased(r *runner, now time.Time) bool {
-	return r.info.Draining && len(r.runs) == 0 && (r.wasReleased || t.knowsRunsOn(r, now))
+	isUnsettled := func(p pendingEnd) bool { return !p.isSettled(now) }
+	return r.info.Draining && len(r.runs) == 0 && (r.wasReleased || t.knowsRunsOn(r, now)) && !slices.ContainsFunc(r.pending, isUnsettled)
 }
 
 // Runners returns the runners that have to be polled.
