Let no task that fits nowhere keep others from moving off leaving runners

What callers saw: nothing yet; found in a review. Long-running tasks stay on a leaving runner until they are interrupted although others have room.

Cause: the size for which no runner had room counted for the tasks of all services and labels. One task whose label only leaving runners carry (or whose permit has run out) kept all that are not smaller from moving, at each tick, as the oldest goes first. Evidence: TestTaskThatNoRunnerTakesKeepsNoOtherFromMoving fails before (0 stops, want 1).

Moves now remember sizes by shape, as placement passes do.

--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 const (
@@ -37,19 +35,19 @@
 // looks.
 func (t *Table) moveFromLeaving(now time.Time) {
 	most := max(1, int(movingShare*float64(len(t.runners))))
-	var noRoom *submitter.Resources // a size for which no runner had room
+	clear(t.noRoom)
 	for _, x := range t.movable(now) {
 		if len(t.moves) >= most {
 			return
 		}
-		wanted := x.st.spec.Reserved()
-		if (noRoom != nil && noRoom.Fits(wanted)) || !x.st.isComplete() {
+		k := x.task()
+		if t.hadNoRoom(x.st, k) || !x.st.isComplete() {
 			continue
 		}
-		to := t.chooseOther(x.st, x.task(), x.runner, now)
+		to := t.chooseOther(x.st, k, x.runner, now)
 		if to == nil {
-			if x.st.runsByRunner == nil {
-				noRoom = &wanted
+			if !k.isSuspected(now) {
+				t.recordNoRoom(x.st, k)
 			}
 			continue
 		}
--- a/internal/version/dispatcher/moving_test.go
+++ b/internal/version/dispatcher/moving_test.go
@@ -91,3 +91,34 @@
 		assertStops(t, h, 0)
 	})
 }
+
+// Guards against long-running tasks that are not moved because an older one, which needs a
+// label or a permit, may run on no other runner.
+func TestTaskThatNoRunnerTakesKeepsNoOtherFromMoving(t *testing.T) {
+	h := newHarness(t, 0, 2)
+	infos := h.table.Runners()
+	for i := range infos {
+		if infos[i].ID == "r0" {
+			infos[i].Labels = []string{"rare"}
+		}
+	}
+	h.table.SetRunners(infos, h.now)
+	h.pollAll(2)
+	labelled := longRunning(1, 1000)
+	labelled.RequiredLabel = "rare"
+	h.add("labelled", "urgent", labelled)
+	assertStarts(t, h.starts(), 1)
+	h.now = h.now.Add(time.Second)
+	h.add("other", "urgent", longRunning(1, 6000))
+	if starts := h.starts(); len(starts) != 1 || starts[0].Runner != "r0" {
+		t.Fatalf("starts %+v, want one on r0", starts)
+	}
+	h.pollAll(2)
+	h.drain("r0")
+	assertStops(t, h, 1)
+	starts := h.starts()
+	assertStarts(t, starts, 1)
+	if starts[0].Task.Submission != "other" || starts[0].Runner != "r1" {
+		t.Errorf("started %s on %s, want other on r1", starts[0].Task, starts[0].Runner)
+	}
+}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -84,7 +84,7 @@
 	interference interferenceModel
 
 	// noRoom maps shapes to the resources of a task of the shape for which no runner
-	// had room in the current placement pass.
+	// had room in the current placement pass, or among the moves of the current tick.
 	noRoom map[shape]submitter.Resources
 
 	// reserved is the room that is reserved on runners, as of the last tick.
