Request permits for the room that is kept for a task

What callers saw: nothing yet; found in a review. A long-running task of a queue with advice that was interrupted never runs again while its part has no room to spare.

Cause: permits are requested for the runners on which a task could start that stands for those of the step. It had never run, so that the runners with room were owed to, or reserved for, the very task that waited: none was named, no request was made. Evidence: TestPermitsAreRequestedForRoomThatIsOwedToTheTask fails before (no request after the interruption).

--- a/internal/version/dispatcher/interrupted.go
+++ b/internal/version/dispatcher/interrupted.go
@@ -1,5 +1,7 @@
 package dispatcher
 
+import "time"
+
 // isNew reports whether a task is a long-running one that has never run. Those that a former
 // owner has accepted may have.
 func (t *Table) isNew(st *stepState, k *task) bool {
@@ -20,3 +22,16 @@
 	}
 	return n
 }
+
+// anyWaiting returns a task that stands for the waiting tasks of a step and avoids no runner.
+// It has run before if one of them has.
+func (t *Table) anyWaiting(st *stepState, now time.Time) *task {
+	probe := &task{}
+	for i := range st.tasks {
+		if k := &st.tasks[i]; st.spec.LongRunning && !k.done && len(k.runs) == 0 && !t.isNew(st, k) {
+			probe.endedAt = now
+			break
+		}
+	}
+	return probe
+}
--- a/internal/version/dispatcher/permits.go
+++ b/internal/version/dispatcher/permits.go
@@ -70,7 +70,7 @@
 		return true
 	}
 	var eligible []*runner
-	probe := &task{}
+	probe := t.anyWaiting(st, now)
 	for _, r := range t.runners {
 		if t.isEligible(r, st, probe, now) {
 			eligible = append(eligible, r)
--- a/internal/version/dispatcher/permits_test.go
+++ b/internal/version/dispatcher/permits_test.go
@@ -78,3 +78,33 @@
 		t.Errorf("requests %+v, want another one", requests)
 	}
 }
+
+// Guards against an interrupted task for which no permit is requested, because the room that
+// it needs is kept for it.
+func TestPermitsAreRequestedForRoomThatIsOwedToTheTask(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.configure(nil, submitter.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, NeedsPermits: true})
+	h.pollAll(1)
+	h.add("a", "urgent", longRunning(1, 6000))
+	permit := func() {
+		t.Helper()
+		assertStarts(t, h.starts(), 0)
+		requests := h.table.PermitRequests()
+		if len(requests) != 1 {
+			t.Fatalf("requests %+v, want one", requests)
+		}
+		h.table.ApplyPermits(requests[0].Step, []Permit{{Runner: "r0", Ticket: "x"}}, 2*time.Second, h.now)
+	}
+	permit()
+	first := h.starts()
+	assertStarts(t, first, 1)
+	for range 3 {
+		h.advance(time.Second)
+		h.poll("r0")
+	}
+	h.drop(first[0])
+	h.poll("r0", End{Task: first[0].Task, Run: first[0].Run, Kind: Failure})
+	h.advance(2 * blockedPause)
+	permit()
+	assertStarts(t, h.starts(), 1)
+}
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -46,8 +46,9 @@
 	}
 	obstacles := make(map[obstacle]int)
 	var mostFree int64
+	probe := t.anyWaiting(st, now)
 	for _, r := range t.runners {
-		o := t.obstacle(r, st, &task{}, now)
+		o := t.obstacle(r, st, probe, now)
 		if o == eligible && !st.isPermitted(r, now) {
 			o = notPermitted
 		}
