Owe no room to long-running tasks that no runner takes

What callers saw: nothing yet; found in a review. New long-running submissions never start although most of their part is free.

Cause: the room that is owed was counted by the number of interrupted tasks alone. After a change of owner each waiting long-running task counts as interrupted, since it may have run, among them those that no runner has a label for and those beyond the limit per runner of their step. Their room is kept for what never comes. Evidence: TestNoRoomIsOwedToTasksThatNoRunnerTakes fails before (40 such tasks, two runners with 14 and 16 free processors: 0 of 3 new tasks start).

A step is owed room for as many tasks only as its label, its limit per runner and its size allow on the usable runners.

--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -24,12 +24,31 @@
 // ones could not run again.
 func (t *Table) countOwed(now time.Time) {
 	clear(t.owed)
+	for st, n := range t.owedTasks(now) {
+		t.owe(st, t.placeable(st, n))
+	}
+	for _, owed := range t.owed {
+		owed.size = dividedBy(owed.size, owed.tasks)
+		owed.spare = -owed.tasks
+	}
+	for _, r := range t.runners {
+		owed, ok := t.owed[r.info.Service]
+		if ok && t.isUsable(r) && !now.Before(r.suspendedUntil) && now.Sub(r.answeredAt) <= staleAfter {
+			owed.spare += owed.fitting(r.roomForLong())
+		}
+	}
+}
+
+// owedTasks returns, by step, the number of long-running tasks that were interrupted or run on
+// leaving runners.
+func (t *Table) owedTasks(now time.Time) map[*stepState]int {
+	tasks := make(map[*stepState]int)
 	allRunsKnown := t.knowsAllRuns(now)
 	for _, s := range t.active {
 		for _, occ := range s.occs {
 			for _, st := range occ.steps {
 				if n := t.interrupted(st, allRunsKnown); n > 0 {
-					t.owe(st, n)
+					tasks[st] += n
 				}
 			}
 		}
@@ -40,24 +59,36 @@
 		}
 		for _, x := range r.runs {
 			if x.st.spec.LongRunning && !x.st.s.state.IsFinal() {
-				t.owe(x.st, 1)
+				tasks[x.st]++
 			}
 		}
 	}
-	for _, owed := range t.owed {
-		owed.size = dividedBy(owed.size, owed.tasks)
-		owed.spare = -owed.tasks
-	}
+	return tasks
+}
+
+// placeable returns how many more tasks of a step, up to a number, the usable runners may
+// take if nothing else runs there.
+func (t *Table) placeable(st *stepState, tasks int) (n int) {
+	wanted := st.spec.Reserved()
 	for _, r := range t.runners {
-		owed, ok := t.owed[r.info.Service]
-		if ok && t.isUsable(r) && !now.Before(r.suspendedUntil) && now.Sub(r.answeredAt) <= staleAfter {
-			owed.spare += owed.fitting(r.roomForLong())
+		if !t.isUsable(r) || !st.s.isServedBy(r.info.Service) || !st.hasLabel(r) || !wanted.Fits(r.info.Capacity) {
+			continue
+		}
+		if st.runsByRunner == nil {
+			return tasks
+		}
+		if n += max(0, st.spec.MaxPerRunner-st.runsByRunner[r.info.ID]); n >= tasks {
+			return tasks
 		}
 	}
+	return n
 }
 
 // owe adds tasks of a step to those that are owed room.
 func (t *Table) owe(st *stepState, tasks int) {
+	if tasks == 0 {
+		return
+	}
 	service := st.s.service()
 	owed, ok := t.owed[service]
 	if !ok {
