Let no late write of the roster replace a newer one

What callers saw: nothing yet; found in a review. A new owner that doesn't know of a runner in use starts what runs there once more, if the registry has dropped that runner's entry.

Cause: a write of the roster required the owner's record only. One whose call had timed out was carried out after a newer one, or after the runners had changed back, when none was due.

A write requires the revision of the stored roster, too, as writes of progress do. After a failure the next roster is written in any case, and only the runners that both rosters name may be used.

--- a/internal/process/conductor/roster.go
+++ b/internal/process/conductor/roster.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -15,7 +16,13 @@
 // owner can't rely on the registry alone: it drops runners whose registration has
 // expired although their processes still run tasks.
 type roster struct {
-	saved map[string]dispatcher.RunnerInfo // by ID
+	// saved holds, by ID, the runners that the stored roster names, whether or not the
+	// writes that have failed are carried out late.
+	saved map[string]dispatcher.RunnerInfo
+	// revision is that of the stored roster, or zero if there is none.
+	revision int64
+	// isUncertain says that a write has failed since the last one that succeeded.
+	isUncertain bool
 }
 
 // loadRoster passes the stored roster of the former owner to the table.
@@ -27,13 +34,14 @@
 	if err != nil {
 		return err
 	}
+	c.roster.revision = item.Revision
 	var infos []dispatcher.RunnerInfo
 	if err := json.Unmarshal(item.Value, &infos); err != nil {
 		c.noteUnreadable(c.keys.roster, err)
 		c.table.ExpectOtherRunners()
 		return nil
 	}
-	c.roster.set(infos)
+	c.roster.set(infos, item.Revision)
 	c.table.ExpectRunners(infos)
 	return nil
 }
@@ -47,7 +55,12 @@
 	if c.roster.equals(wanted) {
 		return listed
 	}
-	if err := c.saveRoster(wanted); err != nil {
+	err := c.saveRoster(wanted)
+	if c.findsLateRoster(err) {
+		err = c.saveRoster(wanted)
+	}
+	if err != nil {
+		c.roster.keepCertain(wanted)
 		c.noteStoreFailure("save roster", err)
 		return slices.DeleteFunc(slices.Clone(listed), func(info dispatcher.RunnerInfo) bool {
 			_, ok := c.roster.saved[info.ID]
@@ -57,6 +70,8 @@
 	return listed
 }
 
+// saveRoster writes the roster. A write that is carried out after its call has failed can't
+// replace a newer roster, as it requires the revision that was known then.
 func (c *Conductor) saveRoster(infos []dispatcher.RunnerInfo) error {
 	value, err := json.Marshal(infos)
 	if err != nil {
@@ -64,27 +79,48 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
 	defer cancel()
-	_, err = c.opts.Store.Commit(ctx, transactor.Transaction{
-		Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}},
+	revision, err := c.opts.Store.Commit(ctx, transactor.Transaction{
+		Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}, {Key: c.keys.roster, Revision: c.roster.revision}},
 		Writes:     []transactor.Write{{Key: c.keys.roster, Value: value}},
 	})
 	if err == nil {
-		c.roster.set(infos)
+		c.roster.set(infos, revision)
 	}
 	return err
 }
 
-func (r *roster) set(infos []dispatcher.RunnerInfo) {
+// findsLateRoster reports whether a write was refused because one that had failed was
+// carried out, and notes the revision of that one.
+func (c *Conductor) findsLateRoster(err error) bool {
+	var conflict *transactor.ConflictError
+	if !errors.As(err, &conflict) || conflict.Find(c.opts.OwnerKey).Revision != c.opts.Fence {
+		return false
+	}
+	c.roster.revision = conflict.Find(c.keys.roster).Revision
+	return true
+}
+
+func (r *roster) set(infos []dispatcher.RunnerInfo, revision int64) {
+	r.revision, r.isUncertain = revision, false
 	r.saved = make(map[string]dispatcher.RunnerInfo, len(infos))
 	for _, info := range infos {
 		r.saved[info.ID] = info
 	}
 }
 
+// keepCertain drops the runners that the stored roster does not name if the failed write of
+// another one is carried out late.
+func (r *roster) keepCertain(failed []dispatcher.RunnerInfo) {
+	r.isUncertain = true
+	maps.DeleteFunc(r.saved, func(id string, _ dispatcher.RunnerInfo) bool {
+		return !slices.ContainsFunc(failed, func(info dispatcher.RunnerInfo) bool { return info.ID == id })
+	})
+}
+
 // equals reports whether the stored roster has the same runners, with the same
 // addresses and the same draining state.
 func (r *roster) equals(wanted []dispatcher.RunnerInfo) bool {
-	if len(wanted) != len(r.saved) {
+	if r.isUncertain || len(wanted) != len(r.saved) {
 		return false
 	}
 	for _, info := range wanted {
