Plan the room of long-running tasks that have run, task by task

Causes: the number of tasks of a mean size that fit was too high, as tasks differ in size and have limits per runner. Before runners say that they leave nothing was kept, so that a part which lost more than others was full before new tasks were held back.

Now the owner assigns each task that is owed room to a runner at each tick, tasks with reserved room excepted, and new long-running tasks get what is left. They also leave the room of one runner in twenty, counted in whole tasks of their own size and of the largest one; parts of fewer than 20 runners keep none. A step that a former owner accepted counts as interrupted only if a run of it has been found. Both are done from one list of usable runners, so that a tick costs less: BenchmarkTickWithInterruptedTasks 3.1 ms, before 10.6 ms (350 runners, 300 interrupted tasks).

--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -50,3 +50,46 @@
 		h.execute(h.table.Orders())
 	}
 }
+
+// Measures one tick, for 350 runners that short tasks fill while 300 long-running tasks of
+// 150 steps have been interrupted and wait for room.
+func BenchmarkTickWithInterruptedTasks(b *testing.B) {
+	const runners = 350
+	t := &testing.T{}
+	h := newHarness(t, 0, runners)
+	h.pollAll(runners)
+	var lost []Order
+	for n := range 150 {
+		h.add(fmt.Sprint("long", n), "urgent", submitter.Step{Count: 2, Resources: submitter.Resources{MilliCores: 5000}, LongRunning: true})
+		lost = append(lost, h.starts()...)
+	}
+	for _, o := range lost {
+		h.drop(o)
+		h.poll(o.Runner, End{Task: o.Task, Run: o.Run, Kind: Failure})
+	}
+	for r := range h.table.runners {
+		h.table.runners[r].suspendedUntil = h.now
+	}
+	for n := range 300 {
+		h.add(fmt.Sprint("short", n), "urgent", oneCore(10))
+	}
+	for _, s := range h.table.subs {
+		if s.sub.Steps[0].LongRunning {
+			s.occs[0].steps[0].blockedAt = h.now.Add(time.Hour)
+		}
+	}
+	for range 30 {
+		h.starts()
+	}
+	h.table.Tick(h.now)
+	h.advance(reserveAfter)
+	h.pollAll(runners)
+	h.table.Tick(h.now)
+	if len(h.table.reserved) < 100 {
+		b.Fatalf("%d runners with reserved room, want at least 100", len(h.table.reserved))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		h.table.Tick(h.now)
+	}
+}
--- a/internal/version/dispatcher/interrupted.go
+++ b/internal/version/dispatcher/interrupted.go
@@ -1,9 +1,9 @@
 package dispatcher
 
-// isNew reports whether a task is a long-running one that has never run. Those that a former
-// owner has accepted may have.
+// isNew reports whether a task is a long-running one that has never run, as far as is known:
+// of a step of which a former owner has started tasks, each may have run.
 func (t *Table) isNew(st *stepState, k *task) bool {
-	return st.spec.LongRunning && len(k.runs) == 0 && k.endedAt.IsZero() && (!t.hasFormerOwner || st.s.sub.Owner >= t.fence)
+	return st.spec.LongRunning && len(k.runs) == 0 && k.endedAt.IsZero() && !st.ranBefore
 }
 
 // interrupted returns the number of long-running tasks of a ready step that have run before
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -176,6 +176,7 @@
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	x := t.place(st, key.task.Index, r, key.run, now)
 	x.phase, x.confirmedAt, x.isListed = running, now, true
+	st.ranBefore = true
 	s.markStarted()
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
 	switch {
@@ -292,13 +293,15 @@
 
 // applyEnd updates a submission after the end of one of its runs.
 func (t *Table) applyEnd(r *runner, s *submission, e End, now time.Time) {
-	if x, ok := r.runs[runKey{e.Task, e.Run}]; ok {
+	x, isKnown := r.runs[runKey{e.Task, e.Run}]
+	if isKnown {
 		t.end(x, now, string(e.Kind))
 	}
 	st := t.step(s, e.Task)
 	if st == nil {
 		return
 	}
+	st.ranBefore = st.ranBefore || !isKnown
 	k := &st.tasks[e.Task.Index]
 	if e.Checkpoint != "" {
 		k.checkpoint = e.Checkpoint
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -31,23 +31,26 @@
 // while smaller tasks wait. The room that each small task leaves goes to the next small
 // one, so that no runner ever has room for the large one.
 func (t *Table) reserve(now time.Time) {
-	clear(t.reserved)
+	for _, r := range t.reserved {
+		r.reserved = nil
+	}
+	t.reserved = t.reserved[:0]
 	allRunsKnown := t.knowsAllRuns(now)
 	steps := t.longWaiting(allRunsKnown, now)
 	if len(steps) == 0 {
 		return
 	}
 	left := int64(0)
-	for _, r := range t.runners {
-		if t.isUsable(r) {
+	for _, p := range t.plans {
+		for _, r := range p.usable {
 			left += max(0, r.roomForLong().MilliCores)
 		}
 	}
 	left = int64(reservedShare * float64(left))
 	for _, st := range steps {
-		runners := t.reservable(st, now)
+		runners := t.planFor(st.s.service()).runners
 		for range t.interrupted(st, allRunsKnown) {
-			r := t.soonestRoom(st, runners)
+			r := t.soonestRoom(st, runners, now)
 			if r == nil {
 				break
 			}
@@ -78,48 +81,39 @@
 	return steps
 }
 
-// reservable returns the runners on which a task of a step that has run before may start
-// once short tasks have left room.
-func (t *Table) reservable(st *stepState, now time.Time) (runners []*runner) {
-	for _, r := range t.runners {
-		switch t.obstacle(r, st, &task{endedAt: now}, now) {
-		case full, memoryFull, reserved:
-		case eligible:
-			if !st.isPermitted(r, now) {
-				continue
-			}
-		default:
-			continue
-		}
-		if st.hasLabel(r) {
-			runners = append(runners, r)
-		}
-	}
-	return runners
-}
-
 // soonestRoom returns the runner on which one more task of a step lacks the least room
 // that short tasks will leave, or nil if there is none.
-func (t *Table) soonestRoom(st *stepState, runners []*runner) (best *runner) {
+func (t *Table) soonestRoom(st *stepState, runners []*runner, now time.Time) (best *runner) {
 	var least int64
 	wanted := st.spec.Reserved()
 	for _, r := range runners {
 		var kept submitter.Resources
 		tasks := 0
-		if other, ok := t.reserved[r]; ok {
-			kept, tasks = other.room, other.tasks[st]
+		if r.reserved != nil {
+			kept, tasks = r.reserved.room, r.reserved.tasks[st]
 		}
-		if !wanted.Fits(r.roomForLong().Minus(kept)) || !st.allowsMore(r, tasks) {
+		if !wanted.Fits(r.roomForLong().Minus(kept)) || !st.hasLabel(r) || !st.allowsMore(r, tasks) {
 			continue
 		}
 		lacks := wanted.MilliCores + kept.MilliCores - r.free().MilliCores
-		if best == nil || lacks < least || (lacks == least && r.info.ID < best.info.ID) {
-			best, least = r, lacks
+		if best != nil && (lacks > least || (lacks == least && r.info.ID > best.info.ID)) {
+			continue
+		}
+		if wanted.Fits(r.free()) && !t.mayReserve(r, st, now) {
+			continue
 		}
+		best, least = r, lacks
 	}
 	return best
 }
 
+// mayReserve reports whether nothing but other reservations keeps a task of a step, which
+// has run before, from a runner that has room for it.
+func (t *Table) mayReserve(r *runner, st *stepState, now time.Time) bool {
+	o := t.obstacle(r, st, &task{endedAt: now}, now)
+	return o == reserved || (o == eligible && st.isPermitted(r, now))
+}
+
 // allows reports whether a step's label and limit per runner allow one more of its tasks
 // on a runner.
 func (st *stepState) allows(r *runner) bool { return st.hasLabel(r) && st.allowsMore(r, 0) }
@@ -137,13 +131,12 @@
 
 // reserveOn reserves room on a runner for one more task of a step.
 func (t *Table) reserveOn(r *runner, st *stepState) {
-	kept, ok := t.reserved[r]
-	if !ok {
-		kept = &reservation{tasks: make(map[*stepState]int)}
-		t.reserved[r] = kept
+	if r.reserved == nil {
+		r.reserved = &reservation{tasks: make(map[*stepState]int)}
+		t.reserved = append(t.reserved, r)
 	}
-	kept.room = kept.room.Plus(st.spec.Reserved())
-	kept.tasks[st]++
+	r.reserved.room = r.reserved.room.Plus(st.spec.Reserved())
+	r.reserved.tasks[st]++
 }
 
 // claim gives up the room that is reserved for a task of a step which starts on a runner,
@@ -152,27 +145,27 @@
 	if !st.spec.LongRunning || len(t.reserved) == 0 {
 		return
 	}
-	if kept, ok := t.reserved[r]; !ok || kept.tasks[st] == 0 {
-		r = t.reservedFor(st, func(*runner, *reservation) bool { return true })
-	}
-	kept, ok := t.reserved[r]
-	if !ok {
-		return
+	if r.reserved == nil || r.reserved.tasks[st] == 0 {
+		if r = t.reservedFor(st, func(*runner) bool { return true }); r == nil {
+			return
+		}
 	}
+	kept := r.reserved
 	kept.room = kept.room.Minus(st.spec.Reserved())
 	if kept.tasks[st]--; kept.tasks[st] == 0 {
 		delete(kept.tasks, st)
 	}
 	if len(kept.tasks) == 0 {
-		delete(t.reserved, r)
+		r.reserved = nil
+		t.reserved = slices.DeleteFunc(t.reserved, func(other *runner) bool { return other == r })
 	}
 }
 
 // reservedFor returns a runner with room reserved for a step that meets a condition, or
 // nil.
-func (t *Table) reservedFor(st *stepState, meets func(r *runner, kept *reservation) bool) *runner {
-	for r, kept := range t.reserved {
-		if kept.tasks[st] > 0 && meets(r, kept) {
+func (t *Table) reservedFor(st *stepState, meets func(r *runner) bool) *runner {
+	for _, r := range t.reserved {
+		if r.reserved.tasks[st] > 0 && meets(r) {
 			return r
 		}
 	}
@@ -186,14 +179,14 @@
 		return false
 	}
 	wanted := st.spec.Reserved()
-	return t.reservedFor(st, func(r *runner, _ *reservation) bool { return wanted.Fits(r.free()) }) != nil
+	return t.reservedFor(st, func(r *runner) bool { return wanted.Fits(r.free()) }) != nil
 }
 
 // unreserved returns the free room on a runner that is not reserved for tasks of other
 // steps. A task that has never run leaves that for its own step, too.
 func (t *Table) unreserved(r *runner, st *stepState, k *task) submitter.Resources {
-	kept, ok := t.reserved[r]
-	if !ok {
+	kept := r.reserved
+	if kept == nil {
 		return r.free()
 	}
 	room := r.free().Minus(kept.room)
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -36,6 +36,8 @@
 	capacity        capacityStatements
 	used            submitter.Resources
 	usedForLong     submitter.Resources // the part of used that long-running tasks take
+	reserved        *reservation        // as of the last tick, or nil
+	promised        submitter.Resources // room for tasks that are owed it, as of the last tick
 	runs            map[runKey]*run
 	suspects        int         // suspected runs on probation here
 	isolatedFor     *submission // the submission of the suspected runs, or nil
@@ -135,7 +137,7 @@
 		t.recordRunner(now, EventRunnerGone, r, "registry entry is gone")
 		t.endIfLeft(r, now)
 	}
-	t.countOwed(now)
+	t.planRoom(now)
 	t.placementDue = true
 }
 
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -59,6 +59,7 @@
 	waiting      int            // tasks not done yet that have no run
 	crashed      int            // tasks with crashes
 	ready        bool           // all steps that this one depends on are done
+	ranBefore    bool           // a former owner has started tasks
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
 	// blockedAt is when the step last found no runner with room.
 	blockedAt time.Time
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -83,11 +83,12 @@
 	// had room in the current placement pass.
 	noRoom map[shape]submitter.Resources
 
-	// reserved is the room that is reserved on runners, as of the last tick.
-	reserved map[*runner]*reservation
+	// reserved holds the runners with reserved room.
+	reserved []*runner
 
-	// owed is the room that is owed to long-running tasks, by service, as of the last tick.
-	owed map[string]*owedRoom
+	// plans holds the room that is kept from new long-running tasks, by service, as of the
+	// last tick.
+	plans map[string]*roomPlan
 
 	// held maps runners to the suspects that are to start there next.
 	held     map[*runner]suspect
@@ -135,8 +136,7 @@
 		subs:             make(map[string]*submission),
 		interference:     newInterferenceModel(),
 		noRoom:           make(map[shape]submitter.Resources),
-		reserved:         make(map[*runner]*reservation),
-		owed:             make(map[string]*owedRoom),
+		plans:            make(map[string]*roomPlan),
 		earlyCancels:     make(map[string]time.Time),
 		held:             make(map[*runner]suspect),
 	}
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -44,8 +44,7 @@
 	maps.DeleteFunc(t.earlyCancels, func(_ string, at time.Time) bool { return now.Sub(at) > earlyCancelRetention })
 	t.watchWaiting(now)
 	t.watchAwaited(now)
-	t.countOwed(now)
-	t.reserve(now)
+	t.planRoom(now)
 	t.placementDue = true
 }
 
