Don't let a task that is kept apart hold up others of its size

Seen in traces of TestLongRunningTasksRunAfterFaults, where s3.0.0.3, under which no runner was lost, had five eligible runners and did not start while s3.0.0.0 was kept apart.

A task under which runners were lost now never speaks for others. TestTaskThatIsKeptApartHoldsUpNoOthers failed before: 2 starts, want 3; 4 starts, want 6.

--- a/internal/version/dispatcher/isolation_test.go
+++ b/internal/version/dispatcher/isolation_test.go
@@ -34,3 +34,31 @@
 		assertStarts(t, h.starts(), 1)
 	})
 }
+
+// Guards against taking a task that is kept from all runners as it may have crashed others
+// for one without room: nothing of its size was started any more.
+func TestTaskThatIsKeptApartHoldsUpNoOthers(t *testing.T) {
+	const runners = 2
+	newSuspects := func(t *testing.T, step submitter.Step) *harness {
+		t.Helper()
+		h := newHarness(t, 0, runners)
+		h.pollAll(runners)
+		for i := range runners + 1 {
+			crashed := submitter.StepProgress{Crashes: map[int][]submitter.Crash{0: {{Run: 1, Runner: "gone"}}}}
+			sub := &submitter.Submission{ID: fmt.Sprint("suspect", i), Queue: "urgent", Steps: []submitter.Step{step}, AcceptedAt: h.now}
+			h.table.Add(sub, &submitter.Progress{Steps: []submitter.StepProgress{crashed}}, h.now)
+		}
+		h.add("tried last", "urgent", oneCore(1))
+		h.advance(isolationPatience)
+		h.pollAll(runners)
+		return h
+	}
+	t.Run("of other submissions", func(t *testing.T) {
+		h := newSuspects(t, oneCore(1))
+		assertStarts(t, h.starts(), runners+1)
+	})
+	t.Run("of the same step", func(t *testing.T) {
+		h := newSuspects(t, oneCore(2))
+		assertStarts(t, h.starts(), runners+runners+1+1)
+	})
+}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -163,7 +163,7 @@
 		r := t.choose(st, k, now)
 		if r == nil {
 			st.blockedAt = now
-			if k.avoid != "" || isSuspected {
+			if k.avoid != "" || len(k.crashes) > 0 {
 				continue // another task may run on a runner that this one has to avoid
 			}
 			t.recordNoRoom(st)
