Start long-running tasks on suspended runners if no other one has room

Cause: a runner on which tasks of two submissions have failed in a row is suspended for 3 s, and where long-running tasks fail again and again that is each runner: nothing starts until the first suspension ends. Long-running tasks may now start on a suspended runner as a last resort, once they have waited for a second. Short tasks, whose attempts are limited, still wait, and so does everything for a runner that has just not carried out a start.

--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -34,7 +34,7 @@
 		return leaving
 	case !t.knowsRunsOn(r, now):
 		return runsUnknown
-	case now.Before(r.suspendedUntil):
+	case now.Before(r.pausedUntil), now.Before(r.suspendedUntil) && !st.needsLastResort(now):
 		return suspended
 	case now.Sub(r.answeredAt) > staleAfter:
 		return silent
--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -50,7 +50,7 @@
 		}
 		p := t.planFor(r.info.Service)
 		p.usable = append(p.usable, r)
-		if r.hasEntry() && !now.Before(r.suspendedUntil) && now.Sub(r.answeredAt) <= staleAfter && t.knowsRunsOn(r, now) {
+		if r.hasEntry() && !now.Before(r.suspendedUntil) && !now.Before(r.pausedUntil) && now.Sub(r.answeredAt) <= staleAfter && t.knowsRunsOn(r, now) {
 			p.runners = append(p.runners, r)
 		}
 	}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -313,6 +313,18 @@
 // there takes off the runner's score, in shares of the runner's capacity.
 const failureCost = 0.5
 
+// lastResortCost is what a suspension takes off a runner's score, more than all else adds.
+const lastResortCost = 1000
+
+// needsLastResort reports whether tasks of a step have waited for so long that they may
+// start on suspended runners.
+//
+// Load: long-running tasks that fail again and again, on all runners. Tasks fail of
+// themselves, and with all runners suspended none would run.
+func (st *stepState) needsLastResort(now time.Time) bool {
+	return st.spec.LongRunning && !st.waitingSince.IsZero() && now.Sub(st.waitingSince) >= reserveAfter
+}
+
 // scoreService rates a runner for a task of a service with the given image. Services
 // of one image are packed on the same runners: a serving image keeps the best-effort
 // images that interfere with it off its runners, while runners without any service
@@ -337,6 +349,9 @@
 func (t *Table) score(r *runner, st *stepState, now time.Time) float64 {
 	capacity := float64(max(1, r.info.Capacity.MilliCores))
 	score := -failureCost * float64(len(r.failedSubmissions))
+	if now.Before(r.suspendedUntil) {
+		score -= lastResortCost
+	}
 	switch {
 	case st.spec.Fills:
 		score += (r.spare()-float64(r.bestEffortMilliCores))/capacity + t.interference.match(r, st, now)
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -365,7 +365,8 @@
 
 // countFailure counts a submission of which a run has failed or stalled on a runner.
 // If there are several since the last success on the runner, it suspends the runner:
-// the runner gets no new work for a while.
+// the runner gets no new work for a while, but for long-running tasks that find no room
+// elsewhere.
 func (t *Table) countFailure(r *runner, submission string, now time.Time) {
 	r.failedSubmissions[submission] = true
 	if len(r.failedSubmissions) < suspendThreshold {
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -130,8 +130,8 @@
 
 // suspend keeps new work from a runner for failurePause.
 func (t *Table) suspend(r *runner, now time.Time) {
-	if until := now.Add(failurePause); until.After(r.suspendedUntil) {
-		r.suspendedUntil = until
+	if until := now.Add(failurePause); until.After(r.pausedUntil) {
+		r.pausedUntil = until
 	}
 }
 
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -56,7 +56,8 @@
 	pending     []pendingEnd // processed ends that were not acknowledged yet, oldest first
 
 	failedSubmissions map[string]bool      // submissions that failed here since the last success
-	suspendedUntil    time.Time            // when the runner may get new work again
+	suspendedUntil    time.Time            // when the runner may get new work again after failures of tasks
+	pausedUntil       time.Time            // when it may after a start that it has not carried out
 	silentSince       time.Time            // when a poll first failed since the last answer, or zero
 	closed            bool                 // a poll's connection was closed, and none could be opened since
 	hasEnded          bool                 // the newest poll showed that the process has ended
@@ -238,7 +239,7 @@
 	clear(r.unknownRuns)
 	r.unknownStoppedAt = time.Time{}
 	clear(r.failedSubmissions)
-	r.suspendedUntil = time.Time{}
+	r.suspendedUntil, r.pausedUntil = time.Time{}, time.Time{}
 	r.halted = false
 	r.worstTail = unknownTailRatio
 }
