Move a smaller long-running task where that makes room for an interrupted one

Reserving room can't help, as no short task is left to end.

Cause: room in many small pieces; what has been placed stayed for good. Now a smaller long-running task moves, if another runner has room for it and its end makes enough room on its own, which is kept for the task that waits: also for one whose runner leaves. TestRoomIsMadeForInterruptedTasks failed before ("the interrupted task runs again: false").

--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -13,20 +13,45 @@
 	moveTimeout = 3 * time.Second
 )
 
-// A move is the stop of a run on a leaving runner whose task is to run on another one.
+// A move is the stop of a run whose task is to run on another runner.
 type move struct {
 	x       *run
 	to      *runner
 	beganAt time.Time
+	// beneficiary is the step for a task of which the move makes room; nil if the run's
+	// runner leaves.
+	beneficiary *stepState
 }
 
-// isOver reports whether the move needs no room any more.
-func (m move) isOver(now time.Time) bool {
+// hasMoved reports whether the move needs no room on its target any more.
+func (m move) hasMoved() bool {
 	k := m.x.task()
 	hasNextRun := len(k.runs) > 0 && k.runs[0] != m.x
-	return hasNextRun || m.x.st.s.state.IsFinal() || now.Sub(m.beganAt) > moveTimeout
+	return hasNextRun || m.x.st.s.state.IsFinal()
+}
+
+// isTaken reports whether the room that the run leaves is not kept, or not any more.
+func (m move) isTaken() bool {
+	st := m.beneficiary
+	if st == nil || st.s.state.IsFinal() {
+		return true
+	}
+	for _, x := range m.x.runner.runs {
+		if x.st == st && x.startedAt.After(m.beganAt) {
+			return true
+		}
+	}
+	return false
 }
 
+// isOver reports whether the move needs no room any more.
+func (m move) isOver(now time.Time) bool {
+	return (m.hasMoved() && m.isTaken()) || now.Sub(m.beganAt) > moveTimeout
+}
+
+// maxMoves returns how many moves may be under way at a time.
+func (t *Table) maxMoves() int { return max(1, int(movingShare*float64(len(t.runners)))) }
+
 // moveFromLeaving moves long-running tasks from draining runners to others that have room
 // for them.
 //
@@ -34,7 +59,7 @@
 // interrupted at a time that the owner does not choose, all at once, and maybe while no owner
 // looks.
 func (t *Table) moveFromLeaving(now time.Time) {
-	most := max(1, int(movingShare*float64(len(t.runners))))
+	most := t.maxMoves()
 	clear(t.noRoom)
 	for _, x := range t.movable(now) {
 		if len(t.moves) >= most {
@@ -61,7 +86,12 @@
 func (t *Table) reserveForMoves(now time.Time) {
 	t.moves = slices.DeleteFunc(t.moves, func(m move) bool { return m.isOver(now) })
 	for _, m := range t.moves {
-		t.reserveOn(m.to, m.x.st)
+		if !m.hasMoved() {
+			t.reserveOn(m.to, m.x.st)
+		}
+		if !m.isTaken() {
+			t.reserveOn(m.x.runner, m.beneficiary)
+		}
 	}
 }
 
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -46,6 +46,7 @@
 	t.watchAwaited(now)
 	t.planRoom(now)
 	t.moveFromLeaving(now)
+	t.consolidate(now)
 	t.placementDue = true
 }
 
