Decide independently of the order of maps

Runs of one age had no order in sortByAge, and Tick went through the runners and their runs in the order of the map.

sortByAge now orders runs of one age by task and number. Tick first ends what has lapsed, by runner, and then watches the few runs that need it, by age.

--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -236,7 +237,9 @@
 
 // sortByAge sorts runs, oldest first.
 func sortByAge(runs []*run) {
-	slices.SortFunc(runs, func(a, b *run) int { return a.startedAt.Compare(b.startedAt) })
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(a.startedAt.Compare(b.startedAt), a.id().Compare(b.id()), cmp.Compare(a.number, b.number))
+	})
 }
 
 // lapsedBy returns the time by which every lease on a runner has lapsed if it is
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -29,29 +30,48 @@
 const manyRunners = 150
 
 // Tick applies the passing of time: it ends the runs whose leases have lapsed,
-// repeats stops without effect and stops runs without progress.
+// repeats stops without effect and stops runs without progress. What it decides does not
+// depend on the order of maps, so that the plays of tests can be repeated.
 func (t *Table) Tick(now time.Time) {
+	t.lapseAll(now)
+	var watched []*run
 	for id, r := range t.runners {
-		t.lapse(r, now)
 		if !r.isRegistered && len(r.runs) == 0 && t.hasLapsed(r, now) {
 			delete(t.runners, id)
 			continue
 		}
 		for _, x := range r.runs {
-			t.watchRun(x, now)
+			if x.needsWatch(now) {
+				watched = append(watched, x)
+			}
 		}
 	}
+	sortByAge(watched)
+	for _, x := range watched {
+		t.watchRun(x, now)
+	}
 	maps.DeleteFunc(t.earlyCancels, func(_ string, at time.Time) bool { return now.Sub(at) > earlyCancelRetention })
 	t.watchWaiting(now)
 	t.watchAwaited(now)
 	t.placementDue = true
 }
 
-// lapse ends the runs on a runner whose leases have lapsed.
-func (t *Table) lapse(r *runner, now time.Time) {
-	if len(r.runs) == 0 || !t.hasLapsed(r, now) {
-		return
+// lapseAll ends the runs whose leases have lapsed.
+func (t *Table) lapseAll(now time.Time) {
+	var lapsed []*runner
+	for _, r := range t.runners {
+		if len(r.runs) > 0 && t.hasLapsed(r, now) {
+			lapsed = append(lapsed, r)
+		}
 	}
+	slices.SortFunc(lapsed, func(a, b *runner) int { return strings.Compare(a.info.ID, b.info.ID) })
+	for _, r := range lapsed {
+		t.lapse(r, now)
+	}
+}
+
+// lapse ends the runs on a runner whose own leases have lapsed.
+func (t *Table) lapse(r *runner, now time.Time) {
 	lapsed := slices.DeleteFunc(r.runsByAge(), func(x *run) bool { return !t.runHasLapsed(x, now) })
 	if len(lapsed) == 0 {
 		return
@@ -63,6 +83,20 @@
 	}
 }
 
+// needsWatch reports whether watchRun may act on a run, which is rarely so.
+func (x *run) needsWatch(now time.Time) bool {
+	if x.phase == stopping {
+		return true
+	}
+	stalledFor := now.Sub(x.progressedAt)
+	silentFor := now.Sub(x.runner.answeredAt)
+	if x.st.spec.Speculative && (stalledFor > copyAfter || silentFor > copyAfter) {
+		return true
+	}
+	isReady := x.st.spec.LongRunning && x.percent >= 100
+	return stalledFor >= stallAfter && silentFor <= time.Second && !isReady
+}
+
 // watchRun repeats the stop of a run if it had no effect, starts a second copy of a
 // speculative task, and stops a run without progress so that its task is started
 // again.
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -1,6 +1,7 @@
 package submitter
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 )
@@ -34,6 +35,14 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Submission, t.Occurrence, t.Step, t.Index)
 }
 
+// Compare orders ids by submission, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(
+		cmp.Compare(t.Submission, o.Submission), cmp.Compare(t.Occurrence, o.Occurrence),
+		cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index),
+	)
+}
+
 // Progress is the stored progress of a submission.
 type Progress struct {
 	// State is empty until a final state is reached.
