Acknowledge no ends that a runner has dropped already

What callers saw: nothing yet; found by a random play of runners that restart and leave. A short task that is done is started again.

Cause: each poll carried the number of the newest end that was ever acknowledged. A runner that was restarted under its ID numbers its ends anew, and a poll names the ID only, so that it dropped ends of the new process, up to that number, before the owner had seen them. The owner took the run for one that has vanished. Evidence: TestEndsOfANewIncarnationAreNotAcknowledgedUnseen fails before (acknowledged up to 1, want 0).

An acknowledgement is repeated until a report lists no end any more, and zero is sent from then on. A restart between a report and the acknowledgement of its ends can still be missed: the platform's protocol has no way to name the incarnation.

--- a/internal/version/dispatcher/lifetime_test.go
+++ b/internal/version/dispatcher/lifetime_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -208,3 +209,26 @@
 		})
 	}
 }
+
+// Guards against a task that is started again although it is done: the acknowledgement of ends
+// of the former incarnation of a runner reached the next one, which dropped an end that the
+// owner had not seen.
+func TestEndsOfANewIncarnationAreNotAcknowledgedUnseen(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	assertAcked := func(want int64) {
+		t.Helper()
+		if acked := h.table.Acknowledgeable("r0", h.now); acked != want {
+			t.Errorf("acknowledged up to %d, want %d", acked, want)
+		}
+	}
+	for n := range int64(2) {
+		h.add(fmt.Sprint(n), "urgent", oneCore(1))
+		assertStarts(t, h.starts(), 1)
+		h.finishOldest("r0")
+		h.table.Saved(h.table.Unsaved(10))
+		assertAcked(n + 1)
+		h.poll("r0") // lists none, as the runner has received that
+		assertAcked(0)
+	}
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -111,6 +111,7 @@
 			t.processEnd(r, e, now)
 		}
 	}
+	r.isAckReceived = len(rep.Ended) == 0 && r.acked == r.lastEnd
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		key := runKey{row.Task, row.Run}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -289,7 +289,9 @@
 
 // Acknowledgeable returns the number of the last end that can be acknowledged to a
 // runner: the changes that this end and all earlier ones have caused are durable. An
-// end whose submission stays unknown for unknownRunGrace is acknowledged too.
+// end whose submission stays unknown for unknownRunGrace is acknowledged too. It returns
+// zero once the runner has received that: a new incarnation, which numbers its ends anew,
+// would drop those that the owner has not seen.
 func (t *Table) Acknowledgeable(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
 	if !ok {
@@ -301,6 +303,10 @@
 		}
 		r.pending = r.pending[1:]
 	}
+	if r.isAckReceived {
+		return 0
+	}
+	r.acked = r.lastEnd
 	return r.lastEnd
 }
 
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -52,6 +52,10 @@
 	maxLeaseEnd int64        // the latest lease end that was sent, ms on the runner's clock
 	lastEnd     int64        // number of the newest end that was processed
 	pending     []pendingEnd // processed ends that were not acknowledged yet, oldest first
+	// acked is the highest end that was acknowledged; isAckReceived says that the newest
+	// report lists none, so that the runner has dropped all ends up to it.
+	acked         int64
+	isAckReceived bool
 
 	failedSubmissions map[string]bool      // submissions that failed here since the last success
 	suspendedUntil    time.Time            // when the runner may get new work again
@@ -232,7 +236,7 @@
 	r.acceptedToken = false
 	r.capacity = capacityStatements{}
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
-	r.lastEnd, r.pending = 0, nil
+	r.lastEnd, r.pending, r.acked, r.isAckReceived = 0, nil, 0, false
 	clear(r.unknownRuns)
 	r.unknownStoppedAt = time.Time{}
 	clear(r.failedSubmissions)
