Start a gang again that was taken over while a runner is silent

What callers saw: nothing yet; found in a review, as the same cause in another place. A gang that breaks after a change of owner waits for as long as one runner of the part is silent, up to 20 s.

Cause: tasks that the new owner has taken over start again at once, gangs did not. Evidence: TestTakenOverGangRestartsWhileARunnerIsSilent fails before (0 starts, want 2).

A gang starts again if each of its members was taken over: no other run of any of them can exist.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -129,7 +129,7 @@
 }
 
 // startWaiting starts as many waiting tasks of a step as fit. If not all runs are known
-// that a former owner may have started, it starts tracked tasks only.
+// that a former owner may have started, it starts tracked tasks only, and gangs of them.
 //
 // Load: a change of owners after which a runner stays silent, or has been lost for good,
 // while tasks that the new owner has taken over fail on the others.
@@ -138,7 +138,7 @@
 		return
 	}
 	if st.spec.Gang {
-		if allRunsKnown {
+		if allRunsKnown || !slices.ContainsFunc(st.tasks, func(k task) bool { return !k.isTracked }) {
 			t.startGang(st, now)
 		}
 		return
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -330,6 +330,31 @@
 	})
 }
 
+// Guards against a gang that waits for a silent runner although the new owner has taken over
+// all its members.
+func TestTakenOverGangRestartsWhileARunnerIsSilent(t *testing.T) {
+	h := newHarness(t, 1, 3)
+	h.table.SetFormerOwnerEnd(h.now.Add(10 * time.Second))
+	step := oneCore(2)
+	step.Gang = true
+	h.add("a", "urgent", step)
+	var ends []End
+	for i := range 2 {
+		task := submitter.TaskID{Submission: "a", Index: i}
+		h.reported["r0"] = append(h.reported["r0"], RunStatus{Task: task, Run: 1, Percent: 10})
+		ends = append(ends, End{Task: task, Run: 1, Kind: Broken})
+	}
+	for range 2 {
+		h.poll("r0")
+		h.poll("r1")
+		h.advance(time.Second)
+	}
+	h.reported["r0"] = nil
+	h.poll("r1")
+	h.poll("r0", ends...)
+	assertStarts(t, h.starts(), 2)
+}
+
 // Guards against a task that failed on the only runner with room and keeps the other
 // tasks of its step from starting there.
 func TestTaskThatAvoidsARunnerDoesNotBlockItsStep(t *testing.T) {
