Play runners that leave for good while owners follow each other

TestTasksRunOnceWhileRunnersLeaveAndOwnersChange plays what the tests with one change of owner left out: runners that drain, take that back, leave or crash, and others that join, long-running tasks that move meanwhile, short tasks that are done, progress that is written late, rosters that can't be written or read, and many owners, of which some hand over, some have ended without knowledge, and some do not answer.

No existing test draws anything else: the hooks of the chaos are used by the new play only.

--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -49,15 +49,18 @@
 	isDown   bool
 	isLost   bool // for good
 	isCut    bool
-	downTill time.Time
-	cutTill  time.Time
-	fence    int64
-	leaseEnd int64
-	running  map[runKey]bool
-	highest  map[submitter.TaskID]int64 // highest run that was stopped or has ended
-	ended    []End
-	lastEnd  int64
-	polledAt time.Time
+	// isDraining says that the runner has announced that it leaves, isUnreachable that
+	// nothing refuses connections at its address once it has left.
+	isDraining, isUnreachable bool
+	downTill                  time.Time
+	cutTill                   time.Time
+	fence                     int64
+	leaseEnd                  int64
+	running                   map[runKey]bool
+	highest                   map[submitter.TaskID]int64 // highest run that was stopped or has ended
+	ended                     []End
+	lastEnd                   int64
+	polledAt                  time.Time
 	// stoppedBy holds, by run, the last incarnation that has confirmed a stop of it to the
 	// owner.
 	stoppedBy map[runKey]int64
@@ -171,8 +174,9 @@
 	// statesCapacity says that runners state their capacities in their reports.
 	statesCapacity bool
 	// handsOver says that each owner reports to its successor what it leaves.
-	handsOver bool
-	saved     map[string]*submitter.Progress // durable progress by submission
+	handsOver  bool
+	departures *departures                    // of a play in which runners leave, or nil
+	saved      map[string]*submitter.Progress // durable progress by submission
 	// onStart is called after a runner has started a run, if it is set. It reports
 	// whether the owner gets an answer.
 	onStart func(r *simRunner, key runKey) (answered bool)
@@ -203,6 +207,10 @@
 func (c *chaos) takeOver(generation int64) {
 	c.fence = testFence + generation
 	former := c.table
+	if c.departures != nil && former != nil {
+		c.departures.takeOver(generation)
+		return
+	}
 	c.table = New(testLimits, c.fence, generation, recorder.Discard{}, c.now)
 	c.table.Configure(NewConfiguration(testQueues, nil), c.now)
 	if former != nil {
@@ -227,9 +235,12 @@
 	var infos []RunnerInfo
 	for _, r := range c.sorted() {
 		if r.listed > 0 {
-			infos = append(infos, RunnerInfo{ID: r.id, Service: "s", DataCentre: "z", Capacity: r.registered(c.now), Lifetime: r.listed})
+			infos = append(infos, RunnerInfo{ID: r.id, Service: "s", DataCentre: "z", Capacity: r.registered(c.now), Lifetime: r.listed, Draining: r.isDraining})
 		}
 	}
+	if c.departures != nil {
+		infos = c.departures.updateRoster(infos)
+	}
 	c.table.SetRunners(infos, c.now)
 }
 
@@ -358,7 +369,7 @@
 		until := c.table.LeaseUntil(r.id, c.now)
 		if r.isDown || r.isCut {
 			failure := NoAnswer
-			if r.isDown {
+			if r.isDown && !r.isUnreachable {
 				failure = ConnectionRefused
 			}
 			c.table.PollFailed(r.id, failure, c.now)
@@ -482,6 +493,10 @@
 			c.table.ApplyPace(res.order, res.outcome, c.now)
 		}
 	}
+	if c.departures != nil {
+		c.departures.save()
+		return
+	}
 	records := c.table.Unsaved(1000)
 	for _, rec := range records {
 		c.saved[rec.ID] = rec.Progress
--- a/internal/version/dispatcher/resizing_test.go
+++ b/internal/version/dispatcher/resizing_test.go
@@ -87,13 +87,17 @@
 	}
 }
 
-// checkStart fails the play if a start brings a runner over the capacity that the owner
-// knows, or over what the runner has had within resizeAllowance. Tasks take one core.
+// checkStart fails the play if a start goes to a runner that drains, as the owner knows, or
+// brings a runner over the capacity that the owner knows, or over what the runner has had
+// within resizeAllowance. Tasks take one core.
 func (c *chaos) checkStart(r *simRunner, o Order) {
 	if o.Kind != Start {
 		return
 	}
 	known := c.table.runners[o.Runner]
+	if known.info.Draining {
+		c.t.Fatalf("%s: start of %s on %s, which drains", c.now.Sub(epoch), o.Task, o.Runner)
+	}
 	if known.isOvercommitted() {
 		c.t.Fatalf("%s: start of %s on %s with %+v of %+v in use", c.now.Sub(epoch), o.Task, o.Runner, known.used, known.info.Capacity)
 	}
