--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -61,17 +61,19 @@
 func (t *Table) moveFromLeaving(now time.Time) {
 	most := t.maxMoves()
 	clear(t.noRoom)
+	blocked := make(map[*stepState]bool)
 	for _, x := range t.movable(now) {
 		if len(t.moves) >= most {
 			return
 		}
 		k := x.task()
-		if t.hadNoRoom(x.st, k) || !x.st.isComplete() {
+		if blocked[x.st] || t.hadNoRoom(x.st, k) || !x.st.isComplete() {
 			continue
 		}
 		to := t.chooseOther(x.st, k, x.runner, now)
 		if to == nil {
 			if !k.isSuspected(now) {
+				blocked[x.st] = true
 				t.recordNoRoom(x.st, k)
 			}
 			continue
@@ -109,7 +111,10 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(a.startedAt.Compare(b.startedAt), cmp.Compare(a.id().String(), b.id().String()))
+		return cmp.Or(
+			a.startedAt.Compare(b.startedAt), cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID), cmp.Compare(a.st.occ.index, b.st.occ.index),
+			cmp.Compare(a.st.index, b.st.index), cmp.Compare(a.index, b.index),
+		)
 	})
 	return runs
 }
