Keep room for long-running tasks on silent runners, too

What callers would see: as with leaving runners. From the crash of a runner until its leases have lapsed, 5 s and more, what ran there will need room, and new long-running tasks took it.

TestNewTasksLeaveRoomForThoseOfSilentRunners failed before ("10 of 10 interrupted tasks are still waiting after 9s").

--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -155,17 +155,24 @@
 // long-running tasks that were interrupted.
 func (c *crowd) leave() (interrupted []string) {
 	for runner := range c.drains {
-		c.left[runner] = true
-		c.reported[runner] = nil
-		c.table.PollFailed(runner, ConnectionRefused, c.now)
+		interrupted = append(interrupted, c.lose(runner, ConnectionRefused)...)
 	}
-	for task, runner := range c.running {
-		if c.left[runner] {
+	c.register()
+	return interrupted
+}
+
+// lose ends a runner with all that runs there. It returns the long-running tasks that were
+// interrupted.
+func (c *crowd) lose(runner string, failure PollFailure) (interrupted []string) {
+	c.left[runner] = true
+	c.reported[runner] = nil
+	c.table.PollFailed(runner, failure, c.now)
+	for task, on := range c.running {
+		if on == runner {
 			interrupted = append(interrupted, task)
 			delete(c.running, task)
 		}
 	}
-	c.register()
 	return interrupted
 }
 
@@ -271,6 +278,20 @@
 	c.assertRunAgain(c.leave())
 }
 
+// Guards against new tasks in the room of those on runners that have crashed, before the
+// leases there have lapsed.
+func TestNewTasksLeaveRoomForThoseOfSilentRunners(t *testing.T) {
+	c := newCrowd(t, 18, lasting(10, 3000), lasting(10, 3000))
+	var interrupted []string
+	for _, runner := range c.busiest(5) {
+		interrupted = append(interrupted, c.lose(runner, ConnectionClosed)...)
+	}
+	c.run(staleAfter + 200*time.Millisecond)
+	c.add("new", "urgent", lasting(25, 3000))
+	c.run(3 * time.Second)
+	c.assertRunAgain(interrupted)
+}
+
 // Guards against a part that is full of long-running tasks, where those that are interrupted
 // without notice find no room and short tasks wait for long.
 func TestNewTasksLeaveSomeRunners(t *testing.T) {
--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -36,10 +36,10 @@
 
 // planRoom reserves room for long-running tasks that have run before and wait, and plans
 // where the others will run that have: those that were interrupted just now, and those on
-// leaving runners.
+// leaving or silent runners.
 //
-// Load: dozens of runners that leave together and say so some seconds before, while new
-// long-running tasks arrive. These would fill the other runners, and what ran on the leaving
+// Load: dozens of runners that leave together and say so some seconds before, or crash, while
+// new long-running tasks arrive. These would fill the other runners, and what ran on the lost
 // ones could not run again.
 func (t *Table) planRoom(now time.Time) {
 	clear(t.plans)
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, r := range t.runners {
-		if !r.info.Draining {
+		if !r.info.Draining && now.Sub(r.answeredAt) <= staleAfter {
 			continue
 		}
 		for _, x := range r.runs {
