Test that a draining runner is awaited if the roster can't be read

No test failed without the condition (a mutation of it passed the package's tests); this one does: the task starts after 1 ms, want 2 s at the earliest.

--- a/internal/version/dispatcher/roster_test.go
+++ b/internal/version/dispatcher/roster_test.go
@@ -110,3 +110,16 @@
 	h.poll(other)
 	assertStarts(t, h.starts(), 0)
 }
+
+// Guards against a draining runner that counts as released because the roster, which names it,
+// can't be read.
+func TestNewOwnerWaitsForDrainingRunnersWithoutARoster(t *testing.T) {
+	const left = 2 * time.Second
+	h, _ := newTakeoverHarness(t, 1)
+	h.table.ExpectOtherRunners()
+	infos := append(h.table.Runners(), RunnerInfo{ID: "draining", Service: "s", DataCentre: "z", Capacity: testCapacity, Lifetime: 1, Draining: true})
+	h.table.SetRunners(infos, h.now)
+	h.table.MarkSettled([]string{"r0"}, h.now)
+	h.table.ExpectLapses(lapsesFrom(h.now, map[string]time.Duration{"draining": left}))
+	assertFirstStart(t, h, left)
+}
