Reserve room for the first interrupted task beside moves

What callers saw: nothing yet; found in a review. A large long-running task that was interrupted waits beside small ones for as long as runners leave one after the other.

Cause: a task that needs more than half of what long-running tasks leave gets room reserved only if it is the first, and each move under way counted as one before it. Evidence: TestMovesLeaveTheReservationOfALargeTask fails before (no room is reserved for the large task).

Moves don't count any more.

--- a/internal/version/dispatcher/moving_test.go
+++ b/internal/version/dispatcher/moving_test.go
@@ -122,3 +122,45 @@
 		t.Errorf("started %s on %s, want other on r1", starts[0].Task, starts[0].Runner)
 	}
 }
+
+// Guards against a large task that gets no room reserved for as long as others move.
+func TestMovesLeaveTheReservationOfALargeTask(t *testing.T) {
+	h := newHarness(t, 0, 3)
+	h.pollAll(3)
+	on := make(map[string]Order)
+	for _, task := range []struct {
+		id         string
+		milliCores int64
+	}{{"mover", 2000}, {"beside", 5000}, {"other", 6000}, {"large", 6000}} {
+		h.add(task.id, "urgent", longRunning(1, task.milliCores))
+		starts := h.starts()
+		assertStarts(t, starts, 1)
+		on[task.id] = starts[0]
+	}
+	if on["beside"].Runner != on["mover"].Runner {
+		t.Fatalf("the first two tasks run on %s and %s, want one runner", on["mover"].Runner, on["beside"].Runner)
+	}
+	h.pollAll(3)
+	h.drop(on["large"])
+	h.poll(on["large"].Runner, End{Task: on["large"].Task, Run: on["large"].Run, Kind: Failure})
+	short := oneCore(1)
+	short.MilliCores = 8000
+	h.add("short", "urgent", short)
+	h.table.subs["large"].occs[0].steps[0].blockedAt = h.now // the short task is tried first
+	assertStarts(t, h.starts(), 1)
+	for range 2 {
+		h.advance(reserveAfter)
+		h.pollAll(3)
+	}
+	h.drain(on["mover"].Runner)
+	for range 2 {
+		h.advance(200 * time.Millisecond)
+	}
+	if len(h.table.moves) != 1 {
+		t.Fatalf("%d moves under way, want one", len(h.table.moves))
+	}
+	large := h.table.subs["large"].occs[0].steps[0]
+	if h.table.reservedFor(large, func(*runner, *reservation) bool { return true }) == nil {
+		t.Error("no room is reserved for the large task")
+	}
+}
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -45,6 +45,7 @@
 		}
 	}
 	left = int64(reservedShare * float64(left))
+	reserved := 0 // tasks; the first one gets room in any case
 	for _, st := range steps {
 		runners := t.reservable(st, now)
 		for range t.interrupted(st, allRunsKnown) {
@@ -53,9 +54,10 @@
 				break
 			}
 			left -= st.spec.MilliCores
-			if left < 0 && len(t.reserved) > 0 {
+			if left < 0 && reserved > 0 {
 				return
 			}
+			reserved++
 			t.reserveOn(r, st)
 		}
 	}
