Move the next task of a step once the last one has begun

What callers saw: nothing yet; found in a review. Two tasks of a step, and more, are without a run at a time while they move.

Cause: a task whose start had been ordered counted as running. Its start may be refused or get no answer. Evidence: TestNextTaskMovesOnceTheLastOneRuns fails before (1 stop, want 0).

--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -89,11 +89,11 @@
 	return runs
 }
 
-// isComplete reports whether each task of a step has a run that goes on. The tasks of a
-// step are moved one after the other.
+// isComplete reports whether each task of a step has a run that has begun and goes on. The
+// tasks of a step are moved one after the other.
 func (st *stepState) isComplete() bool {
 	for i := range st.tasks {
-		if k := &st.tasks[i]; len(k.runs) != 1 || k.runs[0].phase == stopping {
+		if k := &st.tasks[i]; len(k.runs) != 1 || k.runs[0].phase != running {
 			return false
 		}
 	}
--- a/internal/version/dispatcher/moving_test.go
+++ b/internal/version/dispatcher/moving_test.go
@@ -164,3 +164,16 @@
 		t.Error("no room is reserved for the large task")
 	}
 }
+
+// Guards against two tasks of a step that move at a time: the start of the first one was not
+// confirmed yet.
+func TestNextTaskMovesOnceTheLastOneRuns(t *testing.T) {
+	h, _ := newMovingHarness(t, longRunning(2, 1000))
+	assertStops(t, h, 1)
+	h.table.Schedule(h.now)
+	if starts := kinds(h.table.Orders())[Start]; starts != 1 {
+		t.Fatalf("%d starts, want one", starts)
+	}
+	h.pollAll(2)
+	assertStops(t, h, 0)
+}
