Let the test of lapses notice starts that a restarted runner carries out

It passed without that part of Lapses (found by a mutation), as leases of former owners had not lapsed by then and hid it. They have lapsed now; without that part the test fails.

--- a/internal/version/dispatcher/lapses_test.go
+++ b/internal/version/dispatcher/lapses_test.go
@@ -26,6 +26,7 @@
 	})
 	t.Run("starts that a restarted runner may carry out", func(t *testing.T) {
 		h := newHarness(t, 0, 1)
+		h.advance(longest) // those of former owners have lapsed
 		h.poll("r0")
 		h.add("a", "urgent", oneCore(1))
 		assertStarts(t, h.starts(), 1)
