Hand over to oneself when a daemon succeeds itself

What callers saw: nothing yet; found in a review, as the same cause in another place. After a daemon has lost a part and claimed it again, for instance as it could not confirm its record for 10 s, what it takes over waits for leases at runners that left meanwhile, up to 10 s.

Cause: the former owner is asked only while it may still act. An earlier term of the same process has ended, so that it was not asked what it leaves. Evidence: TestTaskOfARunnerThatLeftAsTheOwnerSucceededItself fails before (after 3 s nothing runs on r2).

The daemon now passes what its former term has left to its new one.

--- a/internal/process/scheduler/departure_test.go
+++ b/internal/process/scheduler/departure_test.go
@@ -87,3 +87,23 @@
 		y.assertRunsOn("r1 r2", restartBound)
 	})
 }
+
+// Guards against an owner that succeeds itself and waits for the leases of a runner that left
+// meanwhile, although it knows when they lapse.
+func TestTaskOfARunnerThatLeftAsTheOwnerSucceededItself(t *testing.T) {
+	t.Parallel()
+	runDynasty(t, func(y *dynasty) {
+		const leases, restartBound = 5 * time.Second, 3 * time.Second
+		y.pool = newPool("r0", "r1")
+		y.start(0)
+		y.submitLongRunning("a")
+		y.submitLongRunning("b")
+		y.assertRunsOn("r0 r1", time.Second)
+		y.pool.fence()
+		y.pool.leave("r0")
+		time.Sleep(leases)
+		y.store.Remove("kumquat/owner/0/presence")
+		y.pool.join("r2")
+		y.assertRunsOn("r1 r2", restartBound)
+	})
+}
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -161,6 +161,9 @@
 			continue
 		}
 		d.publish(owner.Part, c)
+		if own := d.term(owner.Part); own.Instance == former.Instance && isOver(own, former) {
+			c.TakeOver(handoverOf(own, former, time.Now())) // this process succeeds itself
+		}
 		d.s.opts.Recorder.Record(time.Now(), EventServing, recorder.Fields{
 			"part": strconv.Itoa(owner.Part), "fence": strconv.FormatInt(owner.Fence, 10),
 		})
--- a/internal/process/scheduler/pool_test.go
+++ b/internal/process/scheduler/pool_test.go
@@ -29,6 +29,8 @@
 	listed  []dispatcher.RunnerInfo
 	gone    map[string]bool
 	running map[string][]dispatcher.RunStatus
+	// isFenced says that the next poll is refused for its fencing token.
+	isFenced bool
 }
 
 // newPool returns a pool of runners with room for one task each.
@@ -67,6 +69,13 @@
 	p.listed = slices.DeleteFunc(p.listed, func(r dispatcher.RunnerInfo) bool { return r.ID == id })
 }
 
+// fence refuses the next poll for its fencing token, which ends its owner's term.
+func (p *pool) fence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isFenced = true
+}
+
 // runsOn returns the runners on which anything runs, sorted.
 func (p *pool) runsOn() (ids []string) {
 	p.mu.Lock()
@@ -105,6 +114,10 @@
 	if p.gone[to.ID] {
 		return report, conductor.ErrConnectionClosed
 	}
+	if p.isFenced {
+		p.isFenced = false
+		return report, conductor.ErrFenced
+	}
 	return dispatcher.Report{Lifetime: 1, Clock: p.clock(), Running: slices.Clone(p.running[to.ID])}, ctx.Err()
 }
 
