--- a/internal/version/dispatcher/moving_test.go
+++ b/internal/version/dispatcher/moving_test.go
@@ -160,7 +160,7 @@
 		t.Fatalf("%d moves under way, want one", len(h.table.moves))
 	}
 	large := h.table.subs["large"].occs[0].steps[0]
-	if h.table.reservedFor(large, func(*runner, *reservation) bool { return true }) == nil {
+	if h.table.reservedFor(large, func(*runner) bool { return true }) == nil {
 		t.Error("no room is reserved for the large task")
 	}
 }
