--- a/internal/version/dispatcher/roster_test.go
+++ b/internal/version/dispatcher/roster_test.go
@@ -46,6 +46,12 @@
 		h.table.Saved(h.table.Unsaved(10))
 		assertRoster(t, h)
 	})
+	t.Run("a new incarnation that the registry lists first is not", func(t *testing.T) {
+		listed := []RunnerInfo{{ID: on, Service: "s", Lifetime: 2, Draining: true}}
+		if roster := h.table.Roster(listed, h.now); len(roster) != 1 || roster[0].ID != on {
+			t.Errorf("roster %v, want the new incarnation of %s", roster, on)
+		}
+	})
 	t.Run("a new incarnation is not", func(t *testing.T) {
 		h.restart(on)
 		assertRoster(t, h, on)
