Wait for earlier failures before a taken-over task starts again after one

What callers saw: nothing yet; found in a review. A task is started after as many runs have failed as its queue allows, and its submission is given up only then.

Cause: what a new owner has taken over starts again at once if it fails. Its predecessor may have seen an earlier failure on a runner that is silent now, and may not have saved it. Evidence: TestTakenOverTaskThatFailedWaitsForEarlierFailures fails before (run 1001 starts after run 2 has failed, and then r2 lists the failure of run 1; two attempts are allowed).

A task of limited attempts that has failed waits until all runs are known. Long-running tasks have no limit and go on at once.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -129,7 +129,8 @@
 }
 
 // startWaiting starts as many waiting tasks of a step as fit. If not all runs are known
-// that a former owner may have started, it starts tracked tasks only, and gangs of them.
+// that a former owner may have started, it starts only tasks that it has taken over, and
+// gangs of them.
 //
 // Load: a change of owners after which a runner stays silent, or has been lost for good,
 // while tasks that the new owner has taken over fail on the others.
@@ -138,14 +139,14 @@
 		return
 	}
 	if st.spec.Gang {
-		if allRunsKnown || !slices.ContainsFunc(st.tasks, func(k task) bool { return !k.isTracked }) {
+		if allRunsKnown || !slices.ContainsFunc(st.tasks, func(k task) bool { return !k.isTakenOver(st) }) {
 			t.startGang(st, now)
 		}
 		return
 	}
 	for i := range st.tasks {
 		k := &st.tasks[i]
-		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTracked) {
+		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTakenOver(st)) {
 			continue
 		}
 		if t.isQueueFull() {
@@ -175,6 +176,13 @@
 	}
 }
 
+// isTakenOver reports whether a task may start again although not all runs are known that a
+// former owner may have started: this owner knows every run of the task, and need not learn
+// of earlier failures to know that it has attempts left.
+func (k *task) isTakenOver(st *stepState) bool {
+	return k.isTracked && (st.spec.LongRunning || len(k.failures) == 0)
+}
+
 // A shape holds the properties of a task, other than its resources, that decide on
 // which runners it may start.
 type shape struct {
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -355,6 +356,38 @@
 	assertStarts(t, h.starts(), 2)
 }
 
+// Guards against a start beyond the attempts of a queue: a taken-over task failed, and an
+// earlier failure, which the former owner had not saved, was listed by a silent runner later.
+func TestTakenOverTaskThatFailedWaitsForEarlierFailures(t *testing.T) {
+	for _, isGang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang %t", isGang), func(t *testing.T) {
+			h := newHarness(t, 1, 3)
+			h.table.SetFormerOwnerEnd(h.now.Add(10 * time.Second))
+			step := oneCore(1)
+			step.Gang = isGang
+			h.add("a", "urgent", step)
+			task := submitter.TaskID{Submission: "a"}
+			h.reported["r0"] = []RunStatus{{Task: task, Run: 2, Percent: 10}}
+			for range 2 {
+				h.poll("r0")
+				h.poll("r1")
+				h.advance(time.Second)
+			}
+			h.reported["r0"] = nil
+			h.poll("r1")
+			h.poll("r0", End{Task: task, Run: 2, Kind: Failure})
+			assertStarts(t, h.starts(), 0)
+			h.poll("r2", End{Task: task, Run: 1, Kind: Failure})
+			h.advance(time.Second)
+			h.pollAll(3)
+			assertStarts(t, h.starts(), 0)
+			if state := h.table.subs["a"].state; state != submitter.Failed {
+				t.Errorf("state %q after as many failures as the queue allows", state)
+			}
+		})
+	}
+}
+
 // Guards against a task that failed on the only runner with room and keeps the other
 // tasks of its step from starting there.
 func TestTaskThatAvoidsARunnerDoesNotBlockItsStep(t *testing.T) {
