Wait for a start in the data centre before TestDataCentreOut takes it out

Cause: the test waited for ten starts anywhere and then asserted that one of them was in sav-a. The shards of the two data centres have owners of their own, which start their shares independently, and atl-a alone has room for 16 runs. If its owner is first by some 50 ms, all ten are there.

Change: the test waits for a run to start in sav-a, and fails if none does. It is as strict: a start that comes too late leaves atl-a nothing to start while sav-a is out, which the test still asserts.

--- a/internal/integration/batch_test.go
+++ b/internal/integration/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -64,6 +65,17 @@
 	})
 }
 
+// awaitStartIn waits until a run has started in a data centre. The owners of the shards start
+// their shares of an intent independently of each other.
+func awaitStartIn(t *testing.T, cluster *harness.Cluster, dataCentre string) {
+	t.Helper()
+	harness.Eventually(t, patience, "a run starts in "+dataCentre, func() bool {
+		return slices.ContainsFunc(cluster.Records(), func(record judge.Record) bool {
+			return record.Kind == judge.KindStart && record.DataCentre == dataCentre
+		})
+	})
+}
+
 // awaitFinished waits until a number of tasks have finished, and fails the test if
 // one finished more than once.
 func awaitFinished(t *testing.T, cluster *harness.Cluster, tasks int) {
