Send long-running submissions to the part with the least long-running demand

Cause: whoever accepts a submission compares the demand of all reserving tasks of its two candidate parts. The short ones among them come and go in a second, by as much as several submissions of long-running tasks, which then stay in the part for a minute.

Now loads state the part that long-running tasks demand, and long-running submissions are sent by it. TestBalancerChoose has a case for it, which failed before: the loads had no such field.

--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -407,7 +407,7 @@
 func TestLoadCountsTasksOfLeavingRunners(t *testing.T) {
 	c := newCrowd(t, 2, lasting(4, 3000))
 	c.drain([]string{"r0"})
-	if got, want := c.table.Load(), (partitioner.Load{Capacity: 8000, Reserved: 12_000}); got != want {
+	if got, want := c.table.Load(), (partitioner.Load{Capacity: 8000, Reserved: 12_000, LongRunning: 12_000}); got != want {
 		t.Errorf("load %+v, want %+v", got, want)
 	}
 }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -168,9 +168,11 @@
 		case t.isUsable(r):
 			load.Capacity += r.info.Capacity.MilliCores
 			load.Reserved += r.used.MilliCores
+			load.LongRunning += r.usedForLong.MilliCores
 			load.Filling += r.bestEffortMilliCores
 		case r.info.Draining, !r.isRegistered:
 			load.Reserved += r.usedForLong.MilliCores
+			load.LongRunning += r.usedForLong.MilliCores
 		}
 	}
 	for _, s := range t.unfinished() {
@@ -183,6 +185,9 @@
 					load.Filling += waiting
 				default:
 					load.Reserved += waiting
+					if st.spec.LongRunning {
+						load.LongRunning += waiting
+					}
 				}
 			}
 		}
--- a/internal/version/partitioner/balancer.go
+++ b/internal/version/partitioner/balancer.go
@@ -14,6 +14,8 @@
 	// Reserved is the demand of reserving tasks, that is, of all but best-effort
 	// tasks.
 	Reserved int64 `json:"reserved"`
+	// LongRunning is the part of Reserved that long-running tasks demand.
+	LongRunning int64 `json:"longRunning"`
 	// Filling is the demand of best-effort tasks, which use what the others leave
 	// unused.
 	Filling int64 `json:"filling"`
@@ -28,8 +30,11 @@
 		wanted := int64(step.Count) * step.MilliCores
 		if step.Fills {
 			demand.Filling = max(demand.Filling, wanted)
-		} else {
-			demand.Reserved = max(demand.Reserved, wanted)
+			continue
+		}
+		demand.Reserved = max(demand.Reserved, wanted)
+		if step.LongRunning {
+			demand.LongRunning = max(demand.LongRunning, wanted)
 		}
 	}
 	return demand
@@ -38,17 +43,22 @@
 // plus returns the load with a demand added.
 func (l Load) plus(demand Load) Load {
 	l.Reserved += demand.Reserved
+	l.LongRunning += demand.LongRunning
 	l.Filling += demand.Filling
 	return l
 }
 
 // utilisationFor returns the fraction of the capacity that is taken from the
-// point of view of a demand: best-effort tasks compete with all others, and
-// reserving tasks only with each other.
+// point of view of a demand: best-effort tasks compete with all others, reserving
+// tasks only with each other, and long-running ones only with each other, as the short
+// ones soon leave their room.
 func (l Load) utilisationFor(demand Load) float64 {
 	taken := l.Reserved
-	if demand.Filling > demand.Reserved {
+	switch {
+	case demand.Filling > demand.Reserved:
 		taken += l.Filling
+	case demand.LongRunning > demand.Reserved/2:
+		taken = l.LongRunning
 	}
 	return float64(taken) / float64(max(1, l.Capacity))
 }
--- a/internal/version/partitioner/balancer_test.go
+++ b/internal/version/partitioner/balancer_test.go
@@ -41,6 +41,18 @@
 			t.Errorf("partition %d for a best-effort task, want 0", part)
 		}
 	})
+	t.Run("long-running tasks are compared with long-running ones", func(t *testing.T) {
+		t.Parallel()
+		b := NewBalancer()
+		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 9000, LongRunning: 5000})
+		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 7000, LongRunning: 7000})
+		if part := b.Choose(parts, Load{Reserved: 1000, LongRunning: 1000}); part != 2 {
+			t.Errorf("partition %d for a long-running task, want 2", part)
+		}
+		if part := b.Choose(parts, reserving); part != 0 {
+			t.Errorf("partition %d for a short task, want 0", part)
+		}
+	})
 	t.Run("the load of an owner without runners is ignored", func(t *testing.T) {
 		t.Parallel()
 		b := NewBalancer()
@@ -114,9 +126,9 @@
 	sub := &submitter.Submission{Steps: []submitter.Step{
 		{Count: 4, Resources: submitter.Resources{MilliCores: 500}},
 		{Count: 10, Resources: submitter.Resources{MilliCores: 1000}, Fills: true},
-		{Count: 3, Resources: submitter.Resources{MilliCores: 100}},
+		{Count: 3, Resources: submitter.Resources{MilliCores: 100}, LongRunning: true},
 	}}
-	if got, want := DemandOf(sub), (Load{Reserved: 2000, Filling: 10_000}); got != want {
+	if got, want := DemandOf(sub), (Load{Reserved: 2000, LongRunning: 300, Filling: 10_000}); got != want {
 		t.Errorf("demand %+v, want %+v", got, want)
 	}
 }
