Make room for others while none can be made for some, and only where the task may start

Found by reading: room was sought for the first two steps that wait, at each tick; two for which no move makes enough room kept all others from it (TestRoomIsMadeForInterruptedTasks, "behind tasks for which none can be made", fails without the pause). And a task was moved although the one that it made room for could not start there, for want of a permit or as it has to be kept apart.

--- a/internal/version/dispatcher/consolidating.go
+++ b/internal/version/dispatcher/consolidating.go
@@ -11,6 +11,9 @@
 	settledAfter = 5 * time.Second
 	// consolidationsPerTick bounds the work of a tick.
 	consolidationsPerTick = 2
+	// consolidateRetry is the pause after which room is sought again for a step for which
+	// none can be made.
+	consolidateRetry = time.Second
 	// maxCandidates is the number of runs that are tried to make room for one task.
 	maxCandidates = 8
 )
@@ -34,12 +37,13 @@
 		if left == 0 || len(t.moves) >= most {
 			return
 		}
-		if t.isMadeRoomFor(st) {
+		if t.isMadeRoomFor(st) || now.Before(st.consolidateAfter) {
 			continue
 		}
 		left--
 		d, ok := t.displacementFor(st, now)
 		if !ok {
+			st.consolidateAfter = now.Add(consolidateRetry)
 			continue
 		}
 		t.moves = append(t.moves, move{x: d.x, to: d.to, beganAt: now, beneficiary: st})
@@ -79,7 +83,7 @@
 	var candidates []*run
 	wanted := st.spec.Reserved()
 	for _, r := range t.runners {
-		if !t.isUsable(r) || r.reserved != nil || !st.s.isServedBy(r.info.Service) || !st.allows(r) {
+		if !t.isUsable(r) || r.reserved != nil || !st.s.isServedBy(r.info.Service) || !st.allows(r) || !st.isPermitted(r, now) || t.keepsApart(r, st, &task{}, now) {
 			continue
 		}
 		if o := t.obstacle(r, st, &task{endedAt: now}, now); o != full && o != memoryFull {
--- a/internal/version/dispatcher/consolidating_test.go
+++ b/internal/version/dispatcher/consolidating_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,6 +77,16 @@
 			}
 		}
 	})
+	t.Run("behind tasks for which none can be made", func(t *testing.T) {
+		h := newFragmentedHarness(t, func(*submitter.Step) {})
+		for n := range 2 * consolidationsPerTick {
+			id := fmt.Sprint("huge", n)
+			h.add(id, "urgent", longRunning(1, 9000))
+			st := h.table.subs[id].occs[0].steps[0]
+			st.tasks[0].endedAt, st.waitingSince = h.now, h.now.Add(-time.Hour)
+		}
+		assertRuns(t, h, true)
+	})
 	t.Run("not if its step limits what may be unavailable", func(t *testing.T) {
 		most := 0
 		assertRuns(t, newFragmentedHarness(t, func(step *submitter.Step) { step.MaxUnavailable = &most }), false)
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -68,6 +68,8 @@
 	// recorded.
 	waitingSince time.Time
 	warnedAt     time.Time
+	// consolidateAfter is when room may be sought again by moving tasks of other steps.
+	consolidateAfter time.Time
 	// permits holds the received permits by runner. requestPending says that a
 	// request for permits is in flight, and the next request may be made from
 	// requestAfter on.
