--- a/internal/process/conductor/roster_test.go
+++ b/internal/process/conductor/roster_test.go
@@ -91,6 +91,12 @@
 	return dispatcher.RunnerInfo{ID: id, Service: "s", Address: id, DataCentre: "z", Lifetime: 1, Capacity: heldRunner.Capacity}
 }
 
+// deliver delivers a list of runners, and waits until it has been applied.
+func (r listRegistry) deliver(runners ...dispatcher.RunnerInfo) {
+	r <- runners
+	r <- runners // is taken once the first one has been applied
+}
+
 // startWithLateStore starts the term of an owner of one runner.
 func startWithLateStore(t *testing.T) (c *Conductor, client *heldClient, store *lateStore) {
 	t.Helper()
@@ -109,17 +115,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, client, store := startWithLateStore(t)
 		defer c.Close()
-		deliver := func(runners ...dispatcher.RunnerInfo) {
-			client.registry <- runners
-			client.registry <- runners // the first list has been applied once the second is taken
-		}
 		r0, r1, r2 := rosterRunner("r0"), rosterRunner("r1"), rosterRunner("r2")
-		deliver(r0)
+		client.registry.deliver(r0)
 		store.assertRoster(t, "r0")
 		store.setSlow(true)
-		deliver(r0, r1)
+		client.registry.deliver(r0, r1)
 		store.setSlow(false)
-		deliver(r0, r1, r2)
+		client.registry.deliver(r0, r1, r2)
 		store.assertRoster(t, "r0", "r1", "r2")
 		store.carryOutLate()
 		store.assertRoster(t, "r0", "r1", "r2")
@@ -133,18 +135,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, client, store := startWithLateStore(t)
 		defer c.Close()
-		deliver := func(runners ...dispatcher.RunnerInfo) {
-			client.registry <- runners
-			client.registry <- runners
-		}
 		r0, r1 := rosterRunner("r0"), rosterRunner("r1")
-		deliver(r0, r1)
+		client.registry.deliver(r0, r1)
 		store.setSlow(true)
 		r0.Address = "moved"
-		deliver(r0, r1)
+		client.registry.deliver(r0, r1)
 		store.setSlow(false)
 		r0.Address = "r0"
-		deliver(r0, r1)
+		client.registry.deliver(r0, r1)
 		store.carryOutLate()
 		var infos []dispatcher.RunnerInfo
 		if err := json.Unmarshal(store.items[KeysOf(0).roster].Value, &infos); err != nil {
--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -116,7 +116,7 @@
 			h.table.SetRunners(infos, h.now)
 			h.pollAll(runners)
 			for n := range 100 {
-				step := longRunning(50, bench.used)
+				step := lasting(50, bench.used)
 				step.MaxPerRunner = bench.maxPerRunner
 				h.add(fmt.Sprint("long", n), "urgent", step)
 			}
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"testing"
 	"time"
 
 	"pgregory.net/rapid"
@@ -40,93 +39,6 @@
 	chaosUnconfirmed = 10 * time.Second
 )
 
-// A simRunner is a runner in virtual time.
-type simRunner struct {
-	id       string
-	lifetime int64
-	bornAt   time.Time
-	restarts int
-	// listed is the incarnation in the registry, or zero without an entry. The registry
-	// shows the current one from listedAt on, if that is set.
-	listed   int64
-	listedAt time.Time
-	isDown   bool
-	isLost   bool // for good
-	isCut    bool
-	// isDraining says that the runner has announced that it leaves, isUnreachable that
-	// nothing refuses connections at its address once it has left.
-	isDraining, isUnreachable bool
-	downTill                  time.Time
-	cutTill                   time.Time
-	fence                     int64
-	leaseEnd                  int64
-	running                   map[runKey]bool
-	highest                   map[submitter.TaskID]int64 // highest run that was stopped or has ended
-	ended                     []End
-	lastEnd                   int64
-	polledAt                  time.Time
-	// stoppedBy holds, by run, the last incarnation that has confirmed a stop of it to the
-	// owner.
-	stoppedBy map[runKey]int64
-	resizes   []resize // oldest first
-}
-
-func (r *simRunner) clock(now time.Time) int64 { return now.Sub(r.bornAt).Milliseconds() + 1 }
-
-func (r *simRunner) reset(now time.Time) {
-	r.lifetime++
-	r.bornAt = now
-	r.fence, r.leaseEnd, r.lastEnd = 0, 0, 0
-	r.running, r.highest, r.ended = make(map[runKey]bool), make(map[submitter.TaskID]int64), nil
-}
-
-func (r *simRunner) end(key runKey, kind EndKind) {
-	if !r.running[key] {
-		return
-	}
-	delete(r.running, key)
-	r.highest[key.task] = max(r.highest[key.task], key.run)
-	r.lastEnd++
-	r.ended = append(r.ended, End{N: r.lastEnd, Task: key.task, Run: key.run, Kind: kind})
-}
-
-// missed reports whether a late order never arrives, since the process that it was meant
-// for has ended, and no owner could keep the next process from carrying it out: the former
-// process has confirmed a stop that overtook it, or the owner that sent it has a successor,
-// which has not heard of it.
-func (r *simRunner) missed(d delayedOrder, fence int64) bool {
-	overtaken := r.stoppedBy[runKey{d.order.Task, d.order.Run}] == d.order.Lifetime
-	return d.order.Lifetime != r.lifetime && (overtaken || d.fence < fence)
-}
-
-// carryOut carries out an order and returns its outcome.
-func (r *simRunner) carryOut(o Order, fence int64, now time.Time) Outcome {
-	key := runKey{o.Task, o.Run}
-	if fence < r.fence {
-		return Fenced
-	}
-	r.fence = fence
-	switch o.Kind {
-	case Start:
-		r.leaseEnd = max(r.leaseEnd, min(o.Until, r.clock(now)+testLimits.MaxLease.Milliseconds()))
-		if r.running[key] {
-			return Succeeded
-		}
-		if o.Run <= r.highest[o.Task] {
-			return Superseded
-		}
-		if r.clock(now) >= o.Until {
-			return TooLate
-		}
-		r.running[key] = true
-	case Stop:
-		r.end(key, Stopped)
-		r.highest[o.Task] = max(r.highest[o.Task], o.Run)
-	case Pace:
-	}
-	return Succeeded
-}
-
 // A delayedOrder is an order that a runner carries out late and does not answer.
 type delayedOrder struct {
 	at     time.Time
@@ -582,65 +494,3 @@
 		}
 	}
 }
-
-// Long-running tasks run again within a few seconds after the last of a series of faults,
-// if the runners have room, and never twice at once: runners that are cut off, that crash
-// and come back under their id, orders that are lost, carried out without an answer, or
-// carried out late, tasks that fail, and owners that change meanwhile. A submission
-// may fail only if several runners in a row were lost under one of its tasks.
-func TestLongRunningTasksRunAfterFaults(t *testing.T) {
-	t.Parallel()
-	rapid.Check(t, func(r *rapid.T) { playLongRunning(newChaos(r, 6), chaosTakeoverTime) })
-}
-
-// The same with owners that report to their successors what they leave. Nothing has to be
-// waited for then but the leases that the former owner has granted.
-func TestLongRunningTasksRunAfterHandovers(t *testing.T) {
-	t.Parallel()
-	rapid.Check(t, func(r *rapid.T) {
-		c := newChaos(r, 6)
-		c.handsOver = true
-		playLongRunning(c, chaosTakeoverTime-chaosUnconfirmed)
-	})
-}
-
-// playLongRunning lets long-running tasks run through faults and a change of owner, after
-// which a task may run on a lost runner for some time.
-func playLongRunning(c *chaos, takeoverTime time.Duration) {
-	r := c.t
-	lost := c.runners["r5"]       // is lost for good some time
-	var carriedOver time.Duration // when starts that the lost runner may have carried out have lapsed
-	lossAt := time.Duration(rapid.IntRange(0, int(chaosFaultsEnd/time.Millisecond)).Draw(r, "loss")) * time.Millisecond
-	for i := range 4 {
-		step := oneCore(4)
-		step.LongRunning = true
-		if i == 0 {
-			step.MaxPerRunner = 1
-		}
-		sub := &submitter.Submission{ID: fmt.Sprintf("s%d", i), Queue: "urgent", Steps: []submitter.Step{step}, AcceptedAt: c.now, Owner: c.fence}
-		c.subs = append(c.subs, sub)
-		c.table.Add(sub, nil, c.now)
-	}
-	takeover := time.Duration(rapid.IntRange(0, int(2*chaosTakeover/time.Millisecond)).Draw(r, "takeover")) * time.Millisecond
-	for generation := int64(1); c.now.Sub(epoch) < chaosFaultsEnd; c.step() {
-		if !lost.isLost && c.now.Sub(epoch) > lossAt {
-			if lost.restarts > 0 {
-				carriedOver = lost.bornAt.Sub(epoch) + chaosCarryOverTime
-			}
-			lost.isLost, lost.isDown, lost.downTill = true, true, c.now.Add(time.Hour)
-			lost.reset(c.now)
-			lost.listed, lost.listedAt = 0, time.Time{}
-			c.register()
-		}
-		if generation == 1 && c.now.Sub(epoch) > takeover {
-			c.takeOver(generation)
-			generation++
-		}
-	}
-	c.faulty = false
-	settled := epoch.Add(max(chaosFaultsEnd+chaosSettleTime, takeover+takeoverTime, carriedOver))
-	for c.now.Before(settled) {
-		c.step()
-	}
-	c.assertAllRun()
-}
--- a/internal/version/dispatcher/consolidating_test.go
+++ b/internal/version/dispatcher/consolidating_test.go
@@ -21,7 +21,7 @@
 	h.pollAll(3)
 	on := make(map[string]Order)
 	for runner, milliCores := range map[string]int64{"r0": 2000, "r1": 3000, "r2": 7000} {
-		step := longRunning(1, milliCores)
+		step := lasting(1, milliCores)
 		step.Affinity = "at-" + runner
 		change(&step)
 		h.add(runner, "urgent", step)
@@ -81,7 +81,7 @@
 		h := newFragmentedHarness(t, func(*submitter.Step) {})
 		for n := range 2 * consolidationsPerTick {
 			id := fmt.Sprint("huge", n)
-			h.add(id, "urgent", longRunning(1, 9000))
+			h.add(id, "urgent", lasting(1, 9000))
 			st := h.table.subs[id].occs[0].steps[0]
 			st.tasks[0].endedAt, st.waitingSince = h.now, h.now.Add(-time.Hour)
 		}
--- a/internal/version/dispatcher/moving_test.go
+++ b/internal/version/dispatcher/moving_test.go
@@ -7,11 +7,6 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// longRunning returns a step of long-running tasks.
-func longRunning(count int, milliCores int64) submitter.Step {
-	return submitter.Step{Count: count, Resources: submitter.Resources{MilliCores: milliCores}, LongRunning: true}
-}
-
 // newMovingHarness returns a harness with two runners and a step of long-running tasks on
 // one of them, which drains then.
 func newMovingHarness(t *testing.T, step submitter.Step) (h *harness, other string) {
@@ -57,7 +52,7 @@
 // until they are interrupted.
 func TestLongRunningTasksMoveFromLeavingRunners(t *testing.T) {
 	t.Run("one of a step after the other", func(t *testing.T) {
-		h, other := newMovingHarness(t, longRunning(2, 1000))
+		h, other := newMovingHarness(t, lasting(2, 1000))
 		for range 2 {
 			assertStops(t, h, 1)
 			starts := h.starts()
@@ -70,7 +65,7 @@
 		assertStops(t, h, 0)
 	})
 	t.Run("only to a runner with room", func(t *testing.T) {
-		h, other := newMovingHarness(t, longRunning(1, 5000))
+		h, other := newMovingHarness(t, lasting(1, 5000))
 		h.add("short", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 5000}})
 		assertStarts(t, h.starts(), 1)
 		assertStops(t, h, 0)
@@ -78,7 +73,7 @@
 		assertStops(t, h, 1)
 	})
 	t.Run("to room that nothing else takes meanwhile", func(t *testing.T) {
-		h, _ := newMovingHarness(t, longRunning(1, 5000))
+		h, _ := newMovingHarness(t, lasting(1, 5000))
 		h.advance(200 * time.Millisecond)
 		h.add("short", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 5000}})
 		assertStarts(t, h.starts(), 0)
@@ -104,12 +99,12 @@
 	}
 	h.table.SetRunners(infos, h.now)
 	h.pollAll(2)
-	labelled := longRunning(1, 1000)
+	labelled := lasting(1, 1000)
 	labelled.RequiredLabel = "rare"
 	h.add("labelled", "urgent", labelled)
 	assertStarts(t, h.starts(), 1)
 	h.now = h.now.Add(time.Second)
-	h.add("other", "urgent", longRunning(1, 6000))
+	h.add("other", "urgent", lasting(1, 6000))
 	if starts := h.starts(); len(starts) != 1 || starts[0].Runner != "r0" {
 		t.Fatalf("starts %+v, want one on r0", starts)
 	}
@@ -132,7 +127,7 @@
 		id         string
 		milliCores int64
 	}{{"mover", 2000}, {"beside", 5000}, {"other", 6000}, {"large", 6000}} {
-		h.add(task.id, "urgent", longRunning(1, task.milliCores))
+		h.add(task.id, "urgent", lasting(1, task.milliCores))
 		starts := h.starts()
 		assertStarts(t, starts, 1)
 		on[task.id] = starts[0]
@@ -168,7 +163,7 @@
 // Guards against two tasks of a step that move at a time: the start of the first one was not
 // confirmed yet.
 func TestNextTaskMovesOnceTheLastOneRuns(t *testing.T) {
-	h, _ := newMovingHarness(t, longRunning(2, 1000))
+	h, _ := newMovingHarness(t, lasting(2, 1000))
 	assertStops(t, h, 1)
 	h.table.Schedule(h.now)
 	if starts := kinds(h.table.Orders())[Start]; starts != 1 {
--- a/internal/version/dispatcher/owed_test.go
+++ b/internal/version/dispatcher/owed_test.go
@@ -9,9 +9,9 @@
 // Guards against new long-running tasks that never start, as room is kept for tasks that may
 // run on no runner, or on no further one.
 func TestNoRoomIsOwedToTasksThatNoRunnerTakes(t *testing.T) {
-	apart := longRunning(40, 1000)
+	apart := lasting(40, 1000)
 	apart.MaxPerRunner = 1
-	labelled := longRunning(40, 1000)
+	labelled := lasting(40, 1000)
 	labelled.RequiredLabel = "none"
 	for _, c := range []struct {
 		name string
@@ -20,7 +20,7 @@
 	}{
 		{"limit per runner", apart, 2},
 		{"label that no runner has", labelled, 0},
-		{"larger than any runner", longRunning(40, 9000), 0},
+		{"larger than any runner", lasting(40, 9000), 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, 1, 2)
@@ -35,7 +35,7 @@
 				h.advance(reserveAfter)
 				h.pollAll(2)
 			}
-			sub := &submitter.Submission{ID: "new", Queue: "urgent", Steps: []submitter.Step{longRunning(3, 1000)}, Owner: testFence}
+			sub := &submitter.Submission{ID: "new", Queue: "urgent", Steps: []submitter.Step{lasting(3, 1000)}, Owner: testFence}
 			h.table.Add(sub, nil, h.now)
 			assertStarts(t, h.starts(), 3)
 		})
--- a/internal/version/dispatcher/permits_test.go
+++ b/internal/version/dispatcher/permits_test.go
@@ -85,7 +85,7 @@
 	h := newHarness(t, 0, 1)
 	h.configure(nil, submitter.Queue{Name: "urgent", Service: "s", MaxAttempts: 2, NeedsPermits: true})
 	h.pollAll(1)
-	h.add("a", "urgent", longRunning(1, 6000))
+	h.add("a", "urgent", lasting(1, 6000))
 	permit := func() {
 		t.Helper()
 		assertStarts(t, h.starts(), 0)
