--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -178,8 +178,8 @@
 	// Settled are the runners on which the owner had no stop order in progress, so that the
 	// successor can use them without waiting.
 	Settled []string
-	// Lapses are the times by which the leases on the other runners have lapsed; nil if not
-	// known. See dispatcher.Table.Lapses.
+	// Lapses are, by runner, the times by which all leases have lapsed; nil if not known.
+	// See dispatcher.Table.Lapses.
 	Lapses map[string]time.Time
 }
 
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -113,9 +114,18 @@
 
 // configure passes a configuration to the parts that this daemon owns.
 func (d *duties) configure(config dispatcher.Configuration) {
-	for part := range d.conductors {
-		if c := d.conductors[part].Load(); c != nil {
-			c.Configure(config)
+	for _, c := range d.owned() {
+		c.Configure(config)
+	}
+}
+
+// owned iterates over the parts that this daemon serves as the owner.
+func (d *duties) owned() iter.Seq2[int, *conductor.Conductor] {
+	return func(yield func(int, *conductor.Conductor) bool) {
+		for part := range d.conductors {
+			if c := d.conductors[part].Load(); c != nil && !yield(part, c) {
+				return
+			}
 		}
 	}
 }
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -189,10 +189,8 @@
 // OwnedParts returns the parts that this daemon serves as the owner.
 func (s *Scheduler) OwnedParts() (parts []int) {
 	if d := s.duties.Load(); d != nil {
-		for part := range d.conductors {
-			if d.conductors[part].Load() != nil {
-				parts = append(parts, part)
-			}
+		for part := range d.owned() {
+			parts = append(parts, part)
 		}
 	}
 	return parts
@@ -202,10 +200,8 @@
 func (s *Scheduler) statuses() map[int]dispatcher.Status {
 	statuses := make(map[int]dispatcher.Status)
 	if d := s.duties.Load(); d != nil {
-		for part := range d.conductors {
-			if c := d.conductors[part].Load(); c != nil {
-				statuses[part] = c.Status()
-			}
+		for part, c := range d.owned() {
+			statuses[part] = c.Status()
 		}
 	}
 	return statuses
--- a/internal/version/dispatcher/consolidating.go
+++ b/internal/version/dispatcher/consolidating.go
@@ -79,7 +79,7 @@
 
 // displacementFor returns the smallest run that makes room for a task of a step on its
 // runner and has room on another one.
-func (t *Table) displacementFor(st *stepState, now time.Time) (best displacement, ok bool) {
+func (t *Table) displacementFor(st *stepState, now time.Time) (d displacement, ok bool) {
 	var candidates []*run
 	wanted := st.spec.Reserved()
 	for _, r := range t.runners {
@@ -97,7 +97,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.st.spec.MilliCores, b.st.spec.MilliCores), cmp.Compare(a.id().String(), b.id().String()))
+		return cmp.Or(cmp.Compare(a.st.spec.MilliCores, b.st.spec.MilliCores), a.id().Compare(b.id()))
 	})
 	for _, x := range candidates[:min(len(candidates), maxCandidates)] {
 		if !x.st.isComplete() {
@@ -107,7 +107,7 @@
 			return displacement{x, to}, true
 		}
 	}
-	return best, false
+	return d, false
 }
 
 // mayBeDisplaced reports whether a run may be moved for the sake of another task.
--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -197,22 +197,28 @@
 	c.t.Errorf("%d of %d interrupted tasks are still waiting after %v: %v", len(waiting), len(interrupted), interruptionBound, waiting)
 }
 
+// assertRunAgainWithout lets the runners with most long-running tasks leave, and checks that
+// these run again.
+func (c *crowd) assertRunAgainWithout(runners int) {
+	c.t.Helper()
+	c.drain(c.busiest(runners))
+	c.assertRunAgain(c.leave())
+}
+
 // Load: long-running tasks that are interrupted at once while short ones wait for room.
 func TestManyInterruptedTasksRunAgain(t *testing.T) {
 	steps := slices.Repeat([]submitter.Step{lasting(20, 3000)}, 11)
 	t.Run("beside short tasks of the same priority", func(t *testing.T) {
 		c := newCrowd(t, 150, steps...)
 		c.fill("urgent", oneCore(20))
-		c.drain(c.busiest(35))
-		c.assertRunAgain(c.leave())
+		c.assertRunAgainWithout(35)
 	})
 	t.Run("beside short tasks of several cores", func(t *testing.T) {
 		c := newCrowd(t, 150, steps...)
 		short := oneCore(20)
 		short.MilliCores = 2500
 		c.fill("urgent", short)
-		c.drain(c.busiest(35))
-		c.assertRunAgain(c.leave())
+		c.assertRunAgainWithout(35)
 	})
 	t.Run("with a limit per runner", func(t *testing.T) {
 		apart := slices.Clone(steps)
@@ -221,8 +227,7 @@
 		}
 		c := newCrowd(t, 150, apart...)
 		c.fill("urgent", oneCore(20))
-		c.drain(c.busiest(35))
-		c.assertRunAgain(c.leave())
+		c.assertRunAgainWithout(35)
 	})
 	t.Run("beside tasks of lower priority that fill the runners", func(t *testing.T) {
 		c := newCrowd(t, 150, steps...)
@@ -230,8 +235,7 @@
 		short.MilliCores = 2000
 		c.taskFor = 2 * time.Second
 		c.fill("night", short)
-		c.drain(c.busiest(35))
-		c.assertRunAgain(c.leave())
+		c.assertRunAgainWithout(35)
 	})
 	t.Run("under a former owner", func(t *testing.T) {
 		c := newIdleCrowd(t, 1, 150)
@@ -249,8 +253,7 @@
 	t.Run("in a part of few runners", func(t *testing.T) {
 		c := newCrowd(t, 6, slices.Repeat([]submitter.Step{lasting(2, 3000)}, 4)...)
 		c.fill("urgent", oneCore(20))
-		c.drain(c.busiest(1))
-		c.assertRunAgain(c.leave())
+		c.assertRunAgainWithout(1)
 	})
 }
 
@@ -259,8 +262,7 @@
 func TestInterruptedTasksThatNeedMostOfARunnerRunAgain(t *testing.T) {
 	c := newCrowd(t, 150, slices.Repeat([]submitter.Step{lasting(20, 5000)}, 5)...)
 	c.fill("urgent", oneCore(20))
-	c.drain(c.busiest(40))
-	c.assertRunAgain(c.leave())
+	c.assertRunAgainWithout(40)
 }
 
 // Guards against a part that is full of new long-running tasks when runners leave that have
@@ -312,8 +314,7 @@
 	apart.MaxPerRunner = 1
 	c.add("new", "urgent", apart)
 	c.run(time.Second)
-	c.drain(c.busiest(1))
-	c.assertRunAgain(c.leave())
+	c.assertRunAgainWithout(1)
 }
 
 // Guards against a new owner that takes all waiting tasks for interrupted ones: those that
--- a/internal/version/dispatcher/lapses.go
+++ b/internal/version/dispatcher/lapses.go
@@ -63,7 +63,7 @@
 func (t *Table) othersHaveLapsed(now time.Time) bool {
 	var end time.Time
 	if t.formerLapses == nil {
-		end = t.formerLapse("")
+		end = t.longestLeaseFrom(t.formerOwnerEnd)
 	}
 	for id := range t.formerLapses {
 		if _, ok := t.runners[id]; !ok {
--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -97,8 +96,7 @@
 	}
 }
 
-// movable returns the long-running runs on draining runners that answer, in the order in
-// which they are moved.
+// movable returns the long-running runs on draining runners that answer, oldest first.
 func (t *Table) movable(now time.Time) (runs []*run) {
 	for _, r := range t.runners {
 		if !r.info.Draining || !r.isRegistered || now.Sub(r.answeredAt) > staleAfter {
@@ -110,12 +108,7 @@
 			}
 		}
 	}
-	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(
-			a.startedAt.Compare(b.startedAt), cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID), cmp.Compare(a.st.occ.index, b.st.occ.index),
-			cmp.Compare(a.st.index, b.st.index), cmp.Compare(a.index, b.index),
-		)
-	})
+	sortByAge(runs)
 	return runs
 }
 
--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -118,6 +118,7 @@
 	placed := make(map[*runner]int)
 	for range owed.n {
 		var best *runner
+		var least int64
 		isAllowed := false
 		for _, r := range p.runners {
 			if !wanted.Fits(r.info.Capacity) || !st.hasLabel(r) || !st.allowsMore(r, placed[r]) {
@@ -125,8 +126,11 @@
 			}
 			isAllowed = true
 			room := r.unpromised()
-			if wanted.Fits(room) && (best == nil || room.MilliCores < best.unpromised().MilliCores || (room.MilliCores == best.unpromised().MilliCores && r.info.ID < best.info.ID)) {
-				best = r
+			if !wanted.Fits(room) {
+				continue
+			}
+			if best == nil || room.MilliCores < least || (room.MilliCores == least && r.info.ID < best.info.ID) {
+				best, least = r, room.MilliCores
 			}
 		}
 		if best == nil {
--- a/internal/version/dispatcher/status.go
+++ b/internal/version/dispatcher/status.go
@@ -26,21 +26,27 @@
 func (t *Table) Status(now time.Time) Status {
 	s := Status{Awaited: len(t.awaited(now, len(t.runners))), Reserved: len(t.reserved)}
 	for _, r := range t.runners {
-		if !r.isRegistered {
-			continue
+		if r.isRegistered {
+			s.Runners++
 		}
-		s.Runners++
-		if r.info.Draining || t.isEvacuated(r.info.DataCentre) {
+	}
+	s.addProcessors(t)
+	for _, sub := range t.unfinished() {
+		s.addWaiting(sub, now)
+	}
+	return s
+}
+
+// addProcessors adds up the processors of the runners that may get new work.
+func (s *Status) addProcessors(t *Table) {
+	for _, r := range t.runners {
+		if !t.isUsable(r) {
 			continue
 		}
 		s.Capacity += r.info.Capacity.MilliCores
 		s.Free += r.free().MilliCores
 		s.LongRunning += r.usedForLong.MilliCores
 	}
-	for _, sub := range t.unfinished() {
-		s.addWaiting(sub, now)
-	}
-	return s
 }
 
 // addWaiting counts the waiting long-running tasks of a submission.
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -331,6 +331,16 @@
 	})
 }
 
+// settle polls some runners until the stops of a former owner have taken effect there.
+func (h *harness) settle(runners ...string) {
+	for range 2 {
+		for _, id := range runners {
+			h.poll(id)
+		}
+		h.advance(time.Second)
+	}
+}
+
 // Guards against a gang that waits for a silent runner although the new owner has taken over
 // all its members.
 func TestTakenOverGangRestartsWhileARunnerIsSilent(t *testing.T) {
@@ -345,11 +355,7 @@
 		h.reported["r0"] = append(h.reported["r0"], RunStatus{Task: task, Run: 1, Percent: 10})
 		ends = append(ends, End{Task: task, Run: 1, Kind: Broken})
 	}
-	for range 2 {
-		h.poll("r0")
-		h.poll("r1")
-		h.advance(time.Second)
-	}
+	h.settle("r0", "r1")
 	h.reported["r0"] = nil
 	h.poll("r1")
 	h.poll("r0", ends...)
@@ -368,11 +374,7 @@
 			h.add("a", "urgent", step)
 			task := submitter.TaskID{Submission: "a"}
 			h.reported["r0"] = []RunStatus{{Task: task, Run: 2, Percent: 10}}
-			for range 2 {
-				h.poll("r0")
-				h.poll("r1")
-				h.advance(time.Second)
-			}
+			h.settle("r0", "r1")
 			h.reported["r0"] = nil
 			h.poll("r1")
 			h.poll("r0", End{Task: task, Run: 2, Kind: Failure})
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -57,7 +57,8 @@
 			mostFree = max(mostFree, r.free().MilliCores)
 		}
 	}
-	status := t.Status(now)
+	var status Status
+	status.addProcessors(t)
 	for name, milliCores := range map[string]int64{
 		"wantsMilliCores": st.spec.MilliCores, "mostFreeMilliCores": mostFree, "freeMilliCores": status.Free,
 		"longRunningMilliCores": status.LongRunning, "capacityMilliCores": status.Capacity,
