--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -13,8 +13,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/kumquatstack/kumquatstack/platform/standin"
 )
 
 // Settings of the deployment, which are those of the site file ptkp-sched.
@@ -48,7 +46,7 @@
 	rec     *record
 	trouble bool
 
-	store   *standin.Store
+	store   *store
 	address string // of the store
 	advice  string // address of the advice service
 	dir     string
@@ -73,7 +71,7 @@
 }
 
 func newDeployment(rec *record, trouble bool) *deployment {
-	d := &deployment{rec: rec, trouble: trouble, store: standin.NewStore(), gangs: newGangs()}
+	d := &deployment{rec: rec, trouble: trouble, store: newStore(), gangs: newGangs()}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	return d
 }
@@ -127,7 +125,7 @@
 		for d.ctx.Err() == nil {
 			if !w.isGone() && !w.cut.Load() {
 				now := time.Now()
-				d.store.Put(now, "servers/"+w.id, w.entry())
+				d.store.put("servers/"+w.id, w.entry())
 				w.beatAt.Store(&now)
 			}
 			d.sleep(heartbeat)
@@ -143,7 +141,7 @@
 	w.crash()
 	d.beats.Go(func() {
 		if d.sleep(3 * heartbeat) {
-			d.store.Remove(time.Now(), "servers/"+w.id)
+			d.store.remove("servers/" + w.id)
 		}
 	})
 }
@@ -160,7 +158,7 @@
 			return
 		}
 		d.rec.note("the store removes the entry of worker %s", w.id)
-		d.store.Remove(time.Now(), "servers/"+w.id)
+		d.store.remove("servers/" + w.id)
 		if !d.sleep(time.Until(healed)) {
 			return
 		}
@@ -193,7 +191,7 @@
 func (d *deployment) configure(routes ...map[string]any) {
 	d.version += 3
 	services := []map[string]any{{"Name": service, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1", "AdmissionCheck": false}}
-	d.store.Put(time.Now(), "op/config", map[string]any{"Version": d.version, "Routes": routes, "Services": services})
+	d.store.put("op/config", map[string]any{"Version": d.version, "Routes": routes, "Services": services})
 	d.rec.note("the store acknowledges configuration %d with %d routes", d.version, len(routes))
 }
 
