--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -33,6 +35,13 @@
 	defer rec.close()
 	d := newDeployment(rec, os.Getenv("TROUBLE") != "0")
 	defer d.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.close()
+		os.Exit(exitUnknown)
+	}()
 	rec.note("case %s, disruption %t", os.Args[1], d.trouble)
 	broken, err := cases[os.Args[1]](d)
 	switch {
