Keep the runs of a draining runner until their leases have lapsed

Cause: a runner that drained, had no registry entry and whose address refused connections (or had closed a poll's connection and accepted no other) counted as one whose process has ended. A cut network causes all three observations.

Change: a run ends when the runner lists its end, when another process of the runner answers, or when its lease has lapsed. How a poll has failed isn't passed on any more. The lease of a draining runner isn't moved on by unanswered polls, so that tasks of runners that have left wait less.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -34,8 +34,7 @@
 // RunnerClient calls the runners. An implementation is safe for concurrent use.
 type RunnerClient interface {
 	// Poll sends a poll to a runner and returns its lists. It returns ErrFenced if
-	// the runner has seen a higher fencing token, and ErrConnectionRefused,
-	// ErrConnectionClosed or ErrNotConnected if that is how the poll has failed.
+	// the runner has seen a higher fencing token.
 	Poll(ctx context.Context, to dispatcher.RunnerInfo, poll Poll) (dispatcher.Report, error)
 	// Send sends an order to a runner and returns its result.
 	Send(ctx context.Context, address string, order dispatcher.Order, fence int64) OrderResult
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -15,18 +15,6 @@
 // owner.
 var ErrFenced = errors.New("runner has seen a higher fencing token")
 
-// ErrConnectionRefused is returned for a runner at whose address no process accepts
-// connections, as after the end of its process. A connection that was closed while it was
-// open does not show that: the network may have cut it.
-var ErrConnectionRefused = errors.New("runner's address refuses connections")
-
-// ErrConnectionClosed is returned for a runner that has closed the connection of a poll
-// without an answer.
-var ErrConnectionClosed = errors.New("runner has closed the connection")
-
-// ErrNotConnected is returned for a runner to which no connection could be opened in time.
-var ErrNotConnected = errors.New("no connection to the runner")
-
 // Times of calls to runners.
 const (
 	// orderTimeout is the timeout of one order.
@@ -246,7 +234,7 @@
 // has stopped answering.
 func (c *Conductor) notePollFailure(id string, err error) {
 	c.apply(func(t *dispatcher.Table, now time.Time) {
-		if t.PollFailed(id, pollFailure(err), now) {
+		if t.PollFailed(id, now) {
 			c.opts.Recorder.Record(now, EventRunnerSilent, map[string]string{"runner": id, "error": err.Error()})
 		}
 	})
@@ -264,17 +252,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// pollFailure returns how a poll has failed.
-func pollFailure(err error) dispatcher.PollFailure {
-	switch {
-	case errors.Is(err, ErrConnectionRefused):
-		return dispatcher.ConnectionRefused
-	case errors.Is(err, ErrConnectionClosed):
-		return dispatcher.ConnectionClosed
-	case errors.Is(err, ErrNotConnected):
-		return dispatcher.NotConnected
-	default:
-		return dispatcher.NoAnswer
-	}
-}
--- a/internal/version/dispatcher/lapses.go
+++ b/internal/version/dispatcher/lapses.go
@@ -11,9 +11,6 @@
 	}
 	lapses := make(map[string]time.Time)
 	for id, r := range t.runners {
-		if r.hasLeft() {
-			continue
-		}
 		end := t.lapsedBy(r)
 		for _, x := range r.runs {
 			if x.isCarriedOver {
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -70,7 +70,7 @@
 	switch {
 	case !ok:
 	case lifetime == 0:
-		r.silentSince, r.closed, r.hasEnded = time.Time{}, false, false
+		r.silentSince = time.Time{}
 	case lifetime == r.info.Lifetime:
 		t.observeClock(r, clock, now)
 	}
@@ -86,7 +86,7 @@
 	if clock >= r.clock {
 		r.clock, r.answeredAt = clock, now
 	}
-	r.silentSince, r.closed, r.hasEnded = time.Time{}, false, false
+	r.silentSince = time.Time{}
 }
 
 // Report applies a runner's report, which was requested at sentAt under the owner's
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -144,41 +144,13 @@
 	return r.runs[runKey{o.Task, o.Run}]
 }
 
-// A PollFailure says how a poll of a runner has failed.
-type PollFailure int
-
-// Failures of polls.
-const (
-	// NoAnswer says that no answer came in time, or none that could be read.
-	NoAnswer PollFailure = iota
-	// ConnectionClosed says that the connection was closed without an answer.
-	ConnectionClosed
-	// NotConnected says that no connection could be opened in time.
-	NotConnected
-	// ConnectionRefused says that nothing accepts connections at the runner's address.
-	ConnectionRefused
-)
-
 // PollFailed records that a poll of a runner has failed. It reports whether this is the
 // first failure since the runner's last answer.
-func (t *Table) PollFailed(id string, failure PollFailure, now time.Time) bool {
+func (t *Table) PollFailed(id string, now time.Time) bool {
 	r, ok := t.runners[id]
 	if !ok {
 		return false
 	}
-	switch failure {
-	case ConnectionRefused:
-		r.hasEnded = true
-	case NotConnected:
-		// The network may close a connection, and it may prevent a new one, but a process
-		// that goes on accepts the next one in all other cases.
-		r.hasEnded = r.closed
-	case ConnectionClosed:
-		r.closed, r.hasEnded = true, false
-	case NoAnswer:
-		r.closed, r.hasEnded = false, false
-	}
-	t.endIfLeft(r, now)
 	if !r.silentSince.IsZero() {
 		return false
 	}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -64,8 +64,6 @@
 	suspendedUntil    time.Time            // when the runner may get new work again after failures of tasks
 	pausedUntil       time.Time            // when it may after a start that it has not carried out
 	silentSince       time.Time            // when a poll first failed since the last answer, or zero
-	closed            bool                 // a poll's connection was closed, and none could be opened since
-	hasEnded          bool                 // the newest poll showed that the process has ended
 	unknownRuns       map[runKey]time.Time // when runs of unknown submissions were first reported
 	// unknownStoppedAt is when a stop was last ordered for a run that is not in the
 	// table.
@@ -146,25 +144,11 @@
 		}
 		r.isRegistered = false
 		t.recordRunner(now, EventRunnerGone, r, "registry entry is gone")
-		t.endIfLeft(r, now)
 	}
 	t.planRoom(now)
 	t.placementDue = true
 }
 
-// endIfLeft ends the runs of a runner that was draining and has left: its registry
-// entry is gone and its process has ended. A missing entry alone
-// is not enough, since the store may drop the entry of a runner that is still
-// running.
-func (t *Table) endIfLeft(r *runner, now time.Time) {
-	if r.hasLeft() {
-		t.dropRuns(r, now, "runner left")
-		t.placementDue = true
-	}
-}
-
-func (r *runner) hasLeft() bool { return !r.isRegistered && r.info.Draining && r.hasEnded }
-
 // ExpectRunners adds the runners on which a former owner may have started runs. The
 // registry may have dropped the entries of some that are still running.
 func (t *Table) ExpectRunners(infos []RunnerInfo) {
@@ -249,14 +233,6 @@
 	r.worstTail = unknownTailRatio
 }
 
-// dropRuns removes from the table all runs of a runner on which nothing runs any
-// more.
-func (t *Table) dropRuns(r *runner, now time.Time, reason string) {
-	for _, lost := range r.runsByAge() {
-		t.end(lost, now, reason)
-	}
-}
-
 // runsByAge returns the runs on a runner, oldest first.
 func (r *runner) runsByAge() []*run {
 	runs := make([]*run, 0, len(r.runs))
@@ -324,10 +300,10 @@
 // hasLapsed reports whether every lease on a runner has lapsed. A successor may
 // renew leases at runners that this owner does not reach, so it also requires that
 // this owner had no successor when the leases ended.
+//
+// A runner that drains, has no registry entry and refuses connections may still be
+// running: a network that is cut can cause all three.
 func (t *Table) hasLapsed(r *runner, now time.Time) bool {
-	if r.hasLeft() {
-		return true
-	}
 	return t.isPast(t.lapsedBy(r), now)
 }
 
@@ -340,7 +316,7 @@
 // runHasLapsed reports whether the lease of a run has lapsed on a runner all of whose
 // own leases have.
 func (t *Table) runHasLapsed(x *run, now time.Time) bool {
-	return !x.isCarriedOver || x.runner.hasLeft() || t.isPast(t.carriedOverUntil(x), now)
+	return !x.isCarriedOver || t.isPast(t.carriedOverUntil(x), now)
 }
 
 // SetFormerOwnerEnd sets the time up to which a former owner may have renewed
@@ -400,13 +376,18 @@
 //
 // Load: lost runners. Whatever may still run there can be started elsewhere only
 // after the latest lease end that was sent, so a silent runner's lease end is not
-// moved further until it answers.
+// moved further until it answers, and that of a draining one is not moved at all: it may
+// have left.
 func (t *Table) LeaseUntil(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
 	if !ok || r.answeredAt.IsZero() {
 		return 0
 	}
-	until := r.clock + (min(now.Sub(r.answeredAt), renewWhileSilent) + t.leaseDuration(now)).Milliseconds()
+	silentFor := min(now.Sub(r.answeredAt), renewWhileSilent)
+	if r.info.Draining {
+		silentFor = 0
+	}
+	until := r.clock + (silentFor + t.leaseDuration(now)).Milliseconds()
 	r.maxLeaseEnd = max(r.maxLeaseEnd, until)
 	return until
 }
