Ask for permits on other runners after those that were refused

Cause: a request names the runners of highest score, whatever the answers to earlier requests were.

Change: the answers are kept by step, runner and incarnation and order the next requests: expired permits first, then runners that were not named yet, then refusals, the oldest first and after a pause. Requests name twice as many runners after each answer without a permit. On related paths: a step with a valid permit for a runner that can't take a task asks for others, and so does a gang whose permitted runners have no room for all members. A request that failed is told from one that was answered without a permit.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -139,8 +139,9 @@
 		return
 	}
 	if st.spec.Gang {
-		if allRunsKnown || !slices.ContainsFunc(st.tasks, func(k task) bool { return !k.isTakenOver(st) }) {
-			t.startGang(st, now)
+		mayStart := allRunsKnown || !slices.ContainsFunc(st.tasks, func(k task) bool { return !k.isTakenOver(st) })
+		if mayStart && !t.startGang(st, now) && st.s.needsPermits() {
+			t.requestPermits(st, now) // the runners with permits have no room for all members
 		}
 		return
 	}
@@ -218,10 +219,11 @@
 	t.noRoom[t.shapeOf(st, k)] = st.spec.Resources
 }
 
-// startGang starts all members of a gang together, or none.
-func (t *Table) startGang(st *stepState, now time.Time) {
+// startGang starts all members of a gang together, or none. It reports whether there was
+// room for all of them, or a member has a run.
+func (t *Table) startGang(st *stepState, now time.Time) bool {
 	if st.waiting < len(st.tasks) {
-		return
+		return true
 	}
 	var number int64
 	var placed []*run
@@ -234,13 +236,14 @@
 			for _, x := range placed {
 				t.unplace(x)
 			}
-			return
+			return false
 		}
 		placed = append(placed, t.place(st, i, r, number, now))
 	}
 	for _, x := range placed {
 		t.orderStart(x, now)
 	}
+	return true
 }
 
 // unplace removes a placed run from the table before its start is ordered. It records
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -89,7 +89,11 @@
 	case NotSent, Unhealthy, NoRoom, TooLate, OtherLifetime, Invalid, NotPermitted:
 		if x.phase == starting {
 			delete(x.st.permits, o.Runner)
-			if outcome != TooLate && outcome != NotPermitted {
+			switch outcome {
+			case TooLate:
+			case NotPermitted:
+				x.st.refusePermit(x.runner)
+			default:
 				t.suspend(x.runner, now)
 			}
 			x.task().nextRun = x.number + 1
--- a/internal/version/dispatcher/shrinking_test.go
+++ b/internal/version/dispatcher/shrinking_test.go
@@ -169,7 +169,7 @@
 	t.Parallel()
 	h, request := newPermitHarness(t)
 	h.registerCapacity(withCores(1), 1)
-	h.table.ApplyPermits(request.Step, []Permit{{Runner: "r0", Ticket: "x"}}, 3*time.Second, h.now)
+	h.table.ApplyPermits(request, []Permit{{Runner: "r0", Ticket: "x"}}, 3*time.Second, h.now)
 	assertStarts(t, h.starts(), 1)
 }
 
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -73,7 +73,11 @@
 	// permits holds the received permits by runner. requestPending says that a
 	// request for permits is in flight, and the next request may be made from
 	// requestAfter on.
-	permits        map[string]permit
+	permits map[string]permit
+	// answers holds the last answers to requests for permits by runner; refusals is the
+	// number of requests in a row that were answered without a permit.
+	answers        map[string]permitAnswer
+	refusals       int
 	requestPending bool
 	requestAfter   time.Time
 	// peak is the highest recent load of a serving step, which decays over time.
