Let a failed task return to the only runner that may run it

Cause: a task avoids the runner on which it failed last if the table has any second runner, whether or not that one may run the task, and until it fails elsewhere.

Change: a task avoids the runner only while another one of its service, with its label and large enough for it, stays, and for 2 s at most.

--- a/internal/version/dispatcher/isolation.go
+++ b/internal/version/dispatcher/isolation.go
@@ -131,7 +131,7 @@
 // probation there.
 func (s suspect) unsuspected() *task {
 	k := s.task()
-	return &task{avoid: k.avoid, failures: k.failures}
+	return &task{avoid: k.avoid, avoidedAt: k.avoidedAt, failures: k.failures}
 }
 
 // holdRunner holds the runner for a suspect on which the least runs. Members of a gang,
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -19,7 +19,8 @@
 	reserved     obstacle = "reserved"   // for long-running tasks
 	owed         obstacle = "owed"       // to long-running tasks that have run before
 	isolated     obstacle = "isolated"   // the task, or one there, may crash runners
-	excluded     obstacle = "excluded"   // by the step, an earlier failure, or services there
+	excluded     obstacle = "excluded"   // by the step, or services there
+	avoided      obstacle = "avoided"    // the task failed there
 	notPermitted obstacle = "notPermitted"
 )
 
@@ -48,8 +49,10 @@
 		return owed
 	case t.keepsApart(r, st, k, now):
 		return isolated
-	case !st.allows(r), k.avoid == r.info.ID && len(k.failures) > 0 && len(t.runners) > 1:
+	case !st.allows(r):
 		return excluded
+	case t.avoids(r, st, k, now):
+		return avoided
 	case st.spec.Fills && !t.hasBestEffortRoom(r, st, now):
 		return excluded
 	}
@@ -62,3 +65,26 @@
 	return !r.halted && r.spare() >= minBestEffortShare*float64(r.bestEffortMilliCores+st.spec.MilliCores) &&
 		t.interference.headroom(r, st, now) >= 0
 }
+
+// avoidFor is how long a task avoids the runner on which it has failed.
+const avoidFor = 2 * time.Second
+
+// avoids reports whether a task is to start on another runner since it failed on this one,
+// which may be the cause. It does not wait for another one longer than avoidFor, and not at
+// all if no other may run it.
+func (t *Table) avoids(r *runner, st *stepState, k *task, now time.Time) bool {
+	if k.avoid != r.info.ID || len(k.failures) == 0 || now.Sub(k.avoidedAt) >= avoidFor {
+		return false
+	}
+	for _, other := range t.runners {
+		if other != r && t.mayRun(other, st) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRun reports whether a runner may get a task of a step once it has room.
+func (t *Table) mayRun(r *runner, st *stepState) bool {
+	return st.s.isServedBy(r.info.Service) && r.hasEntry() && t.isUsable(r) && st.hasLabel(r) && st.spec.Reserved().Fits(r.info.Capacity)
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -349,7 +349,7 @@
 		return
 	}
 	k.failures = append(k.failures, number)
-	k.avoid = r.info.ID
+	k.avoid, k.avoidedAt = r.info.ID, now
 	t.markDirty(st.s)
 	t.failIfExhausted(st.s, k, now)
 }
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -101,6 +101,7 @@
 	checkpoint     string
 	runs           []*run
 	avoid          string    // the runner on which the task last failed or made no progress
+	avoidedAt      time.Time // when that was
 	endedAt        time.Time // when a run of the task last ended
 	// isTracked is true once this owner has started a run of the task, or has taken one
 	// over: from then on it knows every run of the task.
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -131,7 +131,7 @@
 	if x.st.spec.Fills && x.measure > 0 {
 		return
 	}
-	x.task().avoid = x.runner.info.ID
+	x.task().avoid, x.task().avoidedAt = x.runner.info.ID, now
 	if !x.st.spec.Fills { // a best-effort task may only lack processor time
 		t.countFailure(x.runner, x.st.s.sub.ID, now)
 	}
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -57,6 +57,9 @@
 			mostFree = max(mostFree, r.free().MilliCores)
 		}
 	}
+	if n := st.avoiding(); n > 0 {
+		pairs = append(pairs, "avoiding", strconv.Itoa(n))
+	}
 	var status Status
 	status.addProcessors(t)
 	for name, milliCores := range map[string]int64{
@@ -74,6 +77,16 @@
 	t.record(now, EventWaiting, st.s, "", pairs...)
 }
 
+// avoiding returns the number of waiting tasks of a step that avoid a runner.
+func (st *stepState) avoiding() (n int) {
+	for i := range st.tasks {
+		if k := &st.tasks[i]; !k.done && len(k.runs) == 0 && k.avoid != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // maxAwaitedIDs is the number of awaited runners that an event names.
 const maxAwaitedIDs = 3
 
