Keep room for interrupted tasks only where they may run

Cause: room for an interrupted task that finds none was kept from new tasks on all runners of its service. The plan held the size of that task, and not where it may run.

Change: a new task is kept from a runner only by waiting tasks that may use it: by label, limit per runner, size and refused permits. The share of room that is kept for the largest tasks is counted by label, and room is neither promised nor reserved where a permit was refused.

--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -19,13 +19,19 @@
 type roomPlan struct {
 	runners []*runner // those that may get tasks now
 	usable  []*runner // and those that may once they answer, for instance
-	// spare is how many more tasks of a size may start for the first time, once computed.
-	spare map[submitter.Resources]int
-	// largest is the size of the largest long-running tasks.
-	largest submitter.Resources
-	// lacking is the size of the smallest task that is owed room and for which there is
-	// none, or 0.
-	lacking int64
+	// spare is how many more tasks of a shape may start for the first time, once computed.
+	spare map[spareShape]int
+	// largest is the size of the largest long-running tasks by the label that they require.
+	largest map[string]submitter.Resources
+	// lacking holds the steps with tasks that are owed room and for which there is none.
+	// Of those that may use the same runners it holds the one with the smallest tasks.
+	lacking []*stepState
+}
+
+// A spareShape holds what decides on which runners tasks fit.
+type spareShape struct {
+	size  submitter.Resources
+	label string // that the runner must have, or empty
 }
 
 // owedTasks are the tasks of a step that are owed room.
@@ -63,7 +69,7 @@
 func (t *Table) planFor(service string) *roomPlan {
 	p, ok := t.plans[service]
 	if !ok {
-		p = &roomPlan{spare: make(map[submitter.Resources]int)}
+		p = &roomPlan{spare: make(map[spareShape]int), largest: make(map[string]submitter.Resources)}
 		t.plans[service] = p
 	}
 	return p
@@ -79,8 +85,9 @@
 				if !st.spec.LongRunning {
 					continue
 				}
-				if p := t.planFor(s.service()); st.spec.MilliCores > p.largest.MilliCores {
-					p.largest = st.spec.Reserved()
+				p, label := t.planFor(s.service()), st.spec.RequiredLabel
+				if st.spec.MilliCores > p.largest[label].MilliCores {
+					p.largest[label] = st.spec.Reserved()
 				}
 				if n := t.interrupted(st, allRunsKnown); n > 0 {
 					tasks[st] = n
@@ -121,7 +128,7 @@
 		var least int64
 		isAllowed := false
 		for _, r := range p.runners {
-			if !wanted.Fits(r.info.Capacity) || !st.hasLabel(r) || !st.allowsMore(r, placed[r]) {
+			if !st.mayUse(r, placed[r]) {
 				continue
 			}
 			isAllowed = true
@@ -134,8 +141,8 @@
 			}
 		}
 		if best == nil {
-			if isAllowed && (p.lacking == 0 || wanted.MilliCores < p.lacking) {
-				p.lacking = max(1, wanted.MilliCores)
+			if isAllowed {
+				p.addLacking(st)
 			}
 			return
 		}
@@ -144,6 +151,32 @@
 	}
 }
 
+// addLacking adds a step with tasks that are owed room and for which there is none.
+func (p *roomPlan) addLacking(st *stepState) {
+	for i, other := range p.lacking {
+		if st.runsOnSameAs(other) {
+			if st.spec.MilliCores < other.spec.MilliCores {
+				p.lacking[i] = st
+			}
+			return
+		}
+	}
+	p.lacking = append(p.lacking, st)
+}
+
+// runsOnSameAs reports whether tasks of two steps of a service, apart from their sizes, may
+// use the same runners.
+func (st *stepState) runsOnSameAs(other *stepState) bool {
+	isOpen := func(s *stepState) bool { return s.runsByRunner == nil && !s.s.needsPermits() }
+	return st.spec.RequiredLabel == other.spec.RequiredLabel && isOpen(st) && isOpen(other)
+}
+
+// mayUse reports whether a runner, while it were empty, could take one more task of a step
+// beside those of the step that run there and some others.
+func (st *stepState) mayUse(r *runner, others int) bool {
+	return st.spec.Reserved().Fits(r.info.Capacity) && st.hasLabel(r) && st.allowsMore(r, others) && !st.isRefused(r)
+}
+
 // unpromised returns the room on a runner that long-running tasks leave, with those that
 // are to run there.
 func (r *runner) unpromised() submitter.Resources {
@@ -155,7 +188,8 @@
 }
 
 // isOwed reports whether a long-running task that has never run may not start on a runner,
-// since it would take room there that is kept for others.
+// since it would take room there that is kept for others. Room is kept on a runner only for
+// tasks that may use it.
 func (t *Table) isOwed(r *runner, st *stepState, k *task) bool {
 	if !t.isNew(st, k) {
 		return false
@@ -165,30 +199,42 @@
 		return false
 	}
 	wanted, room := st.spec.Reserved(), r.unpromised()
-	if !wanted.Fits(room) || p.spareFor(wanted) <= 0 {
+	if !wanted.Fits(room) || p.spareFor(spareShape{wanted, st.spec.RequiredLabel}) <= 0 {
 		return true
 	}
-	taken := fitting(p.largest, room) - fitting(p.largest, room.Minus(wanted))
-	if taken > 0 && taken > p.spareFor(p.largest) {
-		return true
+	for label, largest := range p.largest {
+		if label != "" && !r.hasLabel(label) {
+			continue
+		}
+		taken := fitting(largest, room) - fitting(largest, room.Minus(wanted))
+		if taken > 0 && taken > p.spareFor(spareShape{largest, label}) {
+			return true
+		}
 	}
-	return p.lacking > 0 && (room.MilliCores-wanted.MilliCores)/p.lacking < room.MilliCores/p.lacking
+	return slices.ContainsFunc(p.lacking, func(lacking *stepState) bool {
+		size := max(1, lacking.spec.MilliCores)
+		return lacking.mayUse(r, 0) && (room.MilliCores-wanted.MilliCores)/size < room.MilliCores/size
+	})
 }
 
-// spareFor returns how many more tasks of a size may start for the first time, so that
-// keptShare is left.
-func (p *roomPlan) spareFor(size submitter.Resources) int {
-	n, ok := p.spare[size]
+// spareFor returns how many more tasks of a shape may start for the first time, so that
+// keptShare of the runners that they may use is left.
+func (p *roomPlan) spareFor(shape spareShape) int {
+	n, ok := p.spare[shape]
 	if ok {
 		return n
 	}
-	most := 0
+	most, runners := 0, 0
 	for _, r := range p.usable {
-		n += fitting(size, r.unpromised())
-		most += fitting(size, r.info.Capacity)
+		if shape.label != "" && !r.hasLabel(shape.label) {
+			continue
+		}
+		n += fitting(shape.size, r.unpromised())
+		most += fitting(shape.size, r.info.Capacity)
+		runners++
 	}
-	n -= int(keptShare*float64(len(p.usable))) * most / max(1, len(p.usable))
-	p.spare[size] = n
+	n -= int(keptShare*float64(runners)) * most / max(1, runners)
+	p.spare[shape] = n
 	return n
 }
 
--- a/internal/version/dispatcher/permits.go
+++ b/internal/version/dispatcher/permits.go
@@ -145,6 +145,11 @@
 	}
 }
 
+// isRefused reports whether a step needs a permit for a runner and was refused it.
+func (st *stepState) isRefused(r *runner) bool {
+	return st.s.needsPermits() && st.permitRank(r) == rankRefused
+}
+
 // refusedAt returns when a permit for a runner was last refused, or zero if the last
 // answer was not a refusal.
 func (st *stepState) refusedAt(r *runner) (at time.Time) {
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -95,7 +95,7 @@
 		if r.reserved != nil {
 			kept, tasks = r.reserved.room, r.reserved.tasks[st]
 		}
-		if !wanted.Fits(r.roomForLong().Minus(kept)) || !st.hasLabel(r) || !st.allowsMore(r, tasks) {
+		if !wanted.Fits(r.roomForLong().Minus(kept)) || !st.mayUse(r, tasks) {
 			continue
 		}
 		lacks := wanted.MilliCores + kept.MilliCores - r.free().MilliCores
