Take the tokens that runners have accepted as the end of former owners

Cause: a new owner that does not hear from the former one counted on it for 10 s and then for the longest lease, with each further owner anew.

Change: no lease outlasts the longest one from when the store named its owner last, or when a majority of the stored roster last accepted it. A successor that a majority has accepted waits for the longest lease from then on, and marks the owners before it as settled. A runner counts by its incarnation, a roster whose write has failed counts as well, and time for which the host was suspended counts against the owner.

Measured: TestTaskOfALostRunnerAfterTheOwnerWasLost fails on the code before and passes.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -92,6 +92,9 @@
 	// MayAct reports whether this daemon may still act as the owner. It is asked right
 	// before each call to a runner.
 	MayAct func() bool
+	// Unconfirmed returns for how long the store has not named this daemon as the owner,
+	// suspension of the host included, and for how long the host was suspended meanwhile.
+	Unconfirmed func() (unconfirmed, suspended time.Duration)
 	// OnDeposed is called when there is evidence of another owner.
 	OnDeposed func(reason string)
 }
@@ -190,6 +193,14 @@
 	})
 }
 
+// HasQuorum reports whether a majority of the runners has accepted this owner, so that no
+// former owner moves the end of a lease any more.
+func (c *Conductor) HasQuorum() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.HasQuorum()
+}
+
 // Handover returns what this owner leaves to its successor. It is called after Close.
 func (c *Conductor) Handover() Handover {
 	c.mu.Lock()
@@ -236,6 +247,12 @@
 	return c.table.Status(time.Now())
 }
 
+// authorize tells the table how long ago the store has named this owner.
+func (c *Conductor) authorize(t *dispatcher.Table, now time.Time) {
+	unconfirmed, suspended := c.opts.Unconfirmed()
+	t.Authorize(unconfirmed, suspended, now)
+}
+
 // apply applies a change to the table, lets the table schedule tasks, and sends the
 // resulting orders and permit requests.
 func (c *Conductor) apply(change func(t *dispatcher.Table, now time.Time)) {
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -25,7 +25,8 @@
 	// pollWait is how long a runner holds a poll open for a run to end.
 	pollWait = time.Second
 	// contendedWait replaces pollWait where serving tasks share a runner with
-	// best-effort tasks, which calls for more frequent polls.
+	// best-effort tasks, and while the store does not answer, which call for more frequent
+	// polls.
 	contendedWait = 500 * time.Millisecond
 	// idleWait replaces pollWait where nothing runs.
 	idleWait = 1500 * time.Millisecond
@@ -70,6 +71,7 @@
 	var address string
 	ok := false
 	c.apply(func(t *dispatcher.Table, now time.Time) {
+		c.authorize(t, now)
 		order, ok = t.Confirm(queued.Order, now)
 		address = c.address[order.Runner]
 	})
@@ -217,12 +219,13 @@
 	}
 	poll = Poll{Fence: c.opts.Fence, Wait: pollWait}
 	now := time.Now()
+	c.authorize(c.table, now)
 	poll.LeaseEnd = c.table.LeaseUntil(id, now)
 	poll.Acked = c.table.Acknowledgeable(id, now)
 	switch {
 	case poll.LeaseEnd == 0:
 		poll.Wait = 0
-	case c.table.NeedsFrequentPolls(id):
+	case c.table.NeedsFrequentPolls(id), c.table.IsUnconfirmed(now):
 		poll.Wait = contendedWait
 	case c.table.IsIdle(id):
 		poll.Wait = idleWait
--- a/internal/process/conductor/roster.go
+++ b/internal/process/conductor/roster.go
@@ -79,14 +79,21 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
 	defer cancel()
+	c.mu.Lock()
+	c.table.RosterUnderWay(infos)
+	c.mu.Unlock()
 	revision, err := c.opts.Store.Commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}, {Key: c.keys.roster, Revision: c.roster.revision}},
 		Writes:     []transactor.Write{{Key: c.keys.roster, Value: value}},
 	})
-	if err == nil {
-		c.roster.set(infos, revision)
+	if err != nil {
+		return err
 	}
-	return err
+	c.roster.set(infos, revision)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.RosterStored(infos)
+	return nil
 }
 
 // findsLateRoster reports whether a write was refused because one that had failed was
@@ -118,14 +125,14 @@
 }
 
 // equals reports whether the stored roster has the same runners, with the same
-// addresses and the same draining state.
+// addresses, incarnations and draining states.
 func (r *roster) equals(wanted []dispatcher.RunnerInfo) bool {
 	if r.isUncertain || len(wanted) != len(r.saved) {
 		return false
 	}
 	for _, info := range wanted {
 		saved, ok := r.saved[info.ID]
-		if !ok || saved.Address != info.Address || saved.Draining != info.Draining {
+		if !ok || saved.Address != info.Address || saved.Draining != info.Draining || saved.Lifetime != info.Lifetime {
 			return false
 		}
 	}
--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -423,7 +423,7 @@
 	owner.presence = owner.Fence // both keys have the revision of their transaction
 	owner.seenAt = time.Now()
 	term = newTerm(ctx, e, owner, last, lease)
-	term.confirmedBoot.Store(int64(startBoot))
+	term.checked.Store(&confirmation{at: claimedAt, boot: startBoot})
 	term.confirm(claimedAt)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -29,9 +29,15 @@
 	// confirmed is the latest time at which the record is known to have named this
 	// daemon.
 	confirmed atomic.Pointer[time.Time]
-	// confirmedBoot is the bootTime, which includes suspension of the host, at the
-	// last confirmation by claim or renew.
-	confirmedBoot atomic.Int64
+	// checked is the last confirmation by claim or renew.
+	checked atomic.Pointer[confirmation]
+}
+
+// A confirmation is when the owner record named this daemon: by the steady clock, and by
+// bootTime, which includes suspension of the host.
+type confirmation struct {
+	at   time.Time
+	boot time.Duration
 }
 
 func newTerm(ctx context.Context, e *Elector, owner, former Owner, lease int64) *Term {
@@ -62,8 +68,14 @@
 func (t *Term) MayAct() bool { return t.ctx.Err() == nil && t.unconfirmedFor() <= MaxUnconfirmed }
 
 // unconfirmedFor returns the time since the last confirmation by claim or renew.
-func (t *Term) unconfirmedFor() time.Duration {
-	return bootTime() - time.Duration(t.confirmedBoot.Load())
+func (t *Term) unconfirmedFor() time.Duration { return bootTime() - t.checked.Load().boot }
+
+// Unconfirmed returns the time since the last confirmation by claim or renew, and for how
+// much of it the host was suspended.
+func (t *Term) Unconfirmed() (unconfirmed, suspended time.Duration) {
+	last := t.checked.Load()
+	unconfirmed = bootTime() - last.boot
+	return unconfirmed, max(0, unconfirmed-time.Since(last.at))
 }
 
 // confirm notes that the owner record still named this daemon at the given time.
@@ -106,7 +118,7 @@
 		switch {
 		case t.ctx.Err() != nil:
 		case err == nil:
-			t.confirmedBoot.Store(int64(startBoot))
+			t.checked.Store(&confirmation{at: checkedAt, boot: startBoot})
 			t.confirm(checkedAt)
 		case errors.Is(err, errReplaced):
 			t.Depose(time.Now(), err.Error())
--- a/internal/process/scheduler/departure_test.go
+++ b/internal/process/scheduler/departure_test.go
@@ -107,3 +107,23 @@
 		y.assertRunsOn("r1 r2", restartBound)
 	})
 }
+
+// Guards against a new owner that waits for as long as one that is gone for good may have
+// acted, although it has a quorum of runners, and makes its successors wait for both.
+func TestTaskOfALostRunnerAfterTheOwnerWasLost(t *testing.T) {
+	t.Parallel()
+	runDynasty(t, func(y *dynasty) {
+		const presence = 2 * time.Second
+		y.pool = newPool("s0", "s1", "s2")
+		y.start(0)
+		y.submitLongRunning("a")
+		y.assertRunsOn("s0", time.Second)
+		y.pool.leave("s0")
+		y.cutOff.Store("host0:80") // for good
+		y.daemons[0].elector.Close()
+		time.Sleep(presence)
+		y.store.Remove("kumquat/owner/0/presence")
+		y.assertSettled(y.start(1), 0)
+		y.assertRunsOn("s1", poolLimits.MaxLease+poolLimits.MaxLease/10)
+	})
+}
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -147,8 +147,12 @@
 	formerEnd := formerOwnerEnd(former, term.EarlierEnd, d.s.opts.PeerAddress, time.Now())
 	var background sync.WaitGroup
 	defer background.Wait()
+	var ended atomic.Bool
 	background.Go(func() {
-		if awaitEnds(ctx, formerEnd, term.EarlierEnd, func() bool { return d.hasEnded(ctx, former) }) {
+		ended.Store(awaitEnds(ctx, formerEnd, time.Time{}, func() bool { return d.hasEnded(ctx, former) }))
+	})
+	background.Go(func() {
+		if awaitEnds(ctx, formerEnd, term.EarlierEnd, func() bool { return ended.Load() || d.hasQuorum(owner.Part) }) {
 			term.RecordSettled()
 		}
 	})
@@ -158,11 +162,11 @@
 		Part: owner.Part, Split: d.split, OwnerKey: elector.RecordKey(owner.Part),
 		Fence: owner.Fence, Generation: owner.Generation, FormerOwnerEnd: formerEnd,
 		EarlierOwnersEnd: term.EarlierEnd,
-		ConfirmedAt:      term.ConfirmedAt, MayAct: term.MayAct,
+		ConfirmedAt:      term.ConfirmedAt, MayAct: term.MayAct, Unconfirmed: term.Unconfirmed,
 		OnDeposed: func(reason string) { term.Depose(time.Now(), reason) },
 	}
-	ended := endedTerm{fence: owner.Fence}
-	defer func() { d.endedTerms[owner.Part].Store(&ended) }()
+	own := endedTerm{fence: owner.Fence}
+	defer func() { d.endedTerms[owner.Part].Store(&own) }()
 	for ctx.Err() == nil {
 		c, err := conductor.Start(ctx, opts)
 		if err != nil {
@@ -171,8 +175,8 @@
 			continue
 		}
 		d.publish(owner.Part, c)
-		if own := d.term(owner.Part); own.Instance == former.Instance && isOver(own, former) {
-			c.TakeOver(handoverOf(own, former, time.Now())) // this process succeeds itself
+		if status := d.term(owner.Part); status.Instance == former.Instance && isOver(status, former) {
+			c.TakeOver(handoverOf(status, former, time.Now())) // this process succeeds itself
 		}
 		d.s.opts.Recorder.Record(time.Now(), EventServing, recorder.Fields{
 			"part": strconv.Itoa(owner.Part), "fence": strconv.FormatInt(owner.Fence, 10),
@@ -180,7 +184,7 @@
 		<-ctx.Done()
 		d.conductors[owner.Part].Store(nil)
 		c.Close()
-		ended.handover = c.Handover()
+		own.handover = c.Handover()
 	}
 }
 
@@ -198,9 +202,16 @@
 	return end
 }
 
-// awaitEnds waits until no earlier owner can act any more: until formerEnd or, once
-// hasEnded says that the former owner has ended, until earlierEnd. It reports whether
-// the context has not ended.
+// hasQuorum reports whether a majority of a part's runners has accepted this daemon as the
+// owner.
+func (d *duties) hasQuorum(part int) bool {
+	c := d.conductors[part].Load()
+	return c != nil && c.HasQuorum()
+}
+
+// awaitEnds waits until no earlier owner can move the end of a lease any more: until
+// formerEnd or, once hasEnded says so of the former owner, until earlierEnd. It reports
+// whether the context has not ended.
 func awaitEnds(ctx context.Context, formerEnd, earlierEnd time.Time, hasEnded func() bool) bool {
 	for time.Now().Before(formerEnd) {
 		if hasEnded() {
--- /dev/null
+++ b/internal/version/dispatcher/authority.go
@@ -0,0 +1,145 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
+)
+
+const (
+	// minPlacementLease is the shortest lease under which tasks are started.
+	minPlacementLease = 2 * time.Second
+	// quorumInterval is the time between two counts of the runners that accept an owner.
+	quorumInterval = 100 * time.Millisecond
+	// maxRosters bounds the rosters of which any may be the stored one.
+	maxRosters = 8
+)
+
+// An authority is what an owner knows about the latest time at which no successor of it had
+// a quorum.
+//
+// The store's answers show that there was no successor. While the store does not answer,
+// the runners do: a successor makes them refuse this owner's fencing token, and it reads
+// the stored roster. If a majority of that roster has accepted a poll that was sent at a
+// time, no majority had accepted a successor before. No lease outlasts MaxLease from then
+// on, so that a successor that a majority has accepted need not wait longer.
+type authority struct {
+	// confirmedAt is when the store last named this owner.
+	confirmedAt time.Time
+	// suspended is for how long the host was suspended since then.
+	suspended time.Duration
+	// rosters are those of which one is stored. A write that has failed may be carried
+	// out later.
+	rosters []voters
+	// quorumAt is the latest time at which this owner is known to have had a quorum, as
+	// counted at countedAt.
+	quorumAt, countedAt time.Time
+}
+
+// Voters are the runners of a roster, with the incarnation of each.
+type voters map[string]int64
+
+func votersOf(roster []RunnerInfo) voters {
+	v := make(voters, len(roster))
+	for _, info := range roster {
+		v[info.ID] = info.Lifetime
+	}
+	return v
+}
+
+// quorumAt returns the latest time at which a majority of the voters was still to accept a
+// poll that they have answered to the table's owner, or zero if no majority has. A runner
+// that was restarted has forgotten which owners it has accepted and does not count.
+func (v voters) quorumAt(t *Table) (at time.Time) {
+	if len(v) == 0 {
+		return at
+	}
+	accepted := make([]time.Time, 0, len(v))
+	for id, lifetime := range v {
+		var sentAt time.Time
+		if r, ok := t.runners[id]; ok && r.info.Lifetime == lifetime {
+			sentAt = r.acceptedAt
+		}
+		accepted = append(accepted, sentAt)
+	}
+	slices.SortFunc(accepted, func(a, b time.Time) int { return b.Compare(a) })
+	return accepted[len(accepted)/2]
+}
+
+// Authorize records for how long the store has not named this owner, suspension of the host
+// included, and for how long the host was suspended meanwhile. The caller calls it before it
+// sends a lease.
+func (t *Table) Authorize(unconfirmed, suspended time.Duration, now time.Time) {
+	t.authority.confirmedAt, t.authority.suspended = now.Add(-unconfirmed), suspended
+}
+
+// RosterUnderWay records that a roster is about to be stored.
+func (t *Table) RosterUnderWay(roster []RunnerInfo) {
+	v := votersOf(roster)
+	isKnown := func(other voters) bool { return maps.Equal(v, other) }
+	if !slices.ContainsFunc(t.authority.rosters, isKnown) {
+		t.authority.rosters = append(t.authority.rosters, v)
+	}
+}
+
+// RosterStored records that a roster is stored and that no other write is under way.
+func (t *Table) RosterStored(roster []RunnerInfo) {
+	t.authority.rosters = []voters{votersOf(roster)}
+}
+
+// authorityAt returns the latest time at which no successor of this owner is known to have
+// had a quorum.
+func (t *Table) authorityAt(now time.Time) time.Time {
+	a := &t.authority
+	if now.Sub(a.confirmedAt) <= confirmationOverdue {
+		return a.confirmedAt
+	}
+	if now.Sub(a.countedAt) >= quorumInterval {
+		a.quorumAt, a.countedAt = t.quorumAt(), now
+	}
+	return later(a.confirmedAt, a.quorumAt.Add(-a.suspended))
+}
+
+// quorumAt returns the latest time at which this owner is known to have had a quorum, by
+// each roster that may be stored.
+func (t *Table) quorumAt() (at time.Time) {
+	if len(t.authority.rosters) > maxRosters {
+		return at
+	}
+	for i, v := range t.authority.rosters {
+		if quorum := v.quorumAt(t); i == 0 || quorum.Before(at) {
+			at = quorum
+		}
+	}
+	return at
+}
+
+// leaseLeft returns how far beyond the current time a lease may be granted.
+func (t *Table) leaseLeft(now time.Time) time.Duration {
+	return min(t.leaseDuration(now), t.authorityAt(now).Add(t.limits.MaxLease).Sub(now))
+}
+
+// IsUnconfirmed reports whether the owner depends on the answers of runners to know that it
+// has no successor.
+func (t *Table) IsUnconfirmed(now time.Time) bool {
+	return now.Sub(t.authority.confirmedAt) > confirmationOverdue
+}
+
+// HasQuorum reports whether a majority of the roster that this owner has found has accepted
+// its fencing token. From then on no former owner moves the end of a lease.
+func (t *Table) HasQuorum() bool { return !t.quorumSince.IsZero() }
+
+// checkQuorum notes when this owner has a quorum for the first time.
+func (t *Table) checkQuorum(now time.Time) {
+	if t.HasQuorum() || t.formerRoster == nil || t.formerRoster.quorumAt(t).IsZero() {
+		return
+	}
+	t.quorumSince = now
+	t.FormerOwnerEnded(now)
+	t.rec.Record(now, EventQuorum, recorder.Fields{
+		"runners": strconv.Itoa(len(t.formerRoster)), "waitedMs": age(now, t.ownedSince),
+	})
+}
--- /dev/null
+++ b/internal/version/dispatcher/authority_test.go
@@ -0,0 +1,175 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// newSuccessorHarness returns a harness whose owner succeeds one that does not answer, and
+// that may act for some time, with a task that was submitted to the former owner. The stored
+// roster names a number of runners.
+func newSuccessorHarness(t *testing.T, runners int, mayAct time.Duration) *harness {
+	t.Helper()
+	h, _ := newTakeoverHarness(t, runners)
+	h.table.ExpectRunners(h.table.Runners())
+	h.table.SetFormerOwnerEnd(h.now.Add(mayAct))
+	return h
+}
+
+// longestLease is how long a lease lasts at most that is granted now.
+var longestLease = scaleDrift(testLimits.MaxLease) + lapseMargin
+
+// assertFirstStartWhile polls some runners, and checks when the first task starts.
+func assertFirstStartWhile(t *testing.T, h *harness, want time.Duration, polled ...string) {
+	t.Helper()
+	const step = 100 * time.Millisecond
+	began := h.now
+	for h.now.Sub(began) <= want+2*step {
+		for _, id := range polled {
+			h.poll(id)
+		}
+		if len(h.starts()) > 0 {
+			if got := h.now.Sub(began); got < want {
+				t.Errorf("started after %s, want after %s at the earliest", got, want)
+			}
+			return
+		}
+		h.advance(step)
+	}
+	t.Errorf("not started within %s", want+2*step)
+}
+
+// Guards against long-running tasks that wait for the longest time for which an owner that is
+// gone for good may act, with each change of owner again.
+func TestNewOwnerWithAQuorumWaitsForLeasesOnly(t *testing.T) {
+	const mayAct = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		expect func(h *harness)
+		polled []string
+		want   time.Duration
+	}{
+		{"majority", nil, []string{"r0", "r1", "r2"}, longestLease},
+		{"half", nil, []string{"r0", "r1"}, mayAct + longestLease},
+		{"majority of runners that the roster does not name", func(h *harness) {
+			h.table.ExpectRunners([]RunnerInfo{{ID: "r0", Lifetime: 1}, {ID: "r2", Lifetime: 1}, {ID: "r3", Lifetime: 1}})
+		}, []string{"r0", "r1"}, mayAct + longestLease},
+		{"majority with restarted runners", func(h *harness) {
+			h.lifetimes["r0"], h.lifetimes["r1"] = 2, 2
+		}, []string{"r0", "r1", "r2"}, mayAct + longestLease},
+		{"the roster is not known", func(h *harness) {
+			h.table.formerRoster = nil
+			h.table.ExpectOtherRunners()
+		}, []string{"r0", "r1", "r2", "r3"}, mayAct + longestLease},
+		{"earlier owners may act", func(h *harness) {
+			h.table.SetEarlierOwnersEnd(h.now.Add(3 * time.Second))
+		}, []string{"r0", "r1", "r2"}, 3*time.Second + longestLease},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newSuccessorHarness(t, 4, mayAct)
+			if c.expect != nil {
+				c.expect(h)
+			}
+			assertFirstStartWhile(t, h, c.want, c.polled...)
+		})
+	}
+}
+
+// Guards against an owner that is cut off from the store and goes on renewing leases after a
+// majority has accepted a successor, which waits for leases only.
+func TestLeasesEndWithoutAQuorum(t *testing.T) {
+	const runners = 5
+	for _, c := range []struct {
+		name    string
+		act     func(h *harness)
+		answers int           // how many runners go on answering
+		lasts   time.Duration // of a lease that is granted after 4 s, at least
+		atMost  time.Duration
+	}{
+		{"majority", func(*harness) {}, 3, testLimits.MaxLease - time.Second, testLimits.MaxLease},
+		{"minority", func(*harness) {}, 2, 0, testLimits.MaxLease - 4*time.Second},
+		{"minority of a roster that may be stored", func(h *harness) {
+			h.table.RosterUnderWay([]RunnerInfo{{ID: "r0", Lifetime: 1}, {ID: "r3", Lifetime: 1}, {ID: "r4", Lifetime: 1}})
+		}, 3, 0, testLimits.MaxLease - 4*time.Second},
+		{"majority with a restarted runner", func(h *harness) {
+			h.restart("r0")
+		}, 3, 0, testLimits.MaxLease - 4*time.Second},
+		{"the host was suspended", func(h *harness) {
+			h.table.Authorize(7*time.Second, 3*time.Second, h.now.Add(4*time.Second))
+		}, 3, 0, testLimits.MaxLease - 3*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 0, runners)
+			h.pollAll(runners)
+			h.advance(0)
+			confirmed := h.now
+			h.isUnconfirmed = true
+			c.act(h)
+			for h.now.Sub(confirmed) < 4*time.Second {
+				h.advance(500 * time.Millisecond)
+				for i := range c.answers {
+					h.poll(fmt.Sprintf("r%d", i))
+				}
+			}
+			r := h.table.runners["r0"]
+			lease := time.Duration(h.table.LeaseUntil("r0", h.now)-r.clock) * time.Millisecond
+			if lease < c.lasts || lease > c.atMost {
+				t.Errorf("lease of %s, want %s to %s", lease, c.lasts, c.atMost)
+			}
+		})
+	}
+}
+
+// Guards against tasks that are started again and again under leases that lapse at once.
+func TestNothingStartsWithoutAuthority(t *testing.T) {
+	h := newHarness(t, 0, 3)
+	h.pollAll(3)
+	h.isUnconfirmed = true
+	for range 10 {
+		h.advance(500 * time.Millisecond)
+		h.poll("r0")
+	}
+	h.add("a", "urgent", oneCore(1))
+	assertStarts(t, h.starts(), 0)
+	h.isUnconfirmed = false
+	h.advance(500 * time.Millisecond)
+	h.poll("r0")
+	assertStarts(t, h.starts(), 1)
+}
+
+// Guards against a successor that starts a task while a former owner, which is cut off from
+// the store together with a runner of a slow clock, still has a lease there.
+func TestLeasesOfAnOwnerThatIsCutOffLapseBeforeItsSuccessorStarts(t *testing.T) {
+	const runners = 3
+	former := newHarness(t, 0, runners)
+	former.pollAll(runners)
+	former.advance(0)
+	successor := newSuccessorHarness(t, runners, 10*time.Second)
+	former.isUnconfirmed = true
+	var lapse time.Time
+	for successor.now.Sub(epoch) < 2*longestLease {
+		former.now = successor.now
+		former.table.Tick(former.now)
+		cutOff := former.table.runners["r2"]
+		clock := int64(float64(former.now.Sub(epoch).Milliseconds())*(1-clockDrift)) + 1000
+		until := former.table.LeaseUntil("r2", former.now)
+		if left := until - clock; left > 0 {
+			lapse = later(lapse, former.now.Add(scaleDrift(time.Duration(left)*time.Millisecond)))
+		}
+		former.table.Report("r2", Report{Lifetime: 1, Clock: clock}, former.now, former.now)
+		if cutOff.answeredAt.IsZero() {
+			t.Fatal("the runner has not answered its former owner")
+		}
+		successor.poll("r0")
+		successor.poll("r1")
+		if len(successor.starts()) > 0 {
+			if successor.now.Before(lapse) {
+				t.Errorf("started at %s, a lease lapses at %s", successor.now.Sub(epoch), lapse.Sub(epoch))
+			}
+			return
+		}
+		successor.advance(50 * time.Millisecond)
+	}
+	t.Error("the successor has not started the task")
+}
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -226,6 +226,7 @@
 	c.poll()
 	c.deliver()
 	c.table.ConfirmOwnership(c.now)
+	c.table.Authorize(0, 0, c.now)
 	if int(c.now.Sub(epoch)/chaosStep)%4 == 0 {
 		c.table.Tick(c.now)
 	}
--- a/internal/version/dispatcher/departures_test.go
+++ b/internal/version/dispatcher/departures_test.go
@@ -80,8 +80,10 @@
 // updateRoster stores the roster, which may fail, and returns the runners that may be used.
 func (d *departures) updateRoster(listed []RunnerInfo) []RunnerInfo {
 	wanted := d.table.Roster(listed, d.now)
+	d.table.RosterUnderWay(wanted)
 	if !d.faulty || rapid.IntRange(0, 5).Draw(d.t, "rosterFails") != 1 {
 		d.roster, d.hasRoster, d.isUnreadable = wanted, true, false
+		d.table.RosterStored(wanted)
 		return listed
 	}
 	return slices.DeleteFunc(listed, func(info RunnerInfo) bool {
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -58,6 +58,9 @@
 	if !t.placementDue {
 		return
 	}
+	if t.leaseLeft(now) < minPlacementLease {
+		return // what is started would lapse
+	}
 	t.placementDue = false
 	allRunsKnown := t.knowsAllRuns(now)
 	clear(t.noRoom)
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -105,6 +105,10 @@
 		r.acceptedToken, r.tokenAcceptedAt = true, now
 		t.placementDue = true
 	}
+	if rep.Lifetime != 0 {
+		r.acceptedAt = later(r.acceptedAt, sentAt)
+		t.checkQuorum(now)
+	}
 	for _, e := range rep.Ended {
 		if e.N > r.lastEnd {
 			r.lastEnd = e.N
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -67,6 +67,7 @@
 		infos[i] = RunnerInfo{ID: fmt.Sprintf("r%d", i), Service: "s", DataCentre: "z", Capacity: testCapacity, Lifetime: 1}
 	}
 	h.table.SetRunners(infos, h.now)
+	h.table.RosterStored(infos)
 }
 
 // advance moves the time forward, confirms the ownership unless that is turned off,
@@ -75,6 +76,7 @@
 	h.now = h.now.Add(d)
 	if !h.isUnconfirmed {
 		h.table.ConfirmOwnership(h.now)
+		h.table.Authorize(0, 0, h.now)
 	}
 	h.table.Tick(h.now)
 }
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -38,15 +38,18 @@
 	// token.
 	acceptedToken   bool
 	tokenAcceptedAt time.Time
-	capacity        capacityStatements
-	used            submitter.Resources
-	usedForLong     submitter.Resources // the part of used that long-running tasks take
-	reserved        *reservation        // as of the last tick, or nil
-	promised        submitter.Resources // room for tasks that are owed it, as of the last tick
-	runs            map[runKey]*run
-	suspects        int         // suspected runs on probation here
-	isolatedFor     *submission // the submission of the suspected runs, or nil
-	lostAt          time.Time   // when all that ran here was last known to be lost
+	// acceptedAt is when the newest poll was sent that the runner's current incarnation
+	// has answered, or zero.
+	acceptedAt  time.Time
+	capacity    capacityStatements
+	used        submitter.Resources
+	usedForLong submitter.Resources // the part of used that long-running tasks take
+	reserved    *reservation        // as of the last tick, or nil
+	promised    submitter.Resources // room for tasks that are owed it, as of the last tick
+	runs        map[runKey]*run
+	suspects    int         // suspected runs on probation here
+	isolatedFor *submission // the submission of the suspected runs, or nil
+	lostAt      time.Time   // when all that ran here was last known to be lost
 
 	// restartedAt is when this owner last learnt that the process was restarted, or zero.
 	restartedAt time.Time
@@ -153,6 +156,8 @@
 // registry may have dropped the entries of some that are still running.
 func (t *Table) ExpectRunners(infos []RunnerInfo) {
 	t.isRosterKnown = true
+	t.formerRoster = votersOf(infos)
+	t.RosterStored(infos)
 	for _, info := range infos {
 		if _, ok := t.runners[info.ID]; !ok {
 			t.runners[info.ID] = newRunner(info)
@@ -221,7 +226,7 @@
 			t.stop(x, now, "unanswered start on a restarted runner")
 		}
 	}
-	r.acceptedToken = false
+	r.acceptedToken, r.acceptedAt = false, time.Time{}
 	r.capacity = capacityStatements{}
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
 	r.lastEnd, r.pending, r.acked, r.isAckReceived = 0, nil, 0, false
@@ -387,7 +392,7 @@
 	if r.info.Draining {
 		silentFor = 0
 	}
-	until := r.clock + (silentFor + t.leaseDuration(now)).Milliseconds()
+	until := max(1, r.clock+(silentFor+t.leaseLeft(now)).Milliseconds())
 	r.maxLeaseEnd = max(r.maxLeaseEnd, until)
 	return until
 }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -71,7 +71,12 @@
 	// ownerConfirmedAt is the latest time at which this owner is known to have had
 	// no successor.
 	ownerConfirmedAt time.Time
-	rec              recorder.Recorder
+	authority        authority
+	// formerRoster is the stored roster that this owner has found, or nil; quorumSince is
+	// when a majority of it had accepted this owner's token, or zero.
+	formerRoster voters
+	quorumSince  time.Time
+	rec          recorder.Recorder
 
 	// config is not known until the first Configure. Until then, what runs is kept, and
 	// nothing is started or failed.
@@ -139,6 +144,7 @@
 		ownedSince:       now,
 		formerOwnerEnd:   now,
 		ownerConfirmedAt: now,
+		authority:        authority{confirmedAt: now},
 		hasFormerOwner:   generation > 0,
 		rec:              rec,
 		runners:          make(map[string]*runner),
