Start all members of a gang from one checkpoint

Cause: each start carried the checkpoint that its own task had reported last, and members report at different times.

Change: a gang has one checkpoint, the newest that any member has reported.

Measured: both cases of TestMembersOfAGangResumeFromOneCheckpoint fail on the code before ('a.0.0.0 resumes from "older"') and pass.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -443,6 +443,6 @@
 	t.enqueue(x)
 	t.orders = append(t.orders, Order{
 		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
-		Spec: x.st.s.sub.Spec, Checkpoint: x.task().checkpoint, Until: until, Ticket: x.st.permits[r.info.ID].ticket,
+		Spec: x.st.s.sub.Spec, Checkpoint: x.st.checkpoint(x.task()), Until: until, Ticket: x.st.permits[r.info.ID].ticket,
 	})
 }
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -151,9 +151,7 @@
 		x.progressedAt = now
 	}
 	x.percent, x.measure, x.hasStatus = row.Percent, row.Measure, true
-	if row.Checkpoint != "" {
-		x.task().checkpoint = row.Checkpoint
-	}
+	x.st.noteCheckpoint(x.task(), row.Checkpoint)
 }
 
 // adopt adds a reported run that this owner has not started to the table, and stops
@@ -308,9 +306,7 @@
 	}
 	st.ranBefore = st.ranBefore || !isKnown
 	k := &st.tasks[e.Task.Index]
-	if e.Checkpoint != "" {
-		k.checkpoint = e.Checkpoint
-	}
+	st.noteCheckpoint(k, e.Checkpoint)
 	k.nextRun = max(k.nextRun, e.Run+1)
 	// A runner that lists the end of a run was not lost under it.
 	t.clearCrashes(st, e.Task.Index, func(c submitter.Crash) bool { return c.Run == e.Run })
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -61,6 +61,8 @@
 	ready        bool           // all steps that this one depends on are done
 	ranBefore    bool           // a former owner has started tasks
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
+	// gangCheckpoint is the newest checkpoint of any member of a gang.
+	gangCheckpoint string
 	// blockedAt is when the step last found no runner with room.
 	blockedAt time.Time
 	// waitingSince is when tasks of a ready step, other than a best-effort one, were
@@ -170,6 +172,23 @@
 	return submitter.TaskID{Submission: st.s.sub.ID, Occurrence: st.occ.index, Step: st.index, Index: index}
 }
 
+// noteCheckpoint notes the checkpoint that a runner has reported for a task, or none if it
+// is empty.
+func (st *stepState) noteCheckpoint(k *task, checkpoint string) {
+	if checkpoint != "" && checkpoint != k.checkpoint {
+		k.checkpoint, st.gangCheckpoint = checkpoint, checkpoint
+	}
+}
+
+// checkpoint returns the checkpoint from which a task resumes, or an empty string. All
+// members of a gang resume from the same one.
+func (st *stepState) checkpoint(k *task) string {
+	if st.spec.Gang {
+		return st.gangCheckpoint
+	}
+	return k.checkpoint
+}
+
 // Add adds a submission with its durable progress, which is nil if there is none. A
 // submission that is already in the table is left as it is, and one that was first
 // passed to a successor of this owner is ignored.
