Count submissions as pending until a run has begun

Cause: a submission counted as begun once a start was about to be sent, whatever became of it.

Change: it has begun once a runner has accepted a start, or has listed a run or its end.

--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -36,7 +36,6 @@
 		return o, false
 	}
 	t.dequeue(x)
-	x.st.s.markStarted()
 	o.Until = t.LeaseUntil(o.Runner, now)
 	o.Ticket = x.st.permits[o.Runner].ticket
 	return o, true
--- a/internal/version/dispatcher/confirm_test.go
+++ b/internal/version/dispatcher/confirm_test.go
@@ -225,20 +225,49 @@
 	}
 }
 
-// Guards against a submission that counts as started although its start was not sent.
-func TestSubmissionIsPendingUntilAStartIsSent(t *testing.T) {
-	h := newHarness(t, 0, 1)
-	h.poll("r0")
-	start := h.decideOne(oneCore(1))
-	assertPending := func(want int) {
+// Guards against submissions that count as begun although all their starts were refused.
+// (review, pending)
+func TestSubmissionIsPendingUntilARunHasBegun(t *testing.T) {
+	newSentStart := func(t *testing.T) (h *harness, start Order) {
 		t.Helper()
-		if got := h.table.Pending("urgent"); got != want {
-			t.Errorf("%d submissions are pending, want %d", got, want)
+		h = newHarness(t, 0, 1)
+		h.poll("r0")
+		start = h.decideOne(oneCore(1))
+		assertPending(t, h, 1)
+		if _, ok := h.table.Confirm(start, h.now); !ok {
+			t.Fatal("the start is not sent")
 		}
+		assertPending(t, h, 1)
+		return h, start
+	}
+	for _, c := range []struct {
+		outcome Outcome
+		pending int
+	}{{Succeeded, 0}, {Unhealthy, 1}, {NotSent, 1}, {Unanswered, 1}} {
+		t.Run(c.outcome.String(), func(t *testing.T) {
+			h, start := newSentStart(t)
+			h.table.ApplyStart(start, c.outcome, 1, h.now)
+			assertPending(t, h, c.pending)
+		})
 	}
-	assertPending(1)
-	if _, ok := h.table.Confirm(start, h.now); !ok {
-		t.Fatal("the start is not sent")
+	t.Run("unanswered and listed as running", func(t *testing.T) {
+		h, start := newSentStart(t)
+		h.table.ApplyStart(start, Unanswered, 0, h.now)
+		h.reported["r0"] = []RunStatus{{Task: start.Task, Run: start.Run}}
+		h.poll("r0")
+		assertPending(t, h, 0)
+	})
+	t.Run("unanswered and listed as ended", func(t *testing.T) {
+		h, start := newSentStart(t)
+		h.table.ApplyStart(start, Unanswered, 0, h.now)
+		h.poll("r0", End{Task: start.Task, Run: start.Run, Kind: Failure})
+		assertPending(t, h, 0)
+	})
+}
+
+func assertPending(t *testing.T, h *harness, want int) {
+	t.Helper()
+	if got := h.table.Pending("urgent"); got != want {
+		t.Errorf("%d submissions are pending, want %d", got, want)
 	}
-	assertPending(0)
 }
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -147,6 +147,7 @@
 		x.phase, x.confirmedAt = running, now
 	}
 	x.isListed, x.isCarriedOver = true, false
+	x.st.s.markStarted()
 	if row.Percent != x.percent || !x.hasStatus {
 		x.progressedAt = now
 	}
@@ -298,6 +299,7 @@
 func (t *Table) applyEnd(r *runner, s *submission, e End, now time.Time) {
 	x, isKnown := r.runs[runKey{e.Task, e.Run}]
 	if isKnown {
+		s.markStarted()
 		t.end(x, now, string(e.Kind))
 	}
 	st := t.step(s, e.Task)
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -21,7 +21,7 @@
 	// state is the current state. durableState becomes final only once that final
 	// state is durable.
 	state, durableState submitter.State
-	hasStarted          bool // a task was started, by this owner or a former one
+	hasStarted          bool // a run is known to have begun, under this owner or a former one
 	cancelled           bool
 	occs                []*occurrence // the occurrences that have been set up
 	opened              int           // number of occurrences that have been set up
@@ -318,7 +318,8 @@
 	}
 }
 
-// markStarted notes that a task of the submission was started.
+// markStarted notes that a run of the submission is known to have begun: a runner has
+// accepted its start, or has listed the run or its end.
 func (s *submission) markStarted() {
 	s.hasStarted = true
 	if s.state == submitter.Queued {
@@ -451,8 +452,8 @@
 	return submitter.Queued, true
 }
 
-// Pending returns the number of a queue's unfinished submissions of which no task has
-// been started.
+// Pending returns the number of a queue's unfinished submissions of which no run is known
+// to have begun.
 func (t *Table) Pending(queue string) int {
 	n := 0
 	for _, s := range t.unfinished() {
