Authorize the table at each tick

The confirmation of the store that leases are decided by was refreshed with each poll and order only, and so could be older than it is while few runners are polled. It is refreshed at each tick as well. Comments of the quorum and of the room plan reworded.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -287,6 +287,7 @@
 		case <-ticker.C:
 			c.apply(func(t *dispatcher.Table, now time.Time) {
 				t.ConfirmOwnership(c.opts.ConfirmedAt())
+				c.authorize(t, now)
 				t.Tick(now)
 			})
 		}
--- a/internal/version/dispatcher/authority.go
+++ b/internal/version/dispatcher/authority.go
@@ -39,7 +39,7 @@
 	quorumAt, countedAt time.Time
 }
 
-// Voters are the runners of a roster, with the incarnation of each.
+// A set of voters holds the runners of a roster, with the incarnation of each.
 type voters map[string]int64
 
 func votersOf(roster []RunnerInfo) voters {
@@ -50,9 +50,9 @@
 	return v
 }
 
-// quorumAt returns the latest time at which a majority of the voters was still to accept a
-// poll that they have answered to the table's owner, or zero if no majority has. A runner
-// that was restarted has forgotten which owners it has accepted and does not count.
+// quorumAt returns the latest time such that a majority of the voters has accepted a poll of
+// the table's owner that was sent then or later, or zero if there is none. A runner that was
+// restarted has forgotten which owners it has accepted and does not count.
 func (v voters) quorumAt(t *Table) (at time.Time) {
 	if len(v) == 0 {
 		return at
--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -171,8 +171,8 @@
 	return st.spec.RequiredLabel == other.spec.RequiredLabel && isOpen(st) && isOpen(other)
 }
 
-// mayUse reports whether a runner, while it were empty, could take one more task of a step
-// beside those of the step that run there and some others.
+// mayUse reports whether a runner, apart from what else runs there, could take one more task
+// of a step beside those of the step that run there and some others.
 func (st *stepState) mayUse(r *runner, others int) bool {
 	return st.spec.Reserved().Fits(r.info.Capacity) && st.hasLabel(r) && st.allowsMore(r, others) && !st.isRefused(r)
 }
