Don't wait for runners that a former owner could not use

Cause: each runner that a new owner had not heard of was awaited, as if a predecessor could have started runs there. Owners use runners of the stored roster only, and a successor ends the writes of its predecessor.

Change: a runner that the roster doesn't name is not awaited, whether or not it drains. With an unreadable roster, or after its restart, it is as before.

Measured: TestNewOwnerDoesNotWaitForRunnersThatJoin fails on the code before ("0 starts, want 1") and passes.

--- a/internal/version/dispatcher/roster_test.go
+++ b/internal/version/dispatcher/roster_test.go
@@ -129,3 +129,22 @@
 	h.table.ExpectLapses(lapsesFrom(h.now, map[string]time.Duration{"draining": left}))
 	assertFirstStart(t, h, left)
 }
+
+// Guards against a new owner that starts nothing of what it has taken over while runners join:
+// it waited for each of them as if a former owner could have started runs there.
+func TestNewOwnerDoesNotWaitForRunnersThatJoin(t *testing.T) {
+	h, _ := newTakeoverHarness(t, 1)
+	h.table.ExpectRunners(h.table.Runners())
+	h.poll("r0")
+	h.setRunners(2)
+	h.advance(time.Second)
+	h.poll("r0")
+	assertStarts(t, h.starts(), 1)
+	t.Run("but for restarted ones", func(t *testing.T) {
+		h.restart("r1")
+		h.add("b", "urgent", oneCore(1))
+		h.advance(100 * time.Millisecond)
+		h.poll("r0")
+		assertStarts(t, h.starts(), 0)
+	})
+}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -32,7 +32,7 @@
 	// isRegistered is false once the registry has dropped the runner's entry.
 	isRegistered bool
 	// wasReleased says that former owners have left nothing on the runner and started
-	// nothing there after that.
+	// nothing there after that: the stored roster that this owner has found does not name it.
 	wasReleased bool
 	// acceptedToken is true once the runner has reported under the owner's fencing
 	// token.
@@ -125,7 +125,7 @@
 		r, ok := t.runners[info.ID]
 		if !ok {
 			r = newRunner(info)
-			r.wasReleased = t.isRosterKnown && info.Draining
+			r.wasReleased = t.isRosterKnown
 			t.runners[info.ID] = r
 		}
 		if info.Lifetime > r.info.Lifetime {
