Share the check of the first start in tests

assertFirstStartWhile repeated assertFirstStart but for the runners that it polls. One of them takes these now.

--- a/internal/version/dispatcher/authority_test.go
+++ b/internal/version/dispatcher/authority_test.go
@@ -20,26 +20,6 @@
 // longestLease is how long a lease lasts at most that is granted now.
 var longestLease = scaleDrift(testLimits.MaxLease) + lapseMargin
 
-// assertFirstStartWhile polls some runners, and checks when the first task starts.
-func assertFirstStartWhile(t *testing.T, h *harness, want time.Duration, polled ...string) {
-	t.Helper()
-	const step = 100 * time.Millisecond
-	began := h.now
-	for h.now.Sub(began) <= want+2*step {
-		for _, id := range polled {
-			h.poll(id)
-		}
-		if len(h.starts()) > 0 {
-			if got := h.now.Sub(began); got < want {
-				t.Errorf("started after %s, want after %s at the earliest", got, want)
-			}
-			return
-		}
-		h.advance(step)
-	}
-	t.Errorf("not started within %s", want+2*step)
-}
-
 // Guards against long-running tasks that wait for the longest time for which an owner that is
 // gone for good may act, with each change of owner again.
 func TestNewOwnerWithAQuorumWaitsForLeasesOnly(t *testing.T) {
@@ -71,7 +51,7 @@
 			if c.expect != nil {
 				c.expect(h)
 			}
-			assertFirstStartWhile(t, h, c.want, c.polled...)
+			assertFirstStart(t, h, c.want, c.polled...)
 		})
 	}
 }
--- a/internal/version/dispatcher/lapses_test.go
+++ b/internal/version/dispatcher/lapses_test.go
@@ -72,18 +72,20 @@
 			}
 			h.table.MarkSettled([]string{"r0"}, h.now)
 			h.table.ExpectLapses(lapsesFrom(h.now, c.leases))
-			assertFirstStart(t, h, c.want)
+			assertFirstStart(t, h, c.want, "r0")
 		})
 	}
 }
 
-// assertFirstStart polls r0 and checks when the first task starts.
-func assertFirstStart(t *testing.T, h *harness, want time.Duration) {
+// assertFirstStart polls some runners, and checks when the first task starts.
+func assertFirstStart(t *testing.T, h *harness, want time.Duration, polled ...string) {
 	t.Helper()
 	const step = 100 * time.Millisecond
 	began := h.now
 	for h.now.Sub(began) <= want+2*step {
-		h.poll("r0")
+		for _, id := range polled {
+			h.poll(id)
+		}
 		if len(h.starts()) > 0 {
 			if got := h.now.Sub(began); got < want {
 				t.Errorf("started after %s, want after %s at the earliest", got, want)
--- a/internal/version/dispatcher/roster_test.go
+++ b/internal/version/dispatcher/roster_test.go
@@ -127,7 +127,7 @@
 	h.table.SetRunners(infos, h.now)
 	h.table.MarkSettled([]string{"r0"}, h.now)
 	h.table.ExpectLapses(lapsesFrom(h.now, map[string]time.Duration{"draining": left}))
-	assertFirstStart(t, h, left)
+	assertFirstStart(t, h, left, "r0")
 }
 
 // Guards against a new owner that starts nothing of what it has taken over while runners join:
