Let an owner's successor be known by over a quarter of the runners

Now an owner that does not reach the store needs three quarters of the roster, and its successor more than a quarter. The two share a runner whatever is lost, so that no two owners have authority at a time, as with majorities. No time is shorter.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -193,8 +193,8 @@
 	})
 }
 
-// HasQuorum reports whether a majority of the runners has accepted this owner, so that no
-// former owner moves the end of a lease any more.
+// HasQuorum reports whether so many of the runners have accepted this owner that no former
+// one moves the end of a lease any more.
 func (c *Conductor) HasQuorum() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -202,8 +202,8 @@
 	return end
 }
 
-// hasQuorum reports whether a majority of a part's runners has accepted this daemon as the
-// owner.
+// hasQuorum reports whether so many of a part's runners have accepted this daemon as the
+// owner that no former one can renew leases.
 func (d *duties) hasQuorum(part int) bool {
 	c := d.conductors[part].Load()
 	return c != nil && c.HasQuorum()
--- a/internal/version/dispatcher/authority.go
+++ b/internal/version/dispatcher/authority.go
@@ -23,9 +23,10 @@
 //
 // The store's answers show that there was no successor. While the store does not answer,
 // the runners do: a successor makes them refuse this owner's fencing token, and it reads
-// the stored roster. If a majority of that roster has accepted a poll that was sent at a
-// time, no majority had accepted a successor before. No lease outlasts MaxLease from then
-// on, so that a successor that a majority has accepted need not wait longer.
+// the stored roster. If keepQuorum of that roster have accepted a poll that was sent at a
+// time, fewer than takeoverQuorum had accepted a successor before. No lease outlasts
+// MaxLease from then on, so that a successor that takeoverQuorum have accepted need not wait
+// longer.
 type authority struct {
 	// confirmedAt is when the store last named this owner.
 	confirmedAt time.Time
@@ -39,6 +40,17 @@
 	quorumAt, countedAt time.Time
 }
 
+// keepQuorum returns how many of a number of runners an owner needs to know that it has no
+// successor: three quarters.
+func keepQuorum(runners int) int { return runners - runners/4 }
+
+// takeoverQuorum returns how many of them a successor needs, so that no former owner has
+// keepQuorum of them any more.
+//
+// Load: an owner that is lost together with more than half of the runners. The others are
+// all that can tell its successor that it has stopped.
+func takeoverQuorum(runners int) int { return runners - keepQuorum(runners) + 1 }
+
 // A set of voters holds the runners of a roster, with the incarnation of each.
 type voters map[string]int64
 
@@ -50,10 +62,10 @@
 	return v
 }
 
-// quorumAt returns the latest time such that a majority of the voters has accepted a poll of
+// quorumAt returns the latest time such that a number of the voters have accepted a poll of
 // the table's owner that was sent then or later, or zero if there is none. A runner that was
 // restarted has forgotten which owners it has accepted and does not count.
-func (v voters) quorumAt(t *Table) (at time.Time) {
+func (v voters) quorumAt(t *Table, quorum int) (at time.Time) {
 	if len(v) == 0 {
 		return at
 	}
@@ -66,7 +78,7 @@
 		accepted = append(accepted, sentAt)
 	}
 	slices.SortFunc(accepted, func(a, b time.Time) int { return b.Compare(a) })
-	return accepted[len(accepted)/2]
+	return accepted[quorum-1]
 }
 
 // Authorize records for how long the store has not named this owner, suspension of the host
@@ -110,8 +122,8 @@
 		return at
 	}
 	for i, v := range t.authority.rosters {
-		if quorum := v.quorumAt(t); i == 0 || quorum.Before(at) {
-			at = quorum
+		if quorumAt := v.quorumAt(t, keepQuorum(len(v))); i == 0 || quorumAt.Before(at) {
+			at = quorumAt
 		}
 	}
 	return at
@@ -128,18 +140,19 @@
 	return now.Sub(t.authority.confirmedAt) > confirmationOverdue
 }
 
-// HasQuorum reports whether a majority of the roster that this owner has found has accepted
-// its fencing token. From then on no former owner moves the end of a lease.
+// HasQuorum reports whether takeoverQuorum of the roster that this owner has found have
+// accepted its fencing token. From then on no former owner moves the end of a lease.
 func (t *Table) HasQuorum() bool { return !t.quorumSince.IsZero() }
 
 // checkQuorum notes when this owner has a quorum for the first time.
 func (t *Table) checkQuorum(now time.Time) {
-	if t.HasQuorum() || t.formerRoster == nil || t.formerRoster.quorumAt(t).IsZero() {
+	v := t.formerRoster
+	if t.HasQuorum() || v == nil || v.quorumAt(t, takeoverQuorum(len(v))).IsZero() {
 		return
 	}
 	t.quorumSince = now
 	t.FormerOwnerEnded(now)
 	t.rec.Record(now, EventQuorum, recorder.Fields{
-		"runners": strconv.Itoa(len(t.formerRoster)), "waitedMs": age(now, t.ownedSince),
+		"runners": strconv.Itoa(len(v)), "waitedMs": age(now, t.ownedSince),
 	})
 }
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -73,7 +73,7 @@
 	ownerConfirmedAt time.Time
 	authority        authority
 	// formerRoster is the stored roster that this owner has found, or nil; quorumSince is
-	// when a majority of it had accepted this owner's token, or zero.
+	// when takeoverQuorum of it had accepted this owner's token, or zero.
 	formerRoster voters
 	quorumSince  time.Time
 	rec          recorder.Recorder
--- a/internal/version/dispatcher/takeover_test.go
+++ b/internal/version/dispatcher/takeover_test.go
@@ -423,7 +423,7 @@
 	polledAt := h.now
 	h.poll("r0")
 	h.advance(quorumInterval)
-	// Counted from the last poll that a majority has accepted.
+	// Counted from the last poll that a quorum has accepted.
 	if got, want := lease(), testLimits.MaxLease-h.now.Sub(polledAt); got != want {
 		t.Errorf("lease of %s while the owner can't confirm its record, want %s", got, want)
 	}
