Let expired submissions take turns

Cause: among submissions whose value has expired, the one with the least work left, or the oldest one, went first with all its tasks. In the log the submissions without a run are old and large; others that came later or need less started 50 to 160 tasks a second.

Now one task goes first of each such submission of which nothing runs. What can still be in time, or late, goes before it as it did.

TestExpiredSubmissionsTakeTurns failed before ("starts map[s0:8], want some of s1").

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -40,10 +40,12 @@
 }
 
 // Tiers of urgency. Work that can still meet its objective goes first, then late
-// work, then work that has lost its value.
+// work, then work that has lost its value: first one task of each such submission of which
+// nothing runs, then the rest.
 const (
 	tierOnTime = iota
 	tierLate
+	tierUnserved
 	tierExpired
 )
 
@@ -70,8 +72,15 @@
 		if t.isQueueFull() {
 			return
 		}
+		limit := math.MaxInt
+		if c.tier == tierUnserved {
+			if c.st.s.hasRuns() {
+				continue // another step of the submission has started
+			}
+			limit = 1
+		}
 		// A former owner may have started tasks where runs are not known yet.
-		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
+		t.startWaiting(c.st, limit, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
 	}
 }
 
@@ -79,7 +88,8 @@
 //
 // Load: bursts in which more work is due than fits. Submissions of the same
 // priority are ordered by the time at which they stop earning their full value, so
-// that those wait that can best afford to.
+// that those wait that can best afford to. What has lost its value takes turns: the tasks of
+// the smallest submissions, or of the oldest ones, would keep the others from ever running.
 func (t *Table) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, s := range t.unfinished() {
@@ -95,8 +105,14 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if st.ready && st.waiting > 0 && st.remaining > 0 && !t.isBlocked(st, now) {
-					list = append(list, newCandidate(st, queue, now))
+				if !st.ready || st.waiting == 0 || st.remaining == 0 || t.isBlocked(st, now) {
+					continue
+				}
+				c := newCandidate(st, queue, now)
+				list = append(list, c)
+				if c.tier == tierExpired && !s.hasRuns() {
+					c.tier, c.work = tierUnserved, 0
+					list = append(list, c)
 				}
 			}
 		}
@@ -131,13 +147,25 @@
 	return c
 }
 
-// startWaiting starts as many waiting tasks of a step as fit. If not all runs are known
+// hasRuns reports whether a task of a submission that is not done has a run.
+func (s *submission) hasRuns() bool {
+	for _, occ := range s.occs {
+		for _, st := range occ.steps {
+			if st.waiting < st.remaining {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// startWaiting starts as many waiting tasks of a step as fit, up to a limit. If not all runs are known
 // that a former owner may have started, it starts only tasks that it has taken over, and
 // gangs of them.
 //
 // Load: a change of owners after which a runner stays silent, or has been lost for good,
 // while tasks that the new owner has taken over fail on the others.
-func (t *Table) startWaiting(st *stepState, allRunsKnown bool, now time.Time) {
+func (t *Table) startWaiting(st *stepState, limit int, allRunsKnown bool, now time.Time) {
 	if t.awaitsPermits(st, now) {
 		return
 	}
@@ -177,6 +205,9 @@
 			return
 		}
 		t.start(st, i, r, now)
+		if limit--; limit == 0 {
+			return
+		}
 	}
 }
 
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -446,6 +446,59 @@
 	})
 }
 
+// Guards against submissions of which nothing ever runs while more work is due than fits, as
+// smaller or older ones whose value has expired as well take all room.
+func TestExpiredSubmissionsTakeTurns(t *testing.T) {
+	for _, c := range []struct {
+		name, queue string
+		step        func(count int) submitter.Step
+	}{
+		{"tasks that reserve processors", "urgent", oneCore},
+		{"best-effort tasks", "night", func(count int) submitter.Step { return bestEffort("batch", count) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 0, 1)
+			for i, count := range []int{20, 30, 40} {
+				h.add(fmt.Sprintf("s%d", i), c.queue, c.step(count))
+			}
+			h.advance(20 * time.Second)
+			h.poll("r0")
+			orders := h.starts()
+			assertEachRuns(t, orders, "s0", "s1", "s2")
+			finish := func(o Order) {
+				h.drop(o)
+				h.poll("r0", End{Task: o.Task, Run: o.Run, Kind: Done})
+				h.advance(blockedPause)
+			}
+			t.Run("with one that is known later", func(t *testing.T) {
+				h.table.Add(&submitter.Submission{
+					ID: "late", Queue: c.queue, Steps: []submitter.Step{c.step(50)}, AcceptedAt: h.now.Add(-20 * time.Second),
+				}, nil, h.now)
+				finish(orders[0])
+				assertFirst(t, h.starts(), "late")
+			})
+			t.Run("and the rest starts in order", func(t *testing.T) {
+				finish(orders[3])
+				assertFirst(t, h.starts(), "s0")
+			})
+		})
+	}
+}
+
+// assertEachRuns checks that each of some submissions has a start.
+func assertEachRuns(t *testing.T, orders []Order, ids ...string) {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, o := range orders {
+		counts[o.Task.Submission]++
+	}
+	for _, id := range ids {
+		if counts[id] == 0 {
+			t.Errorf("starts %v, want some of %s", counts, id)
+		}
+	}
+}
+
 // assertFirst checks which submission the first start belongs to.
 func assertFirst(t *testing.T, orders []Order, want string) {
 	t.Helper()
