Release slots after Close without background work

A slot that was released while its daemon stopped could start to wait for its runner after Close had begun to wait for such work.

Such a slot closes its connection and is free at once.

--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -172,14 +172,15 @@
 		sl.slots.free(sl, nil)
 		return
 	}
-	sl.slots.background.Add(1)
-	go sl.drain()
+	if !sl.slots.runInBackground(sl.drain) {
+		sl.conn.Close()
+		sl.slots.free(sl, nil)
+	}
 }
 
 // drain frees the slot once the runner no longer works on the request, or after
 // the upstream's maximum duration.
 func (sl *Slot) drain() {
-	defer sl.slots.background.Done()
 	stop := context.AfterFunc(sl.slots.baseCtx, sl.conn.Close)
 	defer stop()
 	sl.conn.Drain(sl.slots.opts.Now().Add(sl.maxDuration()))
--- a/internal/process/slotter/slots.go
+++ b/internal/process/slotter/slots.go
@@ -213,6 +213,18 @@
 	return acquired.IsZero() || !now.Before(acquired.Add(up.longestDuration))
 }
 
+// runInBackground runs a function for which Close waits. It reports false, and runs nothing,
+// once Close was called.
+func (s *Slots) runInBackground(run func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.background.Go(run)
+	return true
+}
+
 // Close refuses queued requests, closes idle connections and waits for all
 // background work. Slots that are still draining have their connections closed.
 func (s *Slots) Close() error {
--- a/internal/process/slotter/slots_test.go
+++ b/internal/process/slotter/slots_test.go
@@ -329,3 +329,26 @@
 	}
 	f.assertFree(t, fixtureSlots)
 }
+
+// Guards against a slot that is released as the daemon stops and waits for its runner in the
+// background, although nobody waits for that any more. The race detector reported it.
+func TestSlotReleasedWhileClosing(t *testing.T) {
+	for range 20 {
+		f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		ctx, cancel := context.WithCancel(t.Context())
+		slot := f.mustAcquire(t)
+		var user sync.WaitGroup
+		user.Go(func() { _ = f.use(ctx, slot) }) // cancelled, or answered first
+		for f.served.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		user.Go(cancel)
+		if err := f.slots.Close(); err != nil {
+			t.Error(err)
+		}
+		user.Wait()
+		if r := slot.runner; r.inFlight != 0 {
+			t.Errorf("%d requests in flight after both, want none", r.inFlight)
+		}
+	}
+}
