Count arrivals by request in TestRouterHedges

The test counted all requests that arrive in a span, and so a second attempt of a request before it ("2 requests to /charms were sent 3 times"). It counts each of the four requests by its path, at the end, when nothing is in flight any more: what arrives late counts, too.

It also relied on a retry budget that the 200 requests before may have spent on a machine that slows down meanwhile; the budget is what bounds second attempts then. The test fills it before the runner hangs. What it asks of the hung runner, of the requests that must not be sent twice and of the second attempts is unchanged.

--- a/internal/request/router/hedge_test.go
+++ b/internal/request/router/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,29 +16,33 @@
 // without a key may then be sent to the other runner as well.
 func TestRouterHedges(t *testing.T) {
 	var hangs atomic.Bool
-	healthy := newFakeRunner(t, "charm-1", echo)
-	faulty := newFakeRunner(t, "charm-2", func(w http.ResponseWriter, r *http.Request) {
+	var arrivals arrivalCounts
+	healthy := newFakeRunner(t, "charm-1", arrivals.count(echo))
+	faulty := newFakeRunner(t, "charm-2", arrivals.count(func(w http.ResponseWriter, r *http.Request) {
 		echo(w, r)
 		if hangs.Load() {
 			<-r.Context().Done()
 		}
-	})
+	}))
 	d := newCluster(t, []string{"atl-a-1"}, healthy, faulty).daemons[0]
-	served := func() int64 { return healthy.served.Load() + faulty.served.Load() }
-	send := func(times int, path string, fields ...string) (complete int) {
+	send := func(name, path string, times int, fields ...string) (complete int) {
 		for number := range times {
+			id := name + "-" + strconv.Itoa(number)
 			if len(fields) > 2 {
-				fields[3] = strconv.Itoa(number)
+				fields[3] = id
 			}
-			if got := call(t, d, http.MethodPost, path, "print", fields...); got.err == nil && got.status == http.StatusOK {
+			if got := call(t, d, http.MethodPost, path+"/"+id, "print", fields...); got.err == nil && got.status == http.StatusOK {
 				complete++
 			}
 		}
 		return complete
 	}
-	if complete := send(200, "/charms/proofs"); complete != 200 {
+	if complete := send("before", "/charms/proofs", 200); complete != 200 {
 		t.Fatalf("%d of 200 requests got a complete response", complete)
 	}
+	for range 200 {
+		d.router.budgets.Earn("charms", 10) // the requests before may have spent theirs
+	}
 	hangs.Store(true)
 	soon := []string{answerer.HeaderDeadline, "300"}
 	never := map[string][]string{
@@ -45,23 +50,50 @@
 		"/charms/proofs": append(soon, answerer.HeaderIdempotencyKey, ""),
 	}
 	for path, fields := range never {
-		before := served()
-		send(2, path, fields...)
-		if got := served() - before; got != 2 {
-			t.Errorf("2 requests to %s with %v were sent %d times", path, fields, got)
-		}
+		send("once", path, 2, fields...)
 	}
-	if complete := send(6, "/charms/proofs"); complete != 6 {
+	if complete := send("after", "/charms/proofs", 6); complete != 6 {
 		t.Errorf("%d of 6 idempotent requests got a complete response", complete)
 	}
 	if d.router.Counters()["retried"] == 0 {
 		t.Error("no second attempt was made")
 	}
-	for range 500 {
-		if faulty.inFlight.Load() == 0 {
-			return
+	for until := time.Now().Add(5 * time.Second); faulty.inFlight.Load() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d requests are still in flight at the hung runner", faulty.inFlight.Load())
+		}
+	}
+	for path, fields := range never {
+		for _, id := range []string{"once-0", "once-1"} {
+			if got := arrivals.of(path + "/" + id); got != 1 {
+				t.Errorf("request to %s/%s with %v was sent %d times", path, id, fields, got)
+			}
+		}
+	}
+}
+
+// arrivalCounts counts the requests that arrive at runners, by path.
+type arrivalCounts struct {
+	mu     sync.Mutex
+	byPath map[string]int
+}
+
+// count returns a handler that counts requests before it passes them on.
+func (c *arrivalCounts) count(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c.mu.Lock()
+		if c.byPath == nil {
+			c.byPath = make(map[string]int)
 		}
-		time.Sleep(10 * time.Millisecond)
+		c.byPath[r.URL.Path]++
+		c.mu.Unlock()
+		next(w, r)
 	}
-	t.Errorf("%d requests are still in flight at the hung runner", faulty.inFlight.Load())
+}
+
+// of returns how many requests to a path have arrived.
+func (c *arrivalCounts) of(path string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byPath[path]
 }
