Give turns to late submissions, too

Now one task of each submission that is late or expired, and of which nothing runs, goes before the other late work of its priority. On-time work, and late work of more urgent queues, goes first as before.

TestLateSubmissionsTakeTurns, which replaces the test of expired ones and asks the same of them, failed before with late ones.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -33,6 +33,8 @@
 	st       *stepState
 	tier     int
 	priority int
+	// isTurn says that one task may start, of a submission of which nothing runs.
+	isTurn bool
 	// work is what is left of a best-effort submission, in milliCores times seconds.
 	work float64
 	// dueBy is the time up to which the submission earns its full value.
@@ -40,12 +42,10 @@
 }
 
 // Tiers of urgency. Work that can still meet its objective goes first, then late
-// work, then work that has lost its value: first one task of each such submission of which
-// nothing runs, then the rest.
+// work, then work that has lost its value.
 const (
 	tierOnTime = iota
 	tierLate
-	tierUnserved
 	tierExpired
 )
 
@@ -73,7 +73,7 @@
 			return
 		}
 		limit := math.MaxInt
-		if c.tier == tierUnserved {
+		if c.isTurn {
 			if c.st.s.hasRuns() {
 				continue // another step of the submission has started
 			}
@@ -88,8 +88,9 @@
 //
 // Load: bursts in which more work is due than fits. Submissions of the same
 // priority are ordered by the time at which they stop earning their full value, so
-// that those wait that can best afford to. What has lost its value takes turns: the tasks of
-// the smallest submissions, or of the oldest ones, would keep the others from ever running.
+// that those wait that can best afford to. What is late takes turns, whether or not it has
+// lost its value: the tasks of the smallest submissions, or of the oldest ones, would keep the
+// others from ever running.
 func (t *Table) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, s := range t.unfinished() {
@@ -110,9 +111,8 @@
 				}
 				c := newCandidate(st, queue, now)
 				list = append(list, c)
-				if c.tier == tierExpired && !s.hasRuns() {
-					c.tier, c.work = tierUnserved, 0
-					list = append(list, c)
+				if c.tier != tierOnTime && !s.hasRuns() {
+					list = append(list, c.asTurn())
 				}
 			}
 		}
@@ -121,6 +121,7 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
+			compareTurns(a, b),
 			cmp.Compare(a.work, b.work),
 			a.dueBy.Compare(b.dueBy),
 			cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID),
@@ -129,6 +130,25 @@
 	return list
 }
 
+// asTurn returns the candidate for one task that goes before other late work of its
+// priority.
+func (c candidate) asTurn() candidate {
+	c.tier, c.isTurn, c.work = tierLate, true, 0
+	return c
+}
+
+// compareTurns puts the candidates for one task first.
+func compareTurns(a, b candidate) int {
+	switch {
+	case a.isTurn == b.isTurn:
+		return 0
+	case a.isTurn:
+		return -1
+	default:
+		return 1
+	}
+}
+
 func newCandidate(st *stepState, queue submitter.Queue, now time.Time) candidate {
 	since := st.occ.dueAt
 	c := candidate{st: st, priority: queue.Priority, dueBy: since.Add(st.s.objective)}
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -447,21 +447,25 @@
 }
 
 // Guards against submissions of which nothing ever runs while more work is due than fits, as
-// smaller or older ones whose value has expired as well take all room.
-func TestExpiredSubmissionsTakeTurns(t *testing.T) {
+// smaller or older ones that are late as well take all room.
+func TestLateSubmissionsTakeTurns(t *testing.T) {
+	const late, expired = 3500 * time.Millisecond, 20 * time.Second
 	for _, c := range []struct {
 		name, queue string
 		step        func(count int) submitter.Step
+		age         time.Duration
 	}{
-		{"tasks that reserve processors", "urgent", oneCore},
-		{"best-effort tasks", "night", func(count int) submitter.Step { return bestEffort("batch", count) }},
+		{"late tasks that reserve processors", "urgent", oneCore, late},
+		{"late best-effort tasks", "night", bestEffortTasks, late},
+		{"expired tasks that reserve processors", "urgent", oneCore, expired},
+		{"expired best-effort tasks", "night", bestEffortTasks, expired},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t, 0, 1)
 			for i, count := range []int{20, 30, 40} {
 				h.add(fmt.Sprintf("s%d", i), c.queue, c.step(count))
 			}
-			h.advance(20 * time.Second)
+			h.advance(c.age)
 			h.poll("r0")
 			orders := h.starts()
 			assertEachRuns(t, orders, "s0", "s1", "s2")
@@ -470,12 +474,12 @@
 				h.poll("r0", End{Task: o.Task, Run: o.Run, Kind: Done})
 				h.advance(blockedPause)
 			}
-			t.Run("with one that is known later", func(t *testing.T) {
+			t.Run("with an expired one that is known later", func(t *testing.T) {
 				h.table.Add(&submitter.Submission{
-					ID: "late", Queue: c.queue, Steps: []submitter.Step{c.step(50)}, AcceptedAt: h.now.Add(-20 * time.Second),
+					ID: "known later", Queue: c.queue, Steps: []submitter.Step{c.step(50)}, AcceptedAt: h.now.Add(-expired),
 				}, nil, h.now)
 				finish(orders[0])
-				assertFirst(t, h.starts(), "late")
+				assertFirst(t, h.starts(), "known later")
 			})
 			t.Run("and the rest starts in order", func(t *testing.T) {
 				finish(orders[3])
@@ -483,8 +487,23 @@
 			})
 		})
 	}
+	t.Run("after late submissions of a more urgent queue", func(t *testing.T) {
+		h := newHarness(t, 0, 1)
+		h.add("urgent", "urgent", oneCore(20))
+		h.add("night", "night", oneCore(1))
+		h.advance(late)
+		h.poll("r0")
+		for _, o := range h.starts() {
+			if o.Task.Submission != "urgent" {
+				t.Errorf("started %s before the urgent submission", o.Task)
+			}
+		}
+	})
 }
 
+// bestEffortTasks returns a step of best-effort tasks.
+func bestEffortTasks(count int) submitter.Step { return bestEffort("batch", count) }
+
 // assertEachRuns checks that each of some submissions has a start.
 func assertEachRuns(t *testing.T, orders []Order, ids ...string) {
 	t.Helper()
