--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -51,7 +51,8 @@
 	// have started, with the runners that it has waited for last.
 	EventRunsKnown recorder.Number = 6117
 	// EventQuorum is recorded once so many runners of the roster that a new owner has found
-	// have accepted its fencing token that no former owner has a quorum any more. No former owner moves the end of a lease from then on.
+	// have accepted its fencing token that no former owner has a quorum any more. None of
+	// them moves the end of a lease from then on.
 	EventQuorum recorder.Number = 6118
 )
 
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -179,9 +179,9 @@
 	return false
 }
 
-// startWaiting starts as many waiting tasks of a step as fit, up to a limit. If not all runs are known
-// that a former owner may have started, it starts only tasks that it has taken over, and
-// gangs of them.
+// startWaiting starts as many waiting tasks of a step as fit, up to a limit, which does not
+// hold for gangs. If not all runs are known that a former owner may have started, it starts
+// only tasks that it has taken over, and gangs of them.
 //
 // Load: a change of owners after which a runner stays silent, or has been lost for good,
 // while tasks that the new owner has taken over fail on the others.
