--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -33,8 +33,6 @@
 	st       *stepState
 	tier     int
 	priority int
-	// isTurn says that one task may start, of a submission of which nothing runs.
-	isTurn bool
 	// work is what is left of a best-effort submission, in milliCores times seconds.
 	work float64
 	// dueBy is the time up to which the submission earns its full value.
@@ -72,15 +70,8 @@
 		if t.isQueueFull() {
 			return
 		}
-		limit := math.MaxInt
-		if c.isTurn {
-			if c.st.s.hasRuns() {
-				continue // another step of the submission has started
-			}
-			limit = 1
-		}
 		// A former owner may have started tasks where runs are not known yet.
-		t.startWaiting(c.st, limit, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
+		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
 	}
 }
 
@@ -88,9 +79,7 @@
 //
 // Load: bursts in which more work is due than fits. Submissions of the same
 // priority are ordered by the time at which they stop earning their full value, so
-// that those wait that can best afford to. What is late takes turns, whether or not it has
-// lost its value: the tasks of the smallest submissions, or of the oldest ones, would keep the
-// others from ever running.
+// that those wait that can best afford to.
 func (t *Table) candidates(now time.Time) []candidate {
 	var list []candidate
 	for _, s := range t.unfinished() {
@@ -106,13 +95,8 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if !st.ready || st.waiting == 0 || st.remaining == 0 || t.isBlocked(st, now) {
-					continue
-				}
-				c := newCandidate(st, queue, now)
-				list = append(list, c)
-				if c.tier != tierOnTime && !s.hasRuns() {
-					list = append(list, c.asTurn())
+				if st.ready && st.waiting > 0 && st.remaining > 0 && !t.isBlocked(st, now) {
+					list = append(list, newCandidate(st, queue, now))
 				}
 			}
 		}
@@ -121,7 +105,6 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
-			compareTurns(a, b),
 			cmp.Compare(a.work, b.work),
 			a.dueBy.Compare(b.dueBy),
 			cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID),
@@ -130,25 +113,6 @@
 	return list
 }
 
-// asTurn returns the candidate for one task that goes before other late work of its
-// priority.
-func (c candidate) asTurn() candidate {
-	c.tier, c.isTurn, c.work = tierLate, true, 0
-	return c
-}
-
-// compareTurns puts the candidates for one task first.
-func compareTurns(a, b candidate) int {
-	switch {
-	case a.isTurn == b.isTurn:
-		return 0
-	case a.isTurn:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func newCandidate(st *stepState, queue submitter.Queue, now time.Time) candidate {
 	since := st.occ.dueAt
 	c := candidate{st: st, priority: queue.Priority, dueBy: since.Add(st.s.objective)}
@@ -167,25 +131,13 @@
 	return c
 }
 
-// hasRuns reports whether a task of a submission that is not done has a run.
-func (s *submission) hasRuns() bool {
-	for _, occ := range s.occs {
-		for _, st := range occ.steps {
-			if st.waiting < st.remaining {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// startWaiting starts as many waiting tasks of a step as fit, up to a limit, which does not
-// hold for gangs. If not all runs are known that a former owner may have started, it starts
-// only tasks that it has taken over, and gangs of them.
+// startWaiting starts as many waiting tasks of a step as fit. If not all runs are known
+// that a former owner may have started, it starts only tasks that it has taken over, and
+// gangs of them.
 //
 // Load: a change of owners after which a runner stays silent, or has been lost for good,
 // while tasks that the new owner has taken over fail on the others.
-func (t *Table) startWaiting(st *stepState, limit int, allRunsKnown bool, now time.Time) {
+func (t *Table) startWaiting(st *stepState, allRunsKnown bool, now time.Time) {
 	if t.awaitsPermits(st, now) {
 		return
 	}
@@ -225,9 +177,6 @@
 			return
 		}
 		t.start(st, i, r, now)
-		if limit--; limit == 0 {
-			return
-		}
 	}
 }
 
