Record why best-effort steps wait

6107 now comes for best-effort steps of which nothing has run for 3 s, at most two each tick. It tells the obstacles of such tasks apart, which were all "excluded" (disturbing, notSpare, halted), and what became of the attempts: failed, passed over, starts of others meanwhile.

--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -80,6 +80,7 @@
 func (t *Table) enqueue(x *run) {
 	x.isQueued = true
 	t.queuedStarts++
+	t.starts++
 }
 
 // dequeue notes that a start has been sent or withdrawn.
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -22,6 +22,10 @@
 	excluded     obstacle = "excluded"   // by the step, or services there
 	avoided      obstacle = "avoided"    // the task failed there
 	notPermitted obstacle = "notPermitted"
+	// Obstacles of best-effort tasks.
+	halted     obstacle = "halted"     // best-effort tasks have been halted there
+	notSpare   obstacle = "notSpare"   // other tasks there are expected to use the processors
+	disturbing obstacle = "disturbing" // the task would disturb a service there
 )
 
 // obstacle returns what keeps a task from a runner now, apart from permits.
@@ -53,17 +57,24 @@
 		return excluded
 	case t.avoids(r, st, k, now):
 		return avoided
-	case st.spec.Fills && !t.hasBestEffortRoom(r, st, now):
-		return excluded
+	case st.spec.Fills:
+		return t.bestEffortObstacle(r, st, now)
 	}
 	return eligible
 }
 
-// hasBestEffortRoom reports whether the other tasks on a runner leave enough for one more
-// task of a best-effort step.
-func (t *Table) hasBestEffortRoom(r *runner, st *stepState, now time.Time) bool {
-	return !r.halted && r.spare() >= minBestEffortShare*float64(r.bestEffortMilliCores+st.spec.MilliCores) &&
-		t.interference.headroom(r, st, now) >= 0
+// bestEffortObstacle returns whether the other tasks on a runner leave enough for one more
+// task of a best-effort step, and what is missing if not.
+func (t *Table) bestEffortObstacle(r *runner, st *stepState, now time.Time) obstacle {
+	switch {
+	case r.halted:
+		return halted
+	case r.spare() < minBestEffortShare*float64(r.bestEffortMilliCores+st.spec.MilliCores):
+		return notSpare
+	case t.interference.headroom(r, st, now) < 0:
+		return disturbing
+	}
+	return eligible
 }
 
 // avoidFor is how long a task avoids the runner on which it has failed.
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -159,6 +159,7 @@
 		isSuspected := k.isSuspected(now)
 		if !isSuspected && t.hadNoRoom(st, k) && !t.hasReservedRoom(st) {
 			st.blockedAt = now
+			st.attempts.passedOver++
 			if st.crashed > 0 || t.isNew(st, k) {
 				continue // a runner may be held for another task, or owed to it
 			}
@@ -167,6 +168,7 @@
 		r := t.choose(st, k, now)
 		if r == nil {
 			st.blockedAt = now
+			st.attempts.failed++
 			if k.avoid != "" || len(k.crashes) > 0 {
 				continue // another task may run on a runner that this one has to avoid
 			}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -65,11 +65,11 @@
 	gangCheckpoint string
 	// blockedAt is when the step last found no runner with room.
 	blockedAt time.Time
-	// waitingSince is when tasks of a ready step, other than a best-effort one, were
-	// first seen without a run, or zero if all have one. warnedAt is when that was last
-	// recorded.
+	// waitingSince is when a step was first seen waiting, or zero if it does not wait;
+	// warnedAt is when that was last recorded, and attempts what was tried meanwhile.
 	waitingSince time.Time
 	warnedAt     time.Time
+	attempts     attempts
 	// consolidateAfter is when room may be sought again by moving tasks of other steps.
 	consolidateAfter time.Time
 	// permits holds the received permits by runner. requestPending says that a
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -114,6 +114,8 @@
 	orders []Order // decided since the last call of Orders
 	// queuedStarts is the number of starts that are decided and not sent yet.
 	queuedStarts int
+	// starts is the number of starts that were decided.
+	starts int
 	// isPlacementDeferred says that a placement pass ended early as too many starts were
 	// queued.
 	isPlacementDeferred bool
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -15,34 +15,59 @@
 	warnAfter = 3 * time.Second
 	// warnInterval is the pause before it is recorded again.
 	warnInterval = 10 * time.Second
+	// bestEffortWarnings is the number of best-effort steps that are recorded at a tick.
+	bestEffortWarnings = 2
 )
 
+// attempts counts what became of the attempts to start a step since it waits.
+type attempts struct {
+	failed     int // all runners were tried and none could take the task
+	passedOver int // no runner was tried, as none had room for a task of the shape before
+	startsThen int // starts of the table when the step began to wait
+}
+
 // watchWaiting records why tasks of ready steps have had no run for long. Best-effort
-// tasks wait for what others leave and are left out.
+// steps wait for what others leave: they count once nothing of them runs.
 func (t *Table) watchWaiting(now time.Time) {
+	left := bestEffortWarnings
 	for _, s := range t.unfinished() {
 		for _, occ := range s.occs {
 			for _, st := range occ.steps {
-				if st.spec.Fills || !st.ready || st.waiting == 0 {
+				if !st.isWaiting() {
 					st.waitingSince = time.Time{}
 					continue
 				}
 				if st.waitingSince.IsZero() {
-					st.waitingSince = now
+					st.waitingSince, st.attempts = now, attempts{startsThen: t.starts}
+				}
+				if now.Sub(st.waitingSince) < warnAfter || now.Sub(st.warnedAt) < warnInterval {
+					continue
 				}
-				if now.Sub(st.waitingSince) >= warnAfter && now.Sub(st.warnedAt) >= warnInterval {
-					st.warnedAt = now
-					t.recordWaiting(st, now)
+				if st.spec.Fills {
+					if left == 0 {
+						continue
+					}
+					left--
 				}
+				st.warnedAt = now
+				t.recordWaiting(st, now)
 			}
 		}
 	}
 }
 
+// isWaiting reports whether a step has tasks that could run and don't, or, if it is a
+// best-effort step, has no run at all.
+func (st *stepState) isWaiting() bool {
+	return st.ready && st.waiting > 0 && (!st.spec.Fills || st.waiting == st.remaining)
+}
+
 func (t *Table) recordWaiting(st *stepState, now time.Time) {
 	pairs := []string{
 		"step", strconv.Itoa(st.index), "waiting", strconv.Itoa(st.waiting), "waitedMs", age(now, st.waitingSince),
 		"allRunsKnown", strconv.FormatBool(t.knowsAllRuns(now)),
+		"failedAttempts", strconv.Itoa(st.attempts.failed), "passedOver", strconv.Itoa(st.attempts.passedOver),
+		"startsMeanwhile", strconv.Itoa(t.starts - st.attempts.startsThen), "queuedStarts", strconv.Itoa(t.queuedStarts),
 	}
 	obstacles := make(map[obstacle]int)
 	var mostFree int64
--- a/internal/version/dispatcher/waiting_test.go
+++ b/internal/version/dispatcher/waiting_test.go
@@ -40,3 +40,25 @@
 		t.Errorf("event %v, want one task that waits as both runners are full", event)
 	}
 }
+
+func TestWaitingBestEffortStepsAreRecorded(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	log := &eventLog{number: EventWaiting}
+	h.table.rec = log
+	h.poll("r0")
+	h.add("a", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 8000}})
+	h.add("b", "night", bestEffort("batch", 2))
+	assertStarts(t, h.starts(), 1)
+	for range 40 {
+		h.advance(200 * time.Millisecond)
+		h.poll("r0")
+		h.starts()
+	}
+	if len(log.events) != 1 {
+		t.Fatalf("events %v, want one within 8 s", log.events)
+	}
+	event := log.events[0]
+	if event["id"] != "b" || event["notSpare"] != "1" || event["failedAttempts"] == "0" || event["startsMeanwhile"] != "0" {
+		t.Errorf("event %v, want a step that was tried, and that the other task leaves no processors", event)
+	}
+}
