--- /dev/null
+++ b/internal/version/dispatcher/turns_test.go
@@ -0,0 +1,163 @@
+package dispatcher
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// Guards against submissions of which nothing ever runs while more work is due than fits, as
+// smaller or older ones that are late as well take all room.
+func TestLateSubmissionsTakeTurns(t *testing.T) {
+	const late, expired = 3500 * time.Millisecond, 20 * time.Second
+	for _, c := range []struct {
+		name, queue string
+		step        func(count int) submitter.Step
+		age         time.Duration
+	}{
+		{"late tasks that reserve processors", "urgent", oneCore, late},
+		{"late best-effort tasks", "night", bestEffortTasks, late},
+		{"expired tasks that reserve processors", "urgent", oneCore, expired},
+		{"expired best-effort tasks", "night", bestEffortTasks, expired},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 0, 1)
+			for i, count := range []int{20, 30, 40} {
+				h.add(fmt.Sprintf("s%d", i), c.queue, c.step(count))
+			}
+			h.advance(c.age)
+			h.poll("r0")
+			orders := h.starts()
+			assertEachRuns(t, orders, "s0", "s1", "s2")
+			finish := func(o Order) {
+				h.drop(o)
+				h.poll("r0", End{Task: o.Task, Run: o.Run, Kind: Done})
+				h.advance(blockedPause)
+			}
+			t.Run("with an expired one that is known later", func(t *testing.T) {
+				h.table.Add(&submitter.Submission{
+					ID: "known later", Queue: c.queue, Steps: []submitter.Step{c.step(50)}, AcceptedAt: h.now.Add(-expired),
+				}, nil, h.now)
+				finish(orders[0])
+				assertFirst(t, h.starts(), "known later")
+			})
+			t.Run("and the rest starts in order", func(t *testing.T) {
+				finish(orders[3])
+				assertFirst(t, h.starts(), "s0")
+			})
+		})
+	}
+	t.Run("after late submissions of a more urgent queue", func(t *testing.T) {
+		h := newHarness(t, 0, 1)
+		h.add("urgent", "urgent", oneCore(20))
+		h.add("night", "night", oneCore(1))
+		h.advance(late)
+		h.poll("r0")
+		for _, o := range h.starts() {
+			if o.Task.Submission != "urgent" {
+				t.Errorf("started %s before the urgent submission", o.Task)
+			}
+		}
+	})
+}
+
+// bestEffortTasks returns a step of best-effort tasks.
+func bestEffortTasks(count int) submitter.Step { return bestEffort("batch", count) }
+
+// assertEachRuns checks that each of some submissions has a start.
+func assertEachRuns(t *testing.T, orders []Order, ids ...string) {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, o := range orders {
+		counts[o.Task.Submission]++
+	}
+	for _, id := range ids {
+		if counts[id] == 0 {
+			t.Errorf("starts %v, want some of %s", counts, id)
+		}
+	}
+}
+
+// Guards against a large best-effort task that never runs, as smaller ones take each gap that
+// is too small for it at full speed.
+func TestIdleTaskStartsInAGapThatSmallOnesWouldTake(t *testing.T) {
+	h, _ := newContendedHarness(t)
+	for range 50 {
+		h.table.interference.pressures.Learn("web", 0.3, map[string]float64{"batch": 4})
+	}
+	h.add("small", "night", bestEffort("batch", 200))
+	h.reportTail(8)
+	running := h.starts()
+	large := bestEffort("batch", 1)
+	large.MilliCores = 4000
+	h.add("large", "night", large)
+	h.advance(20 * time.Second)
+	h.reportTail(8)
+	for i := range 20 {
+		if len(running) == 0 {
+			t.Fatalf("nothing runs after %d ends", i)
+		}
+		h.drop(running[0])
+		h.poll("r0", End{Task: running[0].Task, Run: running[0].Run, Kind: Done})
+		running = running[1:]
+		h.advance(blockedPause)
+		h.reportTail(8)
+		h.table.Schedule(h.now)
+		orders := h.table.Orders()
+		for _, o := range h.execute(orders) {
+			if o.Task.Submission != "large" {
+				running = append(running, o)
+				continue
+			}
+			x := h.table.runners["r0"].runs[runKey{o.Task, o.Run}]
+			if x.pace == fullPace {
+				t.Error("the large task runs at full pace beside the others, want it slower")
+			}
+			return
+		}
+	}
+	t.Error("the large task has not started after 20 ends")
+}
+
+// Guards against late submissions that never run while more work keeps arriving than fits,
+// and against such ones that take the room of work that is on time.
+func TestLateSubmissionsRunWhileWorkKeepsArriving(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.poll("r0")
+	const late = 3
+	for i := range late {
+		h.add(fmt.Sprint("late", i), "night", bestEffort("batch", 2))
+	}
+	h.advance(10 * time.Second)
+	h.add("first", "night", bestEffort("batch", 30))
+	h.table.placementDue = true
+	var running []Order
+	hasStarted := make(map[string]bool)
+	for round := range 120 {
+		h.add(fmt.Sprint("new", round), "night", bestEffort("batch", 10))
+		for range min(4, len(running)) {
+			h.drop(running[0])
+			h.poll("r0", End{Task: running[0].Task, Run: running[0].Run, Kind: Done})
+			running = running[1:]
+		}
+		h.advance(250 * time.Millisecond)
+		h.poll("r0")
+		running = append(running, h.starts()...)
+		together := 0
+		for _, o := range running {
+			if strings.HasPrefix(o.Task.Submission, "late") {
+				hasStarted[o.Task.Submission] = true
+				together++
+			}
+		}
+		if together > 1 && round > 8 {
+			t.Errorf("round %d: %d tasks of late submissions run, want at most 1 while others lack room", round, together)
+		}
+	}
+	if len(hasStarted) != late {
+		t.Errorf("%d of %d late submissions have started within 30 s", len(hasStarted), late)
+	}
+}
