Test that fails: tasks lost with their owner get no room

TestRoomIsMadeForTasksLostWithTheirOwner fails on the code as it is: "the task has not started again within 9s".

--- a/internal/version/dispatcher/consolidating_test.go
+++ b/internal/version/dispatcher/consolidating_test.go
@@ -8,18 +8,18 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// newFragmentedHarness returns a harness with two runners of eight processors each. A task of
-// two runs on one of them, and one of three on the other. A task of seven has lost its runner.
-func newFragmentedHarness(t *testing.T, change func(step *submitter.Step)) *harness {
+// newPackedHarness returns a harness with three runners of eight processors each. A task of
+// two runs on one of them, one of three on another, and one of seven on the last.
+func newPackedHarness(t *testing.T, change func(step *submitter.Step)) (h *harness, on map[string]Order) {
 	t.Helper()
-	h := newHarness(t, 0, 3)
+	h = newHarness(t, 0, 3)
 	infos := h.table.Runners()
 	for i := range infos {
 		infos[i].Labels = []string{"at-" + infos[i].ID}
 	}
 	h.table.SetRunners(infos, h.now)
 	h.pollAll(3)
-	on := make(map[string]Order)
+	on = make(map[string]Order)
 	for runner, milliCores := range map[string]int64{"r0": 2000, "r1": 3000, "r2": 7000} {
 		step := lasting(1, milliCores)
 		step.Affinity = "at-" + runner
@@ -30,8 +30,17 @@
 		on[runner] = starts[0]
 	}
 	h.pass(settledAfter)
+	return h, on
+}
+
+// newFragmentedHarness returns a packed harness in which the task of seven processors has
+// lost its runner.
+func newFragmentedHarness(t *testing.T, change func(step *submitter.Step)) *harness {
+	t.Helper()
+	h, on := newPackedHarness(t, change)
 	h.drop(on["r2"])
 	h.poll("r2", End{Task: on["r2"].Task, Run: on["r2"].Run, Kind: Lapsed})
+	infos := h.table.Runners()
 	for i := range infos {
 		infos[i].Draining = infos[i].ID == "r2"
 	}
@@ -41,11 +50,7 @@
 
 // pass lets time pass while all runners answer and all runs are at work.
 func (h *harness) pass(d time.Duration) {
-	for _, rows := range h.reported {
-		for i := range rows {
-			rows[i].Percent = 100
-		}
-	}
+	h.work()
 	for until := h.now.Add(d); h.now.Before(until); h.advance(200 * time.Millisecond) {
 		h.pollAll(3)
 	}
@@ -56,15 +61,7 @@
 func TestRoomIsMadeForInterruptedTasks(t *testing.T) {
 	assertRuns := func(t *testing.T, h *harness, want bool) {
 		t.Helper()
-		ran := false
-		for until := h.now.Add(3 * time.Second); h.now.Before(until); {
-			h.pollAll(3)
-			h.stops()
-			for _, o := range h.starts() {
-				ran = ran || o.Task.Submission == "r2"
-			}
-		}
-		if ran != want {
+		if ran := h.startsWithin(3 * time.Second)["r2"] > 0; ran != want {
 			t.Errorf("the interrupted task runs again: %t, want %t", ran, want)
 		}
 	}
@@ -101,3 +98,13 @@
 		assertRuns(t, h, false)
 	})
 }
+
+// Guards against a long-running task that has run and gets no room: all runs of its step were
+// lost together with the owner, and the next owner took the task for one that has never run.
+func TestRoomIsMadeForTasksLostWithTheirOwner(t *testing.T) {
+	former, _ := newPackedHarness(t, func(*submitter.Step) {})
+	h := former.succeed("r2")
+	if h.startsWithin(interruptionBound)["r2"] == 0 {
+		t.Errorf("the task has not started again within %v", interruptionBound)
+	}
+}
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,6 +161,57 @@
 	return on, "r0"
 }
 
+// work lets all runs be at work.
+func (h *harness) work() {
+	for _, rows := range h.reported {
+		for i := range rows {
+			rows[i].Percent = 100
+		}
+	}
+}
+
+// startsWithin returns the number of tasks that start within some time, by submission. The
+// registered runners answer and carry out their orders, and what runs there is at work.
+func (h *harness) startsWithin(d time.Duration) (starts map[string]int) {
+	starts = make(map[string]int)
+	for until := h.now.Add(d); h.now.Before(until); {
+		h.work()
+		for _, info := range h.table.Runners() {
+			if h.table.runners[info.ID].isRegistered {
+				h.poll(info.ID)
+			}
+		}
+		h.stops()
+		for _, o := range h.starts() {
+			starts[o.Task.Submission]++
+		}
+	}
+	return starts
+}
+
+// succeed returns a harness of the next owner. This one is lost, with some of the runners,
+// once all progress is saved.
+func (h *harness) succeed(lost ...string) *harness {
+	next := newHarness(h.t, 1, 0)
+	next.table.ExpectRunners(h.table.Roster(nil, h.now))
+	var infos []RunnerInfo
+	for _, info := range h.table.Runners() {
+		if !slices.Contains(lost, info.ID) {
+			infos = append(infos, info)
+			next.reported[info.ID] = slices.Clone(h.reported[info.ID])
+		}
+	}
+	next.table.SetRunners(infos, next.now)
+	progress := make(map[string]*submitter.Progress)
+	for _, rec := range h.table.Unsaved(len(h.table.subs)) {
+		progress[rec.ID] = rec.Progress
+	}
+	for _, s := range h.table.active {
+		next.table.Add(s.sub, progress[s.sub.ID], next.now)
+	}
+	return next
+}
+
 // oneCore returns a step of small tasks.
 func oneCore(count int) submitter.Step {
 	return submitter.Step{Count: count, Resources: submitter.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second}
