Test that fails: new tasks take the room of those lost with their owner

TestNewTasksLeaveRoomForThoseLostWithTheirOwner fails on the code as it is: "starts map[new:14], want 10 of a and b".

--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -294,6 +294,23 @@
 	c.assertRunAgain(interrupted)
 }
 
+// Guards against new tasks in the room of those that were lost together with the owner, before
+// the next owner knows all runs.
+func TestNewTasksLeaveRoomForThoseLostWithTheirOwner(t *testing.T) {
+	former := newHarness(t, 0, 20)
+	former.pollAll(20)
+	for _, id := range []string{"a", "b"} {
+		former.add(id, "urgent", lasting(10, 3000))
+	}
+	assertStarts(t, former.starts(), 20)
+	h := former.succeed("r0", "r1", "r5", "r6", "r7") // on which ten tasks of both run
+	sub := &submitter.Submission{ID: "new", Queue: "urgent", Steps: []submitter.Step{lasting(25, 3000)}, AcceptedAt: h.now, Owner: testFence}
+	h.table.Add(sub, nil, h.now)
+	if starts := h.startsWithin(interruptionBound); starts["a"]+starts["b"] != 10 {
+		t.Errorf("starts %v, want 10 of a and b", starts)
+	}
+}
+
 // Guards against a part that is full of long-running tasks, where those that are interrupted
 // without notice find no room and short tasks wait for long.
 func TestNewTasksLeaveSomeRunners(t *testing.T) {
