Store that a long-running step has begun

Callers saw a long-running task that has run and does not run again for 20 s, on runners that are nearly full (LOST).

Cause: an owner knew only from the lists of the runners that a former owner has started tasks of a step. Runs are packed, so that all tasks of a step often run on one runner. If that is lost together with the owner, the next one finds no run, and takes the tasks for ones that have never run: these wait for room that is kept for interrupted ones, and get none reserved or made. The same holds for a run whose end was acknowledged by an owner that was lost after that.

Now the first run of a long-running step that is known to have begun makes the progress dirty, once for a step; a successor reads it with the rest of the progress.

--- a/internal/version/dispatcher/consolidating_test.go
+++ b/internal/version/dispatcher/consolidating_test.go
@@ -102,9 +102,18 @@
 // Guards against a long-running task that has run and gets no room: all runs of its step were
 // lost together with the owner, and the next owner took the task for one that has never run.
 func TestRoomIsMadeForTasksLostWithTheirOwner(t *testing.T) {
-	former, _ := newPackedHarness(t, func(*submitter.Step) {})
-	h := former.succeed("r2")
-	if h.startsWithin(interruptionBound)["r2"] == 0 {
-		t.Errorf("the task has not started again within %v", interruptionBound)
+	assertStartsAgain := func(t *testing.T, h *harness) {
+		t.Helper()
+		if h.startsWithin(interruptionBound)["r2"] == 0 {
+			t.Errorf("the task has not started again within %v", interruptionBound)
+		}
 	}
+	t.Run("after one change of owner", func(t *testing.T) {
+		former, _ := newPackedHarness(t, func(*submitter.Step) {})
+		assertStartsAgain(t, former.succeed("r2"))
+	})
+	t.Run("after two changes of owner", func(t *testing.T) {
+		former, _ := newPackedHarness(t, func(*submitter.Step) {})
+		assertStartsAgain(t, former.succeed("r2").succeed())
+	})
 }
--- a/internal/version/dispatcher/interrupted.go
+++ b/internal/version/dispatcher/interrupted.go
@@ -8,6 +8,18 @@
 	return st.spec.LongRunning && len(k.runs) == 0 && k.endedAt.IsZero() && !st.ranBefore
 }
 
+// markBegun notes that a run of a step is known to have begun. Of a long-running step it is
+// stored, so that a successor which finds none of its runs does not take the tasks for new.
+//
+// Load: all tasks of a step on one runner, which is lost together with the owner.
+func (t *Table) markBegun(st *stepState) {
+	if !st.spec.LongRunning || st.hasBegun || st.s.state.IsFinal() {
+		return
+	}
+	st.hasBegun = true
+	t.markDirty(st.s)
+}
+
 // interrupted returns the number of long-running tasks of a ready step that have run before
 // and wait for their next run. Those that may run on a runner whose runs are not known yet
 // are left out.
--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -363,3 +363,22 @@
 	}
 	c.assertRunAgain(c.leave())
 }
+
+// Guards against a write to the store for each start or report of a long-running task.
+func TestBeginningOfAStepIsSavedOnce(t *testing.T) {
+	h := newHarness(t, 0, 2)
+	assertUnsaved := func(want int) {
+		t.Helper()
+		if records := h.table.Unsaved(10); len(records) != want {
+			t.Errorf("%d unsaved records, want %d", len(records), want)
+		}
+	}
+	h.pollAll(2)
+	h.add("lasting", "urgent", lasting(2, 1000))
+	h.add("short", "urgent", oneCore(2))
+	assertUnsaved(0)
+	assertStarts(t, h.starts(), 4)
+	assertUnsaved(1)
+	h.pass(time.Second)
+	assertUnsaved(0)
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -148,6 +148,7 @@
 	}
 	x.isListed, x.isCarriedOver = true, false
 	x.st.s.markStarted()
+	t.markBegun(x.st)
 	if row.Percent != x.percent || !x.hasStatus {
 		x.progressedAt = now
 	}
@@ -307,6 +308,7 @@
 		return
 	}
 	st.ranBefore = st.ranBefore || !isKnown
+	t.markBegun(st)
 	k := &st.tasks[e.Task.Index]
 	st.noteCheckpoint(k, e.Checkpoint)
 	k.nextRun = max(k.nextRun, e.Run+1)
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -73,6 +73,7 @@
 	if outcome == Succeeded {
 		x.confirmedAt = now
 		x.st.s.markStarted()
+		t.markBegun(x.st)
 		if x.phase == starting {
 			x.phase, x.progressedAt = running, now
 		}
@@ -238,7 +239,8 @@
 
 // progress returns the progress of a step, and whether it has any.
 func (st *stepState) progress() (p submitter.StepProgress, any bool) {
-	p = submitter.StepProgress{Occurrence: st.occ.index, Step: st.index}
+	p = submitter.StepProgress{Occurrence: st.occ.index, Step: st.index, Begun: st.hasBegun}
+	any = st.hasBegun
 	for i := range st.tasks {
 		k := &st.tasks[i]
 		if k.done {
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -46,6 +47,8 @@
 	// isUnconfirmed says that the owner does not reach its record, so that its
 	// ownership is not confirmed.
 	isUnconfirmed bool
+	// saved is the progress of submissions in the store, as of the last change of owner.
+	saved map[string]*submitter.Progress
 }
 
 // newHarness returns a table with runners r0, r1 and so on, none of which has
@@ -202,12 +205,13 @@
 		}
 	}
 	next.table.SetRunners(infos, next.now)
-	progress := make(map[string]*submitter.Progress)
+	next.saved = make(map[string]*submitter.Progress)
+	maps.Copy(next.saved, h.saved)
 	for _, rec := range h.table.Unsaved(len(h.table.subs)) {
-		progress[rec.ID] = rec.Progress
+		next.saved[rec.ID] = rec.Progress
 	}
 	for _, s := range h.table.active {
-		next.table.Add(s.sub, progress[s.sub.ID], next.now)
+		next.table.Add(s.sub, next.saved[s.sub.ID], next.now)
 	}
 	return next
 }
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -60,6 +60,7 @@
 	crashed      int            // tasks with crashes
 	ready        bool           // all steps that this one depends on are done
 	ranBefore    bool           // a former owner has started tasks
+	hasBegun     bool           // a run of a long-running step is known to have begun
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
 	// gangCheckpoint is the newest checkpoint of any member of a gang.
 	gangCheckpoint string
@@ -307,6 +308,7 @@
 			t.openNext(s)
 		}
 		st := s.occs[entry.Occurrence].steps[entry.Step]
+		st.ranBefore, st.hasBegun = entry.Begun, entry.Begun
 		for k := range st.tasks {
 			st.tasks[k].failures = entry.Failures[k]
 			st.restoreCrashes(k, entry.Crashes[k], now)
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -47,7 +47,8 @@
 type Progress struct {
 	// State is empty until a final state is reached.
 	State State `json:"state,omitempty"`
-	// Steps holds the steps of which a task is done, has failed or may have crashed runners.
+	// Steps holds the steps of which a task is done, has failed or may have crashed runners,
+	// and the long-running ones that have begun.
 	Steps []StepProgress `json:"steps,omitempty"`
 }
 
@@ -55,6 +56,8 @@
 type StepProgress struct {
 	Occurrence int `json:"occurrence,omitempty"`
 	Step       int `json:"step"`
+	// Begun says that a run of a long-running step has begun.
+	Begun bool `json:"begun,omitempty"`
 	// Done is a bit set of the indices of done tasks.
 	Done []byte `json:"done,omitempty"`
 	// Failures maps the index of a task to the numbers of its failed runs.
--- a/internal/version/submitter/progress_test.go
+++ b/internal/version/submitter/progress_test.go
@@ -18,6 +18,10 @@
 		}
 		assertDecodes(t, string(data), saved)
 	})
+	t.Run("step that has begun", func(t *testing.T) {
+		t.Parallel()
+		assertDecodes(t, `{"steps":[{"step":1,"begun":true}]}`, &Progress{Steps: []StepProgress{{Step: 1, Begun: true}}})
+	})
 	t.Run("record without crashes", func(t *testing.T) {
 		t.Parallel()
 		assertDecodes(t, `{"steps":[{"step":1,"failures":{"2":[1]}}]}`,
