TestNewTasksLeaveRoomForThoseLostWithTheirOwner: lose ten tasks

The test lost runners by their IDs and took it that ten tasks run there. Four did, so that it would have failed on any code. It now takes the runners from the starts, and wants exact numbers of starts, of the new tasks as well.

--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -302,12 +303,21 @@
 	for _, id := range []string{"a", "b"} {
 		former.add(id, "urgent", lasting(10, 3000))
 	}
-	assertStarts(t, former.starts(), 20)
-	h := former.succeed("r0", "r1", "r5", "r6", "r7") // on which ten tasks of both run
+	starts := former.starts()
+	assertStarts(t, starts, 20)
+	lost := make(map[string]bool) // some tasks of each submission go on
+	for _, i := range []int{0, 2, 10, 12, 14} {
+		lost[starts[i].Runner] = true
+	}
+	if want := 5; len(lost) != want {
+		t.Fatalf("the tasks run on %d runners, want %d", len(lost), want)
+	}
+	h := former.succeed(slices.Collect(maps.Keys(lost))...)
 	sub := &submitter.Submission{ID: "new", Queue: "urgent", Steps: []submitter.Step{lasting(25, 3000)}, AcceptedAt: h.now, Owner: testFence}
 	h.table.Add(sub, nil, h.now)
-	if starts := h.startsWithin(interruptionBound); starts["a"]+starts["b"] != 10 {
-		t.Errorf("starts %v, want 10 of a and b", starts)
+	want := map[string]int{"a": 4, "b": 6, "new": 10}
+	if starts := h.startsWithin(interruptionBound); !maps.Equal(starts, want) {
+		t.Errorf("starts %v, want %v", starts, want)
 	}
 }
 
