--- a/internal/version/dispatcher/interrupted_test.go
+++ b/internal/version/dispatcher/interrupted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -294,6 +295,32 @@
 	c.assertRunAgain(interrupted)
 }
 
+// Guards against new tasks in the room of those that were lost together with the owner, before
+// the next owner knows all runs.
+func TestNewTasksLeaveRoomForThoseLostWithTheirOwner(t *testing.T) {
+	former := newHarness(t, 0, 20)
+	former.pollAll(20)
+	for _, id := range []string{"a", "b"} {
+		former.add(id, "urgent", lasting(10, 3000))
+	}
+	starts := former.starts()
+	assertStarts(t, starts, 20)
+	lost := make(map[string]bool) // some tasks of each submission go on
+	for _, i := range []int{0, 2, 10, 12, 14} {
+		lost[starts[i].Runner] = true
+	}
+	if want := 5; len(lost) != want {
+		t.Fatalf("the tasks run on %d runners, want %d", len(lost), want)
+	}
+	h := former.succeed(slices.Collect(maps.Keys(lost))...)
+	sub := &submitter.Submission{ID: "new", Queue: "urgent", Steps: []submitter.Step{lasting(25, 3000)}, AcceptedAt: h.now, Owner: testFence}
+	h.table.Add(sub, nil, h.now)
+	want := map[string]int{"a": 4, "b": 6, "new": 10}
+	if starts := h.startsWithin(interruptionBound); !maps.Equal(starts, want) {
+		t.Errorf("starts %v, want %v", starts, want)
+	}
+}
+
 // Guards against a part that is full of long-running tasks, where those that are interrupted
 // without notice find no room and short tasks wait for long.
 func TestNewTasksLeaveSomeRunners(t *testing.T) {
@@ -346,3 +373,22 @@
 	}
 	c.assertRunAgain(c.leave())
 }
+
+// Guards against a write to the store for each start or report of a long-running task.
+func TestBeginningOfAStepIsSavedOnce(t *testing.T) {
+	h := newHarness(t, 0, 2)
+	assertUnsaved := func(want int) {
+		t.Helper()
+		if records := h.table.Unsaved(10); len(records) != want {
+			t.Errorf("%d unsaved records, want %d", len(records), want)
+		}
+	}
+	h.pollAll(2)
+	h.add("lasting", "urgent", lasting(2, 1000))
+	h.add("short", "urgent", oneCore(2))
+	assertUnsaved(0)
+	assertStarts(t, h.starts(), 4)
+	assertUnsaved(1)
+	h.pass(time.Second)
+	assertUnsaved(0)
+}
