Let idle late submissions take turns, at a reduced pace

Cause: late work went with the least work left first, so that what takes the most never ran while smaller work was due; and the gaps that best-effort tasks may take beside services are small, so that small tasks took each of them.

Now one task of each late occurrence of which nothing has run for 0.5 s goes before other late work of its priority, after 15 s also before work that is on time. It starts where the services leave room for a quarter of its speed, and is paced as soon as its start is confirmed.

--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -163,8 +163,9 @@
 
 // headroom returns the smallest share of its capacity that any service on a runner
 // would have left before its tail latency reaches its target, if one more task of a
-// best-effort step ran beside it. It is negative if that task must not be added.
-func (m interferenceModel) headroom(r *runner, added *stepState, now time.Time) float64 {
+// best-effort step ran beside it at a pace, as a share of full speed. It is negative if that
+// task must not be added.
+func (m interferenceModel) headroom(r *runner, added *stepState, pace float64, now time.Time) float64 {
 	if len(r.services) == 0 {
 		return math.Inf(1)
 	}
@@ -174,18 +175,18 @@
 		if measured, ok := r.room[image]; ok && now.Sub(r.roomAt) <= 2*measureSpan {
 			room = min(room, measured)
 		}
-		least = min(least, room-m.pressureWith(r, image, added))
+		least = min(least, room-m.pressureWith(r, image, added, pace))
 	}
 	return least
 }
 
 // pressureWith returns the pressure on a serving image if one more task of a best-effort
-// step ran on the runner.
-func (m interferenceModel) pressureWith(r *runner, image string, added *stepState) (pressure float64) {
+// step ran on the runner at a pace.
+func (m interferenceModel) pressureWith(r *runner, image string, added *stepState, pace float64) (pressure float64) {
 	for other, milliCores := range r.bestEffortByImage {
 		pressure += m.pressures.PerCore(image, other) * r.coresOf(float64(milliCores))
 	}
-	return pressure + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores))
+	return pressure + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(pace*float64(added.spec.MilliCores))
 }
 
 // match rates a runner for a task of a best-effort step, from 0 to 1: by the part of the
@@ -199,7 +200,7 @@
 	if len(r.services) == 0 {
 		return withoutServices
 	}
-	headroom := m.headroom(r, added, now)
+	headroom := m.headroom(r, added, 1, now)
 	largest := 0.0
 	for image := range r.services {
 		largest = max(largest, m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores)))
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -66,12 +66,13 @@
 // bestEffortObstacle returns whether the other tasks on a runner leave enough for one more
 // task of a best-effort step, and what is missing if not.
 func (t *Table) bestEffortObstacle(r *runner, st *stepState, now time.Time) obstacle {
+	pace := t.leastPace(st)
 	switch {
 	case r.halted:
 		return halted
-	case r.spare() < minBestEffortShare*float64(r.bestEffortMilliCores+st.spec.MilliCores):
+	case r.spare() < minBestEffortShare*(float64(r.bestEffortMilliCores)+pace*float64(st.spec.MilliCores)):
 		return notSpare
-	case t.interference.headroom(r, st, now) < 0:
+	case t.interference.headroom(r, st, pace, now) < 0:
 		return disturbing
 	}
 	return eligible
--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -88,21 +88,31 @@
 // steer sets the paces of the best-effort tasks on a runner by the room that the
 // services there have, and moves a task that has to be slow for long.
 func (t *Table) steer(r *runner, now time.Time) {
-	var runs []*run
+	runs := r.bestEffortRuns()
+	if len(runs) == 0 || t.needsNoChange(r, runs) {
+		return
+	}
+	t.setPaces(r, runs, now)
+	t.moveSlow(runs, now)
+}
+
+// bestEffortRuns returns the best-effort runs on a runner that are not being stopped, oldest
+// first.
+func (r *runner) bestEffortRuns() (runs []*run) {
 	for _, x := range r.runs {
 		if x.st.spec.Fills && x.phase != stopping {
 			runs = append(runs, x)
 		}
 	}
-	if len(runs) == 0 || t.needsNoChange(r, runs) {
-		return
-	}
 	sortByAge(runs)
-	paces := t.paces(r, runs)
-	for i, x := range runs {
-		t.paceRun(x, paces[i], now)
+	return runs
+}
+
+// setPaces sets the paces of the best-effort runs on a runner.
+func (t *Table) setPaces(r *runner, runs []*run, now time.Time) {
+	for i, pace := range t.paces(r, runs) {
+		t.paceRun(runs[i], pace, now)
 	}
-	t.moveSlow(runs, now)
 }
 
 // needsNoChange reports whether all best-effort tasks on a runner run at full pace, and
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -37,6 +37,8 @@
 	work float64
 	// dueBy is the time up to which the submission earns its full value.
 	dueBy time.Time
+	// isTurn says that the candidate is for one task that goes before other work.
+	isTurn bool
 }
 
 // Tiers of urgency. Work that can still meet its objective goes first, then late
@@ -71,7 +73,13 @@
 			return
 		}
 		// A former owner may have started tasks where runs are not known yet.
-		t.startWaiting(c.st, allRunsKnown || c.st.s.sub.Owner >= t.fence, now)
+		isKnown := allRunsKnown || c.st.s.sub.Owner >= t.fence
+		if c.isTurn {
+			t.startTurn(c.st, isKnown, now)
+		} else {
+			t.startWaiting(c.st, math.MaxInt, isKnown, now)
+			t.noteLack(c, now)
+		}
 	}
 }
 
@@ -79,9 +87,11 @@
 //
 // Load: bursts in which more work is due than fits. Submissions of the same
 // priority are ordered by the time at which they stop earning their full value, so
-// that those wait that can best afford to.
+// that those wait that can best afford to. Work that is late takes turns.
 func (t *Table) candidates(now time.Time) []candidate {
 	var list []candidate
+	isLacking := t.isLacking(now)
+	t.owedTurns = 0
 	for _, s := range t.unfinished() {
 		if s.opened < s.sub.Occurrences() {
 			t.openDue(s, now)
@@ -95,8 +105,22 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if st.ready && st.waiting > 0 && st.remaining > 0 && !t.isBlocked(st, now) {
-					list = append(list, newCandidate(st, queue, now))
+				if !st.ready || st.waiting == 0 || st.remaining == 0 {
+					continue
+				}
+				isBlocked := t.isBlocked(st, now)
+				if isBlocked && occ.runs > 0 {
+					continue
+				}
+				c := newCandidate(st, queue, now)
+				if !isBlocked {
+					list = append(list, c)
+				}
+				if c.isOwedTurn(now) {
+					t.owedTurns++
+					if !isBlocked || !isLacking {
+						list = append(list, c.asTurn(now))
+					}
 				}
 			}
 		}
@@ -105,6 +129,7 @@
 		return cmp.Or(
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.priority, b.priority),
+			compareTurns(a, b),
 			cmp.Compare(a.work, b.work),
 			a.dueBy.Compare(b.dueBy),
 			cmp.Compare(a.st.s.sub.ID, b.st.s.sub.ID),
@@ -131,13 +156,13 @@
 	return c
 }
 
-// startWaiting starts as many waiting tasks of a step as fit. If not all runs are known
-// that a former owner may have started, it starts only tasks that it has taken over, and
-// gangs of them.
+// startWaiting starts as many waiting tasks of a step as fit, up to a limit, or a gang with
+// all its tasks. If not all runs are known that a former owner may have started, it starts
+// only tasks that it has taken over, and gangs of them.
 //
 // Load: a change of owners after which a runner stays silent, or has been lost for good,
 // while tasks that the new owner has taken over fail on the others.
-func (t *Table) startWaiting(st *stepState, allRunsKnown bool, now time.Time) {
+func (t *Table) startWaiting(st *stepState, limit int, allRunsKnown bool, now time.Time) {
 	if t.awaitsPermits(st, now) {
 		return
 	}
@@ -153,7 +178,7 @@
 		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTakenOver(st)) {
 			continue
 		}
-		if t.isQueueFull() {
+		if limit == 0 || t.isQueueFull() {
 			return
 		}
 		isSuspected := k.isSuspected(now)
@@ -179,6 +204,7 @@
 			return
 		}
 		t.start(st, i, r, now)
+		limit--
 	}
 }
 
@@ -198,10 +224,11 @@
 	bestEffort bool
 	affinity   string
 	isNew      bool
+	leastPace  float64
 }
 
 func (t *Table) shapeOf(st *stepState, k *task) shape {
-	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k)}
+	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k), t.leastPace(st)}
 }
 
 // hadNoRoom reports whether no runner in this placement pass had room for a task of
@@ -423,6 +450,11 @@
 	t.takeSpare(r, st, k)
 	t.claim(r, st)
 	k.runs = append(k.runs, x)
+	st.occ.runs++
+	if t.turn == st {
+		x.isTurn = true
+		t.turnRuns++
+	}
 	k.isTracked = true
 	k.nextRun = max(k.nextRun, number+1)
 	r.runs[runKey{x.id(), number}] = x
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -408,6 +408,13 @@
 		st.waiting++
 	}
 	k.endedAt = now
+	st.occ.runs--
+	if x.isTurn {
+		t.turnRuns--
+	}
+	if !x.confirmedAt.IsZero() {
+		st.occ.ranAt = now
+	}
 	t.placementDue = true
 	t.recordRun(now, EventEnded, x, reason)
 }
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -46,6 +46,10 @@
 	remaining int // steps not done yet
 	// chain is the estimated run time of the longest chain of steps not done yet.
 	chain time.Duration
+	// runs is the number of runs of all steps, and ranAt when one of them last ended that
+	// had begun.
+	runs  int
+	ranAt time.Time
 }
 
 // A stepState is the state of one step in one occurrence.
@@ -160,6 +164,7 @@
 	// isCarriedOver says that the runner was restarted after the start was ordered, and
 	// that no report of the new process has listed the run.
 	isCarriedOver bool
+	isTurn        bool // the task was started in its turn
 	// onProbation says that the run may be the cause if its runner is lost; isSuspect
 	// that the runner is kept free of others meanwhile.
 	onProbation, isSuspect bool
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -94,6 +94,14 @@
 
 	// reserved holds the runners with reserved room.
 	reserved []*runner
+	// turn is the step of which one task is being started in its turn, or nil. turnRuns is
+	// the number of runs that were started so, and lackedAt when work that was on time last
+	// found no room.
+	turn     *stepState
+	turnRuns int
+	// owedTurns is the number of steps that were owed a turn in the last placement pass.
+	owedTurns int
+	lackedAt  time.Time
 
 	// plans holds the room that is kept from new long-running tasks, by service, as of the
 	// last tick.
