Count a campaign's delay from the vacancy that started it

Cause: a campaign read the part's fencing token in its own goroutine. When that ran late, another daemon had claimed the part, so the campaign took that claim's token, waited on while the part was owned, and claimed the part at the next vacancy before daemons with shorter delays.

Change: update returns the records that it found vacant, and a campaign compares the token with that of its record.

TestLateCampaignMissesTheClaim failed before: "owner {Instance:late Address:late Generation:1 Part:0 Fence:3 presence:3 [...]} at most 75ms after the vacancy, want none before 100ms".

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -211,8 +211,8 @@
 			pauser.Sleep(ctx, retryDelay)
 			continue
 		}
-		for _, part := range e.update(owners, readAt, time.Now()) {
-			e.done.Go(func() { e.campaign(ctx, part) })
+		for _, vacancy := range e.update(owners, readAt, time.Now()) {
+			e.done.Go(func() { e.campaign(ctx, vacancy) })
 		}
 		e.watch(ctx, revision)
 	}
@@ -253,8 +253,8 @@
 }
 
 // update applies the records, whose read began at readAt and ended at now, and returns
-// the parts to campaign for.
-func (e *Elector) update(owners []Owner, readAt, now time.Time) (vacant []int) {
+// the records of the parts to campaign for.
+func (e *Elector) update(owners []Owner, readAt, now time.Time) (vacancies []Owner) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for part := range e.parts {
@@ -275,10 +275,10 @@
 			s.term.confirm(readAt)
 		case e.isVacant(s.owner) && !s.campaigning && !e.resigned:
 			s.campaigning = true
-			vacant = append(vacant, part)
+			vacancies = append(vacancies, s.owner)
 		}
 	}
-	return vacant
+	return vacancies
 }
 
 // isVacant reports whether this daemon may claim a part: no owner is present, or the
@@ -323,9 +323,10 @@
 	return min(maxAgeDelay, time.Duration(math.Log2(1+age.Seconds()/ageScale.Seconds())*float64(ageDelayStep)))
 }
 
-// campaign tries to become the owner of a part, and serves the term if it succeeds.
-func (e *Elector) campaign(ctx context.Context, part int) {
-	term, err := e.claimInTurn(ctx, part)
+// campaign tries to become the owner of a vacant part, and serves the term if it
+// succeeds. vacancy is the part's record when it was found vacant.
+func (e *Elector) campaign(ctx context.Context, vacancy Owner) {
+	term, err := e.claimInTurn(ctx, vacancy)
 	if err != nil {
 		var conflict *transactor.ConflictError
 		if !errors.As(err, &conflict) && ctx.Err() == nil {
@@ -337,19 +338,19 @@
 		term.serve()
 	}
 	e.mu.Lock()
-	e.parts[part].campaigning = false
-	e.parts[part].term = nil
+	e.parts[vacancy.Part].campaigning = false
+	e.parts[vacancy.Part].term = nil
 	e.mu.Unlock()
 	e.Recheck()
 }
 
 // claimInTurn waits for this daemon's turn in the election and claims a part. It
-// returns no term if another daemon has claimed it since the campaign began, even if it
-// is vacant again: the delay starts anew then.
-func (e *Elector) claimInTurn(ctx context.Context, part int) (term *Term, err error) {
-	delay, fence := ageDelay(time.Since(e.startedAt)), e.Current(part).Fence
+// returns no term if another daemon has claimed the part since it was found vacant, even
+// if it is vacant again: the delay starts anew then.
+func (e *Elector) claimInTurn(ctx context.Context, vacancy Owner) (term *Term, err error) {
+	delay := ageDelay(time.Since(e.startedAt))
 	for waited := time.Duration(0); ; {
-		term, remaining, err := e.tryClaim(ctx, part, fence, waited-delay)
+		term, remaining, err := e.tryClaim(ctx, vacancy, waited-delay)
 		if remaining <= 0 {
 			return term, err
 		}
@@ -360,21 +361,21 @@
 	}
 }
 
-// tryClaim claims a part if it is still vacant, its record still has the given fencing
-// token, and the campaign delay has passed; otherwise it returns the part of the delay
+// tryClaim claims a part if it is still vacant, its record still has the fencing token of
+// vacancy, and the campaign delay has passed; otherwise it returns the part of the delay
 // that remains. waited is how long the campaign has lasted, less the daemon's age delay.
 //
 // Load: the end of a daemon that owned several parts, or of all daemons. Each part
 // that this daemon wins lengthens its delay for the next, so that the parts spread
 // over all daemons of similar size.
-func (e *Elector) tryClaim(ctx context.Context, part int, fence int64, waited time.Duration) (term *Term, remaining time.Duration, err error) {
+func (e *Elector) tryClaim(ctx context.Context, vacancy Owner, waited time.Duration) (term *Term, remaining time.Duration, err error) {
 	e.claimMu.Lock()
 	defer e.claimMu.Unlock()
-	if wait := e.opts.CampaignDelay(part, e.ownedCount()); waited < wait {
+	if wait := e.opts.CampaignDelay(vacancy.Part, e.ownedCount()); waited < wait {
 		return nil, wait - waited, nil
 	}
-	last := e.Current(part)
-	if last.Fence != fence || !e.isVacant(last) || e.hasResigned() {
+	last := e.Current(vacancy.Part)
+	if last.Fence != vacancy.Fence || !e.isVacant(last) || e.hasResigned() {
 		return nil, 0, nil
 	}
 	term, err = e.claim(ctx, last)
--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -240,3 +240,44 @@
 		}
 	})
 }
+
+// Guards against a campaign that takes a part's claim by another daemon for the vacancy
+// that it was started for, and so counts its delay from that vacancy at the next one.
+func TestLateCampaignMissesTheClaim(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 100 * time.Millisecond
+		g := &group{t: t, store: memorystore.New(), parts: 1, running: map[int]map[string]*Term{0: {}}}
+		late := New(Options{
+			Store: g.store, Instance: "late", Address: "late", Parts: 1,
+			CampaignDelay: func(int, int) time.Duration { return delay },
+			Recorder:      recorder.Discard{}, Serve: g.serve,
+		})
+		vacancies := late.update(records(t, late), time.Now(), time.Now())
+		g.add("e0", 0)
+		time.Sleep(delay)
+		late.update(records(t, late), time.Now(), time.Now()) // sees the claim of e0
+		ctx, cancel := context.WithCancel(t.Context())
+		var campaign sync.WaitGroup
+		campaign.Go(func() { late.campaign(ctx, vacancies[0]) })
+		time.Sleep(delay / 2)
+		g.electors[0].Resign(t.Context())
+		late.update(records(t, late), time.Now(), time.Now()) // sees the second vacancy
+		time.Sleep(delay * 3 / 4)
+		if owner := late.Current(0); owner.Instance == "late" {
+			t.Errorf("owner %+v at most %s after the vacancy, want none before %s", owner, delay*3/4, delay)
+		}
+		cancel()
+		campaign.Wait()
+	})
+}
+
+// records reads the records as an elector does.
+func records(t *testing.T, e *Elector) []Owner {
+	t.Helper()
+	owners, _, err := e.read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return owners
+}
