Renew a lease in time after a slow registration

Cause: the first renewal was sent a keep-alive interval after the registration.

Change: the first renewal is due when the lease is as old as the interval.

TestLeaseLapsesAfterSlowRegistration failed before: "lease {Incarnation:2 Since:2000-01-01 00:00:00 +0000 UTC Renewed:2000-01-01 00:00:00 +0000 UTC TTL:4s} is invalid 1.7s after the registration".

--- a/internal/process/member/registrar.go
+++ b/internal/process/member/registrar.go
@@ -178,13 +178,15 @@
 
 // keepAlive renews the lease until it is lost or the context ends.
 func (r *Registrar) keepAlive(ctx context.Context) {
-	ticker := time.NewTicker(keepAliveInterval)
-	defer ticker.Stop()
+	// A slow registration has already used part of the lease.
+	due := time.NewTimer(keepAliveInterval - Elapsed(r.Lease().Renewed, time.Now()))
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-due.C:
+			due.Reset(keepAliveInterval)
 		case incarnation := <-r.deleted:
 			if incarnation != r.Lease().Incarnation {
 				continue // The deleted record was under an earlier lease.
