Keep pledges while partitions are held under a former incarnation

Cause: a daemon whose lease has lapsed in a store outage registers again and holds its partitions by pledges to its former incarnation until it has rewritten each owner record. It requested pledges for the latest incarnation only, so the last ones ended 2.5 s later. A store that is slow after the outage, or many partitions, take longer.

Change: the pledger requests pledges for the former incarnation while an owner record names it. What a successor has to do stays.

--- a/internal/process/owner/outage_test.go
+++ b/internal/process/owner/outage_test.go
@@ -41,7 +41,10 @@
 
 func (o *outage) begin() { o.store.SetFaults(keyvalue.Faults{Outage: true, LapseDuringOutage: true}) }
 
-func (o *outage) end() { o.store.SetFaults(keyvalue.Faults{}) }
+// end ends the outage. Later calls to the store take the given time.
+func (o *outage) end(delay time.Duration) {
+	o.store.SetFaults(keyvalue.Faults{DelayMillis: delay.Milliseconds()})
+}
 
 // assertHeld checks for longer than the leases that no partition is lost or moves.
 func (o *outage) assertHeld() {
@@ -60,7 +63,7 @@
 		t.Parallel()
 		runOutage(t, func(o *outage) {
 			o.assertHeld()
-			o.end()
+			o.end(0)
 			o.assertHeld()
 		})
 	})
@@ -68,14 +71,25 @@
 		t.Parallel()
 		runOutage(t, func(o *outage) {
 			o.assertHeld()
-			o.end()
+			o.end(0)
 			o.assertHeld()
 			o.begin()
 			o.nodes[0].cutPeers.Store(true)
 			o.await("the isolated daemon to stop acting", func() bool { return len(o.nodes[0].owner.Partitions()) == 0 })
-			o.end()
+			o.end(0)
 			o.nodes[0].cutStore.Store(true)
 			o.await("the others to take over", func() bool { return o.isBalanced(o.nodes[1:]) })
 		})
 	})
 }
+
+// Guards against partitions that are lost after an outage, although the daemon has
+// registered again, because a slow store delays the new owner records.
+func TestSlowStoreAfterOutage(t *testing.T) {
+	t.Parallel()
+	runOutage(t, func(o *outage) {
+		o.assertHeld()
+		o.end(900 * time.Millisecond)
+		o.assertHeld()
+	})
+}
--- a/internal/process/pledger/pledger.go
+++ b/internal/process/pledger/pledger.go
@@ -37,10 +37,12 @@
 	Store    storer.Store
 	Group    *member.Group
 	Recorder recorder.Recorder
-	// Watcher and HasPartitions are used to delete the lists of former
-	// incarnations: HasPartitions reports whether an owner record names an
-	// incarnation. Both may be nil; then no lists are deleted.
-	Watcher       *watcher.Watcher
+	// Watcher is used to delete the lists of former incarnations. It may be nil; then
+	// no lists are deleted.
+	Watcher *watcher.Watcher
+	// HasPartitions reports whether an owner record names an incarnation. It may be
+	// nil; then no lists are deleted, and no pledges are requested for a former
+	// incarnation.
 	HasPartitions func(daemon string, incarnation int64) bool
 	// Dial returns a client of the daemon at an address.
 	Dial func(address string) kumquatv1.Peer
@@ -132,8 +134,11 @@
 		return
 	}
 	p.followLease(lease)
+	if former := p.formerInUse(); former != nil {
+		p.requestPledges(ctx, former, now)
+	}
 	if member.Elapsed(lease.Renewed, now) > requestAfter {
-		p.requestPledges(ctx, now)
+		p.requestPledges(ctx, p.present(), now)
 	} else if list, ok := p.dueList(now); ok {
 		p.writeList(ctx, list)
 	}
@@ -187,13 +192,33 @@
 	return list
 }
 
-// requestPledges asks this daemon's guarantors for pledges, so that they extend the lease of
-// its current incarnation. It asks only guarantors that have granted no pledge, or whose newest
+// present returns the pledges of the latest incarnation of this process.
+func (p *Pledger) present() *pledgeSet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current
+}
+
+// formerInUse returns the pledges of the incarnation before, or nil if no owner record
+// names that incarnation. Until all its records are rewritten, which takes long if the
+// store is slow after an outage, this daemon may act for them by pledges only.
+func (p *Pledger) formerInUse() *pledgeSet {
+	p.mu.Lock()
+	former := p.previous
+	p.mu.Unlock()
+	if former.incarnation == 0 || p.settings.HasPartitions == nil ||
+		!p.settings.HasPartitions(p.settings.Group.Identity().Daemon, former.incarnation) {
+		return nil
+	}
+	return former
+}
+
+// requestPledges asks the guarantors of one of this daemon's incarnations for pledges that
+// extend its lease. It asks only guarantors that have granted no pledge, or whose newest
 // granted pledge was requested more than a quarter of PledgeTTL ago. It doesn't wait for the
 // answers.
-func (p *Pledger) requestPledges(ctx context.Context, now time.Time) {
+func (p *Pledger) requestPledges(ctx context.Context, own *pledgeSet, now time.Time) {
 	p.mu.Lock()
-	own := p.current
 	var due []Guarantor
 	for _, g := range own.guarantors() {
 		if now.Sub(own.requestedAt[g]) > PledgeTTL/4 {
