Lose a daemon that has its share of the runners, and one that has all

Cause: TestDaemonLoss/kill and /pause_and_resume were red now and then. The daemon that registers first owns all partitions for the first two seconds or so, until the others have been members for settleTime. The tests killed or paused it about 1.2 s after the start. If it owned all runners, nothing is served until its lease has lapsed and the longest request has had its time, about 6.5 s, and requests wait for 5 s at most; if a survivor owns a single runner, that one serves the whole load.

Change: both tests wait until the daemons share the runners; what they ask for stays at 90 and 85 %. The other case is a test of its own now, which brings it about each time: no answer is untrue while nothing is served, and once the others answer, all requests are answered.

--- a/internal/harness/records.go
+++ b/internal/harness/records.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/process/owner"
 	"github.com/kumquatstack/kumquatstack/internal/rpc/kumquatv1"
 	"github.com/kumquatstack/kumquatstack/internal/standin/controller"
 	"github.com/kumquatstack/kumquatstack/internal/standin/judge"
@@ -53,6 +54,55 @@
 	return nil
 }
 
+// AwaitRunnerShares waits until the numbers of runner partitions of two daemons of a region differ
+// by at most one. Right after a start, the first daemon may own all of them.
+func (c *Cluster) AwaitRunnerShares() {
+	c.t.Helper()
+	Eventually(c.t, readyTimeout, "the daemons share the runners", func() bool {
+		counts := c.runnerPartitions()
+		least, most := map[string]int{}, map[string]int{}
+		for _, daemon := range c.Daemons {
+			count := counts[daemon.Name]
+			if known, ok := least[daemon.Region]; !ok || count < known {
+				least[daemon.Region] = count
+			}
+			most[daemon.Region] = max(most[daemon.Region], count)
+		}
+		for region := range most {
+			if least[region] == 0 || most[region]-least[region] > 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// AwaitRunnerOwner waits until a daemon owns all runner partitions.
+func (c *Cluster) AwaitRunnerOwner(daemon *Daemon) {
+	c.t.Helper()
+	Eventually(c.t, readyTimeout, daemon.Name+" owns all runners", func() bool {
+		return c.runnerPartitions()[daemon.Name] == len(c.options.Sites)*owner.RunnerPartitionCount
+	})
+}
+
+// runnerPartitions returns the number of runner partitions of each daemon, by the status of the
+// first daemon.
+func (c *Cluster) runnerPartitions() (counts map[string]int) {
+	counts = map[string]int{}
+	response, err := c.Daemons[0].Operator().Status(c.t.Context(), &kumquatv1.StatusRequest{})
+	if err != nil {
+		return counts
+	}
+	for _, status := range response.GetDaemons() {
+		for _, partition := range status.GetPartitions() {
+			if owner.Partition(partition).Kind() == owner.KindRunners {
+				counts[status.GetIncarnation().GetDaemon()]++
+			}
+		}
+	}
+	return counts
+}
+
 // daemon returns a daemon by name, or nil.
 func (c *Cluster) daemon(name string) *Daemon {
 	for _, daemon := range c.Daemons {
--- a/internal/integration/request_test.go
+++ b/internal/integration/request_test.go
@@ -11,10 +11,16 @@
 
 // awaitAnswers waits until every daemon answers requests.
 func awaitAnswers(t *testing.T, cluster *harness.Cluster) {
+	t.Helper()
+	awaitAnswersOf(t, cluster.Daemons...)
+}
+
+// awaitAnswersOf waits until each of the daemons answers requests.
+func awaitAnswersOf(t *testing.T, daemons ...*harness.Daemon) {
 	t.Helper()
 	caller := harness.NewCaller()
 	defer caller.Close()
-	for _, daemon := range cluster.Daemons {
+	for _, daemon := range daemons {
 		harness.Eventually(t, patience, daemon.Name+" answers", func() bool {
 			return caller.Do(t.Context(), daemon, callsTo(harness.PathIdempotent, 0)(-1)).IsComplete()
 		})
@@ -74,14 +80,36 @@
 // paused, cut off or stopped under load.
 func TestDaemonLoss(t *testing.T) {
 	t.Run("kill", func(t *testing.T) {
-		cluster, load, target := startUnderLoad(t)
+		cluster, load, target := startSharedUnderLoad(t)
 		target.Set(cluster.Daemons[1:]...)
 		cluster.Daemons[0].Kill()
 		awaitMoreAnswers(t, load, 1000)
 		stopAndCheck(t, cluster, load, 90)
 	})
+	t.Run("kill of the owner of all runners", func(t *testing.T) {
+		cluster := harness.Start(t, harness.Options{Sites: northGA})
+		first, others := cluster.Daemons[0], cluster.Daemons[1:]
+		for _, daemon := range others {
+			daemon.Kill()
+		}
+		cluster.AwaitRunnerOwner(first)
+		for _, daemon := range others {
+			daemon.Start()
+		}
+		awaitAnswers(t, cluster)
+		target := harness.NewTarget(others...)
+		load := harness.StartLoad(t, 300, callsTo(harness.PathOnce, loadServiceTime), target.Choose)
+		first.Kill() // before the others have been given their share
+		awaitMoreAnswers(t, load, 1000)
+		awaitAnswersOf(t, others...)
+		answers := load.Stop()
+		assertOutcomesTrue(t, answers, cluster.Executions())
+		later := harness.StartLoad(t, 300, callsTo(harness.PathIdempotent, loadServiceTime), target.Choose)
+		awaitMoreAnswers(t, later, 900)
+		stopAndCheck(t, cluster, later, 100)
+	})
 	t.Run("pause and resume", func(t *testing.T) {
-		cluster, load, target := startUnderLoad(t)
+		cluster, load, target := startSharedUnderLoad(t)
 		cluster.Daemons[0].Pause()
 		target.Set(cluster.Daemons[1:]...)
 		awaitMoreAnswers(t, load, 2000)
@@ -172,21 +200,40 @@
 // runners in use.
 const busyServiceTime = 90 * time.Millisecond
 
+// loadServiceTime is a service time at which one runner can serve the load of startUnderLoadOf.
+const loadServiceTime = 20 * time.Millisecond
+
 // startUnderLoad starts three daemons and a load of requests that aren't idempotent.
 func startUnderLoad(t *testing.T) (*harness.Cluster, *harness.Load, *harness.Target) {
 	t.Helper()
-	return startUnderLoadOf(t, 20*time.Millisecond)
+	return startUnderLoadOf(t, loadServiceTime)
+}
+
+// startSharedUnderLoad is startUnderLoad with daemons that share the runners.
+func startSharedUnderLoad(t *testing.T) (*harness.Cluster, *harness.Load, *harness.Target) {
+	t.Helper()
+	cluster := harness.Start(t, harness.Options{Sites: northGA})
+	cluster.AwaitRunnerShares()
+	load, target := putUnderLoad(t, cluster, loadServiceTime)
+	return cluster, load, target
 }
 
 // startUnderLoadOf is startUnderLoad with requests of the given service time.
 func startUnderLoadOf(t *testing.T, service time.Duration) (*harness.Cluster, *harness.Load, *harness.Target) {
 	t.Helper()
 	cluster := harness.Start(t, harness.Options{Sites: northGA})
+	load, target := putUnderLoad(t, cluster, service)
+	return cluster, load, target
+}
+
+// putUnderLoad starts a load of requests that aren't idempotent, and waits for the first answers.
+func putUnderLoad(t *testing.T, cluster *harness.Cluster, service time.Duration) (*harness.Load, *harness.Target) {
+	t.Helper()
 	awaitAnswers(t, cluster)
 	target := harness.NewTarget(cluster.Daemons...)
 	load := harness.StartLoad(t, 300, callsTo(harness.PathOnce, service), target.Choose)
 	awaitMoreAnswers(t, load, 300)
-	return cluster, load, target
+	return load, target
 }
 
 // awaitMoreAnswers waits until the load has a number of further answers.
