Add a failing test of owners that are lost in a row

The new owner has a quorum of the runners within 0.3 s and waits for 14 s all the same before it starts a long-running task that it has taken over.

--- a/internal/process/scheduler/departure_test.go
+++ b/internal/process/scheduler/departure_test.go
@@ -141,3 +141,29 @@
 		})
 	}
 }
+
+// Guards against a new owner that has a quorum of runners and still waits for as long as
+// those before the former one may have acted, since none of them has settled.
+func TestTaskOfALostRunnerAfterOwnersWereLostInARow(t *testing.T) {
+	t.Parallel()
+	runDynasty(t, func(y *dynasty) {
+		y.pool = newPool("s0", "s1", "s2")
+		y.start(0)
+		y.submitLongRunning("a")
+		y.assertRunsOn("s0", time.Second)
+		y.pool.leave("s0")
+		y.cutOff.Store("host0:80") // for good
+		y.lose()
+		y.start(1)
+		y.lose()
+		y.assertSettled(y.start(2), 0)
+		y.assertRunsOn("s1", poolLimits.MaxLease+poolLimits.MaxLease/10)
+	})
+}
+
+// lose ends the newest daemon without a handover, and removes its presence key.
+func (y *dynasty) lose() {
+	y.daemons[len(y.daemons)-1].elector.Close()
+	time.Sleep(2 * time.Second)
+	y.store.Remove("kumquat/owner/0/presence")
+}
