Let a quorum speak for all earlier owners

Cause: an owner with a quorum counted on owners before the former one for 10 s from when the former one's record was first seen, and then for the longest lease, unless the former one had written the settled key. Owners that follow each other within seconds, as they do while the store loses answers to writes, don't.

Change: once takeoverQuorum of the roster that an owner has found have accepted it, no earlier owner counts any more, and it becomes settled. So that the stored roster speaks for all of them, an owner stores a roster only once no earlier one can move the end of a lease: by its own quorum, or as their time is over. Until then it uses the runners of the roster that it has found, and polls them without waiting for a write.

Why no lease has two holders: let S be the roster that an owner finds, and W the owner that stored it. W and all after it have S among the rosters that may be stored, and so need three quarters of it without the store; more than a quarter have accepted the new owner. Those before W had ended when W stored S.

The random plays of departures store rosters by the same rule, and list the runners each second, as heartbeats do.

--- a/internal/process/conductor/roster.go
+++ b/internal/process/conductor/roster.go
@@ -46,14 +46,18 @@
 	return nil
 }
 
-// updateRoster stores the roster of a table that gets a new list of runners. It returns
+// updateRoster stores the roster of a table that gets a new list of runners, once it may. It returns
 // those of the list that may be used: the ones on the stored roster, and draining ones.
 func (c *Conductor) updateRoster(listed []dispatcher.RunnerInfo) []dispatcher.RunnerInfo {
 	c.mu.Lock()
-	wanted := c.table.Roster(listed, time.Now())
+	now := time.Now()
+	wanted, mayStore := c.table.Roster(listed, now), c.table.MayStoreRoster(now)
 	c.mu.Unlock()
-	if c.roster.equals(wanted) {
+	switch {
+	case c.roster.equals(wanted):
 		return listed
+	case !mayStore:
+		return c.roster.usable(listed)
 	}
 	err := c.saveRoster(wanted)
 	if c.findsLateRoster(err) {
@@ -62,10 +66,7 @@
 	if err != nil {
 		c.roster.keepCertain(wanted)
 		c.noteStoreFailure("save roster", err)
-		return slices.DeleteFunc(slices.Clone(listed), func(info dispatcher.RunnerInfo) bool {
-			_, ok := c.roster.saved[info.ID]
-			return !ok && !info.Draining
-		})
+		return c.roster.usable(listed)
 	}
 	return listed
 }
@@ -115,6 +116,14 @@
 	}
 }
 
+// usable returns those of a list of runners that may be used while it is not stored.
+func (r *roster) usable(listed []dispatcher.RunnerInfo) []dispatcher.RunnerInfo {
+	return slices.DeleteFunc(slices.Clone(listed), func(info dispatcher.RunnerInfo) bool {
+		_, ok := r.saved[info.ID]
+		return !ok && !info.Draining
+	})
+}
+
 // keepCertain drops the runners that the stored roster does not name if the failed write of
 // another one is carried out late.
 func (r *roster) keepCertain(failed []dispatcher.RunnerInfo) {
--- a/internal/process/conductor/roster_test.go
+++ b/internal/process/conductor/roster_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/version/dispatcher"
@@ -33,6 +34,16 @@
 	return 0, ctx.Err()
 }
 
+func (s *lateStore) Get(_ context.Context, key string) (item transactor.Item, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	item, ok := s.items[key]
+	if !ok {
+		return item, transactor.ErrNotFound
+	}
+	return item, nil
+}
+
 // carryOut applies a transaction if its conditions hold. The owner record never changes.
 func (s *lateStore) carryOut(txn transactor.Transaction) (revision int64, err error) {
 	conflict := &transactor.ConflictError{}
@@ -155,3 +166,59 @@
 		}
 	})
 }
+
+// Guards against a roster that replaces the one on which an owner before relies that is cut off
+// with most of its runners, so that a successor takes a quorum of the new one for its end.
+func TestRosterStaysWhileAnEarlierOwnerMayHaveAQuorum(t *testing.T) {
+	t.Parallel()
+	const mayAct = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		silent int // of four runners
+		after  time.Duration
+	}{
+		{"a quarter answers", 3, mayAct},
+		{"half answers", 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				client := newHeldClient()
+				client.release()
+				client.silent = "silent"
+				former := []dispatcher.RunnerInfo{rosterRunner("r0"), rosterRunner("r1"), rosterRunner("r2"), rosterRunner("r3")}
+				for i := range c.silent {
+					former[i].Address = "silent"
+				}
+				store := newRosterStore(t, former)
+				opts := heldOptions(t, client)
+				opts.Store, opts.OwnerKey = store, "owner"
+				opts.Generation, opts.FormerOwnerEnd = 1, time.Now().Add(mayAct)
+				listed := append(slices.Clone(former), rosterRunner("r4"))
+				defer start(t, client, opts, listed...).Close()
+				if c.after > 0 {
+					time.Sleep(c.after - time.Second)
+					client.registry.deliver(listed...)
+					store.assertRoster(t, "r0", "r1", "r2", "r3")
+				}
+				time.Sleep(2 * time.Second)
+				client.registry.deliver(listed...)
+				store.assertRoster(t, "r0", "r1", "r2", "r3", "r4")
+			})
+		})
+	}
+}
+
+// newRosterStore returns a store that holds a roster.
+func newRosterStore(t *testing.T, roster []dispatcher.RunnerInfo) *lateStore {
+	t.Helper()
+	value, err := json.Marshal(roster)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &lateStore{items: make(map[string]transactor.Item)}
+	if _, err := s.carryOut(transactor.Transaction{Writes: []transactor.Write{{Key: KeysOf(0).roster, Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -149,10 +149,10 @@
 	defer background.Wait()
 	var ended atomic.Bool
 	background.Go(func() {
-		ended.Store(awaitEnds(ctx, formerEnd, time.Time{}, func() bool { return d.hasEnded(ctx, former) }))
+		ended.Store(awaitEnds(ctx, formerEnd, time.Time{}, func() bool { return d.hasEnded(ctx, former) }, never))
 	})
 	background.Go(func() {
-		if awaitEnds(ctx, formerEnd, term.EarlierEnd, func() bool { return ended.Load() || d.hasQuorum(owner.Part) }) {
+		if awaitEnds(ctx, formerEnd, term.EarlierEnd, ended.Load, func() bool { return d.hasQuorum(owner.Part) }) {
 			term.RecordSettled()
 		}
 	})
@@ -202,20 +202,23 @@
 	return end
 }
 
+// never is a condition that does not come true.
+func never() bool { return false }
+
 // hasQuorum reports whether so many of a part's runners have accepted this daemon as the
-// owner that no former one can renew leases.
+// owner that no earlier one can renew leases.
 func (d *duties) hasQuorum(part int) bool {
 	c := d.conductors[part].Load()
 	return c != nil && c.HasQuorum()
 }
 
 // awaitEnds waits until no earlier owner can move the end of a lease any more: until
-// formerEnd or, once hasEnded says so of the former owner, until earlierEnd. It reports
-// whether the context has not ended.
-func awaitEnds(ctx context.Context, formerEnd, earlierEnd time.Time, hasEnded func() bool) bool {
-	for time.Now().Before(formerEnd) {
-		if hasEnded() {
-			return pauser.Sleep(ctx, time.Until(earlierEnd))
+// formerEnd; once hasEnded says so of the former owner, until earlierEnd; or until hasQuorum
+// says so of all of them. It reports whether the context has not ended.
+func awaitEnds(ctx context.Context, formerEnd, earlierEnd time.Time, hasEnded, hasQuorum func() bool) bool {
+	for now := time.Now(); now.Before(formerEnd); now = time.Now() {
+		if hasQuorum() || (hasEnded() && !now.Before(earlierEnd)) {
+			return ctx.Err() == nil
 		}
 		if !pauser.Sleep(ctx, askInterval) {
 			return false
--- a/internal/version/dispatcher/authority.go
+++ b/internal/version/dispatcher/authority.go
@@ -141,9 +141,19 @@
 }
 
 // HasQuorum reports whether takeoverQuorum of the roster that this owner has found have
-// accepted its fencing token. From then on no former owner moves the end of a lease.
+// accepted its fencing token. From then on no earlier owner moves the end of a lease: those
+// that have found or stored this roster need keepQuorum of it, and those before had ended when
+// it was stored (see MayStoreRoster).
 func (t *Table) HasQuorum() bool { return !t.quorumSince.IsZero() }
 
+// MayStoreRoster reports whether this owner may replace the stored roster. While an earlier
+// owner may still move the end of a lease, the roster that it relies on has to stay, so that
+// successors need a quorum of that one.
+func (t *Table) MayStoreRoster(now time.Time) bool {
+	hasNone := t.formerRoster == nil && !t.expectsOthers
+	return hasNone || t.HasQuorum() || !now.Before(t.formerOwnerEnd)
+}
+
 // checkQuorum notes when this owner has a quorum for the first time.
 func (t *Table) checkQuorum(now time.Time) {
 	v := t.formerRoster
@@ -151,6 +161,9 @@
 		return
 	}
 	t.quorumSince = now
+	if now.Before(t.earlierOwnersEnd) {
+		t.earlierOwnersEnd = now
+	}
 	t.FormerOwnerEnded(now)
 	t.rec.Record(now, EventQuorum, recorder.Fields{
 		"runners": strconv.Itoa(len(v)), "waitedMs": age(now, t.ownedSince),
--- a/internal/version/dispatcher/departures_test.go
+++ b/internal/version/dispatcher/departures_test.go
@@ -16,6 +16,7 @@
 // Times of a play of departures.
 const (
 	departureNotice = 6 * time.Second // the longest time from a runner's announcement to its end
+	registryUpdate  = 20              // chaosSteps between two lists of the registry without a change of runners
 	departuresEnd   = chaosFaultsEnd + departureNotice
 	// departuresSettleTime is how long after the last departure and change of owner a task
 	// may wait: for an earlier owner, and then for the leases that it may have granted.
@@ -77,14 +78,17 @@
 	return d
 }
 
-// updateRoster stores the roster, which may fail, and returns the runners that may be used.
+// updateRoster stores the roster if the owner may, which may fail, and returns the runners that
+// may be used.
 func (d *departures) updateRoster(listed []RunnerInfo) []RunnerInfo {
-	wanted := d.table.Roster(listed, d.now)
-	d.table.RosterUnderWay(wanted)
-	if !d.faulty || rapid.IntRange(0, 5).Draw(d.t, "rosterFails") != 1 {
-		d.roster, d.hasRoster, d.isUnreadable = wanted, true, false
-		d.table.RosterStored(wanted)
-		return listed
+	if d.table.MayStoreRoster(d.now) {
+		wanted := d.table.Roster(listed, d.now)
+		d.table.RosterUnderWay(wanted)
+		if !d.faulty || rapid.IntRange(0, 5).Draw(d.t, "rosterFails") != 1 {
+			d.roster, d.hasRoster, d.isUnreadable = wanted, true, false
+			d.table.RosterStored(wanted)
+			return listed
+		}
 	}
 	return slices.DeleteFunc(listed, func(info RunnerInfo) bool {
 		return !info.Draining && !slices.ContainsFunc(d.roster, func(saved RunnerInfo) bool { return saved.ID == info.ID })
@@ -307,6 +311,9 @@
 
 // advance makes one step of the play.
 func (d *departures) advance() {
+	if int(d.now.Sub(epoch)/chaosStep)%registryUpdate == 0 {
+		d.register()
+	}
 	d.depart()
 	for _, r := range d.sorted() {
 		for _, key := range sortedKeys(r.running) {
