Send renewals of the presence without waiting for earlier ones

A healthy owner was replaced whenever the store lost one renewal of its presence or the answer to it, and each replacement costs what runs a change of owner.

Cause: a renewal that is lost is waited for until its timeout of 1.2 s. With the pause of 0.5 s before it and after it, 2.2 s pass without a renewal, and the lease of the presence key takes 2 s.

Change: a renewal is sent each 0.5 s, whatever became of the earlier ones. A confirmation counts from when its own renewal was sent, as before, and never replaces a later one.

--- a/internal/process/elector/elector_test.go
+++ b/internal/process/elector/elector_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
 	"github.com/kumquatstack/kumquatstack/internal/standin/memorystore"
 )
@@ -23,6 +24,7 @@
 type group struct {
 	t        *testing.T
 	store    *memorystore.Store
+	wrapped  transactor.Store // what daemons that start call; nil if it is store
 	parts    int
 	electors []*Elector
 
@@ -45,8 +47,12 @@
 
 // add starts an elector for a daemon process on a host.
 func (g *group) add(instance string, host int) {
+	var store transactor.Store = g.store
+	if g.wrapped != nil {
+		store = g.wrapped
+	}
 	e := New(Options{
-		Store: g.store, Instance: instance, Address: fmt.Sprint("host", host), Parts: g.parts,
+		Store: store, Instance: instance, Address: fmt.Sprint("host", host), Parts: g.parts,
 		CampaignDelay: func(part, owned int) time.Duration {
 			// The delay of a daemon that owns a part exceeds the reaction time of the
 			// others even on a slow machine.
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -26,6 +26,8 @@
 	ctx   context.Context
 	end   context.CancelFunc
 	lease atomic.Int64 // of the presence key
+	// replacing serialises the writes of the presence key under a new lease.
+	replacing sync.Mutex
 	// confirmed is the latest time at which the record is known to have named this
 	// daemon.
 	confirmed atomic.Pointer[time.Time]
@@ -80,8 +82,23 @@
 
 // confirm notes that the owner record still named this daemon at the given time.
 func (t *Term) confirm(at time.Time) {
-	if last := t.confirmed.Load(); last == nil || at.After(*last) {
-		t.confirmed.Store(&at)
+	advance(&t.confirmed, at, func(last time.Time) bool { return at.After(last) })
+}
+
+// check notes a confirmation by renew. Renewals may be answered in another order than they
+// were sent.
+func (t *Term) check(c confirmation) {
+	advance(&t.checked, c, func(last confirmation) bool { return c.boot > last.boot })
+	t.confirm(c.at)
+}
+
+// advance stores a value if it is newer than the one that is stored.
+func advance[T any](latest *atomic.Pointer[T], value T, isNewerThan func(last T) bool) {
+	for {
+		last := latest.Load()
+		if (last != nil && !isNewerThan(*last)) || latest.CompareAndSwap(last, &value) {
+			return
+		}
 	}
 }
 
@@ -102,29 +119,38 @@
 }
 
 // renew renews the lease of the presence key and confirms the owner record at regular
-// intervals. It ends the term if the owner record names another owner, or could not
-// be confirmed for MaxUnconfirmed.
+// intervals, until the term ends.
+//
+// Load: a store that loses answers or renewals. The lease would end if the next renewal
+// waited for the timeout of one that is lost.
 func (t *Term) renew() {
+	var renewals sync.WaitGroup
+	defer renewals.Wait()
 	for pauser.Sleep(t.ctx, renewInterval) {
-		startBoot, checkedAt := bootTime(), time.Now()
-		err := t.keepPresence()
-		if err == nil {
-			err = t.checkRecord()
-		}
-		if err != nil && t.unconfirmedFor() > MaxUnconfirmed {
-			t.Depose(time.Now(), "the owner record could not be confirmed")
-			return
-		}
-		switch {
-		case t.ctx.Err() != nil:
-		case err == nil:
-			t.checked.Store(&confirmation{at: checkedAt, boot: startBoot})
-			t.confirm(checkedAt)
-		case errors.Is(err, errReplaced):
-			t.Depose(time.Now(), err.Error())
-		default:
-			t.e.recordFailure("renew the presence key or read the owner record", err)
-		}
+		renewals.Go(t.renewOnce)
+	}
+}
+
+// renewOnce renews the lease of the presence key and confirms the owner record. It ends the
+// term if the owner record names another owner, or could not be confirmed for
+// MaxUnconfirmed.
+func (t *Term) renewOnce() {
+	startBoot := bootTime()
+	start := confirmation{at: time.Now(), boot: startBoot}
+	err := t.keepPresence()
+	if err == nil {
+		err = t.checkRecord()
+	}
+	switch {
+	case t.ctx.Err() != nil:
+	case err == nil:
+		t.check(start)
+	case t.unconfirmedFor() > MaxUnconfirmed:
+		t.Depose(time.Now(), "the owner record could not be confirmed")
+	case errors.Is(err, errReplaced):
+		t.Depose(time.Now(), err.Error())
+	default:
+		t.e.recordFailure("renew the presence key or read the owner record", err)
 	}
 }
 
@@ -189,9 +215,15 @@
 func (t *Term) keepPresence() (err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	if err = t.e.opts.Store.KeepAlive(ctx, t.lease.Load()); !errors.Is(err, transactor.ErrNotFound) {
+	ended := t.lease.Load()
+	if err = t.e.opts.Store.KeepAlive(ctx, ended); !errors.Is(err, transactor.ErrNotFound) {
 		return err
 	}
+	t.replacing.Lock()
+	defer t.replacing.Unlock()
+	if t.lease.Load() != ended {
+		return nil // another renewal has replaced the lease
+	}
 	lease, err := t.e.opts.Store.Grant(ctx, presenceTTL)
 	if err != nil {
 		return err
