Claim a part again after the answer to a claim was lost

Nobody served a part for two seconds and more while the store named an owner.

Cause: a claim that the store has carried out and whose answer is lost counts as failed. The record then names a daemon that doesn't know it, and all daemons, it too, wait for the presence key to go.

Change: a daemon takes a part for vacant whose record names its own process with a fencing token that it has not served. It claims the part anew, with a higher token and the usual conditions; by a term that has served and ended it still waits for the presence key to go.

TestPartIsServedSoonAfterTheAnswerToAClaimWasLost failed before (term <nil>, want one of generation 1). TestEndedTermIsNotReclaimedWhileItsPresenceLasts passes before and after. internal/process/elector is green three times with the race detector.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
@@ -137,6 +138,8 @@
 	owner       Owner
 	campaigning bool
 	term        *Term // this daemon's term as the owner, or nil
+	// served is the fencing token of this process's last term, or zero.
+	served atomic.Int64
 }
 
 // New returns an elector; Run starts it.
@@ -281,13 +284,15 @@
 	return vacant
 }
 
-// isVacant reports whether this daemon may claim a part: no owner is present, or the
-// owner is a former process of this daemon, which has ended.
+// isVacant reports whether this daemon may claim a part: no owner is present, the owner is a
+// former process of this daemon, which has ended, or this process has claimed the part
+// without an answer, and so has not served it.
 //
 // Load: all daemons lose power, or are killed, and restart before the presence
 // leases of the owners have expired. They reclaim their parts without that wait.
 func (e *Elector) isVacant(owner Owner) bool {
-	return owner.presence == 0 || (owner.Address == e.opts.Address && owner.Instance != e.opts.Instance)
+	isServed := owner.Instance == e.opts.Instance && owner.Fence == e.parts[owner.Part].served.Load()
+	return owner.presence == 0 || (owner.Address == e.opts.Address && !isServed)
 }
 
 // watch waits for a change of any record or presence key, or for Recheck. The caller
@@ -429,6 +434,7 @@
 	defer e.mu.Unlock()
 	s := &e.parts[owner.Part]
 	s.owner, s.term = owner, term
+	s.served.Store(owner.Fence)
 	if e.resigned {
 		term.end()
 	}
--- a/internal/process/elector/term_test.go
+++ b/internal/process/elector/term_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/standin/memorystore"
 )
 
@@ -89,3 +91,55 @@
 		})
 	}
 }
+
+// A forgetfulStore carries out some transactions whose answers it loses.
+type forgetfulStore struct {
+	*memorystore.Store
+	lost atomic.Int64 // answers to lose
+}
+
+func (s *forgetfulStore) Commit(ctx context.Context, txn transactor.Transaction) (revision int64, err error) {
+	revision, err = s.Store.Commit(ctx, txn)
+	if err == nil && s.lost.Add(-1) >= 0 {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return revision, err
+}
+
+// Guards against a part that nobody serves for as long as the presence key lasts, as its owner
+// doesn't know that its claim was carried out.
+func TestPartIsServedSoonAfterTheAnswerToAClaimWasLost(t *testing.T) {
+	t.Parallel()
+	for _, lost := range []int64{1, 2} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			t.Parallel()
+			runSuccession(t, func(s *succession) {
+				store := &forgetfulStore{Store: s.store}
+				store.lost.Store(lost)
+				s.wrapped = store
+				s.add("a", 0)
+				time.Sleep(time.Duration(lost)*(callTimeout+retryDelay) + settleTime)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if term := s.running[0]["a"]; term == nil || term.Owner.Generation != lost {
+					s.t.Errorf("term %+v, want one of generation %d", term, lost)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an owner that claims its part again at once after its term has ended, and
+// against the word of a runner that there is another owner.
+func TestEndedTermIsNotReclaimedWhileItsPresenceLasts(t *testing.T) {
+	t.Parallel()
+	runSuccession(t, func(s *succession) {
+		former := s.succeed(0)
+		former.Depose(time.Now(), "a runner has refused the fencing token")
+		time.Sleep(settleTime)
+		if fence := s.last.Current(0).Fence; fence != former.Owner.Fence {
+			s.t.Errorf("owner record with the fencing token %d, want still %d", fence, former.Owner.Fence)
+		}
+	})
+}
