Send the calls of a claim again while they are not answered

While the store loses answers to writes, nobody owned a part for up to 8 s, and all leases lapsed.

Cause: each daemon waits for the answer to the grant of a lease, and then to its claim, until the timeout of 1.2 s for both.

Change: a call of a claim is sent again each 0.2 s, and the first answer counts. The value of the presence key holds the lease of the claim, so that a conflict with it tells that an earlier call was carried out, and with which token.

TestClaimOutlastsLostAnswers failed before (term <nil>, want one of generation 0).

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -4,6 +4,7 @@
 package elector
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -409,7 +410,7 @@
 	if last.Fence > 0 {
 		owner.Generation++
 	}
-	lease, err := e.opts.Store.Grant(callCtx, presenceTTL)
+	lease, err := resend(callCtx, func(ctx context.Context) (int64, error) { return e.opts.Store.Grant(ctx, presenceTTL) })
 	if err != nil {
 		return nil, err
 	}
@@ -418,9 +419,19 @@
 		return nil, err
 	}
 	record, presence := RecordKey(owner.Part), presenceKey(owner.Part)
-	owner.Fence, err = e.opts.Store.Commit(callCtx, transactor.Transaction{
+	// The lease tells this claim from earlier ones of this process.
+	mark := fmt.Appendf(nil, "%s %d", e.opts.Instance, lease)
+	claim := transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: record, Revision: last.Fence}, {Key: presence, Revision: last.presence}},
-		Writes:     []transactor.Write{{Key: record, Value: value}, {Key: presence, Value: []byte(e.opts.Instance), Lease: lease}},
+		Writes:     []transactor.Write{{Key: record, Value: value}, {Key: presence, Value: mark, Lease: lease}},
+	}
+	owner.Fence, err = resend(callCtx, func(ctx context.Context) (int64, error) {
+		fence, err := e.opts.Store.Commit(ctx, claim)
+		var conflict *transactor.ConflictError
+		if errors.As(err, &conflict) && bytes.Equal(conflict.Find(presence).Value, mark) {
+			return conflict.Find(presence).Revision, nil // an earlier call was carried out
+		}
+		return fence, err
 	})
 	if err != nil {
 		return nil, err
