Double the pause between calls of a claim

Hundreds of daemons that claim parts while answers are lost would take the store's rate of writes. A claim now makes four of each call at most in its 1.2 s.

--- a/internal/process/elector/resend.go
+++ b/internal/process/elector/resend.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// resendInterval is the time after which a call of a claim is sent again that has not been
-// answered.
-const resendInterval = 200 * time.Millisecond
+// resendAfter is the time after which a call of a claim is sent again that has not been
+// answered. It doubles each time.
+const resendAfter = 150 * time.Millisecond
 
-// resend makes a call, and makes it again at intervals until one of them has ended. It returns
-// the result of that one.
+// resend makes a call, and makes it again from time to time until one of them has ended. It
+// returns the result of that one.
 //
 // Load: a store that loses answers, while no owner renews leases.
 func resend(ctx context.Context, call func(ctx context.Context) (int64, error)) (result int64, err error) {
@@ -31,16 +31,14 @@
 		case <-ctx.Done():
 		}
 	}
-	ticker := time.NewTicker(resendInterval)
-	defer ticker.Stop()
-	for {
+	for pause := resendAfter; ; pause *= 2 {
 		calls.Go(send)
 		select {
 		case a := <-answers:
 			return a.result, a.err
 		case <-ctx.Done():
 			return 0, ctx.Err()
-		case <-ticker.C:
+		case <-time.After(pause):
 		}
 	}
 }
