--- a/internal/process/conductor/roster.go
+++ b/internal/process/conductor/roster.go
@@ -46,8 +46,9 @@
 	return nil
 }
 
-// updateRoster stores the roster of a table that gets a new list of runners, once it may. It returns
-// those of the list that may be used: the ones on the stored roster, and draining ones.
+// updateRoster stores the roster of a table that gets a new list of runners, if the table may
+// do so. It returns those of the list that may be used: the ones on the stored roster, and
+// draining ones.
 func (c *Conductor) updateRoster(listed []dispatcher.RunnerInfo) []dispatcher.RunnerInfo {
 	c.mu.Lock()
 	now := time.Now()
