--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -4,6 +4,7 @@
 package elector
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
@@ -137,6 +139,8 @@
 	owner       Owner
 	campaigning bool
 	term        *Term // this daemon's term as the owner, or nil
+	// served is the fencing token of this process's last term, or zero.
+	served atomic.Int64
 }
 
 // New returns an elector; Run starts it.
@@ -281,13 +285,15 @@
 	return vacancies
 }
 
-// isVacant reports whether this daemon may claim a part: no owner is present, or the
-// owner is a former process of this daemon, which has ended.
+// isVacant reports whether this daemon may claim a part: no owner is present, the owner is a
+// former process of this daemon, which has ended, or this process has claimed the part
+// without an answer, and so has not served it.
 //
 // Load: all daemons lose power, or are killed, and restart before the presence
 // leases of the owners have expired. They reclaim their parts without that wait.
 func (e *Elector) isVacant(owner Owner) bool {
-	return owner.presence == 0 || (owner.Address == e.opts.Address && owner.Instance != e.opts.Instance)
+	isServed := owner.Instance == e.opts.Instance && owner.Fence == e.parts[owner.Part].served.Load()
+	return owner.presence == 0 || (owner.Address == e.opts.Address && !isServed)
 }
 
 // watch waits for a change of any record or presence key, or for Recheck. The caller
@@ -405,7 +411,7 @@
 	if last.Fence > 0 {
 		owner.Generation++
 	}
-	lease, err := e.opts.Store.Grant(callCtx, presenceTTL)
+	lease, err := resend(callCtx, func(ctx context.Context) (int64, error) { return e.opts.Store.Grant(ctx, presenceTTL) })
 	if err != nil {
 		return nil, err
 	}
@@ -414,9 +420,19 @@
 		return nil, err
 	}
 	record, presence := RecordKey(owner.Part), presenceKey(owner.Part)
-	owner.Fence, err = e.opts.Store.Commit(callCtx, transactor.Transaction{
+	// The lease tells this claim from earlier ones of this process.
+	mark := fmt.Appendf(nil, "%s %d", e.opts.Instance, lease)
+	claim := transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: record, Revision: last.Fence}, {Key: presence, Revision: last.presence}},
-		Writes:     []transactor.Write{{Key: record, Value: value}, {Key: presence, Value: []byte(e.opts.Instance), Lease: lease}},
+		Writes:     []transactor.Write{{Key: record, Value: value}, {Key: presence, Value: mark, Lease: lease}},
+	}
+	owner.Fence, err = resend(callCtx, func(ctx context.Context) (int64, error) {
+		fence, err := e.opts.Store.Commit(ctx, claim)
+		var conflict *transactor.ConflictError
+		if errors.As(err, &conflict) && bytes.Equal(conflict.Find(presence).Value, mark) {
+			return conflict.Find(presence).Revision, nil // an earlier call was carried out
+		}
+		return fence, err
 	})
 	if err != nil {
 		return nil, err
@@ -430,6 +446,7 @@
 	defer e.mu.Unlock()
 	s := &e.parts[owner.Part]
 	s.owner, s.term = owner, term
+	s.served.Store(owner.Fence)
 	if e.resigned {
 		term.end()
 	}
