Bound what turns cost, and test their limit

The limit counts occurrences, so that a gang counts once; only work that some runner may run counts as lacking room; a new owner starts as if work on time had just lacked room. TestLateSubmissionsRunWhileWorkKeepsArriving has twelve late submissions and asserts the limit at each step, beside the share of starts; without the limit it prints "round 20: 8 run in their turn".

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -90,7 +90,6 @@
 // that those wait that can best afford to. Work that is late takes turns.
 func (t *Table) candidates(now time.Time) []candidate {
 	var list []candidate
-	isLacking := t.isLacking(now)
 	t.owedTurns = 0
 	for _, s := range t.unfinished() {
 		if s.opened < s.sub.Occurrences() {
@@ -113,14 +112,16 @@
 					continue
 				}
 				c := newCandidate(st, queue, now)
-				if !isBlocked {
-					list = append(list, c)
-				}
-				if c.isOwedTurn(now) {
+				isOwedTurn := c.isOwedTurn(now)
+				if isOwedTurn {
 					t.owedTurns++
-					if !isBlocked || !isLacking {
-						list = append(list, c.asTurn(now))
-					}
+				}
+				if isBlocked {
+					continue
+				}
+				list = append(list, c)
+				if isOwedTurn {
+					list = append(list, c.asTurn(now))
 				}
 			}
 		}
@@ -451,7 +452,7 @@
 	t.claim(r, st)
 	k.runs = append(k.runs, x)
 	st.occ.runs++
-	if t.turn == st {
+	if t.turn == st && st.occ.runs == 1 {
 		x.isTurn = true
 		t.turnRuns++
 	}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -95,8 +95,8 @@
 	// reserved holds the runners with reserved room.
 	reserved []*runner
 	// turn is the step of which one task is being started in its turn, or nil. turnRuns is
-	// the number of runs that were started so, and lackedAt when work that was on time last
-	// found no room.
+	// the number of occurrences that run since their turn, and lackedAt when work that was on
+	// time last found no room.
 	turn     *stepState
 	turnRuns int
 	// owedTurns is the number of steps that were owed a turn in the last placement pass.
@@ -156,6 +156,7 @@
 		ownerConfirmedAt: now,
 		authority:        authority{confirmedAt: now},
 		hasFormerOwner:   generation > 0,
+		lackedAt:         now, // former owners may have lacked room
 		rec:              rec,
 		runners:          make(map[string]*runner),
 		subs:             make(map[string]*submission),
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -17,8 +17,8 @@
 	// task starts in its turn. Smaller tasks would take each gap that is too small for it at
 	// full speed.
 	turnPace = 0.25
-	// turnShare bounds the tasks that run in their turn, as a share of the steps that are
-	// owed one, while work that is on time lacks room or has lacked it for lackedFor.
+	// turnShare bounds the occurrences that run in their turn, as a share of those and the
+	// steps that are owed one, while work that is on time lacks room and for lackedFor after.
 	turnShare = 0.25
 	lackedFor = time.Second
 )
@@ -59,7 +59,7 @@
 	if st.occ.runs > 0 {
 		return // of another step, which has started in this pass
 	}
-	if t.isLacking(now) && t.turnRuns >= max(1, int(turnShare*float64(t.owedTurns))) {
+	if now.Sub(t.lackedAt) <= lackedFor && t.turnRuns >= t.maxTurnRuns() {
 		return
 	}
 	t.turn = st
@@ -67,16 +67,25 @@
 	t.turn = nil
 }
 
-// noteLack notes that work which is on time has just found no room.
+// maxTurnRuns returns how many occurrences may run in their turn while work that is on time
+// lacks room.
+func (t *Table) maxTurnRuns() int {
+	return max(1, int(turnShare*float64(t.owedTurns+t.turnRuns)))
+}
+
+// noteLack notes that work which is on time has just found no room, on runners that may run it.
 func (t *Table) noteLack(c candidate, now time.Time) {
-	if c.tier == tierOnTime && !c.isTurn && !c.st.spec.LongRunning && c.st.blockedAt.Equal(now) {
-		t.lackedAt = now
+	if c.tier != tierOnTime || c.isTurn || c.st.spec.LongRunning || !c.st.blockedAt.Equal(now) || t.lackedAt.Equal(now) {
+		return
+	}
+	for _, r := range t.runners {
+		if t.mayRun(r, c.st) {
+			t.lackedAt = now
+			return
+		}
 	}
 }
 
-// isLacking reports whether work that is on time lacks room, or has just lacked it.
-func (t *Table) isLacking(now time.Time) bool { return now.Sub(t.lackedAt) <= lackedFor }
-
 // leastPace returns the pace, as a share of full speed, for which a runner needs room when
 // one more task of a best-effort step starts there.
 func (t *Table) leastPace(st *stepState) float64 {
--- a/internal/version/dispatcher/turns_test.go
+++ b/internal/version/dispatcher/turns_test.go
@@ -126,7 +126,7 @@
 func TestLateSubmissionsRunWhileWorkKeepsArriving(t *testing.T) {
 	h := newHarness(t, 0, 1)
 	h.poll("r0")
-	const late = 3
+	const late = 12
 	for i := range late {
 		h.add(fmt.Sprint("late", i), "night", bestEffort("batch", 2))
 	}
@@ -135,12 +135,12 @@
 	h.table.placementDue = true
 	addedAt := make(map[string]time.Time)
 	hasStarted := make(map[string]bool)
-	starts, onTime := 0, 0
+	starts, onTime, lacks := 0, 0, false
 	var running []Order
 	for round := range 120 {
 		id := fmt.Sprint("new", round)
 		addedAt[id] = h.now
-		h.add(id, "night", bestEffort("batch", 10))
+		h.add(id, "night", bestEffort("batch", 5))
 		for range min(4, len(running)) {
 			h.drop(running[0])
 			h.poll("r0", End{Task: running[0].Task, Run: running[0].Run, Kind: Done})
@@ -148,7 +148,13 @@
 		}
 		h.advance(250 * time.Millisecond)
 		h.poll("r0")
-		for _, o := range h.starts() {
+		orders := h.starts()
+		isLacking := h.table.lackedAt.Equal(h.now)
+		if idle := h.table.owedTurns; isLacking && round > 8 && h.table.turnRuns > 1+idle/3 {
+			t.Errorf("round %d: %d run in their turn, want at most a quarter of them and %d that are idle", round, h.table.turnRuns, idle)
+		}
+		lacks = lacks || isLacking
+		for _, o := range orders {
 			running = append(running, o)
 			hasStarted[o.Task.Submission] = true
 			starts++
@@ -162,6 +168,9 @@
 			t.Errorf("%s has not started within 30 s", id)
 		}
 	}
+	if !lacks {
+		t.Error("work that is on time never lacks room, want it to")
+	}
 	if onTime < starts*3/4 {
 		t.Errorf("%d of %d starts are of work that is on time, want at least three quarters", onTime, starts)
 	}
