--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -23,7 +23,7 @@
 
 // Keys of the store. An owner record is permanent; a presence key exists while the
 // owner renews the lease of that key. The settled key holds the fencing token of the
-// last owner that knew that every owner before it had ended.
+// last owner that knew that no owner before it could move the end of a lease.
 const (
 	prefix         = "kumquat/owner/"
 	recordSuffix   = "/record"
--- a/internal/process/elector/resend.go
+++ b/internal/process/elector/resend.go
@@ -11,7 +11,8 @@
 const resendAfter = 150 * time.Millisecond
 
 // resend makes a call, and makes it again from time to time until one of them has ended. It
-// returns the result of that one.
+// returns the result of that one, even if it is an error: a call before it may still succeed
+// unseen.
 //
 // Load: a store that loses answers, while no owner renews leases.
 func resend(ctx context.Context, call func(ctx context.Context) (int64, error)) (result int64, err error) {
--- a/internal/version/dispatcher/authority.go
+++ b/internal/version/dispatcher/authority.go
@@ -142,8 +142,8 @@
 
 // HasQuorum reports whether takeoverQuorum of the roster that this owner has found have
 // accepted its fencing token. From then on no earlier owner moves the end of a lease: those
-// that have found or stored this roster need keepQuorum of it, and those before had ended when
-// it was stored (see MayStoreRoster).
+// that have found or stored this roster need keepQuorum of it, and those before could move
+// none any more when it was stored (see MayStoreRoster).
 func (t *Table) HasQuorum() bool { return !t.quorumSince.IsZero() }
 
 // MayStoreRoster reports whether this owner may replace the stored roster. While an earlier
