--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -163,9 +163,9 @@
 
 // headroom returns the smallest share of its capacity that any service on a runner
 // would have left before its tail latency reaches its target, if one more task of a
-// best-effort step ran beside it at a pace, as a share of full speed. It is negative if that
-// task must not be added.
-func (m interferenceModel) headroom(r *runner, added *stepState, pace float64, now time.Time) float64 {
+// best-effort step ran beside it and some of the best-effort runs there, at a pace, as a share
+// of full speed. It is negative if that task must not be added.
+func (m interferenceModel) headroom(r *runner, beside *bestEffortUse, added *stepState, pace float64, now time.Time) float64 {
 	if len(r.services) == 0 {
 		return math.Inf(1)
 	}
@@ -175,15 +175,15 @@
 		if measured, ok := r.room[image]; ok && now.Sub(r.roomAt) <= 2*measureSpan {
 			room = min(room, measured)
 		}
-		least = min(least, room-m.pressureWith(r, image, added, pace))
+		least = min(least, room-m.pressureWith(r, beside, image, added, pace))
 	}
 	return least
 }
 
 // pressureWith returns the pressure on a serving image if one more task of a best-effort
-// step ran on the runner at a pace.
-func (m interferenceModel) pressureWith(r *runner, image string, added *stepState, pace float64) (pressure float64) {
-	for other, milliCores := range r.bestEffortByImage {
+// step ran beside some of those on the runner at a pace.
+func (m interferenceModel) pressureWith(r *runner, beside *bestEffortUse, image string, added *stepState, pace float64) (pressure float64) {
+	for other, milliCores := range beside.byImage {
 		pressure += m.pressures.PerCore(image, other) * r.coresOf(float64(milliCores))
 	}
 	return pressure + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(pace*float64(added.spec.MilliCores))
@@ -200,7 +200,7 @@
 	if len(r.services) == 0 {
 		return withoutServices
 	}
-	headroom := m.headroom(r, added, 1, now)
+	headroom := m.headroom(r, &r.bestEffort, added, 1, now)
 	largest := 0.0
 	for image := range r.services {
 		largest = max(largest, m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores)))
@@ -209,15 +209,16 @@
 }
 
 // adjustUse updates the totals of the runs on a runner, which are kept by kind and
-// image of their steps, when a run of a step is added (sign 1) or removed (sign -1).
-func (r *runner) adjustUse(st *stepState, sign int64) {
-	image := st.spec.Image
+// image of their steps, when a run is added (sign 1) or removed (sign -1).
+func (r *runner) adjustUse(x *run, sign int64) {
+	st, image := x.st, x.st.spec.Image
 	r.expectedUse += float64(sign) * expectedUse(st)
-	if st.spec.Fills {
-		r.bestEffortMilliCores += sign * st.spec.MilliCores
-		if r.bestEffortByImage[image] += sign * st.spec.MilliCores; r.bestEffortByImage[image] <= 0 {
-			delete(r.bestEffortByImage, image)
-		}
+	switch {
+	case x.isSlow:
+		r.background.add(image, st.backgroundMilliCores(), sign)
+		r.bestEffort.add(image, st.backgroundMilliCores(), sign)
+	case st.spec.Fills:
+		r.bestEffort.add(image, st.spec.MilliCores, sign)
 	}
 	if st.spec.TailTarget > 0 {
 		r.serving += int(sign)
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -26,6 +26,7 @@
 	halted     obstacle = "halted"     // best-effort tasks have been halted there
 	notSpare   obstacle = "notSpare"   // other tasks there are expected to use the processors
 	disturbing obstacle = "disturbing" // the task would disturb a service there
+	unpaced    obstacle = "unpaced"    // another background run there does not have its pace yet
 )
 
 // obstacle returns what keeps a task from a runner now, apart from permits.
@@ -66,13 +67,19 @@
 // bestEffortObstacle returns whether the other tasks on a runner leave enough for one more
 // task of a best-effort step, and what is missing if not.
 func (t *Table) bestEffortObstacle(r *runner, st *stepState, now time.Time) obstacle {
-	pace := t.leastPace(st)
+	beside, pace := &r.bestEffort, 1.0
+	if t.inBackground(st) {
+		if r.isPacingBackground() {
+			return unpaced
+		}
+		beside, pace = &r.background, backgroundPace
+	}
 	switch {
 	case r.halted:
 		return halted
-	case r.spare() < minBestEffortShare*(float64(r.bestEffortMilliCores)+pace*float64(st.spec.MilliCores)):
+	case r.spare() < minBestEffortShare*(float64(beside.milliCores)+pace*float64(st.spec.MilliCores)):
 		return notSpare
-	case t.interference.headroom(r, st, pace, now) < 0:
+	case t.interference.headroom(r, beside, st, pace, now) < 0:
 		return disturbing
 	}
 	return eligible
--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -147,13 +147,22 @@
 	tasks := make([]pacer.Task, len(runs))
 	for i, x := range runs {
 		tasks[i].Pace = x.pace
+		if x.isSlow {
+			tasks[i].Least = backgroundPercent
+		}
 		cores := r.coresOf(float64(x.st.spec.MilliCores))
 		tasks[i].Shares = make([]float64, len(images))
 		for k, image := range images {
 			tasks[i].Shares[k] = cores * t.interference.pressures.PerCore(image, x.st.spec.Image)
 		}
 	}
-	return pacer.Paces(room, tasks)
+	paces := pacer.Paces(room, tasks)
+	for i, x := range runs {
+		if x.isSlow && r.spare() < minBestEffortShare*float64(r.bestEffort.milliCores+x.st.spec.MilliCores) {
+			paces[i] = min(paces[i], backgroundPercent)
+		}
+	}
+	return paces
 }
 
 // updateRoom computes, by serving image, the share of its capacity that best-effort
@@ -180,7 +189,7 @@
 	var slowest *run
 	for _, x := range runs {
 		switch {
-		case x.pace > slowPace:
+		case x.pace > slowPace, x.isSlow:
 			x.slowSince = time.Time{}
 		case x.slowSince.IsZero():
 			x.slowSince = now
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -75,7 +75,7 @@
 		// A former owner may have started tasks where runs are not known yet.
 		isKnown := allRunsKnown || c.st.s.sub.Owner >= t.fence
 		if c.isTurn {
-			t.startTurn(c.st, isKnown, now)
+			t.startTurn(c, isKnown, now)
 		} else {
 			t.startWaiting(c.st, math.MaxInt, isKnown, now)
 			t.noteLack(c, now)
@@ -112,7 +112,7 @@
 					continue
 				}
 				c := newCandidate(st, queue, now)
-				isOwedTurn := c.isOwedTurn(now)
+				isOwedTurn := t.isOwedTurn(c, now)
 				if isOwedTurn {
 					t.owedTurns++
 				}
@@ -225,11 +225,11 @@
 	bestEffort bool
 	affinity   string
 	isNew      bool
-	leastPace  float64
+	background bool
 }
 
 func (t *Table) shapeOf(st *stepState, k *task) shape {
-	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k), t.leastPace(st)}
+	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k), t.inBackground(st)}
 }
 
 // hadNoRoom reports whether no runner in this placement pass had room for a task of
@@ -397,8 +397,10 @@
 		score -= lastResortCost
 	}
 	switch {
+	case t.inBackground(st):
+		score += t.interference.match(r, st, now) - float64(r.background.runs)
 	case st.spec.Fills:
-		score += (r.spare()-float64(r.bestEffortMilliCores))/capacity + t.interference.match(r, st, now)
+		score += (r.spare()-float64(r.bestEffort.milliCores))/capacity + t.interference.match(r, st, now)
 	case st.spec.TailTarget > 0:
 		score += r.scoreService(st.spec.Image)
 	default:
@@ -452,10 +454,7 @@
 	t.claim(r, st)
 	k.runs = append(k.runs, x)
 	st.occ.runs++
-	if t.turn == st && st.occ.runs == 1 {
-		x.isTurn = true
-		t.turnRuns++
-	}
+	t.noteTurn(x)
 	k.isTracked = true
 	k.nextRun = max(k.nextRun, number+1)
 	r.runs[runKey{x.id(), number}] = x
@@ -463,7 +462,7 @@
 	if st.spec.LongRunning {
 		r.usedForLong = r.usedForLong.Plus(st.spec.Reserved())
 	}
-	r.adjustUse(st, 1)
+	r.adjustUse(x, 1)
 	if st.runsByRunner != nil {
 		st.runsByRunner[r.info.ID]++
 	}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -179,7 +179,11 @@
 	}
 	k := &st.tasks[key.task.Index]
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
+	if t.isIdleAndLate(st, now) {
+		t.background = st // the former owner may have started it so
+	}
 	x := t.place(st, key.task.Index, r, key.run, now)
+	t.background = nil
 	x.phase, x.confirmedAt, x.isListed = running, now, true
 	st.ranBefore = true
 	s.markStarted()
@@ -188,8 +192,7 @@
 	case unwanted:
 		t.stop(x, now, "task needs no run")
 	case st.spec.Fills:
-		x.confirmedPace = unknownPace // the former owner may have paced it
-		t.paceRun(x, fullPace, now)
+		x.confirmedPace = unknownPace // the former owner may have paced it; watchTails paces it
 	}
 	return x
 }
@@ -396,7 +399,7 @@
 	if st.spec.LongRunning {
 		r.usedForLong = r.usedForLong.Minus(st.spec.Reserved())
 	}
-	r.adjustUse(st, -1)
+	r.adjustUse(x, -1)
 	if st.spec.Fills {
 		r.bestEffortEndedAt = now
 	}
@@ -409,7 +412,7 @@
 	}
 	k.endedAt = now
 	st.occ.runs--
-	if x.isTurn {
+	if x.isTurn && !x.isSlow {
 		t.turnRuns--
 	}
 	if !x.confirmedAt.IsZero() {
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -70,10 +70,14 @@
 	unknownRuns       map[runKey]time.Time // when runs of unknown submissions were first reported
 	// unknownStoppedAt is when a stop was last ordered for a run that is not in the
 	// table.
-	unknownStoppedAt     time.Time
-	bestEffortMilliCores int64   // milliCores requested by best-effort tasks
-	expectedUse          float64 // milliCores that other tasks are expected to use
-	serving              int     // tasks with a tail latency target
+	unknownStoppedAt time.Time
+	// bestEffort is what the best-effort runs use, with those in the background at
+	// backgroundPace; background is the part of the latter.
+	bestEffort, background bestEffortUse
+	// lastBackground is the run that last started in the background, or nil.
+	lastBackground *run
+	expectedUse    float64 // milliCores that other tasks are expected to use
+	serving        int     // tasks with a tail latency target
 	// worstTail is the highest ratio of a tail latency to its target in the newest
 	// report.
 	worstTail float64
@@ -87,7 +91,6 @@
 	halted            bool                  // best-effort tasks have been halted
 	services          map[string]*stepState // by serving image, a step with tasks here
 	servingByImage    map[string]int        // number of tasks by serving image
-	bestEffortByImage map[string]int64      // milliCores requested by best-effort image
 }
 
 // A runKey identifies a run on a runner.
@@ -113,7 +116,7 @@
 	return &runner{
 		info: info, runs: make(map[runKey]*run), failedSubmissions: make(map[string]bool), unknownRuns: make(map[runKey]time.Time),
 		worstTail: unknownTailRatio, room: make(map[string]float64),
-		services: make(map[string]*stepState), servingByImage: make(map[string]int), bestEffortByImage: make(map[string]int64),
+		services: make(map[string]*stepState), servingByImage: make(map[string]int),
 	}
 }
 
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -164,7 +164,9 @@
 	// isCarriedOver says that the runner was restarted after the start was ordered, and
 	// that no report of the new process has listed the run.
 	isCarriedOver bool
-	isTurn        bool // the task was started in its turn
+	// isTurn says that the run is the one that its occurrence got in its turn; isSlow that it
+	// runs in the background meanwhile.
+	isTurn, isSlow bool
 	// onProbation says that the run may be the cause if its runner is lost; isSuspect
 	// that the runner is kept free of others meanwhile.
 	onProbation, isSuspect bool
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -94,11 +94,12 @@
 
 	// reserved holds the runners with reserved room.
 	reserved []*runner
-	// turn is the step of which one task is being started in its turn, or nil. turnRuns is
-	// the number of occurrences that run since their turn, and lackedAt when work that was on
+	// turn is the step of which one task is being started in its turn, or nil; background is
+	// the step if that task runs in the background. turnRuns is the number of occurrences that
+	// run since their turn, other than in the background, and lackedAt when work that was on
 	// time last found no room.
-	turn     *stepState
-	turnRuns int
+	turn, background *stepState
+	turnRuns         int
 	// owedTurns is the number of steps that were owed a turn in the last placement pass.
 	owedTurns int
 	lackedAt  time.Time
@@ -195,7 +196,7 @@
 			load.Capacity += r.info.Capacity.MilliCores
 			load.Reserved += r.used.MilliCores
 			load.LongRunning += r.usedForLong.MilliCores
-			load.Filling += r.bestEffortMilliCores
+			load.Filling += r.bestEffort.milliCores
 		case r.info.Draining, !r.isRegistered:
 			load.Reserved += r.usedForLong.MilliCores
 			load.LongRunning += r.usedForLong.MilliCores
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -170,7 +170,7 @@
 // all of them often takes most of an owner's processor time.
 func (t *Table) NeedsFrequentPolls(id string) bool {
 	r, ok := t.runners[id]
-	return ok && r.serving > 0 && r.bestEffortMilliCores > 0 && (!t.isLarge() || r.worstTail >= watchedTailRatio)
+	return ok && r.serving > 0 && r.bestEffort.runs > 0 && (!t.isLarge() || r.worstTail >= watchedTailRatio)
 }
 
 // isLarge reports whether the owner has so many runners that it has to save
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -3,33 +3,46 @@
 import "time"
 
 // Late work takes turns: one task of each occurrence of which nothing runs goes before the
-// other late work of its priority, that which has been idle for longest first.
+// other late work of its priority, that which has been idle for longest first. A best-effort
+// task that has its turn starts in the background if no runner has room for it at full speed,
+// or work that is on time lacks room.
 //
 // Load: more work than fits, for long. Ordered by the work that is left, what takes the
 // most would never run while smaller work keeps arriving.
 const (
-	// turnAfter is how long nothing of an occurrence has run when it gets a turn.
-	turnAfter = 500 * time.Millisecond
+	// turnAfter is how long nothing of an occurrence has run when it gets a turn, and
+	// rareTurnAfter the same while work that is on time lacks room and for lackedFor after.
+	turnAfter     = 500 * time.Millisecond
+	rareTurnAfter = 2 * time.Second
+	lackedFor     = time.Second
 	// urgentTurnAfter is how long nothing of it has run when its turn goes before the work
 	// of its priority that is still on time.
 	urgentTurnAfter = 15 * time.Second
-	// turnPace is the share of full speed for which a runner needs room when a best-effort
-	// task starts in its turn. Smaller tasks would take each gap that is too small for it at
-	// full speed.
-	turnPace = 0.25
-	// turnShare bounds the occurrences that run in their turn, as a share of those and the
-	// steps that are owed one, while work that is on time lacks room and for lackedFor after.
+	// turnShare bounds the occurrences that run in their turn, other than in the background,
+	// as a share of those and the steps that are owed one, while work that is on time lacks
+	// room.
 	turnShare = 0.25
-	lackedFor = time.Second
 )
 
 // idleSince returns the time since which nothing of an occurrence without runs has run.
 func (o *occurrence) idleSince() time.Time { return later(o.dueAt, o.ranAt) }
 
+// lacksRoom reports whether work that is on time has just found no room.
+func (t *Table) lacksRoom(now time.Time) bool { return now.Sub(t.lackedAt) <= lackedFor }
+
 // isOwedTurn reports whether one task of a candidate's step goes before other work.
-func (c candidate) isOwedTurn(now time.Time) bool {
-	o := c.st.occ
-	return c.tier != tierOnTime && o.runs == 0 && now.Sub(o.idleSince()) >= turnAfter
+func (t *Table) isOwedTurn(c candidate, now time.Time) bool {
+	o, after := c.st.occ, turnAfter
+	if t.lacksRoom(now) {
+		after = rareTurnAfter
+	}
+	return c.tier != tierOnTime && o.runs == 0 && now.Sub(o.idleSince()) >= after
+}
+
+// isIdleAndLate reports whether a step is late and nothing of its occurrence runs.
+func (t *Table) isIdleAndLate(st *stepState, now time.Time) bool {
+	queue, ok := st.s.queue.Get()
+	return ok && st.occ.runs == 0 && newCandidate(st, queue, now).tier != tierOnTime
 }
 
 // asTurn returns the candidate for one task that goes before other work.
@@ -54,19 +67,40 @@
 	}
 }
 
-// startTurn starts one task of a step, if it has its turn now.
-func (t *Table) startTurn(st *stepState, allRunsKnown bool, now time.Time) {
+// startTurn starts one task of a candidate's step, if it has its turn now.
+func (t *Table) startTurn(c candidate, allRunsKnown bool, now time.Time) {
+	st := c.st
 	if st.occ.runs > 0 {
 		return // of another step, which has started in this pass
 	}
-	if now.Sub(t.lackedAt) <= lackedFor && t.turnRuns >= t.maxTurnRuns() {
+	isLacking := t.lacksRoom(now)
+	if isLacking && !st.spec.Fills && t.turnRuns >= t.maxTurnRuns() {
 		return
 	}
 	t.turn = st
-	t.startWaiting(st, 1, allRunsKnown, now)
+	if !isLacking || !st.spec.Fills {
+		t.startWaiting(st, 1, allRunsKnown, now)
+	}
+	if st.spec.Fills && st.occ.runs == 0 {
+		t.background = st
+		t.startWaiting(st, 1, allRunsKnown, now)
+		t.background = nil
+	}
 	t.turn = nil
 }
 
+// noteTurn notes that a run has started, if that is in a turn.
+func (t *Table) noteTurn(x *run) {
+	if x.st == t.background {
+		x.isTurn, x.isSlow = true, true
+		x.runner.lastBackground = x
+	}
+	if x.st == t.turn && x.st.occ.runs == 1 && !x.isSlow {
+		x.isTurn = true
+		t.turnRuns++
+	}
+}
+
 // maxTurnRuns returns how many occurrences may run in their turn while work that is on time
 // lacks room.
 func (t *Table) maxTurnRuns() int {
@@ -85,12 +119,3 @@
 		}
 	}
 }
-
-// leastPace returns the pace, as a share of full speed, for which a runner needs room when
-// one more task of a best-effort step starts there.
-func (t *Table) leastPace(st *stepState) float64 {
-	if t.turn == st {
-		return turnPace
-	}
-	return 1
-}
