--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -1,14 +1,23 @@
 package dispatcher
 
-// Best-effort tasks run in the background at backgroundPercent of full speed, and faster
-// with what the others on their runner leave. They start where the services leave room for
-// that pace, whatever other best-effort tasks use, as those are slowed down for it.
+import (
+	"slices"
+	"time"
+)
+
+// Best-effort tasks that have their turn run in the background, at backgroundPercent of full
+// speed. They start where the services leave room for that pace, whatever other best-effort
+// tasks use, as those are slowed down for it. In the order of their submission they get full
+// speed, as if they were waiting.
 //
 // Load: large tasks behind small ones, which take each gap that is too small for a large one
 // at full speed.
 const (
 	backgroundPercent = 5
 	backgroundPace    = backgroundPercent / 100.0
+	// maxQueuedForBackground is the number of starts that wait to be sent from which no task
+	// starts in the background.
+	maxQueuedForBackground = 32
 )
 
 // A bestEffortUse is what some best-effort runs on a runner use.
@@ -38,9 +47,62 @@
 	return st.spec.MilliCores * backgroundPercent / 100
 }
 
-// isPacingBackground reports whether the run that last started in the background on a runner
-// still goes at full speed.
-func (r *runner) isPacingBackground() bool {
-	x := r.lastBackground
-	return x != nil && r.runs[runKey{x.id(), x.number}] == x && (x.phase == starting || x.confirmedPace == fullPace)
+// isInBackground reports whether a task of a step runs in the background.
+func (st *stepState) isInBackground() bool {
+	return slices.ContainsFunc(st.occ.background, func(x *run) bool { return x.st == st })
+}
+
+// startInBackground starts one task of a step in the background, or a gang.
+func (t *Table) startInBackground(st *stepState, allRunsKnown bool, now time.Time) {
+	if t.queuedStarts >= maxQueuedForBackground {
+		return
+	}
+	t.background = st
+	t.startWaiting(st, 1, allRunsKnown, now)
+	t.background = nil
+}
+
+// promote gives the tasks of a step that run in the background full speed if their runners have
+// room. The last one of a step moves to another runner if only that has room.
+func (t *Table) promote(st *stepState, now time.Time) {
+	for _, x := range slices.Clone(st.occ.background) {
+		if x.st != st || x.phase != running || x.runner.info.Draining {
+			continue
+		}
+		switch {
+		case t.bestEffortObstacle(x.runner, st, now) == eligible:
+			t.speedUp(x, now)
+		case st.waiting == 0 && st.spec.Checkpointing && x.percent < nearlyDone:
+			if t.chooseOther(st, x.task(), x.runner, now) != nil {
+				t.stop(x, now, "another runner has room")
+			} else {
+				st.blockedAt = now
+			}
+		}
+	}
+}
+
+// speedUp ends the time of a run in the background.
+func (t *Table) speedUp(x *run, now time.Time) {
+	x.runner.adjustUse(x, -1)
+	t.endTurn(x)
+	x.isSlow = false
+	x.runner.adjustUse(x, 1)
+	t.paceRun(x, fullPace, now)
+}
+
+// paceBackground sets the paces of the background runs on a runner.
+func (t *Table) paceBackground(r *runner, now time.Time) {
+	if r.background.runs == 0 {
+		return
+	}
+	pace := backgroundPercent
+	if r.halted {
+		pace = 0
+	}
+	for _, x := range r.runsByAge() {
+		if x.isSlow && x.phase == running {
+			t.paceRun(x, pace, now)
+		}
+	}
 }
--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -182,11 +182,16 @@
 
 // pressureWith returns the pressure on a serving image if one more task of a best-effort
 // step ran beside some of those on the runner at a pace.
-func (m interferenceModel) pressureWith(r *runner, beside *bestEffortUse, image string, added *stepState, pace float64) (pressure float64) {
-	for other, milliCores := range beside.byImage {
+func (m interferenceModel) pressureWith(r *runner, beside *bestEffortUse, image string, added *stepState, pace float64) float64 {
+	return m.pressureOf(r, beside, image) + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(pace*float64(added.spec.MilliCores))
+}
+
+// pressureOf returns the pressure of some best-effort runs on a runner on a serving image.
+func (m interferenceModel) pressureOf(r *runner, use *bestEffortUse, image string) (pressure float64) {
+	for other, milliCores := range use.byImage {
 		pressure += m.pressures.PerCore(image, other) * r.coresOf(float64(milliCores))
 	}
-	return pressure + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(pace*float64(added.spec.MilliCores))
+	return pressure
 }
 
 // match rates a runner for a task of a best-effort step, from 0 to 1: by the part of the
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -26,7 +26,6 @@
 	halted     obstacle = "halted"     // best-effort tasks have been halted there
 	notSpare   obstacle = "notSpare"   // other tasks there are expected to use the processors
 	disturbing obstacle = "disturbing" // the task would disturb a service there
-	unpaced    obstacle = "unpaced"    // another background run there does not have its pace yet
 )
 
 // obstacle returns what keeps a task from a runner now, apart from permits.
@@ -69,9 +68,6 @@
 func (t *Table) bestEffortObstacle(r *runner, st *stepState, now time.Time) obstacle {
 	beside, pace := &r.bestEffort, 1.0
 	if t.inBackground(st) {
-		if r.isPacingBackground() {
-			return unpaced
-		}
 		beside, pace = &r.background, backgroundPace
 	}
 	switch {
--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -88,6 +88,7 @@
 // steer sets the paces of the best-effort tasks on a runner by the room that the
 // services there have, and moves a task that has to be slow for long.
 func (t *Table) steer(r *runner, now time.Time) {
+	t.paceBackground(r, now)
 	runs := r.bestEffortRuns()
 	if len(runs) == 0 || t.needsNoChange(r, runs) {
 		return
@@ -96,11 +97,11 @@
 	t.moveSlow(runs, now)
 }
 
-// bestEffortRuns returns the best-effort runs on a runner that are not being stopped, oldest
-// first.
+// bestEffortRuns returns the best-effort runs on a runner that are not being stopped, other
+// than those in the background, oldest first.
 func (r *runner) bestEffortRuns() (runs []*run) {
 	for _, x := range r.runs {
-		if x.st.spec.Fills && x.phase != stopping {
+		if x.st.spec.Fills && !x.isSlow && x.phase != stopping {
 			runs = append(runs, x)
 		}
 	}
@@ -142,27 +143,18 @@
 	images := slices.Sorted(maps.Keys(r.room))
 	room := make([]float64, len(images))
 	for k, image := range images {
-		room[k] = r.room[image]
+		room[k] = r.room[image] - t.interference.pressureOf(r, &r.background, image)
 	}
 	tasks := make([]pacer.Task, len(runs))
 	for i, x := range runs {
 		tasks[i].Pace = x.pace
-		if x.isSlow {
-			tasks[i].Least = backgroundPercent
-		}
 		cores := r.coresOf(float64(x.st.spec.MilliCores))
 		tasks[i].Shares = make([]float64, len(images))
 		for k, image := range images {
 			tasks[i].Shares[k] = cores * t.interference.pressures.PerCore(image, x.st.spec.Image)
 		}
 	}
-	paces := pacer.Paces(room, tasks)
-	for i, x := range runs {
-		if x.isSlow && r.spare() < minBestEffortShare*float64(r.bestEffort.milliCores+x.st.spec.MilliCores) {
-			paces[i] = min(paces[i], backgroundPercent)
-		}
-	}
-	return paces
+	return pacer.Paces(room, tasks)
 }
 
 // updateRoom computes, by serving image, the share of its capacity that best-effort
@@ -189,7 +181,7 @@
 	var slowest *run
 	for _, x := range runs {
 		switch {
-		case x.pace > slowPace, x.isSlow:
+		case x.pace > slowPace:
 			x.slowSince = time.Time{}
 		case x.slowSince.IsZero():
 			x.slowSince = now
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -77,6 +77,7 @@
 		if c.isTurn {
 			t.startTurn(c, isKnown, now)
 		} else {
+			t.promote(c.st, now)
 			t.startWaiting(c.st, math.MaxInt, isKnown, now)
 			t.noteLack(c, now)
 		}
@@ -104,7 +105,7 @@
 				continue
 			}
 			for _, st := range occ.steps {
-				if !st.ready || st.waiting == 0 || st.remaining == 0 {
+				if !st.ready || st.remaining == 0 || (st.waiting == 0 && !st.isInBackground()) {
 					continue
 				}
 				isBlocked := t.isBlocked(st, now)
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -412,9 +412,7 @@
 	}
 	k.endedAt = now
 	st.occ.runs--
-	if x.isTurn && !x.isSlow {
-		t.turnRuns--
-	}
+	t.endTurn(x)
 	if !x.confirmedAt.IsZero() {
 		st.occ.ranAt = now
 	}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -76,8 +76,8 @@
 		t.markBegun(x.st)
 		if x.phase == starting {
 			x.phase, x.progressedAt = running, now
-			if x.st.spec.Fills && x.runner.background.runs > 0 {
-				t.setPaces(x.runner, x.runner.bestEffortRuns(), now)
+			if x.isSlow {
+				t.paceRun(x, backgroundPercent, now)
 			}
 		}
 		return
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -74,10 +74,8 @@
 	// bestEffort is what the best-effort runs use, with those in the background at
 	// backgroundPace; background is the part of the latter.
 	bestEffort, background bestEffortUse
-	// lastBackground is the run that last started in the background, or nil.
-	lastBackground *run
-	expectedUse    float64 // milliCores that other tasks are expected to use
-	serving        int     // tasks with a tail latency target
+	expectedUse            float64 // milliCores that other tasks are expected to use
+	serving                int     // tasks with a tail latency target
 	// worstTail is the highest ratio of a tail latency to its target in the newest
 	// report.
 	worstTail float64
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -50,6 +50,8 @@
 	// had begun.
 	runs  int
 	ranAt time.Time
+	// background holds those that run in the background.
+	background []*run
 }
 
 // A stepState is the state of one step in one occurrence.
@@ -164,9 +166,8 @@
 	// isCarriedOver says that the runner was restarted after the start was ordered, and
 	// that no report of the new process has listed the run.
 	isCarriedOver bool
-	// isTurn says that the run is the one that its occurrence got in its turn; isSlow that it
-	// runs in the background meanwhile.
-	isTurn, isSlow bool
+	isTurn        bool // the task was started in its turn, other than in the background
+	isSlow        bool // it runs in the background
 	// onProbation says that the run may be the cause if its runner is lost; isSuspect
 	// that the runner is kept free of others meanwhile.
 	onProbation, isSuspect bool
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -1,11 +1,13 @@
 package dispatcher
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Late work takes turns: one task of each occurrence of which nothing runs goes before the
 // other late work of its priority, that which has been idle for longest first. A best-effort
-// task that has its turn starts in the background if no runner has room for it at full speed,
-// or work that is on time lacks room.
+// task starts in the background then.
 //
 // Load: more work than fits, for long. Ordered by the work that is left, what takes the
 // most would never run while smaller work keeps arriving.
@@ -73,34 +75,40 @@
 	if st.occ.runs > 0 {
 		return // of another step, which has started in this pass
 	}
-	isLacking := t.lacksRoom(now)
-	if isLacking && !st.spec.Fills && t.turnRuns >= t.maxTurnRuns() {
+	if t.lacksRoom(now) && !st.spec.Fills && t.turnRuns >= t.maxTurnRuns() {
 		return
 	}
-	t.turn = st
-	if !isLacking || !st.spec.Fills {
-		t.startWaiting(st, 1, allRunsKnown, now)
-	}
-	if st.spec.Fills && st.occ.runs == 0 {
-		t.background = st
-		t.startWaiting(st, 1, allRunsKnown, now)
-		t.background = nil
+	if st.spec.Fills {
+		t.startInBackground(st, allRunsKnown, now)
+		return
 	}
+	t.turn = st
+	t.startWaiting(st, 1, allRunsKnown, now)
 	t.turn = nil
 }
 
 // noteTurn notes that a run has started, if that is in a turn.
 func (t *Table) noteTurn(x *run) {
-	if x.st == t.background {
-		x.isTurn, x.isSlow = true, true
-		x.runner.lastBackground = x
-	}
-	if x.st == t.turn && x.st.occ.runs == 1 && !x.isSlow {
+	switch {
+	case x.st == t.background:
+		x.isSlow = true
+		x.st.occ.background = append(x.st.occ.background, x)
+	case x.st == t.turn && x.st.occ.runs == 1:
 		x.isTurn = true
 		t.turnRuns++
 	}
 }
 
+// endTurn notes that a run has ended or gets its full speed, if it was started in a turn.
+func (t *Table) endTurn(x *run) {
+	if x.isTurn {
+		t.turnRuns--
+	}
+	if x.isSlow {
+		x.st.occ.background = slices.DeleteFunc(x.st.occ.background, func(o *run) bool { return o == x })
+	}
+}
+
 // maxTurnRuns returns how many occurrences may run in their turn while work that is on time
 // lacks room.
 func (t *Table) maxTurnRuns() int {
--- a/internal/version/pacer/pacer.go
+++ b/internal/version/pacer/pacer.go
@@ -29,9 +29,6 @@
 	Shares []float64
 	// Pace is the current pace, in percent.
 	Pace int
-	// Least is the pace, in percent, that the task has before all others; it goes faster only
-	// with what those without a least pace leave. Zero if the task has none.
-	Least int
 }
 
 // Paces returns the pace of each task, so that all tasks together take no more of each
@@ -45,34 +42,20 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Or(
-			cmp.Compare(min(1, tasks[a].Least), min(1, tasks[b].Least)),
 			cmp.Compare(tasks[a].part(room), tasks[b].part(room)),
 			cmp.Compare(tasks[b].Pace, tasks[a].Pace),
 		)
 	})
 	paces := make([]int, len(tasks))
-	for i, task := range tasks {
-		if task.Least > 0 {
-			paces[i] = min(task.Least, int(task.fitting(left)*Full))
-			task.take(left, paces[i])
-		}
-	}
 	for _, i := range order {
-		task := tasks[i]
-		task.take(left, -paces[i])
-		paces[i] = max(paces[i], task.next(left))
-		task.take(left, paces[i])
+		paces[i] = tasks[i].next(left)
+		for service, share := range tasks[i].Shares {
+			left[service] -= share * float64(paces[i]) / Full
+		}
 	}
 	return paces
 }
 
-// take takes what a task uses at a pace from the shares of the services that are left.
-func (t Task) take(left []float64, pace int) {
-	for service, share := range t.Shares {
-		left[service] -= share * float64(pace) / Full
-	}
-}
-
 // negligible is a share of a service's capacity that a task may take even where there
 // is no room.
 const negligible = 0.004
@@ -86,21 +69,15 @@
 	return largest
 }
 
-// fitting returns the pace, as a share of full speed, at which a task takes no more than the
-// given shares of the services.
-func (t Task) fitting(left []float64) (pace float64) {
-	pace = 1
+// next returns the pace of a task that may take the given shares of the services.
+func (t Task) next(left []float64) int {
+	pace := 1.0
 	for service, share := range t.Shares {
 		if share > negligible {
 			pace = min(pace, max(0, left[service]/share))
 		}
 	}
-	return pace
-}
-
-// next returns the pace of a task that may take the given shares of the services.
-func (t Task) next(left []float64) int {
-	next := int(t.fitting(left)*Full) / step * step
+	next := int(pace*Full) / step * step
 	if next > t.Pace && next < Full && next < t.Pace+leastGain {
 		return t.Pace
 	}
--- a/internal/version/pacer/pacer_test.go
+++ b/internal/version/pacer/pacer_test.go
@@ -16,14 +16,14 @@
 		want  []int
 	}{
 		{"no service", nil, []Task{{Pace: 40}}, []int{100}},
-		{"room for all", []float64{0.3}, []Task{{Shares: []float64{0.1}, Pace: 100}, {Shares: []float64{0.1}, Pace: 100}}, []int{100, 100}},
-		{"room for half", []float64{0.05}, []Task{{Shares: []float64{0.1}, Pace: 100}}, []int{50}},
-		{"no room", []float64{-0.1}, []Task{{Shares: []float64{0.1}, Pace: 100}}, []int{0}},
-		{"no room, and a task that hardly disturbs", []float64{-0.1}, []Task{{Shares: []float64{0.002}, Pace: 100}}, []int{100}},
-		{"the one that disturbs least goes first", []float64{0.2}, []Task{{Shares: []float64{0.4}, Pace: 100}, {Shares: []float64{0.1}, Pace: 100}}, []int{20, 100}},
-		{"the service with the least room decides", []float64{0.5, 0.02}, []Task{{Shares: []float64{0.1, 0.1}, Pace: 100}}, []int{20}},
-		{"a small gain is not worth a change", []float64{0.05}, []Task{{Shares: []float64{0.1}, Pace: 40}}, []int{40}},
-		{"a small loss is", []float64{0.03}, []Task{{Shares: []float64{0.1}, Pace: 40}}, []int{30}},
+		{"room for all", []float64{0.3}, []Task{{[]float64{0.1}, 100}, {[]float64{0.1}, 100}}, []int{100, 100}},
+		{"room for half", []float64{0.05}, []Task{{[]float64{0.1}, 100}}, []int{50}},
+		{"no room", []float64{-0.1}, []Task{{[]float64{0.1}, 100}}, []int{0}},
+		{"no room, and a task that hardly disturbs", []float64{-0.1}, []Task{{[]float64{0.002}, 100}}, []int{100}},
+		{"the one that disturbs least goes first", []float64{0.2}, []Task{{[]float64{0.4}, 100}, {[]float64{0.1}, 100}}, []int{20, 100}},
+		{"the service with the least room decides", []float64{0.5, 0.02}, []Task{{[]float64{0.1, 0.1}, 100}}, []int{20}},
+		{"a small gain is not worth a change", []float64{0.05}, []Task{{[]float64{0.1}, 40}}, []int{40}},
+		{"a small loss is", []float64{0.03}, []Task{{[]float64{0.1}, 40}}, []int{30}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
