--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -18,21 +18,28 @@
 	// maxQueuedForBackground is the number of starts that wait to be sent from which no task
 	// starts in the background.
 	maxQueuedForBackground = 32
+	// backgroundMemoryShare is the largest share of a runner's memory that background runs take.
+	backgroundMemoryShare = 0.5
+	// backgroundRunCost is what each background run takes off a runner's score for another one.
+	backgroundRunCost = 0.01
 )
 
 // A bestEffortUse is what some best-effort runs on a runner use.
 type bestEffortUse struct {
 	milliCores int64
+	memoryMB   int64
 	byImage    map[string]int64 // milliCores
 	runs       int
 }
 
-// add adds a run of an image (sign 1) or removes it (sign -1).
-func (u *bestEffortUse) add(image string, milliCores, sign int64) {
+// add adds a run of a step (sign 1) or removes it (sign -1).
+func (u *bestEffortUse) add(st *stepState, milliCores, sign int64) {
+	image := st.spec.Image
 	if u.byImage == nil {
 		u.byImage = make(map[string]int64)
 	}
 	u.milliCores += sign * milliCores
+	u.memoryMB += sign * st.spec.MemoryMB
 	u.runs += int(sign)
 	if u.byImage[image] += sign * milliCores; u.byImage[image] <= 0 {
 		delete(u.byImage, image)
@@ -47,6 +54,19 @@
 	return st.spec.MilliCores * backgroundPercent / 100
 }
 
+// hasMemoryForBackground reports whether a runner may have one more background run of a step,
+// as far as memory is concerned.
+func (r *runner) hasMemoryForBackground(st *stepState) bool {
+	return float64(r.background.memoryMB+st.spec.MemoryMB) <= backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
+}
+
+// scoreForBackground rates a runner for a task of a step that starts in the background. It
+// has full speed until its runner has its pace, so that runners without services come first,
+// and then those whose services would bear it best.
+func (t *Table) scoreForBackground(r *runner, st *stepState, now time.Time) float64 {
+	return min(1, t.interference.headroom(r, &r.bestEffort, st, 1, now)) - backgroundRunCost*float64(r.background.runs)
+}
+
 // isInBackground reports whether a task of a step runs in the background.
 func (st *stepState) isInBackground() bool {
 	return slices.ContainsFunc(st.occ.background, func(x *run) bool { return x.st == st })
--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -105,8 +105,8 @@
 		}
 		load := x.st.load(now)
 		x.st.updatePeak(load, now)
-		if len(cores) == 0 || now.Sub(r.bestEffortEndedAt) < measureSpan {
-			continue // without best-effort tasks, or with one that ended during the measurement
+		if len(cores) == 0 || now.Sub(r.bestEffortChangedAt) < measureSpan {
+			continue // without best-effort tasks, or with one that ended or was slowed down during the measurement
 		}
 		observedPressure := x.utilisation - load
 		if x.utilisation > saturation && observedPressure < x.pressure {
@@ -220,10 +220,10 @@
 	r.expectedUse += float64(sign) * expectedUse(st)
 	switch {
 	case x.isSlow:
-		r.background.add(image, st.backgroundMilliCores(), sign)
-		r.bestEffort.add(image, st.backgroundMilliCores(), sign)
+		r.background.add(st, st.backgroundMilliCores(), sign)
+		r.bestEffort.add(st, st.backgroundMilliCores(), sign)
 	case st.spec.Fills:
-		r.bestEffort.add(image, st.spec.MilliCores, sign)
+		r.bestEffort.add(st, st.spec.MilliCores, sign)
 	}
 	if st.spec.TailTarget > 0 {
 		r.serving += int(sign)
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -68,6 +68,9 @@
 func (t *Table) bestEffortObstacle(r *runner, st *stepState, now time.Time) obstacle {
 	beside, pace := &r.bestEffort, 1.0
 	if t.inBackground(st) {
+		if !r.hasMemoryForBackground(st) {
+			return memoryFull
+		}
 		beside, pace = &r.background, backgroundPace
 	}
 	switch {
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -399,7 +399,7 @@
 	}
 	switch {
 	case t.inBackground(st):
-		score += t.interference.match(r, st, now) - float64(r.background.runs)
+		score += t.scoreForBackground(r, st, now)
 	case st.spec.Fills:
 		score += (r.spare()-float64(r.bestEffort.milliCores))/capacity + t.interference.match(r, st, now)
 	case st.spec.TailTarget > 0:
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -401,7 +401,7 @@
 	}
 	r.adjustUse(x, -1)
 	if st.spec.Fills {
-		r.bestEffortEndedAt = now
+		r.bestEffortChangedAt = now
 	}
 	if st.runsByRunner != nil {
 		st.runsByRunner[r.info.ID]--
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -77,6 +77,7 @@
 		if x.phase == starting {
 			x.phase, x.progressedAt = running, now
 			if x.isSlow {
+				x.runner.bestEffortChangedAt = now
 				t.paceRun(x, backgroundPercent, now)
 			}
 		}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -85,7 +85,9 @@
 	roomAt time.Time
 	// calmSince is the time since which all tail latencies have been calm, or zero.
 	calmSince         time.Time
-	bestEffortEndedAt time.Time             // when a best-effort task last ended here
+	// bestEffortChangedAt is when a best-effort task last ended here, or was started in the
+	// background.
+	bestEffortChangedAt time.Time
 	halted            bool                  // best-effort tasks have been halted
 	services          map[string]*stepState // by serving image, a step with tasks here
 	servingByImage    map[string]int        // number of tasks by serving image
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -44,7 +44,7 @@
 // isIdleAndLate reports whether a step is late and nothing of its occurrence runs.
 func (t *Table) isIdleAndLate(st *stepState, now time.Time) bool {
 	queue, ok := st.s.queue.Get()
-	return ok && st.occ.runs == 0 && newCandidate(st, queue, now).tier != tierOnTime
+	return ok && st.spec.Fills && st.occ.runs == 0 && newCandidate(st, queue, now).tier != tierOnTime
 }
 
 // asTurn returns the candidate for one task that goes before other work.
