--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -84,13 +84,13 @@
 	room   map[string]float64
 	roomAt time.Time
 	// calmSince is the time since which all tail latencies have been calm, or zero.
-	calmSince         time.Time
+	calmSince time.Time
 	// bestEffortChangedAt is when a best-effort task last ended here, or was started in the
 	// background.
 	bestEffortChangedAt time.Time
-	halted            bool                  // best-effort tasks have been halted
-	services          map[string]*stepState // by serving image, a step with tasks here
-	servingByImage    map[string]int        // number of tasks by serving image
+	halted              bool                  // best-effort tasks have been halted
+	services            map[string]*stepState // by serving image, a step with tasks here
+	servingByImage      map[string]int        // number of tasks by serving image
 }
 
 // A runKey identifies a run on a runner.
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -13,10 +13,12 @@
 // most would never run while smaller work keeps arriving.
 const (
 	// turnAfter is how long nothing of an occurrence has run when it gets a turn, and
-	// rareTurnAfter the same while work that is on time lacks room and for lackedFor after.
+	// rareTurnAfter the same while new work lacks room, and for lackedFor after. Work is new
+	// while it is on time and has been due for at most newFor.
 	turnAfter     = 500 * time.Millisecond
-	rareTurnAfter = 2 * time.Second
+	rareTurnAfter = 10 * time.Second
 	lackedFor     = time.Second
+	newFor        = 3 * time.Second
 	// urgentTurnAfter is how long nothing of it has run when its turn goes before the work
 	// of its priority that is still on time.
 	urgentTurnAfter = 15 * time.Second
@@ -29,7 +31,7 @@
 // idleSince returns the time since which nothing of an occurrence without runs has run.
 func (o *occurrence) idleSince() time.Time { return later(o.dueAt, o.ranAt) }
 
-// lacksRoom reports whether work that is on time has just found no room.
+// lacksRoom reports whether new work has just found no room.
 func (t *Table) lacksRoom(now time.Time) bool { return now.Sub(t.lackedAt) <= lackedFor }
 
 // isOwedTurn reports whether one task of a candidate's step goes before other work.
@@ -115,9 +117,9 @@
 	return max(1, int(turnShare*float64(t.owedTurns+t.turnRuns)))
 }
 
-// noteLack notes that work which is on time has just found no room, on runners that may run it.
+// noteLack notes that new work has just found no room, on runners that may run it.
 func (t *Table) noteLack(c candidate, now time.Time) {
-	if c.tier != tierOnTime || c.isTurn || c.st.spec.LongRunning || !c.st.blockedAt.Equal(now) || t.lackedAt.Equal(now) {
+	if c.tier != tierOnTime || c.isTurn || now.Sub(c.st.occ.dueAt) > newFor || c.st.spec.LongRunning || !c.st.blockedAt.Equal(now) || t.lackedAt.Equal(now) {
 		return
 	}
 	for _, r := range t.runners {
