--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -142,3 +142,81 @@
 		})
 	}
 }
+
+// newBacklog returns a harness of runners that services fill up to what they bear, with late
+// best-effort submissions of several images, sizes and affinities of which nothing runs.
+func newBacklog(runners, submissions int) *harness {
+	h := newHarness(&testing.T{}, 0, 0)
+	infos := make([]RunnerInfo, runners)
+	for i := range infos {
+		infos[i] = RunnerInfo{
+			ID: fmt.Sprint("r", i), Service: "s", DataCentre: "z", Lifetime: 1, Rack: fmt.Sprint("rack", i%4),
+			Labels: []string{fmt.Sprint("rack", i%4)}, Capacity: submitter.Resources{MilliCores: 32_000, MemoryMB: 128_000},
+		}
+	}
+	h.table.SetRunners(infos, h.now)
+	h.table.RosterStored(infos)
+	h.pollAll(runners)
+	const services = 3
+	for n := range services {
+		step := serving(fmt.Sprint("web", n))
+		step.Count, step.MaxPerRunner = runners, 1
+		h.add(fmt.Sprint("service", n), "urgent", step)
+		for image := range 9 {
+			for range 50 {
+				h.table.interference.pressures.Learn(step.Image, 0.5, map[string]float64{fmt.Sprint("batch", image): 1})
+			}
+		}
+	}
+	for len(h.starts()) > 0 {
+		h.pollAll(runners)
+	}
+	h.work()
+	for n := range submissions {
+		step := bestEffort(fmt.Sprint("batch", n%9), 8+n%43)
+		step.MilliCores, step.Affinity = int64(2000+50*(n%60)), fmt.Sprint("rack", n%4)
+		h.add(fmt.Sprint("job", n), "night", step)
+	}
+	for range 20 {
+		h.advance(time.Second)
+		h.pollAll(runners)
+	}
+	return h
+}
+
+// keepAnswering lets all runners have answered just now.
+func (h *harness) keepAnswering() {
+	h.table.ConfirmOwnership(h.now)
+	h.table.Authorize(0, 0, h.now)
+	for _, r := range h.table.runners {
+		r.answeredAt = h.now
+	}
+}
+
+// Measures a placement pass and a tick while hundreds of late best-effort submissions wait, none of
+// which can start. Ten milliseconds pass between the passes, 200 between the ticks.
+func BenchmarkBacklog(b *testing.B) {
+	for _, runners := range []int{66, 192} {
+		for _, waiting := range []int{250, 700} {
+			h := newBacklog(runners, waiting)
+			run := func(name string, interval time.Duration, do func()) {
+				b.Run(fmt.Sprintf("%s/runners=%d/waiting=%d", name, runners, waiting), func(b *testing.B) {
+					b.ReportAllocs()
+					for b.Loop() {
+						h.now = h.now.Add(interval)
+						h.keepAnswering()
+						do()
+						if orders := h.table.Orders(); len(orders) > 0 {
+							b.Fatalf("%d orders, want none", len(orders))
+						}
+					}
+				})
+			}
+			run("Schedule", 10*time.Millisecond, func() {
+				h.table.placementDue = true
+				h.table.Schedule(h.now)
+			})
+			run("Tick", 200*time.Millisecond, func() { h.table.Tick(h.now) })
+		}
+	}
+}
