Run placement passes apart from the changes that call for them

Cause: each report, answer and renewal waited for the passes of others, as every change of the table had its own. Orders that a change decides itself are sent at once.

--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -115,14 +115,16 @@
 	pollers map[string]*poller // running poll loops, by runner ID
 	revs    map[string]int64   // store revisions of the progress keys, by submission ID
 
-	unsaved    chan struct{} // signals that the table has progress to save
-	savedMu    sync.Mutex
-	saved      chan struct{} // closed and replaced after each save
-	ctx        context.Context
-	cancel     context.CancelFunc
-	background launcher.Group
-	queue      orderQueue
-	adviserMu  sync.Mutex // serialises requests to the adviser
+	unsaved chan struct{} // signals that the table has progress to save
+	// placementDue signals that a placement pass is due.
+	placementDue chan struct{}
+	savedMu      sync.Mutex
+	saved        chan struct{} // closed and replaced after each save
+	ctx          context.Context
+	cancel       context.CancelFunc
+	background   launcher.Group
+	queue        orderQueue
+	adviserMu    sync.Mutex // serialises requests to the adviser
 }
 
 // maxConcurrentOrders limits the orders that are sent to runners concurrently.
@@ -135,20 +137,7 @@
 // Start begins a term: it loads the stored records and takes over the runners. Until
 // Configure is called, it only keeps the leases of what runs there.
 func Start(ctx context.Context, opts Options) (c *Conductor, err error) {
-	now := time.Now()
-	c = &Conductor{
-		opts:    opts,
-		keys:    KeysOf(opts.Part),
-		table:   dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
-		address: make(map[string]string),
-		pollers: make(map[string]*poller),
-		revs:    make(map[string]int64),
-		unsaved: make(chan struct{}, 1),
-		saved:   make(chan struct{}),
-	}
-	c.table.SetFormerOwnerEnd(opts.FormerOwnerEnd)
-	c.table.SetEarlierOwnersEnd(opts.EarlierOwnersEnd)
-	c.ctx, c.cancel = context.WithCancel(ctx)
+	c = newConductor(ctx, opts)
 	revision, err := c.load(c.ctx)
 	if err != nil {
 		c.cancel()
@@ -157,12 +146,33 @@
 	c.background.Go(c.save)
 	c.background.Go(c.saveMemory)
 	c.background.Go(c.deleteExpired)
+	c.background.Go(c.place)
 	c.background.Go(c.tick)
 	c.background.Go(func() { c.opts.Registry.Follow(c.ctx, c.ownsRunner, c.setRunners) })
 	c.background.Go(func() { c.follow(revision) })
 	return c, nil
 }
 
+// newConductor returns a conductor that has loaded nothing, and runs nothing in the background.
+func newConductor(ctx context.Context, opts Options) *Conductor {
+	now := time.Now()
+	c := &Conductor{
+		opts:         opts,
+		keys:         KeysOf(opts.Part),
+		table:        dispatcher.New(opts.Limits, opts.Fence, opts.Generation, opts.Recorder, now),
+		address:      make(map[string]string),
+		pollers:      make(map[string]*poller),
+		revs:         make(map[string]int64),
+		unsaved:      make(chan struct{}, 1),
+		placementDue: make(chan struct{}, 1),
+		saved:        make(chan struct{}),
+	}
+	c.table.SetFormerOwnerEnd(opts.FormerOwnerEnd)
+	c.table.SetEarlierOwnersEnd(opts.EarlierOwnersEnd)
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	return c
+}
+
 // Close ends the term and waits for calls in progress. No order is sent
 // afterwards, even if another goroutine still holds the conductor and uses it.
 func (c *Conductor) Close() {
@@ -253,22 +263,21 @@
 	t.Authorize(unconfirmed, suspended, now)
 }
 
-// apply applies a change to the table, lets the table schedule tasks, and sends the
-// resulting orders and permit requests.
+// apply applies a change to the table, and sends the resulting orders and permit requests.
+// Tasks that it lets start are placed later.
 func (c *Conductor) apply(change func(t *dispatcher.Table, now time.Time)) {
 	c.mu.Lock()
 	now := time.Now()
 	change(c.table, now)
-	c.table.Schedule(now)
 	orders := c.table.Orders()
 	requests := c.table.PermitRequests()
-	dirty := c.table.IsDirty()
+	dirty, placementDue := c.table.IsDirty(), c.table.IsPlacementDue(now)
 	c.mu.Unlock()
 	if dirty {
-		select {
-		case c.unsaved <- struct{}{}:
-		default:
-		}
+		signal(c.unsaved)
+	}
+	if placementDue {
+		signal(c.placementDue)
 	}
 	c.enqueue(orders, now)
 	for _, request := range requests {
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -57,12 +57,9 @@
 // their starts. It does nothing if nothing that placement depends on has changed
 // since the last pass.
 func (t *Table) Schedule(now time.Time) {
-	if !t.placementDue {
+	if !t.IsPlacementDue(now) {
 		return
 	}
-	if t.leaseLeft(now) < minPlacementLease {
-		return // what is started would lapse
-	}
 	t.placementDue = false
 	allRunsKnown := t.knowsAllRuns(now)
 	clear(t.noRoom)
@@ -83,6 +80,12 @@
 	}
 }
 
+// IsPlacementDue reports whether Schedule would run a placement pass now. It waits while the
+// leases are so short that what is started would lapse.
+func (t *Table) IsPlacementDue(now time.Time) bool {
+	return t.placementDue && t.leaseLeft(now) >= minPlacementLease
+}
+
 // candidates returns the steps that have tasks to start, most urgent first.
 //
 // Load: bursts in which more work is due than fits. Submissions of the same
