Bound how many runners a placement pass evaluates

Cause: a pass tried every waiting step on every runner, however many waited, while the table was locked. Result: the new tests fail with the bound out of reach and pass now: 1,000 idle steps on 66 and 192 runners, all tried within the passes that the bound gives.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -21,6 +21,9 @@
 // isBlocked reports whether the last attempt to place a task of a step found no
 // runner with room, so recently that the step is not tried again yet.
 func (t *Table) isBlocked(st *stepState, now time.Time) bool {
+	if t.wasTriedInRound(st) {
+		return true
+	}
 	pause := blockedPause
 	if st.spec.Fills && t.isLarge() {
 		pause = blockedBestEffortPause
@@ -60,14 +63,13 @@
 	if !t.IsPlacementDue(now) {
 		return
 	}
-	t.placementDue = false
+	t.beginPass()
 	allRunsKnown := t.knowsAllRuns(now)
-	clear(t.noRoom)
 	list := t.candidates(now)
 	t.holdRunners(list, allRunsKnown, now)
 	for _, c := range list {
-		if t.isQueueFull() {
-			return
+		if t.isQueueFull() || t.isExhausted() {
+			break
 		}
 		// A former owner may have started tasks where runs are not known yet.
 		isKnown := allRunsKnown || c.st.s.sub.Owner >= t.fence
@@ -78,6 +80,11 @@
 			t.noteLack(c, now)
 		}
 	}
+	if t.isExhausted() {
+		t.putOffRest(now)
+	} else {
+		t.endRound()
+	}
 }
 
 // IsPlacementDue reports whether Schedule would run a placement pass now. It waits while the
@@ -177,7 +184,11 @@
 		}
 		return
 	}
-	for i := range st.tasks {
+	first, blockedAt := st.nextTask, st.blockedAt
+	if first > 0 {
+		st.nextTask, st.blockedAt = 0, now // tasks before it have found no room
+	}
+	for i := first; i < len(st.tasks); i++ {
 		k := &st.tasks[i]
 		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTakenOver(st)) {
 			continue
@@ -185,6 +196,10 @@
 		if limit == 0 || t.isQueueFull() {
 			return
 		}
+		if t.isExhausted() {
+			st.nextTask, st.blockedAt = i, blockedAt
+			return
+		}
 		isSuspected := k.isSuspected(now)
 		if !isSuspected && t.hadNoRoom(st, k) && !t.hasReservedRoom(st) {
 			st.blockedAt = now
@@ -302,6 +317,7 @@
 	var best *runner
 	bestScore := math.Inf(-1)
 	isSuspected := k.isSuspected(now)
+	t.evaluations += len(t.runners)
 	for _, r := range t.runners {
 		if r == than || !t.canStart(r, st, k, now) {
 			continue
--- /dev/null
+++ b/internal/version/dispatcher/rounds_test.go
@@ -0,0 +1,84 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against placement passes that take longer the more steps wait, so that reports,
+// renewals of leases and orders wait for them.
+func TestPlacementPassIsBounded(t *testing.T) {
+	for _, runners := range []int{66, 192} {
+		t.Run(fmt.Sprint(runners, " runners"), func(t *testing.T) {
+			const waiting = 1000
+			h := newBacklog(runners, waiting)
+			// Decreasing sizes: that a larger task has found no room says nothing of a smaller one.
+			for n := range waiting {
+				h.table.subs[fmt.Sprint("job", n)].occs[0].steps[0].spec.MilliCores = int64(5000 - n)
+			}
+			passes := h.passes(t, func() bool { return !h.table.placementDue })
+			if limit := 2 + 2*waiting*runners/maxEvaluations; passes < 2 || passes > limit {
+				t.Errorf("%d passes, want more than one and at most %d", passes, limit)
+			}
+			for n := range waiting {
+				st := h.table.subs[fmt.Sprint("job", n)].occs[0].steps[0]
+				if st.attempts.failed+st.attempts.passedOver == 0 {
+					t.Errorf("%s was not tried", st.s.sub.ID)
+				}
+			}
+			t.Run("and tries new urgent work first", func(t *testing.T) {
+				h.now = h.now.Add(time.Second)
+				h.keepAnswering()
+				h.table.placementDue = true
+				h.table.Schedule(h.now)
+				if !h.table.placementDue {
+					t.Fatal("the round ends with one pass, want more")
+				}
+				h.add("urgent", "urgent", oneCore(1))
+				h.table.Schedule(h.now.Add(time.Millisecond))
+				assertStarts(t, h.execute(h.table.Orders()), 1)
+			})
+		})
+	}
+}
+
+// passes runs placement passes until a condition holds, checks that each is bounded and
+// returns their number.
+func (h *harness) passes(t *testing.T, isOver func() bool) (n int) {
+	t.Helper()
+	h.table.placementDue = true
+	for n = range 1000 {
+		if isOver() {
+			return n
+		}
+		h.table.Schedule(h.now)
+		if most := maxEvaluations + len(h.table.runners); h.table.evaluations > most {
+			t.Errorf("a pass evaluates runners %d times, want at most %d", h.table.evaluations, most)
+		}
+		h.now = h.now.Add(10 * time.Millisecond)
+	}
+	t.Fatalf("not over after %d passes", n)
+	return n
+}
+
+// Guards against tasks that are never tried, as a pass ends with those before them of their
+// step, which may not run on some runners.
+func TestRestOfAStepIsTriedInTheNextPass(t *testing.T) {
+	const runners, tasks = 200, 300
+	h := newBacklog(runners, 0)
+	h.add("a", "urgent", oneCore(tasks))
+	st := h.table.subs["a"].occs[0].steps[0]
+	for i := range tasks - 1 {
+		st.tasks[i].avoid = "r0"
+	}
+	full := st.spec.MilliCores
+	st.spec.MilliCores = 1_000_000
+	h.passes(t, func() bool { return st.nextTask >= tasks-maxEvaluations/runners })
+	st.spec.MilliCores = full
+	h.table.Schedule(h.now)
+	orders := h.table.Orders()
+	if n := len(orders); n == 0 || orders[n-1].Task.Index != tasks-1 {
+		t.Errorf("starts %d tasks, want the last one of the step among them", n)
+	}
+}
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -70,6 +70,9 @@
 	gangCheckpoint string
 	// blockedAt is when the step last found no runner with room.
 	blockedAt time.Time
+	// nextTask is the task with which the next attempt goes on after a placement pass that
+	// ended early.
+	nextTask int
 	// waitingSince is when a step was first seen waiting, or zero if it does not wait;
 	// warnedAt is when that was last recorded, and attempts what was tried meanwhile.
 	waitingSince time.Time
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -132,6 +132,11 @@
 	dirty          []*submission   // submissions with unsaved progress, longest waiting first
 	// placementDue says that the next Schedule has to run a placement pass.
 	placementDue bool
+	// evaluations is how many times the current placement pass has asked whether a task may
+	// start on a runner; roundSince is when the first of several passes began that try all
+	// steps together, or zero.
+	evaluations int
+	roundSince  time.Time
 	// earlyCancels holds when submissions were cancelled that are not in the table yet.
 	earlyCancels map[string]time.Time
 	// finished holds the submissions that have ended, oldest first.
