Evaluate the runners once for best-effort tasks alike

Cause: 61 % of a backlog's pass goes into evaluations of runners, most of them for tasks like one that had just found no room: with another affinity, which decides on scores only, at full speed after the lower pace of a turn, or of a step with a limit per runner of which nothing runs. Change: a lack of room holds for these, too. The new test fails before in all cases, 8 to 16 evaluations in place of 4.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -241,30 +241,38 @@
 	label      string
 	image      string
 	bestEffort bool
-	affinity   string
 	isNew      bool
 	leastPace  float64
 }
 
 func (t *Table) shapeOf(st *stepState, k *task) shape {
-	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k), t.leastPace(st)}
+	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, t.isNew(st, k), t.leastPace(st)}
 }
 
 // hadNoRoom reports whether no runner in this placement pass had room for a task of
-// the same shape that was no larger than the given one.
+// the same shape that was no larger than the given one, nor at the lower pace of a turn.
 //
 // Load: bursts in which hundreds of steps wait. Without this check, each of them
 // would try every runner.
 func (t *Table) hadNoRoom(st *stepState, k *task) bool {
-	least, ok := t.noRoom[t.shapeOf(st, k)]
+	wanted := t.shapeOf(st, k)
+	least, ok := t.noRoom[wanted]
+	if ok && least.Fits(st.spec.Resources) {
+		return true
+	}
+	if wanted.leastPace <= turnPace {
+		return false
+	}
+	wanted.leastPace = turnPace
+	least, ok = t.noRoom[wanted]
 	return ok && least.Fits(st.spec.Resources)
 }
 
 // recordNoRoom records, for hadNoRoom, the size and shape of a task that avoids no runner
 // and for which none had room. It records nothing if the task may have been excluded from
-// some runners by its step's limit per runner or by missing permits.
+// some runners by its step's limit per runner, as others run there, or by missing permits.
 func (t *Table) recordNoRoom(st *stepState, k *task) {
-	if st.runsByRunner != nil || st.s.needsPermits() {
+	if (st.runsByRunner != nil && st.occ.runs > 0) || st.s.needsPermits() {
 		return
 	}
 	t.noRoom[t.shapeOf(st, k)] = st.spec.Resources
--- a/internal/version/dispatcher/rounds_test.go
+++ b/internal/version/dispatcher/rounds_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 // Guards against placement passes that take longer the more steps wait, so that reports,
@@ -82,3 +84,38 @@
 		t.Errorf("starts %d tasks, want the last one of the step among them", n)
 	}
 }
+
+// Guards against evaluations of the runners for a task of which a task tried before has shown
+// that it has no room.
+func TestRunnersAreEvaluatedOnceForTasksAlike(t *testing.T) {
+	const runners = 4
+	for _, test := range []struct {
+		name   string
+		change func(step *submitter.Step)
+	}{
+		{"in a turn and after it", func(*submitter.Step) {}},
+		{"with different affinities", func(step *submitter.Step) { step.Affinity = "rack1" }},
+		{"with a limit per runner", func(step *submitter.Step) { step.MaxPerRunner = 1 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newBacklog(runners, 0)
+			for _, id := range []string{"a", "b", "c"} {
+				step := bestEffort("batch1", 2)
+				step.MilliCores = 2000
+				if id != "b" {
+					test.change(&step)
+				}
+				h.add(id, "night", step)
+			}
+			h.now = h.now.Add(2 * time.Second)
+			h.keepAnswering()
+			for _, s := range h.table.active {
+				s.occs[0].dueAt = h.now.Add(-time.Minute)
+			}
+			assertStarts(t, h.starts(), 0)
+			if h.table.owedTurns != 3 || h.table.evaluations != runners {
+				t.Errorf("%d turns are owed, runners evaluated %d times, want 3 and once each", h.table.owedTurns, h.table.evaluations)
+			}
+		})
+	}
+}
