Bound the waiting steps that a tick records

Change: 8 other steps at a tick. Result: the new test records 24 of 24 steps at one tick before, 8 now.

--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -15,8 +15,10 @@
 	warnAfter = 3 * time.Second
 	// warnInterval is the pause before it is recorded again.
 	warnInterval = 10 * time.Second
-	// bestEffortWarnings is the number of best-effort steps that are recorded at a tick.
+	// bestEffortWarnings and otherWarnings are the numbers of best-effort steps and of others
+	// that are recorded at a tick.
 	bestEffortWarnings = 2
+	otherWarnings      = 8
 )
 
 // attempts counts what became of the attempts to start a step since it waits.
@@ -29,7 +31,7 @@
 // watchWaiting records why tasks of ready steps have had no run for long. Best-effort
 // steps wait for what others leave: they count once nothing of them runs.
 func (t *Table) watchWaiting(now time.Time) {
-	left := bestEffortWarnings
+	left := map[bool]int{true: bestEffortWarnings, false: otherWarnings}
 	for _, s := range t.unfinished() {
 		for _, occ := range s.occs {
 			for _, st := range occ.steps {
@@ -43,12 +45,10 @@
 				if now.Sub(st.waitingSince) < warnAfter || now.Sub(st.warnedAt) < warnInterval {
 					continue
 				}
-				if st.spec.Fills {
-					if left == 0 {
-						continue
-					}
-					left--
+				if left[st.spec.Fills] == 0 {
+					continue
 				}
+				left[st.spec.Fills]--
 				st.warnedAt = now
 				t.recordWaiting(st, now)
 			}
--- a/internal/version/dispatcher/waiting_test.go
+++ b/internal/version/dispatcher/waiting_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,22 @@
 		t.Errorf("event %v, want a step that was tried, and that the other task leaves no processors", event)
 	}
 }
+
+// Guards against ticks that take longer the more steps wait.
+func TestRecordedStepsAreBoundedPerTick(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	log := &eventLog{number: EventWaiting}
+	h.table.rec = log
+	h.poll("r0")
+	const waiting = 3 * otherWarnings
+	for n := range waiting {
+		h.add(fmt.Sprint("large", n), "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 9000}})
+	}
+	h.advance(time.Millisecond)
+	for recorded := 0; recorded < waiting; recorded = len(log.events) {
+		h.advance(warnAfter)
+		if n := len(log.events) - recorded; n != otherWarnings {
+			t.Fatalf("%d steps recorded at a tick, want %d", n, otherWarnings)
+		}
+	}
+}
