Try what is most urgent again in each pass of a round

Cause: what had found no room waited until all other steps of the round had been tried, so that room that showed meanwhile went to less urgent work. Change: half of a pass goes by urgency alone, the rest to steps that have not been tried. The pause after a pass is its duration, no longer three times that.

--- a/internal/process/conductor/placement.go
+++ b/internal/process/conductor/placement.go
@@ -12,7 +12,7 @@
 const (
 	minPlacementPause = 10 * time.Millisecond
 	// placementPause is the least pause in relation to the duration of the last pass.
-	placementPause = 3
+	placementPause = 1
 )
 
 // place runs a placement pass whenever one is due, apart from the changes that call for it.
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -21,9 +21,6 @@
 // isBlocked reports whether the last attempt to place a task of a step found no
 // runner with room, so recently that the step is not tried again yet.
 func (t *Table) isBlocked(st *stepState, now time.Time) bool {
-	if t.wasTriedInRound(st) {
-		return true
-	}
 	pause := blockedPause
 	if st.spec.Fills && t.isLarge() {
 		pause = blockedBestEffortPause
@@ -71,6 +68,9 @@
 		if t.isQueueFull() || t.isExhausted() {
 			break
 		}
+		if t.isPutOff(c.st.blockedAt) {
+			continue
+		}
 		// A former owner may have started tasks where runs are not known yet.
 		isKnown := allRunsKnown || c.st.s.sub.Owner >= t.fence
 		if c.isTurn {
@@ -196,7 +196,7 @@
 		if limit == 0 || t.isQueueFull() {
 			return
 		}
-		if t.isExhausted() {
+		if t.isPutOff(blockedAt) {
 			st.nextTask, st.blockedAt = i, blockedAt
 			return
 		}
--- a/internal/version/dispatcher/rounds.go
+++ b/internal/version/dispatcher/rounds.go
@@ -8,6 +8,11 @@
 // Load: hundreds of steps for which no runner has room, on a host with little processor time.
 const maxEvaluations = 10_000
 
+// maxRepeated is the number of evaluations up to which a pass tries steps again that earlier
+// passes of its round have tried: what is most urgent has the room that shows meanwhile, and
+// the rest of the round goes on.
+const maxRepeated = maxEvaluations / 2
+
 // isExhausted reports whether the current placement pass has to end.
 func (t *Table) isExhausted() bool { return t.evaluations >= maxEvaluations }
 
@@ -17,8 +22,7 @@
 	clear(t.noRoom)
 }
 
-// putOffRest makes a pass due for the steps that the current one has not tried. Those that
-// have found no room since the first pass of the round are not tried again before.
+// putOffRest makes a pass due for the steps that the current one has not tried.
 func (t *Table) putOffRest(now time.Time) {
 	t.placementDue = true
 	if t.roundSince.IsZero() {
@@ -29,8 +33,9 @@
 // endRound notes that all steps have been tried.
 func (t *Table) endRound() { t.roundSince = time.Time{} }
 
-// wasTriedInRound reports whether a step has found no room in an earlier pass of a round that
-// goes on.
-func (t *Table) wasTriedInRound(st *stepState) bool {
-	return !t.roundSince.IsZero() && !st.blockedAt.Before(t.roundSince)
+// isPutOff reports whether the current pass has no evaluations left for a step that last found
+// no room at a time: fewer if that was in an earlier pass of a round that goes on.
+func (t *Table) isPutOff(blockedAt time.Time) bool {
+	wasTried := !t.roundSince.IsZero() && !blockedAt.Before(t.roundSince)
+	return t.isExhausted() || (wasTried && t.evaluations >= maxRepeated)
 }
