--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -57,20 +57,19 @@
 // their starts. It does nothing if nothing that placement depends on has changed
 // since the last pass.
 func (t *Table) Schedule(now time.Time) {
-	if !t.placementDue {
+	if !t.IsPlacementDue(now) {
 		return
 	}
-	if t.leaseLeft(now) < minPlacementLease {
-		return // what is started would lapse
-	}
-	t.placementDue = false
+	t.beginPass()
 	allRunsKnown := t.knowsAllRuns(now)
-	clear(t.noRoom)
 	list := t.candidates(now)
 	t.holdRunners(list, allRunsKnown, now)
 	for _, c := range list {
-		if t.isQueueFull() {
-			return
+		if t.isQueueFull() || t.isExhausted() {
+			break
+		}
+		if t.isPutOff(c.st.blockedAt) {
+			continue
 		}
 		// A former owner may have started tasks where runs are not known yet.
 		isKnown := allRunsKnown || c.st.s.sub.Owner >= t.fence
@@ -82,6 +81,17 @@
 			t.noteLack(c, now)
 		}
 	}
+	if t.isExhausted() {
+		t.putOffRest(now)
+	} else {
+		t.endRound()
+	}
+}
+
+// IsPlacementDue reports whether Schedule would run a placement pass now. It waits while the
+// leases are so short that what is started would lapse.
+func (t *Table) IsPlacementDue(now time.Time) bool {
+	return t.placementDue && t.leaseLeft(now) >= minPlacementLease
 }
 
 // candidates returns the steps that have tasks to start, most urgent first.
@@ -175,7 +185,11 @@
 		}
 		return
 	}
-	for i := range st.tasks {
+	first, blockedAt := st.nextTask, st.blockedAt
+	if first > 0 {
+		st.nextTask, st.blockedAt = 0, now // tasks before it have found no room
+	}
+	for i := first; i < len(st.tasks); i++ {
 		k := &st.tasks[i]
 		if k.done || len(k.runs) > 0 || (!allRunsKnown && !k.isTakenOver(st)) {
 			continue
@@ -183,6 +197,10 @@
 		if limit == 0 || t.isQueueFull() {
 			return
 		}
+		if t.isPutOff(blockedAt) {
+			st.nextTask, st.blockedAt = i, blockedAt
+			return
+		}
 		isSuspected := k.isSuspected(now)
 		if !isSuspected && t.hadNoRoom(st, k) && !t.hasReservedRoom(st) {
 			st.blockedAt = now
@@ -224,13 +242,12 @@
 	label      string
 	image      string
 	bestEffort bool
-	affinity   string
 	isNew      bool
 	background bool
 }
 
 func (t *Table) shapeOf(st *stepState, k *task) shape {
-	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, st.spec.Affinity, t.isNew(st, k), t.inBackground(st)}
+	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, t.isNew(st, k), t.inBackground(st)}
 }
 
 // hadNoRoom reports whether no runner in this placement pass had room for a task of
@@ -245,9 +262,9 @@
 
 // recordNoRoom records, for hadNoRoom, the size and shape of a task that avoids no runner
 // and for which none had room. It records nothing if the task may have been excluded from
-// some runners by its step's limit per runner or by missing permits.
+// some runners by its step's limit per runner, as others run there, or by missing permits.
 func (t *Table) recordNoRoom(st *stepState, k *task) {
-	if st.runsByRunner != nil || st.s.needsPermits() {
+	if (st.runsByRunner != nil && st.occ.runs > 0) || st.s.needsPermits() {
 		return
 	}
 	t.noRoom[t.shapeOf(st, k)] = st.spec.Resources
@@ -300,6 +317,7 @@
 	var best *runner
 	bestScore := math.Inf(-1)
 	isSuspected := k.isSuspected(now)
+	t.evaluations += len(t.runners)
 	for _, r := range t.runners {
 		if r == than || !t.canStart(r, st, k, now) {
 			continue
--- /dev/null
+++ b/internal/version/dispatcher/rounds_test.go
@@ -0,0 +1,148 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
+)
+
+// Guards against placement passes that take longer the more steps wait, so that reports,
+// renewals of leases and orders wait for them.
+func TestPlacementPassIsBounded(t *testing.T) {
+	for _, runners := range []int{66, 192} {
+		t.Run(fmt.Sprint(runners, " runners"), func(t *testing.T) {
+			const waiting = 1000
+			h := newBacklog(runners, waiting)
+			// Decreasing sizes: that a larger task has found no room says nothing of a smaller one.
+			for n := range waiting {
+				h.table.subs[fmt.Sprint("job", n)].occs[0].steps[0].spec.MilliCores = int64(5000 - n)
+			}
+			passes := h.passes(t, func() bool { return !h.table.placementDue })
+			if limit := 2 + 2*waiting*runners/(maxEvaluations-maxRepeated); passes < 2 || passes > limit {
+				t.Errorf("%d passes, want more than one and at most %d", passes, limit)
+			}
+			for n := range waiting {
+				st := h.table.subs[fmt.Sprint("job", n)].occs[0].steps[0]
+				if st.attempts.failed+st.attempts.passedOver == 0 {
+					t.Errorf("%s was not tried", st.s.sub.ID)
+				}
+			}
+			t.Run("and tries new urgent work first", func(t *testing.T) {
+				h.now = h.now.Add(time.Second)
+				h.keepAnswering()
+				h.table.placementDue = true
+				h.table.Schedule(h.now)
+				if !h.table.placementDue {
+					t.Fatal("the round ends with one pass, want more")
+				}
+				h.add("urgent", "urgent", oneCore(1))
+				h.table.Schedule(h.now.Add(time.Millisecond))
+				assertStarts(t, h.execute(h.table.Orders()), 1)
+			})
+		})
+	}
+}
+
+// passes runs placement passes until a condition holds, checks that each is bounded and
+// returns their number.
+func (h *harness) passes(t *testing.T, isOver func() bool) (n int) {
+	t.Helper()
+	h.table.placementDue = true
+	for n = range 1000 {
+		if isOver() {
+			return n
+		}
+		h.table.Schedule(h.now)
+		if most := maxEvaluations + len(h.table.runners); h.table.evaluations > most {
+			t.Errorf("a pass evaluates runners %d times, want at most %d", h.table.evaluations, most)
+		}
+		h.now = h.now.Add(10 * time.Millisecond)
+	}
+	t.Fatalf("not over after %d passes", n)
+	return n
+}
+
+// Guards against tasks that are never tried, as a pass ends with those before them of their
+// step, which may not run on some runners.
+func TestRestOfAStepIsTriedInTheNextPass(t *testing.T) {
+	const runners, tasks = 200, 300
+	h := newBacklog(runners, 0)
+	h.add("a", "urgent", oneCore(tasks))
+	st := h.table.subs["a"].occs[0].steps[0]
+	for i := range tasks - 1 {
+		st.tasks[i].avoid = "r0"
+	}
+	full := st.spec.MilliCores
+	st.spec.MilliCores = 1_000_000
+	h.passes(t, func() bool { return st.nextTask >= tasks-maxEvaluations/runners })
+	st.spec.MilliCores = full
+	h.table.Schedule(h.now)
+	orders := h.table.Orders()
+	if n := len(orders); n == 0 || orders[n-1].Task.Index != tasks-1 {
+		t.Errorf("starts %d tasks, want the last one of the step among them", n)
+	}
+}
+
+// Guards against evaluations of the runners for a task of which a task tried before has shown
+// that it has no room.
+func TestRunnersAreEvaluatedOnceForTasksAlike(t *testing.T) {
+	const runners = 4
+	for _, test := range []struct {
+		name   string
+		change func(step *submitter.Step)
+	}{
+		{"in a turn and after it", func(*submitter.Step) {}},
+		{"with different affinities", func(step *submitter.Step) { step.Affinity = "rack1" }},
+		{"with a limit per runner", func(step *submitter.Step) { step.MaxPerRunner = 1 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newBacklog(runners, 0)
+			for _, id := range []string{"a", "b", "c"} {
+				step := bestEffort("batch1", 2)
+				step.MilliCores = 2000
+				if id != "b" {
+					test.change(&step)
+				}
+				h.add(id, "night", step)
+			}
+			h.now = h.now.Add(2 * time.Second)
+			h.keepAnswering()
+			for _, s := range h.table.active {
+				s.occs[0].dueAt = h.now.Add(-time.Minute)
+			}
+			assertStarts(t, h.starts(), 0)
+			if h.table.owedTurns != 3 || h.table.evaluations != runners {
+				t.Errorf("%d turns are owed, runners evaluated %d times, want 3 and once each", h.table.owedTurns, h.table.evaluations)
+			}
+		})
+	}
+}
+
+// Guards against room that goes to the rest of a round, as what is more urgent has been tried
+// before it showed.
+func TestRoomThatShowsInARoundGoesByUrgency(t *testing.T) {
+	const runners, waiting = 192, 1000
+	h := newBacklog(runners, waiting)
+	for n := range waiting {
+		h.table.subs[fmt.Sprint("job", n)].occs[0].steps[0].spec.MilliCores = int64(5000 - n)
+	}
+	first := h.table.subs["job0"].occs[0]
+	first.dueAt = first.dueAt.Add(-time.Second)
+	h.table.placementDue = true
+	h.table.Schedule(h.now)
+	if first.steps[0].attempts.failed == 0 || !h.table.placementDue {
+		t.Fatal("want a round that goes on after the first submission was tried")
+	}
+	empty := h.table.Runners()[0]
+	empty.ID = "empty"
+	h.now = h.now.Add(blockedBestEffortPause)
+	h.table.SetRunners(append(h.table.Runners(), empty), h.now)
+	h.poll("empty")
+	h.keepAnswering()
+	h.table.Schedule(h.now)
+	if orders := h.table.Orders(); len(orders) == 0 || orders[0].Task.Submission != "job0" {
+		t.Errorf("starts %d tasks, want first the one that has waited longest", len(orders))
+	}
+}
