--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -60,6 +60,16 @@
 	return float64(r.background.memoryMB+st.spec.MemoryMB) <= backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
 }
 
+// haveMemoryForBackground reports the same of all runners.
+func (t *Table) haveMemoryForBackground(st *stepState) bool {
+	for _, r := range t.runners {
+		if !r.hasMemoryForBackground(st) {
+			return false
+		}
+	}
+	return true
+}
+
 // scoreForBackground rates a runner for a task of a step that starts in the background. It
 // has full speed until its runner has its pace, so that runners without services come first,
 // and then those whose services would bear it best.
--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -172,6 +172,11 @@
 		h.pollAll(runners)
 	}
 	h.work()
+	for _, rows := range h.reported {
+		for i := range rows {
+			rows[i].Measure = 18 // the target, so that the service bears nothing beside it
+		}
+	}
 	for n := range submissions {
 		step := bestEffort(fmt.Sprint("batch", n%9), 8+n%43)
 		step.MilliCores, step.Affinity = int64(2000+50*(n%60)), fmt.Sprint("rack", n%4)
@@ -189,7 +194,7 @@
 	h.table.ConfirmOwnership(h.now)
 	h.table.Authorize(0, 0, h.now)
 	for _, r := range h.table.runners {
-		r.answeredAt = h.now
+		r.answeredAt, r.roomAt = h.now, h.now
 	}
 }
 
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -267,7 +267,12 @@
 	if (st.runsByRunner != nil && st.occ.runs > 0) || st.s.needsPermits() {
 		return
 	}
-	t.noRoom[t.shapeOf(st, k)] = st.spec.Resources
+	full := t.shapeOf(st, k)
+	t.noRoom[full] = st.spec.Resources
+	if full.background && t.haveMemoryForBackground(st) {
+		full.background = false // less room is needed in the background
+		t.noRoom[full] = st.spec.Resources
+	}
 }
 
 // startGang starts all members of a gang together, or none. It reports whether there was
