--- a/internal/version/dispatcher/turns_test.go
+++ b/internal/version/dispatcher/turns_test.go
@@ -124,14 +124,29 @@
 // Guards against late submissions that never run while more work keeps arriving than fits,
 // and against such ones that take most of the room of work that is on time.
 func TestLateSubmissionsRunWhileWorkKeepsArriving(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		step func(count int) submitter.Step
+	}{
+		{"best-effort tasks", bestEffortTasks},
+		{"tasks that reserve processors", oneCore},
+	} {
+		t.Run(c.name, func(t *testing.T) { assertLateSubmissionsRun(t, c.step) })
+	}
+}
+
+// assertLateSubmissionsRun checks that late submissions of a step run while more new ones arrive
+// than fit, in at most a quarter of the room and for at most a quarter of the starts.
+func assertLateSubmissionsRun(t *testing.T, step func(count int) submitter.Step) {
+	t.Helper()
 	h := newHarness(t, 0, 1)
 	h.poll("r0")
 	const late = 12
 	for i := range late {
-		h.add(fmt.Sprint("late", i), "night", bestEffort("batch", 2))
+		h.add(fmt.Sprint("late", i), "night", step(2))
 	}
 	h.advance(10 * time.Second)
-	h.add("first", "night", bestEffort("batch", 30))
+	h.add("first", "night", step(30))
 	h.table.placementDue = true
 	addedAt := make(map[string]time.Time)
 	hasStarted := make(map[string]bool)
@@ -140,7 +155,7 @@
 	for round := range 120 {
 		id := fmt.Sprint("new", round)
 		addedAt[id] = h.now
-		h.add(id, "night", bestEffort("batch", 5))
+		h.add(id, "night", step(5))
 		for range min(4, len(running)) {
 			h.drop(running[0])
 			h.poll("r0", End{Task: running[0].Task, Run: running[0].Run, Kind: Done})
@@ -153,6 +168,10 @@
 		if idle := h.table.owedTurns; isLacking && round > 8 && h.table.turnRuns > 1+idle/3 {
 			t.Errorf("round %d: %d run in their turn, want at most a quarter of them and %d that are idle", round, h.table.turnRuns, idle)
 		}
+		r := h.table.runners["r0"]
+		if isLacking && 4*r.background.milliCores > r.bestEffort.milliCores {
+			t.Errorf("round %d: %d millicores are used in the background, want at most a quarter of %d", round, r.background.milliCores, r.bestEffort.milliCores)
+		}
 		lacks = lacks || isLacking
 		for _, o := range orders {
 			running = append(running, o)
