Keep room for late tasks that reserve processors, and for gangs

Cause: late work that needs a gap of its size waited without a bound. Smaller late tasks and tasks of more urgent queues took each gap that came.

Change: a late occurrence of which nothing has run for 10 s has room reserved for one of its tasks, or for a gang, whichever queue it is in, the longest idle one first: for one task for every twenty runners of a service, at least one, and for one gang at a time, in at most half of the room that long-running tasks leave, at least that of one runner. It starts as soon as its room is free. With a quarter, a gang whose members fill half of the runners would still wait without a bound. The reservations of long-running tasks serve for it, computed anew at each tick, so they are given up when the work starts, ends or has something running, or its runner goes. Long-running tasks may use this room. It is kept while a permit for it is requested. What a runner lacks of memory counts in the choice, too. A reservation is claimed when a start is ordered, so that a gang keeps its own if not all members fit.

--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -142,3 +142,30 @@
 		})
 	}
 }
+
+// Measures one tick of an owner of 192 runners that short tasks fill, for 250 late submissions
+// of tasks of many cores, of which nothing has run for long.
+func BenchmarkTickWithIdleTasks(b *testing.B) {
+	for _, bench := range []struct {
+		name  string
+		step  submitter.Step
+		label string
+	}{
+		{"of many cores", large(4), ""},
+		{"gangs", submitter.Step{Count: 20, Resources: large(1).Resources, Gang: true}, ""},
+		{"that no runner takes", large(4), "other"},
+	} {
+		b.Run(bench.name, func(b *testing.B) {
+			s := newStream(&testing.T{}, 192, stream{queue: "urgent", memoryMB: 100})
+			bench.step.RequiredLabel = bench.label
+			for n := range 250 {
+				s.addAged(fmt.Sprint("late", n), "urgent", waitBound, bench.step)
+			}
+			s.pollAll(192)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.table.Tick(s.now)
+			}
+		})
+	}
+}
--- a/internal/version/dispatcher/consolidating.go
+++ b/internal/version/dispatcher/consolidating.go
@@ -83,7 +83,7 @@
 	var candidates []*run
 	wanted := st.spec.Reserved()
 	for _, r := range t.runners {
-		if !t.isUsable(r) || r.reserved != nil || !st.s.isServedBy(r.info.Service) || !st.allows(r) || !st.isPermitted(r, now) || t.keepsApart(r, st, &task{}, now) {
+		if !t.isUsable(r) || r.keepsRoomForLong() || !st.s.isServedBy(r.info.Service) || !st.allows(r) || !st.isPermitted(r, now) || t.keepsApart(r, st, &task{}, now) {
 			continue
 		}
 		if o := t.obstacle(r, st, &task{endedAt: now}, now); o != full && o != memoryFull {
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -16,7 +16,7 @@
 	silent       obstacle = "silent"
 	full         obstacle = "full"
 	memoryFull   obstacle = "memoryFull" // enough processors, but not the rest
-	reserved     obstacle = "reserved"   // for long-running tasks
+	reserved     obstacle = "reserved"   // for other tasks
 	owed         obstacle = "owed"       // to long-running tasks that have run before
 	isolated     obstacle = "isolated"   // the task, or one there, may crash runners
 	excluded     obstacle = "excluded"   // by the step, or services there
--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -98,7 +98,9 @@
 	}
 	for _, r := range t.reserved {
 		for st, n := range r.reserved.tasks {
-			tasks[st] -= n
+			if st.spec.LongRunning {
+				tasks[st] -= n
+			}
 		}
 	}
 	for _, r := range t.runners {
@@ -183,7 +185,7 @@
 func (r *runner) unpromised() submitter.Resources {
 	room := r.roomForLong().Minus(r.promised)
 	if r.reserved != nil {
-		room = room.Minus(r.reserved.room)
+		room = room.Minus(r.reserved.forLong)
 	}
 	return room
 }
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -68,12 +68,13 @@
 	clear(t.noRoom)
 	list := t.candidates(now)
 	t.holdRunners(list, allRunsKnown, now)
+	t.startKept(allRunsKnown, now)
 	for _, c := range list {
 		if t.isQueueFull() {
 			return
 		}
 		// A former owner may have started tasks where runs are not known yet.
-		isKnown := allRunsKnown || c.st.s.sub.Owner >= t.fence
+		isKnown := t.isKnown(c.st, allRunsKnown)
 		if c.isTurn {
 			t.startTurn(c.st, isKnown, now)
 		} else {
@@ -449,7 +450,6 @@
 		st.waiting--
 	}
 	t.takeSpare(r, st, k)
-	t.claim(r, st)
 	k.runs = append(k.runs, x)
 	st.occ.runs++
 	if t.turn == st && st.occ.runs == 1 {
@@ -473,6 +473,7 @@
 // orderStart orders the start of a placed run.
 func (t *Table) orderStart(x *run, now time.Time) {
 	r := x.runner
+	t.claim(r, x.st)
 	until := t.LeaseUntil(r.info.ID, now)
 	t.recordRun(now, EventStarted, x, "placed")
 	t.enqueue(x)
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -180,6 +180,7 @@
 	k := &st.tasks[key.task.Index]
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	x := t.place(st, key.task.Index, r, key.run, now)
+	t.claim(r, st)
 	x.phase, x.confirmedAt, x.isListed = running, now, true
 	st.ranBefore = true
 	s.markStarted()
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -19,23 +19,33 @@
 
 // A reservation is the room on a runner that is kept for tasks of some steps.
 type reservation struct {
-	room  submitter.Resources
-	tasks map[*stepState]int
+	room    submitter.Resources
+	forLong submitter.Resources // the part of room that is for long-running tasks, which may use the rest
+	tasks   map[*stepState]int
 }
 
-// reserve reserves room for long-running tasks that have ended and have found no room
-// for their next run for some time. Reserved room gets nothing else: what runs there ends,
-// and the task starts.
-//
-// Load: long-running tasks of several cores that fail, or lose their runners together,
-// while smaller tasks wait. The room that each small task leaves goes to the next small
-// one, so that no runner ever has room for the large one.
+// reserve reserves room for moves, for long-running tasks that wait, and then for late work.
+// Reserved room gets nothing else: what runs there ends, and the task starts.
 func (t *Table) reserve(now time.Time) {
 	for _, r := range t.reserved {
+		for st := range r.reserved.tasks {
+			st.reservedTasks = 0
+		}
 		r.reserved = nil
 	}
 	t.reserved = t.reserved[:0]
 	t.reserveForMoves(now)
+	t.reserveForLong(now)
+	t.reserveForLate(now)
+}
+
+// reserveForLong reserves room for long-running tasks that have ended and have found no room
+// for their next run for some time.
+//
+// Load: long-running tasks of several cores that fail, or lose their runners together,
+// while smaller tasks wait. The room that each small task leaves goes to the next small
+// one, so that no runner ever has room for the large one.
+func (t *Table) reserveForLong(now time.Time) {
 	allRunsKnown := t.knowsAllRuns(now)
 	steps := t.longWaiting(allRunsKnown, now)
 	if len(steps) == 0 {
@@ -99,6 +109,12 @@
 			continue
 		}
 		lacks := wanted.MilliCores + kept.MilliCores - r.free().MilliCores
+		if best != nil && lacks > least {
+			continue
+		}
+		if beside := r.lacksBeside(wanted.Plus(kept)); beside > 0 {
+			lacks = max(lacks, beside)
+		}
 		if best != nil && (lacks > least || (lacks == least && r.info.ID > best.info.ID)) {
 			continue
 		}
@@ -110,11 +126,25 @@
 	return best
 }
 
+// lacksBeside returns what a runner lacks of some room beside processors, as the milliCores
+// that are the same share of what the runner has.
+func (r *runner) lacksBeside(room submitter.Resources) (milliCores int64) {
+	free, capacity := r.free(), r.info.Capacity
+	if lacked := room.MemoryMB - free.MemoryMB; lacked > 0 {
+		milliCores = lacked * capacity.MilliCores / max(1, capacity.MemoryMB)
+	}
+	if lacked := room.GPUs - free.GPUs; lacked > 0 {
+		milliCores = max(milliCores, lacked*capacity.MilliCores/max(1, capacity.GPUs))
+	}
+	return milliCores
+}
+
 // mayReserve reports whether nothing but other reservations keeps a task of a step, which
-// has run before, from a runner that has room for it.
+// has run before if it is a long-running one, from a runner that has room for it. For late
+// work, permits are requested while the room is kept.
 func (t *Table) mayReserve(r *runner, st *stepState, now time.Time) bool {
 	o := t.obstacle(r, st, &task{endedAt: now}, now)
-	return o == reserved || (o == eligible && st.isPermitted(r, now))
+	return o == reserved || (o == eligible && (!st.spec.LongRunning || st.isPermitted(r, now)))
 }
 
 // allows reports whether a step's label and limit per runner allow one more of its tasks
@@ -138,14 +168,24 @@
 		r.reserved = &reservation{tasks: make(map[*stepState]int)}
 		t.reserved = append(t.reserved, r)
 	}
-	r.reserved.room = r.reserved.room.Plus(st.spec.Reserved())
+	wanted := st.spec.Reserved()
+	r.reserved.room = r.reserved.room.Plus(wanted)
+	if st.spec.LongRunning {
+		r.reserved.forLong = r.reserved.forLong.Plus(wanted)
+	}
 	r.reserved.tasks[st]++
+	st.reservedTasks++
+}
+
+// keepsRoomForLong reports whether room on a runner is reserved for long-running tasks.
+func (r *runner) keepsRoomForLong() bool {
+	return r.reserved != nil && r.reserved.forLong != (submitter.Resources{})
 }
 
 // claim gives up the room that is reserved for a task of a step which starts on a runner,
 // or that for another one of its tasks if none is reserved there.
 func (t *Table) claim(r *runner, st *stepState) {
-	if !st.spec.LongRunning || len(t.reserved) == 0 {
+	if st.reservedTasks == 0 {
 		return
 	}
 	if r.reserved == nil || r.reserved.tasks[st] == 0 {
@@ -153,8 +193,17 @@
 			return
 		}
 	}
-	kept := r.reserved
-	kept.room = kept.room.Minus(st.spec.Reserved())
+	t.giveUp(r, st)
+}
+
+// giveUp gives up the room that is reserved on a runner for one task of a step.
+func (t *Table) giveUp(r *runner, st *stepState) {
+	kept, wanted := r.reserved, st.spec.Reserved()
+	kept.room = kept.room.Minus(wanted)
+	if st.spec.LongRunning {
+		kept.forLong = kept.forLong.Minus(wanted)
+	}
+	st.reservedTasks--
 	if kept.tasks[st]--; kept.tasks[st] == 0 {
 		delete(kept.tasks, st)
 	}
@@ -178,7 +227,7 @@
 // hasReservedRoom reports whether the room that is reserved for a step has become free.
 // The step is then tried although others of its shape have found no room.
 func (t *Table) hasReservedRoom(st *stepState) bool {
-	if !st.spec.LongRunning || len(t.reserved) == 0 {
+	if st.reservedTasks == 0 {
 		return false
 	}
 	wanted := st.spec.Reserved()
@@ -186,13 +235,17 @@
 }
 
 // unreserved returns the free room on a runner that is not reserved for tasks of other
-// steps. A task that has never run leaves that for its own step, too.
+// steps. A long-running task that has never run leaves that for its own step, too, and none
+// leaves what is reserved for others than such tasks.
 func (t *Table) unreserved(r *runner, st *stepState, k *task) submitter.Resources {
 	kept := r.reserved
 	if kept == nil {
 		return r.free()
 	}
 	room := r.free().Minus(kept.room)
+	if st.spec.LongRunning {
+		room = r.free().Minus(kept.forLong)
+	}
 	if !t.isNew(st, k) {
 		for range kept.tasks[st] {
 			room = room.Plus(st.spec.Reserved())
--- a/internal/version/dispatcher/status.go
+++ b/internal/version/dispatcher/status.go
@@ -6,7 +6,7 @@
 type Status struct {
 	// Runners is the number of registered runners, Awaited that of the runners on which a
 	// former owner may have started runs that are not in the table, and Reserved that of
-	// the runners reserved for long-running tasks.
+	// the runners with room reserved for some tasks.
 	Runners  int `json:"runners"`
 	Awaited  int `json:"awaited"`
 	Reserved int `json:"reserved"`
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -66,6 +66,8 @@
 	ranBefore    bool           // a former owner has started tasks
 	hasBegun     bool           // a run of a long-running step is known to have begun
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
+	// reservedTasks is the number of tasks for which room is reserved.
+	reservedTasks int
 	// gangCheckpoint is the newest checkpoint of any member of a gang.
 	gangCheckpoint string
 	// blockedAt is when the step last found no runner with room.
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -92,8 +92,10 @@
 	// had room in the current placement pass, or among the moves of the current tick.
 	noRoom map[shape]submitter.Resources
 
-	// reserved holds the runners with reserved room.
+	// reserved holds the runners with reserved room, and kept the late steps for which some
+	// is reserved, as of the last tick.
 	reserved []*runner
+	kept     []*stepState
 	// turn is the step of which one task is being started in its turn, or nil. turnRuns is
 	// the number of occurrences that run since their turn, and lackedAt when work that was on
 	// time last found no room.
--- a/internal/version/submitter/submission.go
+++ b/internal/version/submitter/submission.go
@@ -45,6 +45,12 @@
 	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
 }
 
+// Times returns a multiple of r, rounded down.
+func (r Resources) Times(factor float64) Resources {
+	times := func(amount int64) int64 { return int64(factor * float64(amount)) }
+	return Resources{times(r.MilliCores), times(r.MemoryMB), times(r.GPUs)}
+}
+
 // Min returns the smaller of each amount of r and o.
 func (r Resources) Min(o Resources) Resources {
 	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMB, o.MemoryMB), min(r.GPUs, o.GPUs)}
