--- a/internal/version/dispatcher/keeping_test.go
+++ b/internal/version/dispatcher/keeping_test.go
@@ -337,3 +337,36 @@
 		t.Errorf("started %v, want %v", started, want)
 	}
 }
+
+// Guards against kept room that stays empty, as a pass ends early on the starts of more urgent
+// work.
+func TestKeptRoomIsUsedWhileManyStartsAreDue(t *testing.T) {
+	const runners = 20
+	s := newStream(t, runners, stream{queue: "urgent", memoryMB: 100})
+	s.addAged("night", "night", waitBound, large(1))
+	s.advance(100 * time.Millisecond)
+	for i := range runners {
+		for range 16 {
+			s.finishOldest(fmt.Sprintf("r%d", i))
+		}
+	}
+	s.feed(2 * maxQueuedStarts)
+	s.table.Schedule(s.now)
+	orders := s.execute(s.table.Orders())
+	assertStarts(t, orders, maxQueuedStarts)
+	assertEachRuns(t, orders, "night")
+}
+
+// Guards against room that is kept for a task of much memory on a runner of which little is
+// free, as that has more processors free.
+func TestRoomIsKeptWhereMemoryIsFreeSoonest(t *testing.T) {
+	h := newHarness(t, 0, 2)
+	h.pollAll(2)
+	h.table.runners["r0"].used = submitter.Resources{MilliCores: 4000, MemoryMB: 20_000}
+	h.table.runners["r1"].used = submitter.Resources{MilliCores: 1000, MemoryMB: 60_000}
+	h.addAged("large", "urgent", waitBound, submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 1000, MemoryMB: 48_000}})
+	h.table.Tick(h.now)
+	if kept := h.table.reserved; len(kept) != 1 || kept[0].info.ID != "r0" {
+		t.Errorf("room is reserved on %d runners, want only on r0", len(kept))
+	}
+}
