--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -184,6 +184,7 @@
 	}
 	x := t.place(st, key.task.Index, r, key.run, now)
 	t.background = nil
+	t.claim(r, st)
 	x.phase, x.confirmedAt, x.isListed = running, now, true
 	st.ranBefore = true
 	s.markStarted()
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -92,8 +92,10 @@
 	// had room in the current placement pass, or among the moves of the current tick.
 	noRoom map[shape]submitter.Resources
 
-	// reserved holds the runners with reserved room.
+	// reserved holds the runners with reserved room, and kept the late steps for which some
+	// is reserved, as of the last tick.
 	reserved []*runner
+	kept     []*stepState
 	// turn is the step of which one task is being started in its turn, or nil; background is
 	// the step if that task runs in the background. turnRuns is the number of occurrences that
 	// run since their turn, other than in the background, and lackedAt when work that was on
