Send a request whose body is in memory in one piece

Seen: TestDaemonLoss/pause_and_resume_with_busy_runners, once: a runner had 9 requests running with 8 slots for 1.9 s, while one of three daemons was paused.

Cause: exchanger wraps the body to learn whether reading it failed. By the wrapper net/http can't tell that the body is in memory, so it sends the header first and the body in a second write. A daemon that is paused between the two leaves a part of a request at the runner, which takes a slot until the daemon resumes; the next owner counts all slots as free from the end of the lease and the upstream's maximum duration on.

Change: a request whose body can be read again is written at once. The gate is called when the body has been read.

Remains: a daemon that is paused while it streams a body of more than 64 KiB, and one that is paused between the question and the system call.

--- a/internal/connection/exchanger/conn.go
+++ b/internal/connection/exchanger/conn.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -26,6 +27,9 @@
 // request to be written to the end.
 const writerGrace = 50 * time.Millisecond
 
+// headerSize is the expected size of the header of a request, in bytes.
+const headerSize = 1 << 10
+
 // A Conn is one connection to a runner. Only one goroutine at a time may call
 // its methods. A Conn is idle, or busy from Exchange until Finish returns true.
 type Conn struct {
@@ -70,11 +74,12 @@
 }
 
 // Exchange sends a request and returns its response once the response's header
-// has arrived. The gate is called right before the first byte is written. When
-// the context ends, the exchange is aborted, even while the response body is
-// being read, and the runner notices it by the half-closed connection. The
-// caller must call Finish or Drain afterwards, even after an error. Errors are
-// of type *SendError.
+// has arrived. A request whose body is in memory, which GetBody shows, is sent in
+// one piece. The gate is called right before the first byte is written. When the
+// context ends, the exchange is aborted, even while the response body is being
+// read, and the runner notices it by the half-closed connection. The caller must
+// call Finish or Drain afterwards, even after an error. Errors are of type
+// *SendError.
 func (c *Conn) Exchange(ctx context.Context, req *http.Request, gate Gate) (resp *http.Response, err error) {
 	c.writer = &gatedWriter{conn: c.tcp, gate: gate}
 	c.written = make(chan struct{})
@@ -119,7 +124,7 @@
 // sending side if a part of the request may have been sent.
 func (c *Conn) write(req *http.Request) {
 	defer close(c.written)
-	c.writeErr = req.Write(c.writer)
+	c.writeErr = writeRequest(c.writer, req)
 	if c.writeErr == nil {
 		return
 	}
@@ -130,6 +135,22 @@
 	_ = c.tcp.CloseWrite()
 }
 
+// writeRequest writes a request, in one piece unless its body is a stream. A part of a
+// request that a paused daemon has sent takes one of the runner's slots until the daemon
+// resumes, long after another daemon may use them all.
+func writeRequest(w io.Writer, req *http.Request) error {
+	if req.GetBody == nil && req.Body != nil && req.Body != http.NoBody {
+		return req.Write(w)
+	}
+	var whole bytes.Buffer
+	whole.Grow(headerSize + int(max(req.ContentLength, 0)))
+	if err := req.Write(&whole); err != nil {
+		return err
+	}
+	_, err := w.Write(whole.Bytes())
+	return err
+}
+
 // abort half-closes the connection, which tells the runner that the response is
 // no longer wanted, and unblocks the pending read.
 func (c *Conn) abort() {
--- a/internal/connection/exchanger/source_test.go
+++ b/internal/connection/exchanger/source_test.go
@@ -46,3 +46,35 @@
 		})
 	}
 }
+
+// Guards against a runner that runs one request more than it has slots, because a paused
+// daemon has sent only a part of a request.
+func TestConnSendsBufferedRequestsAtOnce(t *testing.T) {
+	address := serveOnce(t, respondWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	conn := dial(t, address)
+	req := newPost(t, address)
+	rest, ended := req.Body, false
+	req.Body = io.NopCloser(readerFunc(func(p []byte) (n int, err error) {
+		n, err = rest.Read(p)
+		ended = ended || err == io.EOF
+		return n, err
+	}))
+	resp, err := conn.Exchange(t.Context(), req, func() error {
+		if !ended {
+			t.Error("the first byte is sent before the body has been read")
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" {
+		t.Errorf("body = %q, %v; want %q", body, err, "ok")
+	}
+}
+
+// A readerFunc is a function that implements io.Reader.
+type readerFunc func(p []byte) (n int, err error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (n int, err error) { return f(p) }
--- a/internal/request/attempter/call.go
+++ b/internal/request/attempter/call.go
@@ -99,6 +99,9 @@
 		req.Body = io.NopCloser(body)
 		req.ContentLength = c.Body.Size()
 	}
+	if c.Body.IsRepeatable() {
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.Body.Bytes)), nil }
+	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = []string{""}
 	}
