Say that a partition was handed over cleanly only if its work has ended

Seen: by reading, after a red test of paused daemons.

Cause: an owner whose runners' requests have not ended within drainTimeout hands the partition over all the same, and the record says that it was clean. The next owner then uses all slots at once, beside the requests that still run.

Change: OnLose reports whether all work has ended. If it has not, the next owner waits for the upstream's maximum duration, as after a daemon that was lost.

Result: TestHandoverWithWorkLeft/work_goes_on fails before, for each partition, and passes after (3 of 3 with the race detector).

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -228,15 +228,16 @@
 	}
 }
 
-// onLose stops work on a partition that this daemon is about to give away or has lost, and waits
-// until the work has stopped.
-func (d *Daemon) onLose(partition owner.Partition, reason owner.Reason) {
+// onLose stops work on a partition that this daemon is about to give away or has lost, waits
+// until the work has stopped, and reports whether it has.
+func (d *Daemon) onLose(partition owner.Partition, reason owner.Reason) (isEnded bool) {
 	switch partition.Kind() {
 	case owner.KindShard:
 		d.shards.lose(partition)
 	case owner.KindRunners:
-		d.requests.loseRunners(partition, reason)
+		return d.requests.loseRunners(partition, reason)
 	}
+	return true
 }
 
 // Run serves until the context ends, then shuts down gracefully. It returns nil after a graceful
--- a/internal/process/daemon/requests.go
+++ b/internal/process/daemon/requests.go
@@ -153,15 +153,16 @@
 }
 
 // loseRunners waits, before a partition of runners is handed over, until no request uses a runner
-// of the partition. It doesn't wait if the partition is lost for another reason.
-func (r *requests) loseRunners(partition owner.Partition, reason owner.Reason) {
+// of the partition, and reports whether none does. It doesn't wait if the partition is lost for
+// another reason.
+func (r *requests) loseRunners(partition owner.Partition, reason owner.Reason) (isEnded bool) {
 	if reason != owner.ReasonHandover {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), r.daemon.settings.DrainTimeout)
 	defer cancel()
 	// The partition is given away even if it isn't drained in time.
-	_ = r.slots.DrainPartition(ctx, partition)
+	return r.slots.DrainPartition(ctx, partition) == nil
 }
 
 // close closes the components.
--- a/internal/process/owner/change.go
+++ b/internal/process/owner/change.go
@@ -134,19 +134,20 @@
 // release gives up a partition. OnLose returns before the owner record is
 // cleared, so that the next owner can't start earlier.
 func (o *Owner) release(ctx context.Context, p Partition, record Record, held holding, isHeld bool) error {
+	isEnded := isHeld
 	if isHeld {
 		if err := o.checkStored(ctx, p, held); err != nil {
 			return err
 		}
 		if o.settings.OnLose != nil {
-			o.settings.OnLose(p, ReasonHandover)
+			isEnded = o.settings.OnLose(p, ReasonHandover)
 		}
 		o.mu.Lock()
 		delete(o.holdings, p)
 		o.mu.Unlock()
 		record = held.record
 	}
-	released, err := o.writeRecord(ctx, p, record.Revision, Record{Clean: isHeld})
+	released, err := o.writeRecord(ctx, p, record.Revision, Record{Clean: isEnded})
 	if err != nil {
 		return err
 	}
--- a/internal/process/owner/cluster_test.go
+++ b/internal/process/owner/cluster_test.go
@@ -59,16 +59,18 @@
 	cutStore atomic.Bool
 	cutPeers atomic.Bool
 	dead     atomic.Bool // the process has ended
-	watcher  *watcher.Watcher
-	group    *member.Group
-	config   *configurer.Configurer
-	owner    *owner.Owner
-	pledger  *pledger.Pledger
-	releaser *releaser.Releaser
-	peer     kumquatv1.Peer
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
-	groupErr chan error
+	// leavesWork is true if work goes on when the daemon hands its partitions over.
+	leavesWork atomic.Bool
+	watcher    *watcher.Watcher
+	group      *member.Group
+	config     *configurer.Configurer
+	owner      *owner.Owner
+	pledger    *pledger.Pledger
+	releaser   *releaser.Releaser
+	peer       kumquatv1.Peer
+	cancel     context.CancelFunc
+	done       sync.WaitGroup
+	groupErr   chan error
 }
 
 func newCluster(t testing.TB) *cluster {
@@ -213,10 +215,11 @@
 	holders[n] = true
 }
 
-func (n *node) onLose(p owner.Partition, _ owner.Reason) {
+func (n *node) onLose(p owner.Partition, _ owner.Reason) (isEnded bool) {
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	delete(n.cluster.holders[p], n)
+	return !n.leavesWork.Load()
 }
 
 // kill ends the daemon without a handover.
--- a/internal/process/owner/owner.go
+++ b/internal/process/owner/owner.go
@@ -84,8 +84,9 @@
 	OnAcquire func(Partition, Epoch)
 	// OnLose is called before a partition is handed over or after it has been
 	// lost. Until it returns, the partition is neither handed over nor acquired
-	// again.
-	OnLose func(Partition, Reason)
+	// again. It reports whether all work on the partition has ended, for which
+	// the next owner waits otherwise.
+	OnLose func(Partition, Reason) (isEnded bool)
 }
 
 // An Owner acquires, keeps and hands over partitions.
--- a/internal/process/owner/owner_test.go
+++ b/internal/process/owner/owner_test.go
@@ -45,6 +45,31 @@
 	})
 }
 
+// Guards against a next owner that acts at once although work of the former one goes on,
+// because the partition was handed over before that work had ended.
+func TestHandoverWithWorkLeft(t *testing.T) {
+	t.Parallel()
+	for name, leavesWork := range map[string]bool{"all work has ended": false, "work goes on": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			nodes := c.startAll(2)
+			leaving, next := nodes[0], nodes[1]
+			leaving.leavesWork.Store(leavesWork)
+			handedOver := leaving.owner.Partitions()
+			if err := leaving.stop(); err != nil {
+				t.Fatal(err)
+			}
+			c.await("the partitions to move", func() bool { return c.isBalanced(nodes[1:]) })
+			for _, p := range handedOver {
+				if mayGoOn := !next.owner.AcquiredAt(p).IsZero(); mayGoOn != leavesWork {
+					t.Errorf("the next owner takes it that work on %s may go on: %t, want %t", p, mayGoOn, leavesWork)
+				}
+			}
+		})
+	}
+}
+
 // TestOwnerCutOff checks that a daemon cut off from the store and from its peers
 // stops acting before the others take over its partitions.
 func TestOwnerCutOff(t *testing.T) {
