--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -498,7 +498,7 @@
 	r := x.runner
 	t.claim(r, x.st)
 	until := t.LeaseUntil(r.info.ID, now)
-	t.recordRun(now, EventStarted, x, "placed")
+	t.recordRun(now, EventStarted, x, x.placement())
 	t.enqueue(x)
 	t.orders = append(t.orders, Order{
 		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// placement returns why a run was started, as it appears in logs.
+func (x *run) placement() string {
+	switch {
+	case x.isSlow:
+		return "in the background"
+	case x.isTurn:
+		return "in its turn"
+	default:
+		return "placed"
+	}
+}
+
 // endTurn notes that a run has ended or gets its full speed, if it was started in a turn.
 func (t *Table) endTurn(x *run) {
 	if x.isTurn {
