--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -25,8 +25,8 @@
 	// EventPaced is recorded when the pace of a best-effort task is changed.
 	EventPaced recorder.Number = 6106
 	// EventWaiting is recorded when tasks of a ready step, or all tasks of a best-effort
-	// one, have had no run for some seconds. It counts the runners by what keeps the tasks
-	// from them, and says what became of the attempts to start them.
+	// one, have had no run for some seconds, of a few steps at a tick. It counts the runners
+	// by what keeps the tasks from them, and says what became of the attempts to start them.
 	EventWaiting recorder.Number = 6107
 	// EventRunnerDraining is recorded when a runner's registry entry says that it
 	// is draining.
