Write the presence key again until the store has carried it out

Cause: when the lease of the presence key has ended, a renewal takes a new lease and then writes the key under it. If that write is lost, the renewals that follow find the new lease alive and don't repeat it.

Change: the write is repeated with each renewal until it is known to have been carried out; the key's value, which names the lease, tells an earlier write of this term, as it does for claims. A renewal doesn't wait for one that writes.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -37,6 +37,12 @@
 
 func presenceKey(part int) string { return prefix + strconv.Itoa(part) + presenceSuffix }
 
+// presenceMark returns the value of a presence key. The lease tells the writes of one process
+// apart.
+func presenceMark(instance string, lease int64) []byte {
+	return fmt.Appendf(nil, "%s %d", instance, lease)
+}
+
 func settledKey(part int) string { return prefix + strconv.Itoa(part) + settledSuffix }
 
 // Times of the election.
@@ -420,8 +426,7 @@
 		return nil, err
 	}
 	record, presence := RecordKey(owner.Part), presenceKey(owner.Part)
-	// The lease tells this claim from earlier ones of this process.
-	mark := fmt.Appendf(nil, "%s %d", e.opts.Instance, lease)
+	mark := presenceMark(e.opts.Instance, lease)
 	claim := transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: record, Revision: last.Fence}, {Key: presence, Revision: last.presence}},
 		Writes:     []transactor.Write{{Key: record, Value: value}, {Key: presence, Value: mark, Lease: lease}},
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strconv"
@@ -26,6 +27,8 @@
 	ctx   context.Context
 	end   context.CancelFunc
 	lease atomic.Int64 // of the presence key
+	// isUnwritten is true while it isn't known that the presence key was written under lease.
+	isUnwritten atomic.Bool
 	// replacing serialises the writes of the presence key under a new lease.
 	replacing sync.Mutex
 	// confirmed is the latest time at which the record is known to have named this
@@ -210,33 +213,57 @@
 	return err
 }
 
-// keepPresence renews the lease of the presence key. If the lease has ended, it
-// writes the key again under a new lease.
+// keepPresence renews the lease of the presence key. If the lease has ended, it writes the
+// key again under a new lease, until it is known that such a write was carried out.
 func (t *Term) keepPresence() (err error) {
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	ended := t.lease.Load()
-	if err = t.e.opts.Store.KeepAlive(ctx, ended); !errors.Is(err, transactor.ErrNotFound) {
+	kept := t.lease.Load()
+	err = t.e.opts.Store.KeepAlive(ctx, kept)
+	hasEnded := errors.Is(err, transactor.ErrNotFound)
+	if !hasEnded && (err != nil || !t.isUnwritten.Load()) {
 		return err
 	}
-	t.replacing.Lock()
+	if !t.replacing.TryLock() {
+		return nil // another renewal writes the key
+	}
 	defer t.replacing.Unlock()
-	if t.lease.Load() != ended {
-		return nil // another renewal has replaced the lease
+	if t.lease.Load() != kept || !hasEnded && !t.isUnwritten.Load() {
+		return nil // another renewal has replaced the lease or written the key
 	}
-	lease, err := t.e.opts.Store.Grant(ctx, presenceTTL)
-	if err != nil {
+	if hasEnded {
+		lease, err := t.e.opts.Store.Grant(ctx, presenceTTL)
+		if err != nil {
+			return err
+		}
+		t.isUnwritten.Store(true)
+		t.lease.Store(lease)
+	}
+	if err := t.writePresence(ctx, t.lease.Load()); err != nil {
 		return err
 	}
-	t.lease.Store(lease)
+	t.isUnwritten.Store(false)
+	return nil
+}
+
+// writePresence writes the presence key under a lease, or returns errReplaced if the owner
+// record names another owner.
+func (t *Term) writePresence(ctx context.Context, lease int64) error {
 	record, presence := RecordKey(t.Owner.Part), presenceKey(t.Owner.Part)
-	_, err = t.e.opts.Store.Commit(ctx, transactor.Transaction{
+	mark := presenceMark(t.e.opts.Instance, lease)
+	_, err := t.e.opts.Store.Commit(ctx, transactor.Transaction{
 		Conditions: []transactor.Condition{{Key: record, Revision: t.Owner.Fence}, {Key: presence}},
-		Writes:     []transactor.Write{{Key: presence, Value: []byte(t.e.opts.Instance), Lease: lease}},
+		Writes:     []transactor.Write{{Key: presence, Value: mark, Lease: lease}},
 	})
 	var conflict *transactor.ConflictError
-	if errors.As(err, &conflict) && conflict.Find(record).Revision != t.Owner.Fence {
+	switch {
+	case !errors.As(err, &conflict):
+		return err
+	case conflict.Find(record).Revision != t.Owner.Fence:
 		return errReplaced
+	case bytes.Equal(conflict.Find(presence).Value, mark):
+		return nil // an earlier write was carried out
+	default:
+		return err
 	}
-	return err
 }
--- a/internal/process/elector/term_test.go
+++ b/internal/process/elector/term_test.go
@@ -196,3 +196,63 @@
 		}
 	})
 }
+
+// A refusingStore refuses transactions that write the presence key alone.
+type refusingStore struct {
+	*memorystore.Store
+
+	mu      sync.Mutex
+	refused int // transactions to refuse
+}
+
+func (s *refusingStore) Commit(ctx context.Context, txn transactor.Transaction) (revision int64, err error) {
+	s.mu.Lock()
+	isRefused := s.refused > 0 && len(txn.Writes) == 1 && txn.Writes[0].Key == presenceKey(0)
+	if isRefused {
+		s.refused--
+	}
+	s.mu.Unlock()
+	if isRefused {
+		return 0, errors.New("the store is away")
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// Guards against an owner that is replaced although it renews its lease, since the presence
+// key was not written under that lease.
+func TestPresenceIsWrittenAgainAfterALostWrite(t *testing.T) {
+	t.Parallel()
+	for name, wrap := range map[string]func(store *memorystore.Store) transactor.Store{
+		"that was not carried out": func(store *memorystore.Store) transactor.Store {
+			return &refusingStore{Store: store, refused: 1}
+		},
+		"that was carried out": func(store *memorystore.Store) transactor.Store {
+			return &forgetfulStore{Store: store}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runSuccession(t, func(s *succession) {
+				s.wrapped = wrap(s.store)
+				term := s.succeed(0)
+				if store, ok := s.wrapped.(*forgetfulStore); ok {
+					store.mu.Lock()
+					store.writes = 1
+					store.mu.Unlock()
+				}
+				if err := s.store.Revoke(s.t.Context(), term.lease.Load()); err != nil {
+					s.t.Fatal(err)
+				}
+				time.Sleep(ownedDelay - renewInterval)
+				if _, err := s.store.Get(s.t.Context(), presenceKey(0)); err != nil {
+					s.t.Errorf("presence key: %v", err)
+				}
+				time.Sleep(ownedDelay)
+				if err := s.store.KeepAlive(s.t.Context(), term.lease.Load()); err != nil {
+					s.t.Errorf("lease of the presence key: %v", err)
+				}
+				s.assertServed(term.Owner.Instance, term.Owner.Generation)
+			})
+		})
+	}
+}
