--- a/internal/version/dispatcher/turns_test.go
+++ b/internal/version/dispatcher/turns_test.go
@@ -195,6 +195,22 @@
 	}
 }
 
+// Guards against turns that take the room of new work, other than a quarter of what is idle.
+func TestTurnsAreLimitedWhileNewWorkLacksRoom(t *testing.T) {
+	const late = 12
+	h := newHarness(t, 0, 1)
+	for i := range late {
+		h.add(fmt.Sprint("late", i), "night", oneCore(2))
+	}
+	h.advance(20 * time.Second)
+	h.poll("r0")
+	h.table.lackedAt = h.now
+	h.starts()
+	if n := h.table.turnRuns; n == 0 || n > late/4 {
+		t.Errorf("%d occurrences run in their turn, want some and at most %d", n, late/4)
+	}
+}
+
 // Guards against a turn that is counted as taken by a start that the runner refused.
 func TestRefusedStartIsNoTurn(t *testing.T) {
 	h := newHarness(t, 0, 2)
