--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -15,9 +15,10 @@
 const (
 	backgroundPercent = 5
 	backgroundPace    = backgroundPercent / 100.0
-	// maxQueuedForBackground is the number of starts that wait to be sent from which no task
-	// starts in the background.
-	maxQueuedForBackground = 32
+	// maxQueuedBackground bounds the starts in the background that are decided and not sent yet.
+	maxQueuedBackground = 16
+	// backgroundMovePause is the pause between moves of background runs.
+	backgroundMovePause = 250 * time.Millisecond
 	// backgroundMemoryShare is the largest share of a runner's memory that background runs take.
 	backgroundMemoryShare = 0.5
 	// backgroundRunCost is what each background run takes off a runner's score for another one.
@@ -55,9 +56,9 @@
 }
 
 // hasMemoryForBackground reports whether a runner may have one more background run of a step,
-// as far as memory is concerned.
+// as far as the share of memory for such runs is concerned. The first one may exceed it.
 func (r *runner) hasMemoryForBackground(st *stepState) bool {
-	return float64(r.background.memoryMB+st.spec.MemoryMB) <= backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
+	return r.background.runs == 0 || float64(r.background.memoryMB+st.spec.MemoryMB) <= backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
 }
 
 // haveMemoryForBackground reports the same of all runners.
@@ -84,7 +85,7 @@
 
 // startInBackground starts one task of a step in the background, or a gang.
 func (t *Table) startInBackground(st *stepState, allRunsKnown bool, now time.Time) {
-	if t.queuedStarts >= maxQueuedForBackground {
+	if t.queuedBackground >= maxQueuedBackground {
 		return
 	}
 	t.background = st
@@ -93,21 +94,32 @@
 }
 
 // promote gives the tasks of a step that run in the background full speed if their runners have
-// room. The last one of a step moves to another runner if only that has room.
+// room, those of a gang all together. The last task of another step moves if only another
+// runner has room, one such task at a time, as each sees the same room.
 func (t *Table) promote(st *stepState, now time.Time) {
-	for _, x := range slices.Clone(st.occ.background) {
-		if x.st != st || x.phase != running || x.runner.info.Draining {
-			continue
+	var slow []*run
+	for _, x := range st.occ.background {
+		if x.st == st && x.phase == running {
+			slow = append(slow, x)
 		}
+	}
+	lacksRoom := func(x *run) bool {
+		return x.runner.info.Draining || t.bestEffortObstacle(x.runner, st, now) != eligible
+	}
+	if st.spec.Gang && slices.ContainsFunc(slow, lacksRoom) {
+		return
+	}
+	for _, x := range slow {
 		switch {
-		case t.bestEffortObstacle(x.runner, st, now) == eligible:
+		case !lacksRoom(x):
 			t.speedUp(x, now)
-		case st.waiting == 0 && st.spec.Checkpointing && x.percent < nearlyDone:
-			if t.chooseOther(st, x.task(), x.runner, now) != nil {
-				t.stop(x, now, "another runner has room")
-			} else {
+		case !st.spec.Gang && st.waiting == 0 && x.percent < fullPace-backgroundPercent && now.Sub(t.backgroundMovedAt) >= backgroundMovePause:
+			if t.chooseOther(st, x.task(), x.runner, now) == nil {
 				st.blockedAt = now
+				continue
 			}
+			t.backgroundMovedAt = now
+			t.stop(x, now, "another runner has room")
 		}
 	}
 }
@@ -116,7 +128,7 @@
 func (t *Table) speedUp(x *run, now time.Time) {
 	x.runner.adjustUse(x, -1)
 	t.endTurn(x)
-	x.isSlow = false
+	x.isSlow, x.progressedAt = false, now
 	x.runner.adjustUse(x, 1)
 	t.paceRun(x, fullPace, now)
 }
--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -80,6 +80,9 @@
 func (t *Table) enqueue(x *run) {
 	x.isQueued = true
 	t.queuedStarts++
+	if x.isSlow {
+		t.queuedBackground++
+	}
 	t.starts++
 }
 
@@ -90,6 +93,9 @@
 	}
 	x.isQueued = false
 	t.queuedStarts--
+	if x.isSlow {
+		t.queuedBackground--
+	}
 	if t.isPlacementDeferred && t.queuedStarts <= maxQueuedStarts/2 {
 		t.isPlacementDeferred = false
 		t.placementDue = true
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -181,8 +181,11 @@
 	}
 	if st.spec.Gang {
 		mayStart := allRunsKnown || !slices.ContainsFunc(st.tasks, func(k task) bool { return !k.isTakenOver(st) })
-		if mayStart && !t.startGang(st, now) && st.s.needsPermits() {
-			t.requestPermits(st, now) // the runners with permits have no room for all members
+		if mayStart && !t.startGang(st, now) {
+			st.blockedAt = now
+			if st.s.needsPermits() {
+				t.requestPermits(st, now) // the runners with permits have no room for all members
+			}
 		}
 		return
 	}
--- a/internal/version/dispatcher/rounds_test.go
+++ b/internal/version/dispatcher/rounds_test.go
@@ -146,3 +146,28 @@
 		t.Errorf("starts %d tasks, want first the one that has waited longest", len(orders))
 	}
 }
+
+// Guards against gangs without room that use up each pass, so that nothing after them is tried.
+func TestGangsWithoutRoomDoNotKeepOthersFromAPass(t *testing.T) {
+	const runners, members = 66, 20
+	h := newHarness(t, 0, runners)
+	h.pollAll(runners)
+	full := submitter.Step{Count: runners - members + 1, Resources: submitter.Resources{MilliCores: 8000, MemoryMB: 100}, Estimate: time.Hour, MaxPerRunner: 1}
+	h.add("full", "urgent", full)
+	for len(h.starts()) > 0 {
+		h.pollAll(runners)
+	}
+	gang := submitter.Step{Count: members, Resources: submitter.Resources{MilliCores: 7000, MemoryMB: 100}, Estimate: 100 * time.Second, Gang: true}
+	for i := range 10 {
+		h.add(fmt.Sprint("gang", i), "urgent", gang)
+	}
+	small := submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 500, MemoryMB: 100}, Estimate: 5 * time.Minute}
+	h.add("small", "urgent", small)
+	for range 10 {
+		h.now = h.now.Add(10 * time.Millisecond)
+		if len(h.starts()) > 0 {
+			return
+		}
+	}
+	t.Error("the small task has not started after ten passes")
+}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -125,6 +125,10 @@
 	orders []Order // decided since the last call of Orders
 	// queuedStarts is the number of starts that are decided and not sent yet.
 	queuedStarts int
+	// queuedBackground is the part of them in the background.
+	queuedBackground int
+	// backgroundMovedAt is when a background run was last stopped to run elsewhere.
+	backgroundMovedAt time.Time
 	// starts is the number of starts that were decided.
 	starts int
 	// isPlacementDeferred says that a placement pass ended early as too many starts were
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -93,13 +93,27 @@
 	}
 	stalledFor := now.Sub(x.progressedAt)
 	silentFor := now.Sub(x.runner.answeredAt)
-	if x.st.spec.Speculative && (stalledFor > copyAfter || silentFor > copyAfter) {
+	if x.mayHaveCopy(now) {
 		return true
 	}
 	isReady := x.st.spec.LongRunning && x.percent >= 100
 	return stalledFor >= stallAfter && silentFor <= time.Second && !isReady
 }
 
+// mayHaveCopy reports whether a run of a speculative task makes so little progress that a
+// copy may start.
+func (x *run) mayHaveCopy(now time.Time) bool {
+	return x.st.spec.Speculative && !x.isSlow && (now.Sub(x.progressedAt) > copyAfter || now.Sub(x.runner.answeredAt) > copyAfter)
+}
+
+// stallsAfter returns the time without progress after which a run is stopped.
+func (x *run) stallsAfter() time.Duration {
+	if x.isSlow {
+		return stallAfter * fullPace / backgroundPercent
+	}
+	return stallAfter
+}
+
 // watchRun repeats the stop of a run if it had no effect, starts a second copy of a
 // speculative task, and stops a run without progress so that its task is started
 // again.
@@ -115,7 +129,7 @@
 	}
 	stalledFor := now.Sub(x.progressedAt)
 	silentFor := now.Sub(x.runner.answeredAt)
-	if x.st.spec.Speculative && (stalledFor > copyAfter || silentFor > copyAfter) && len(x.task().runs) == 1 && !x.task().done {
+	if x.mayHaveCopy(now) && len(x.task().runs) == 1 && !x.task().done {
 		if !t.knowsAllRuns(now) || t.isQueueFull() || x.mayHaveCrashed(now) {
 			return // the owner may not know all failures of the task yet, or is busy
 		}
@@ -125,7 +139,7 @@
 		return
 	}
 	isReady := x.st.spec.LongRunning && x.percent >= 100
-	if stalledFor < stallAfter || silentFor > time.Second || isReady || x.pace < 100 {
+	if stalledFor < x.stallsAfter() || silentFor > time.Second || isReady || (x.pace < fullPace && !x.isSlow) || x.pace == 0 {
 		return
 	}
 	if x.st.spec.Fills && x.measure > 0 {
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -13,8 +13,9 @@
 // most would never run while smaller work keeps arriving.
 const (
 	// turnAfter is how long nothing of an occurrence has run when it gets a turn, and
-	// rareTurnAfter the same while new work lacks room, and for lackedFor after. Work is new
-	// while it is on time and has been due for at most newFor.
+	// rareTurnAfter the same while new work lacks room, and for lackedFor after, and of
+	// best-effort work that is on time. Work is new while it is on time and has been due for
+	// at most newFor.
 	turnAfter     = 500 * time.Millisecond
 	rareTurnAfter = 10 * time.Second
 	lackedFor     = time.Second
@@ -36,11 +37,11 @@
 
 // isOwedTurn reports whether one task of a candidate's step goes before other work.
 func (t *Table) isOwedTurn(c candidate, now time.Time) bool {
-	o, after := c.st.occ, turnAfter
-	if t.lacksRoom(now) {
+	o, after, isOnTime := c.st.occ, turnAfter, c.tier == tierOnTime
+	if isOnTime || t.lacksRoom(now) {
 		after = rareTurnAfter
 	}
-	return c.tier != tierOnTime && o.runs == 0 && now.Sub(o.idleSince()) >= after
+	return (!isOnTime || c.st.spec.Fills) && o.runs == 0 && now.Sub(o.idleSince()) >= after
 }
 
 // isIdleAndLate reports whether a step is late and nothing of its occurrence runs.
--- a/internal/version/dispatcher/turns_test.go
+++ b/internal/version/dispatcher/turns_test.go
@@ -224,7 +224,7 @@
 	assertStarts(t, orders, 1)
 	h.table.ApplyStart(orders[0], NoRoom, 1, h.now)
 	occ := h.table.subs["a"].occs[0]
-	if occ.runs != 0 || h.table.turnRuns != 0 || !occ.idleSince().Equal(addedAt) {
+	if occ.runs != 0 || h.table.turnRuns != 0 || len(occ.background) != 0 || h.table.queuedBackground != 0 || !occ.idleSince().Equal(addedAt) {
 		t.Errorf("%d runs, %d in turn, idle since %s, want none and since it was added", occ.runs, h.table.turnRuns, occ.idleSince())
 	}
 }
