Let a gang in the background get full speed only once all of it runs

By reading: members whose starts were still to be confirmed were left out, so that the others could get full speed before them.

--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -99,12 +99,12 @@
 func (t *Table) promote(st *stepState, now time.Time) {
 	var slow []*run
 	for _, x := range st.occ.background {
-		if x.st == st && x.phase == running {
+		if x.st == st {
 			slow = append(slow, x)
 		}
 	}
 	lacksRoom := func(x *run) bool {
-		return x.runner.info.Draining || t.bestEffortObstacle(x.runner, st, now) != eligible
+		return x.phase != running || x.runner.info.Draining || t.bestEffortObstacle(x.runner, st, now) != eligible
 	}
 	if st.spec.Gang && slices.ContainsFunc(slow, lacksRoom) {
 		return
@@ -113,7 +113,7 @@
 		switch {
 		case !lacksRoom(x):
 			t.speedUp(x, now)
-		case !st.spec.Gang && st.waiting == 0 && x.percent < fullPace-backgroundPercent && now.Sub(t.backgroundMovedAt) >= backgroundMovePause:
+		case !st.spec.Gang && st.waiting == 0 && x.phase == running && x.percent < fullPace-backgroundPercent && now.Sub(t.backgroundMovedAt) >= backgroundMovePause:
 			if t.chooseOther(st, x.task(), x.runner, now) == nil {
 				st.blockedAt = now
 				continue
