--- a/internal/version/dispatcher/keeping.go
+++ b/internal/version/dispatcher/keeping.go
@@ -10,7 +10,7 @@
 
 const (
 	// keepAfter is how long nothing of a late occurrence has run when room is kept for it.
-	keepAfter = 10 * time.Second
+	keepAfter = 20 * time.Second
 	// lateShare bounds the tasks, other than members of gangs, for which room is kept at a
 	// time, as a share of the runners of their service. It is at least one task.
 	lateShare = 0.05
