--- a/internal/version/dispatcher/background_test.go
+++ b/internal/version/dispatcher/background_test.go
@@ -8,17 +8,23 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// newCrowdedHarness returns a harness with a service on r0 beside which small best-effort tasks
-// take all room, and with a large one that is late.
-func newCrowdedHarness(t *testing.T) *harness {
+// newFilledHarness returns a harness with a service on r0 beside which small best-effort tasks
+// take all room, and the orders that started these.
+func newFilledHarness(t *testing.T) (h *harness, small []Order) {
 	t.Helper()
-	h, _ := newContendedHarness(t)
+	h, _ = newContendedHarness(t)
 	for range 50 {
 		h.table.interference.pressures.Learn("web", 0.3, map[string]float64{"batch": 4})
 	}
 	h.add("small", "night", bestEffort("batch", 200))
 	h.reportTail(8)
-	h.starts()
+	return h, h.starts()
+}
+
+// newCrowdedHarness returns a filled harness with a large submission that is late.
+func newCrowdedHarness(t *testing.T) *harness {
+	t.Helper()
+	h, _ := newFilledHarness(t)
 	large := bestEffort("batch", 2)
 	large.MilliCores = 4000
 	h.add("large", "night", large)
--- a/internal/version/dispatcher/promotion_test.go
+++ b/internal/version/dispatcher/promotion_test.go
@@ -12,13 +12,7 @@
 // large1 and so on of a step, one task or gang of each of which runs there in the background.
 func newBackgroundHarness(t *testing.T, submissions int, step submitter.Step) *harness {
 	t.Helper()
-	h, _ := newContendedHarness(t)
-	for range 50 {
-		h.table.interference.pressures.Learn("web", 0.3, map[string]float64{"batch": 4})
-	}
-	h.add("small", "night", bestEffort("batch", 200))
-	h.reportTail(8)
-	h.starts()
+	h, _ := newFilledHarness(t)
 	step.MilliCores = 4000
 	for i := range submissions {
 		h.add(fmt.Sprint("large", i), "night", step)
@@ -146,13 +140,7 @@
 		{"on time after a while", func(_ *harness, step *submitter.Step) { step.Estimate = time.Minute }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			h, _ := newContendedHarness(t)
-			for range 50 {
-				h.table.interference.pressures.Learn("web", 0.3, map[string]float64{"batch": 4})
-			}
-			h.add("small", "night", bestEffort("batch", 200))
-			h.reportTail(8)
-			h.starts()
+			h, _ := newFilledHarness(t)
 			step := bestEffort("batch", 2)
 			step.MilliCores = 4000
 			c.change(h, &step)
--- a/internal/version/dispatcher/turns_test.go
+++ b/internal/version/dispatcher/turns_test.go
@@ -83,13 +83,7 @@
 // Guards against a large best-effort task that never runs, as smaller ones take each gap that
 // is too small for it at full speed.
 func TestIdleTaskStartsInAGapThatSmallOnesWouldTake(t *testing.T) {
-	h, _ := newContendedHarness(t)
-	for range 50 {
-		h.table.interference.pressures.Learn("web", 0.3, map[string]float64{"batch": 4})
-	}
-	h.add("small", "night", bestEffort("batch", 200))
-	h.reportTail(8)
-	running := h.starts()
+	h, running := newFilledHarness(t)
 	large := bestEffort("batch", 1)
 	large.MilliCores = 4000
 	h.add("large", "night", large)
