Write log lines in pieces that a pipe takes as a whole

A flush wrote up to 128 KB at once, and the reader took only the beginning of a large write.

A write now has at most PIPE_BUF bytes, and whole lines.

--- a/internal/process/recorder/linewriter.go
+++ b/internal/process/recorder/linewriter.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"bytes"
 	"io"
 	"slices"
 	"strconv"
@@ -20,9 +21,12 @@
 	// bulkAfter is the number of lines of one kind of event after which further ones are bulk
 	// lines until the next write.
 	bulkAfter = 16
-	// flushInterval is the time between two writes of the buffer, so that one write takes many
+	// flushInterval is the time between two flushes of the buffer, so that one write takes many
 	// lines.
 	flushInterval = 100 * time.Millisecond
+	// writeLimit is the most bytes in a write, unless a single line is longer: a pipe takes that
+	// many (PIPE_BUF) as a whole, while a reader may lose the end of more.
+	writeLimit = 4096
 )
 
 // A LineWriter is a Recorder that writes a line of space-separated key=value pairs for each event,
@@ -151,13 +155,25 @@
 	first, bulk := w.first.take(), w.bulk.take()
 	clear(w.counts)
 	w.mu.Unlock()
-	for _, lines := range [][]byte{first, bulk} {
-		if len(lines) > 0 {
-			// An error of the log itself can't be logged.
-			_, _ = w.out.Write(lines)
-		}
-	}
+	w.write(first)
+	w.write(bulk)
 	w.mu.Lock()
 	w.first.spare, w.bulk.spare = first, bulk
 	w.mu.Unlock()
 }
+
+// write writes lines, as many whole ones at a time as writeLimit allows.
+func (w *LineWriter) write(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > writeLimit {
+			n = bytes.LastIndexByte(lines[:writeLimit], '\n') + 1
+		}
+		if n == 0 { // a line longer than the limit
+			n = bytes.IndexByte(lines, '\n') + 1
+		}
+		// An error of the log itself can't be logged.
+		_, _ = w.out.Write(lines[:n])
+		lines = lines[n:]
+	}
+}
--- a/internal/process/recorder/linewriter_test.go
+++ b/internal/process/recorder/linewriter_test.go
@@ -86,3 +86,41 @@
 		}
 	})
 }
+
+// A pieceWriter keeps what was written, write by write.
+type pieceWriter struct{ pieces []string }
+
+// Write implements io.Writer.
+func (w *pieceWriter) Write(data []byte) (int, error) {
+	w.pieces = append(w.pieces, string(data))
+	return len(data), nil
+}
+
+// Guards against lines of a burst that are lost or garbled, since the reader of the output takes
+// only the beginning of a large write.
+func TestBurstsAreWrittenInWholeLines(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) { // no write begins before all is recorded
+		var out pieceWriter
+		w := NewLineWriter(&out, "d1")
+		long := strings.Repeat("x", 2*writeLimit)
+		for n := range 200 {
+			w.Record(lineTime, 6100, Fields{"id": "0123456789abcdef"})
+			if n%100 == 0 {
+				w.Record(lineTime, 6117, Fields{"awaited": long})
+			}
+		}
+		w.Close()
+		for _, piece := range out.pieces {
+			if !strings.HasSuffix(piece, "\n") {
+				t.Errorf("a write ends within a line: %.80q", piece)
+			}
+			if lines := strings.Count(piece, "\n"); lines > 1 && len(piece) > writeLimit {
+				t.Errorf("a write has %d lines in %d bytes, want at most %d", lines, len(piece), writeLimit)
+			}
+		}
+		if lines := strings.Count(strings.Join(out.pieces, ""), "\n"); lines != 202 {
+			t.Errorf("%d lines were written, want 202", lines)
+		}
+	})
+}
