Record starts after long waits, and obstacles as a turn finds them

6108 is recorded when something of a submission starts of which nothing has run for 10 s, with idleMs. 6107 has idleMs, which a change of owner doesn't reset, and inBackground. TestWaitingStepsAreRecordedAsTheirTurnFindsRunners failed before (notSpare=1).

--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -137,6 +137,7 @@
 	6105: {Name: "dispatcher.adopted", Level: log.InfoLevel},
 	6106: {Name: "dispatcher.paced", Level: log.InfoLevel},
 	6107: {Name: "dispatcher.waiting", Level: log.InfoLevel},
+	6108: {Name: "dispatcher.resumed", Level: log.InfoLevel},
 	6110: {Name: "dispatcher.runnerDraining", Level: log.InfoLevel},
 	6111: {Name: "dispatcher.runnerGone", Level: log.InfoLevel},
 	6112: {Name: "dispatcher.runnerReborn", Level: log.InfoLevel},
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -26,8 +26,12 @@
 	EventPaced recorder.Number = 6106
 	// EventWaiting is recorded when tasks of a ready step, or all tasks of a best-effort
 	// one, have had no run for some seconds, of a few steps at a tick. It counts the runners
-	// by what keeps the tasks from them, and says what became of the attempts to start them.
+	// by what keeps the tasks from them, as a start in the background finds them if that is
+	// due, and says what became of the attempts to start them.
 	EventWaiting recorder.Number = 6107
+	// EventResumed is recorded when something of a submission is started of which nothing
+	// has run for 10 s or more, as far as the owner knows.
+	EventResumed recorder.Number = 6108
 	// EventRunnerDraining is recorded when a runner's registry entry says that it
 	// is draining.
 	EventRunnerDraining recorder.Number = 6110
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -479,6 +479,9 @@
 		st.waiting--
 	}
 	t.takeSpare(r, st, k)
+	if st.occ.runs == 0 {
+		x.idleBefore = now.Sub(st.occ.idleSince())
+	}
 	k.runs = append(k.runs, x)
 	st.occ.runs++
 	t.noteTurn(x)
@@ -502,6 +505,7 @@
 	t.claim(r, x.st)
 	until := t.LeaseUntil(r.info.ID, now)
 	t.recordRun(now, EventStarted, x, x.placement())
+	t.recordResumed(x, now)
 	t.enqueue(x)
 	t.orders = append(t.orders, Order{
 		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -133,13 +133,16 @@
 
 // A run is one start of a task on a runner.
 type run struct {
-	st           *stepState
-	index        int
-	number       int64
-	runner       *runner
-	phase        phase
-	isQueued     bool // the start is decided and not sent yet
-	startedAt    time.Time
+	st        *stepState
+	index     int
+	number    int64
+	runner    *runner
+	phase     phase
+	isQueued  bool // the start is decided and not sent yet
+	startedAt time.Time
+	// idleBefore is how long nothing of the occurrence had run when this run was placed, or
+	// zero if something ran.
+	idleBefore   time.Duration
 	confirmedAt  time.Time
 	unansweredAt time.Time // when the start counted as unanswered, or zero
 	percent      int       // reported progress; 100 means ready for a long-running task
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -50,6 +50,12 @@
 	return ok && st.spec.Fills && st.occ.runs == 0 && newCandidate(st, queue, now).tier != tierOnTime
 }
 
+// isOwedBackgroundStart reports whether the next task of a step starts in the background.
+func (t *Table) isOwedBackgroundStart(st *stepState, now time.Time) bool {
+	queue, ok := st.s.queue.Get()
+	return ok && st.spec.Fills && t.isOwedTurn(newCandidate(st, queue, now), now)
+}
+
 // asTurn returns the candidate for one task that goes before other work.
 func (c candidate) asTurn(now time.Time) candidate {
 	c.isTurn, c.tier, c.work = true, tierLate, 0
--- a/internal/version/dispatcher/waiting.go
+++ b/internal/version/dispatcher/waiting.go
@@ -15,6 +15,8 @@
 	warnAfter = 3 * time.Second
 	// warnInterval is the pause before it is recorded again.
 	warnInterval = 10 * time.Second
+	// resumedAfter is how long nothing of an occurrence has run when its next start is recorded.
+	resumedAfter = 10 * time.Second
 	// bestEffortWarnings and otherWarnings are the numbers of best-effort steps and of others
 	// that are recorded at a tick.
 	bestEffortWarnings = 2
@@ -63,7 +65,12 @@
 }
 
 func (t *Table) recordWaiting(st *stepState, now time.Time) {
+	if t.isOwedBackgroundStart(st, now) {
+		t.background = st // the obstacles are those of such a start
+		defer func() { t.background = nil }()
+	}
 	pairs := []string{
+		"inBackground", strconv.FormatBool(t.inBackground(st)), "idleMs", st.occ.idleAge(now),
 		"step", strconv.Itoa(st.index), "waiting", strconv.Itoa(st.waiting), "waitedMs", age(now, st.waitingSince),
 		"allRunsKnown", strconv.FormatBool(t.knowsAllRuns(now)),
 		"failedAttempts", strconv.Itoa(st.attempts.failed), "passedOver", strconv.Itoa(st.attempts.passedOver),
@@ -102,6 +109,27 @@
 	t.record(now, EventWaiting, st.s, "", pairs...)
 }
 
+// idleAge returns the milliseconds for which nothing of an occurrence has run, as far as this
+// owner knows, as it appears in logs.
+func (o *occurrence) idleAge(now time.Time) string {
+	if o.runs > 0 {
+		return "0"
+	}
+	return age(now, o.idleSince())
+}
+
+// recordResumed records the start of a run before which nothing of its occurrence has run for
+// long.
+func (t *Table) recordResumed(x *run, now time.Time) {
+	if x.idleBefore < resumedAfter {
+		return
+	}
+	waited := x.st.attempts
+	t.record(now, EventResumed, x.st.s, x.runner.info.ID,
+		"idleMs", strconv.FormatInt(x.idleBefore.Milliseconds(), 10), "ownedMs", age(now, t.ownedSince),
+		"reason", x.placement(), "failedAttempts", strconv.Itoa(waited.failed), "passedOver", strconv.Itoa(waited.passedOver))
+}
+
 // avoiding returns the number of waiting tasks of a step that avoid a runner.
 func (st *stepState) avoiding() (n int) {
 	for i := range st.tasks {
--- a/internal/version/dispatcher/waiting_test.go
+++ b/internal/version/dispatcher/waiting_test.go
@@ -64,6 +64,59 @@
 	}
 }
 
+// Guards against a log that names the obstacles of a start at full speed for a task that is due
+// to start in the background, which others keep from the runner.
+func TestWaitingStepsAreRecordedAsTheirTurnFindsRunners(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	log := &eventLog{number: EventWaiting}
+	h.table.rec = log
+	h.poll("r0")
+	h.add("short", "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 7000}})
+	first, second := bestEffort("batch", 1), bestEffort("batch", 1)
+	first.Resources = submitter.Resources{MilliCores: 8000, MemoryMB: 40_000}
+	second.Resources = submitter.Resources{MilliCores: 8000, MemoryMB: 20_000}
+	h.add("first", "night", first)
+	runFor := func(d time.Duration) {
+		for until := h.now.Add(d); h.now.Before(until); h.advance(200 * time.Millisecond) {
+			h.pollAll(1)
+			h.starts()
+			h.work()
+		}
+	}
+	runFor(12 * time.Second)
+	h.add("second", "night", second)
+	runFor(12 * time.Second)
+	if len(log.events) == 0 {
+		t.Fatal("no event, want one about the second best-effort submission, which waits")
+	}
+	event := log.events[len(log.events)-1]
+	if event["id"] != "second" || event["inBackground"] != "true" || event["memoryFull"] != "1" || event["idleMs"] == "0" {
+		t.Errorf("event %v, want no memory for a start in the background", event)
+	}
+}
+
+// Guards against waits that nobody can tell, since the log of a burst has no line of some starts.
+func TestStartsAfterLongWaitsAreRecorded(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wait time.Duration
+		want int
+	}{{"shorter", resumedAfter / 2, 0}, {"long", resumedAfter, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 0, 1)
+			log := &eventLog{number: EventResumed}
+			h.table.rec = log
+			h.add("a", "urgent", oneCore(2))
+			h.advance(c.wait)
+			h.poll("r0")
+			assertStarts(t, h.starts(), 2)
+			if len(log.events) != c.want {
+				t.Errorf("events %v, want %d, of the first of two tasks", log.events, c.want)
+			}
+		})
+	}
+}
+
 // Guards against ticks that take longer the more steps wait.
 func TestRecordedStepsAreBoundedPerTick(t *testing.T) {
 	h := newHarness(t, 0, 1)
