--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -236,20 +236,22 @@
 
 // unreserved returns the free room on a runner that is not reserved for tasks of other
 // steps. A long-running task that has never run leaves that for its own step, too, and none
-// leaves what is reserved for others than such tasks.
+// leaves what is reserved for others than such tasks. A task with reserved room starts
+// whether or not that of others has become free: what is reserved on a runner fits there
+// together, and they take what is left once that has ended.
 func (t *Table) unreserved(r *runner, st *stepState, k *task) submitter.Resources {
 	kept := r.reserved
 	if kept == nil {
 		return r.free()
 	}
-	room := r.free().Minus(kept.room)
-	if st.spec.LongRunning {
-		room = r.free().Minus(kept.forLong)
-	}
-	if !t.isNew(st, k) {
-		for range kept.tasks[st] {
-			room = room.Plus(st.spec.Reserved())
-		}
+	isHolder := kept.tasks[st] > 0 && !t.isNew(st, k)
+	room := r.free()
+	switch {
+	case isHolder && st.spec.LongRunning:
+	case isHolder, st.spec.LongRunning:
+		room = room.Minus(kept.forLong)
+	default:
+		room = room.Minus(kept.room)
 	}
 	return submitter.Resources{MilliCores: max(0, room.MilliCores), MemoryMB: max(0, room.MemoryMB), GPUs: max(0, room.GPUs)}
 }
--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -119,3 +119,49 @@
 		t.Error("the task that has waited longest has not started within 3 s")
 	}
 }
+
+// Guards against room that stays empty on a runner while long-running tasks wait for which it
+// is reserved: none of them started before there was room for all.
+func TestReservationsOfARunnerDoNotWaitForEachOther(t *testing.T) {
+	const runners = 3
+	h := newHarness(t, 0, runners)
+	infos := h.table.Runners()
+	for i := range infos {
+		if infos[i].ID == "r0" {
+			infos[i].Labels = []string{"fast"}
+		}
+	}
+	h.table.SetRunners(infos, h.now)
+	h.pollAll(runners)
+	lost := make(map[string]Order)
+	for id, milliCores := range map[string]int64{"smaller": 3000, "larger": 4000} {
+		step := lasting(1, milliCores)
+		step.RequiredLabel = "fast"
+		h.add(id, "urgent", step)
+		lost[id] = h.starts()[0]
+	}
+	h.fillWithSmallTasks()
+	for _, o := range lost {
+		h.loseRoom(o, Stopped, "smaller", "larger")
+	}
+	h.advance(reserveAfter)
+	h.pollAll(runners)
+	assertEndsUntilStart := func(want int) {
+		t.Helper()
+		for ends := 1; ends <= 8; ends++ {
+			h.finishOldest("r0")
+			h.advance(blockedPause)
+			for _, o := range h.starts() {
+				if lost[o.Task.Submission].Task == o.Task {
+					if ends > want {
+						t.Errorf("%s starts after %d small tasks have ended, want at most %d", o.Task.Submission, ends, want)
+					}
+					return
+				}
+			}
+		}
+		t.Error("no long-running task has started")
+	}
+	assertEndsUntilStart(4)
+	assertEndsUntilStart(4)
+}
