--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -19,8 +19,15 @@
 )
 
 // isBlocked reports whether the last attempt to place a task of a step found no
-// runner with room, so recently that the step is not tried again yet.
+// runner with room, so recently that the step is not tried again yet. Long-running tasks are
+// tried as soon as one of them has ended.
+//
+// Load: interrupted long-running tasks beside a stream of small ones, which would fill the
+// room that a long-running task leaves within the pause.
 func (t *Table) isBlocked(st *stepState, now time.Time) bool {
+	if st.spec.LongRunning && t.longEndedAt.After(st.blockedAt) {
+		return false
+	}
 	pause := blockedPause
 	if st.spec.Fills && t.isLarge() {
 		pause = blockedBestEffortPause
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -399,6 +399,7 @@
 	r.used = r.used.Minus(st.spec.Reserved())
 	if st.spec.LongRunning {
 		r.usedForLong = r.usedForLong.Minus(st.spec.Reserved())
+		t.longEndedAt = now
 	}
 	r.adjustUse(x, -1)
 	if st.spec.Fills {
--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -165,3 +165,26 @@
 	assertEndsUntilStart(4)
 	assertEndsUntilStart(4)
 }
+
+// Guards against tasks that have hardly waited and take the room that a long-running task
+// leaves, since those that are more urgent have found none just before.
+func TestInterruptedTasksTakeTheRoomOfOthers(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.pollAll(1)
+	runs := make(map[string]Order)
+	for _, id := range []string{"lost", "cancelled"} {
+		h.add(id, "urgent", lasting(1, 4000))
+		runs[id] = h.starts()[0]
+	}
+	h.fillWithSmallTasks()
+	h.loseRoom(runs["lost"], Stopped, "lost")
+	h.advance(2 * blockedPause)
+	assertStarts(t, h.starts(), 0)
+	h.add("new", "urgent", oneCore(1))
+	h.table.Cancel("cancelled", h.now)
+	h.drop(runs["cancelled"])
+	h.poll("r0", End{Task: runs["cancelled"].Task, Run: runs["cancelled"].Run, Kind: Stopped})
+	if starts := h.starts(); len(starts) != 1 || starts[0].Task != runs["lost"].Task {
+		t.Errorf("starts %v, want one of the interrupted task", starts)
+	}
+}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -144,6 +144,8 @@
 	// steps together, or zero.
 	evaluations int
 	roundSince  time.Time
+	// longEndedAt is when a long-running run last ended.
+	longEndedAt time.Time
 	// earlyCancels holds when submissions were cancelled that are not in the table yet.
 	earlyCancels map[string]time.Time
 	// finished holds the submissions that have ended, oldest first.
