--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -119,3 +119,72 @@
 		t.Error("the task that has waited longest has not started within 3 s")
 	}
 }
+
+// Guards against room that stays empty on a runner while long-running tasks wait for which it
+// is reserved: none of them started before there was room for all.
+func TestReservationsOfARunnerDoNotWaitForEachOther(t *testing.T) {
+	const runners = 3
+	h := newHarness(t, 0, runners)
+	infos := h.table.Runners()
+	for i := range infos {
+		if infos[i].ID == "r0" {
+			infos[i].Labels = []string{"fast"}
+		}
+	}
+	h.table.SetRunners(infos, h.now)
+	h.pollAll(runners)
+	lost := make(map[string]Order)
+	for id, milliCores := range map[string]int64{"smaller": 3000, "larger": 4000} {
+		step := lasting(1, milliCores)
+		step.RequiredLabel = "fast"
+		h.add(id, "urgent", step)
+		lost[id] = h.starts()[0]
+	}
+	h.fillWithSmallTasks()
+	for _, o := range lost {
+		h.loseRoom(o, Stopped, "smaller", "larger")
+	}
+	h.advance(reserveAfter)
+	h.pollAll(runners)
+	assertEndsUntilStart := func(want int) {
+		t.Helper()
+		for ends := 1; ends <= 8; ends++ {
+			h.finishOldest("r0")
+			h.advance(blockedPause)
+			for _, o := range h.starts() {
+				if lost[o.Task.Submission].Task == o.Task {
+					if ends > want {
+						t.Errorf("%s starts after %d small tasks have ended, want at most %d", o.Task.Submission, ends, want)
+					}
+					return
+				}
+			}
+		}
+		t.Error("no long-running task has started")
+	}
+	assertEndsUntilStart(4)
+	assertEndsUntilStart(4)
+}
+
+// Guards against tasks that have hardly waited and take the room that a long-running task
+// leaves, since those that are more urgent have found none just before.
+func TestInterruptedTasksTakeTheRoomOfOthers(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.pollAll(1)
+	runs := make(map[string]Order)
+	for _, id := range []string{"lost", "cancelled"} {
+		h.add(id, "urgent", lasting(1, 4000))
+		runs[id] = h.starts()[0]
+	}
+	h.fillWithSmallTasks()
+	h.loseRoom(runs["lost"], Stopped, "lost")
+	h.advance(2 * blockedPause)
+	assertStarts(t, h.starts(), 0)
+	h.add("new", "urgent", oneCore(1))
+	h.table.Cancel("cancelled", h.now)
+	h.drop(runs["cancelled"])
+	h.poll("r0", End{Task: runs["cancelled"].Task, Run: runs["cancelled"].Run, Kind: Stopped})
+	if starts := h.starts(); len(starts) != 1 || starts[0].Task != runs["lost"].Task {
+		t.Errorf("starts %v, want one of the interrupted task", starts)
+	}
+}
