Keep the order of turns over a change of owner

A new owner knew when a submission was due, not when it last ran: the first one due went first, although it had just run. The time is now stored with the progress that is written anyway; a time that is ahead counts as that of the change, and without one (entries of earlier versions, runs that were only stopped) the due time counts as before. The end of a run that the former owner hasn't stored counts, too.

--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -311,7 +311,9 @@
 	if st == nil {
 		return
 	}
-	st.ranBefore = st.ranBefore || !isKnown
+	if !isKnown {
+		st.ranBefore, st.occ.ranAt = true, now
+	}
 	t.markBegun(st)
 	k := &st.tasks[e.Task.Index]
 	st.noteCheckpoint(k, e.Checkpoint)
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -266,6 +266,9 @@
 			any = true
 		}
 	}
+	if ranAt := st.occ.ranAt; !ranAt.IsZero() && st.occ.remaining > 0 {
+		p.RanUnixMillis = ranAt.UnixMilli()
+	}
 	return p, any
 }
 
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -322,6 +322,7 @@
 		}
 		st := s.occs[entry.Occurrence].steps[entry.Step]
 		st.ranBefore, st.hasBegun = entry.Begun, entry.Begun
+		st.occ.restoreRanAt(entry.RanUnixMillis, now)
 		for k := range st.tasks {
 			st.tasks[k].failures = entry.Failures[k]
 			st.restoreCrashes(k, entry.Crashes[k], now)
@@ -333,6 +334,19 @@
 	}
 }
 
+// restoreRanAt applies when a run last ended, as a former owner has stored it. A clock that is
+// ahead makes an occurrence wait as if the run had just ended, and no longer.
+func (o *occurrence) restoreRanAt(unixMillis int64, now time.Time) {
+	if unixMillis == 0 {
+		return
+	}
+	at := time.UnixMilli(unixMillis)
+	if at.After(now) {
+		at = now
+	}
+	o.ranAt = later(o.ranAt, at)
+}
+
 // markStarted notes that a run of the submission is known to have begun: a runner has
 // accepted its start, or has listed the run or its end.
 func (s *submission) markStarted() {
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -58,6 +58,9 @@
 	Step       int `json:"step"`
 	// Begun says that a run of a long-running step has begun.
 	Begun bool `json:"begun,omitempty"`
+	// RanUnixMillis is when a run of the occurrence last ended, by the clock of the owner
+	// that wrote it, or zero if that is not known.
+	RanUnixMillis int64 `json:"ranUnixMillis,omitempty"`
 	// Done is a bit set of the indices of done tasks.
 	Done []byte `json:"done,omitempty"`
 	// Failures maps the index of a task to the numbers of its failed runs.
