--- a/internal/version/dispatcher/keeping_test.go
+++ b/internal/version/dispatcher/keeping_test.go
@@ -19,6 +19,7 @@
 	queue    string
 	age      time.Duration // of its submissions when they are added
 	memoryMB int64         // of each task
+	fills    bool          // its tasks are best-effort ones
 	ends     int           // a tenth of a second and runner
 	runners  int
 	added    int
@@ -44,7 +45,7 @@
 // feed adds tasks to the stream.
 func (s *stream) feed(tasks int) {
 	for range tasks {
-		step := submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 1000, MemoryMB: s.memoryMB}, Estimate: time.Second}
+		step := submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 1000, MemoryMB: s.memoryMB}, Estimate: time.Second, Fills: s.fills}
 		s.addAged(fmt.Sprintf("small%06d", s.added), s.queue, s.age, step)
 		s.added++
 	}
