Keep room for gangs of over half of the room in turns

Room was kept for gangs of up to half of the room. A larger one that could run on the empty runners waited without a bound beside smaller work. It is now kept for the longest idle one for 5 s, then 10 s and so on until it has started, with as long a time for other work after each turn, so that a run that goes on doesn't keep the runners empty.

TestLateGangOfMostOfTheRoomRuns was red before in all rows, TestOtherWorkGoesOnBesideLargeGangs as no gang started. TestAllLateTasksOfManyCoresRun passed before: more single late tasks than room is kept for start one after the other, in the order of their idleness.

--- a/internal/version/dispatcher/keeping.go
+++ b/internal/version/dispatcher/keeping.go
@@ -18,9 +18,13 @@
 	// for which memory is to be kept.
 	maxMemoryQuestions = 2000
 	// gangShare is the largest share of the room that long-running tasks leave on the runners
-	// of a service which is kept for a gang, so that other work goes on. It is at least that
-	// of one runner.
+	// of a service which is kept for a gang all the time, so that other work goes on. It is at
+	// least that of one runner. For a larger gang room is kept half of the time.
 	gangShare = 0.5
+	// wideGangLimit is how long room is kept at first for a gang that needs more.
+	wideGangLimit = 5 * time.Second
+	// wideGangGap is the longest time between two ticks that keep room for the same gang.
+	wideGangGap = time.Second
 )
 
 // A lateRoom holds what may still be kept for late work on the runners of a service.
@@ -130,12 +134,7 @@
 		defer func() { t.background = nil }()
 	}
 	if st.spec.Gang {
-		all := st.spec.Reserved().Times(float64(len(st.tasks)))
-		if !all.Fits(room.forGang) || !t.reserveTasks(st, len(st.tasks), room.runners, now) {
-			return false
-		}
-		room.forGang = submitter.Resources{}
-		return true
+		return t.keepRoomForGang(st, room, now)
 	}
 	if *tasks == 0 || room.closed[shape] {
 		return false
@@ -148,6 +147,55 @@
 	return true
 }
 
+// keepRoomForGang reserves room for a gang, and reports whether it has done so.
+func (t *Table) keepRoomForGang(st *stepState, room *lateRoom, now time.Time) bool {
+	all := st.spec.Reserved().Times(float64(len(st.tasks)))
+	isWide := !all.Fits(room.forGang)
+	if room.forGang == (submitter.Resources{}) || (isWide && !t.wideGang.mayKeep(st, now)) {
+		return false
+	}
+	if !t.reserveTasks(st, len(st.tasks), room.runners, now) {
+		return false
+	}
+	room.forGang = submitter.Resources{}
+	if isWide {
+		t.wideGang = t.wideGang.With(st, now)
+	}
+	return true
+}
+
+// A wideGang is the gang for which more than gangShare of the room was kept last.
+type wideGang struct {
+	st           *stepState
+	since, until time.Time     // when room was kept for it first and last, in its newest turn
+	limit        time.Duration // of that turn
+}
+
+// isKept reports whether the turn of a gang goes on.
+func (g wideGang) isKept(st *stepState, now time.Time) bool {
+	return g.st == st && now.Sub(g.until) <= wideGangGap && now.Sub(g.since) < g.limit
+}
+
+// mayKeep reports whether so much room may be kept for a gang. After each turn other work has
+// the room for as long.
+func (g wideGang) mayKeep(st *stepState, now time.Time) bool {
+	return g.isKept(st, now) || now.Sub(g.until) >= g.until.Sub(g.since)
+}
+
+// With returns what holds once room has been kept for a gang. Each turn of a gang may be twice
+// as long as the one before, since what runs may not have ended in that.
+func (g wideGang) With(st *stepState, now time.Time) wideGang {
+	if !g.isKept(st, now) {
+		limit := wideGangLimit
+		if g.st == st {
+			limit = 2 * g.limit
+		}
+		g = wideGang{st: st, since: now, limit: limit}
+	}
+	g.until = now
+	return g
+}
+
 // reserveTasks reserves room for some tasks of a step, on the runners that will have it
 // soonest, or for none. It reports whether it has done so.
 func (t *Table) reserveTasks(st *stepState, tasks int, runners []*runner, now time.Time) bool {
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -96,6 +96,7 @@
 	// is reserved, as of the last tick.
 	reserved []*runner
 	kept     []*stepState
+	wideGang wideGang
 	// memoryQuestions is how many times the current tick has asked whether a runner would
 	// bear a task for which memory is to be kept.
 	memoryQuestions int
