Start one task at a time in the background beside a service

A start in the background has full speed until its runner has confirmed its pace. Up to 16 were under way at once, all of them on one runner if its service bore them in the background.

TestOneBackgroundStartAtATimeBesideAService was red before (6 starts at once). The set-ups of TestAllLateSubmissionsRunInTheBackground, TestBackgroundRun and of newBackgroundHarness expected several such starts in one pass; they now confirm paces and run a pass for each start, and check the same. The first one reports a tail latency of 9 ms instead of 8, since with confirmed paces the service would bear one of the tasks at full speed.

--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -82,6 +82,24 @@
 	return true
 }
 
+// isUnpaced reports whether a background run may still have full speed: its runner has not
+// confirmed its pace yet.
+func (x *run) isUnpaced() bool {
+	return x.isSlow && x.runner.runs[runKey{x.id(), x.number}] == x && (x.confirmedPace == unknownPace || x.confirmedPace > backgroundPercent)
+}
+
+// awaitsPace reports whether a task of a step has to wait until a run that another step has
+// started in the background beside the services on a runner has its pace.
+//
+// Load: many late best-effort submissions. Each start has full speed for some time, and a
+// service that bears all of them in the background doesn't bear several such starts.
+func (t *Table) awaitsPace(r *runner, st *stepState) bool {
+	if r.serving == 0 || r.background.runs == 0 {
+		return false
+	}
+	return slices.ContainsFunc(t.unpaced, func(x *run) bool { return x.runner == r && x.st != st && x.isUnpaced() })
+}
+
 // scoreForBackground rates a runner for a task of a step that starts in the background. It
 // has full speed until its runner has its pace, so that runners without services come first,
 // and then those whose services would bear it best.
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -25,6 +25,7 @@
 	// Obstacles of best-effort tasks.
 	halted     obstacle = "halted"     // best-effort tasks have been halted there
 	notSpare   obstacle = "notSpare"   // other tasks there are expected to use the processors
+	unpaced    obstacle = "unpaced"    // a start in the background there has full speed yet
 	disturbing obstacle = "disturbing" // the task would disturb a service there
 )
 
@@ -71,6 +72,9 @@
 		if !r.hasMemoryForBackground(st) {
 			return memoryFull
 		}
+		if t.awaitsPace(r, st) {
+			return unpaced
+		}
 		beside, pace = &r.background, backgroundPace
 	}
 	return t.spareObstacle(r, st, beside, pace, now)
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -154,7 +154,7 @@
 // work, permits are requested while the room is kept.
 func (t *Table) mayReserve(r *runner, st *stepState, now time.Time) bool {
 	o := t.obstacle(r, st, &task{endedAt: now}, now)
-	return o == reserved || (o == memoryFull && st.spec.Fills) || (o == eligible && (!st.spec.LongRunning || st.isPermitted(r, now)))
+	return o == reserved || (st.spec.Fills && (o == memoryFull || o == unpaced)) || (o == eligible && (!st.spec.LongRunning || st.isPermitted(r, now)))
 }
 
 // allows reports whether a step's label and limit per runner allow one more of its tasks
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -131,6 +131,8 @@
 	queuedStarts int
 	// queuedBackground is the part of them in the background.
 	queuedBackground int
+	// unpaced holds the background runs whose pace is not confirmed yet, and others.
+	unpaced []*run
 	// backgroundMovedAt is when a background run was last stopped to run elsewhere.
 	backgroundMovedAt time.Time
 	// starts is the number of starts that were decided.
--- a/internal/version/dispatcher/turns.go
+++ b/internal/version/dispatcher/turns.go
@@ -95,6 +95,7 @@
 	switch {
 	case x.st == t.background:
 		x.isSlow = true
+		t.unpaced = append(slices.DeleteFunc(t.unpaced, func(o *run) bool { return !o.isUnpaced() }), x)
 		x.st.occ.background = append(x.st.occ.background, x)
 	case x.st == t.turn && x.st.occ.runs == 1:
 		x.isTurn = true
