Record for whom room is kept

No event told for which step room is kept, and where. 6119 (dispatcher.roomKept) is recorded when that begins and ends, for late steps and for interrupted long-running ones; a step at most each 10 s, eight that begin at a tick. TestKeptRoomIsRecorded, TestRecordsOfKeptRoomAreBounded.

--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -54,6 +54,10 @@
 	// have accepted its fencing token that no former owner has a quorum any more. None of
 	// them moves the end of a lease from then on.
 	EventQuorum recorder.Number = 6118
+	// EventRoomKept is recorded when room begins to be kept for tasks of a late step, or of a
+	// long-running one that were interrupted, and when it no longer is. It names up to three
+	// of the runners; a step is recorded at most each ten seconds.
+	EventRoomKept recorder.Number = 6119
 )
 
 // record records an event about a submission. The pairs are alternating names and
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -47,6 +47,7 @@
 // while smaller tasks wait. The room that each small task leaves goes to the next small
 // one, so that no runner ever has room for the large one.
 func (t *Table) reserveForLong(now time.Time) {
+	t.keptForLong = t.keptForLong[:0]
 	allRunsKnown := t.knowsAllRuns(now)
 	steps := t.longWaiting(allRunsKnown, now)
 	if len(steps) == 0 {
@@ -73,6 +74,9 @@
 			}
 			reserved++
 			t.reserveOn(r, st)
+			if n := len(t.keptForLong); n == 0 || t.keptForLong[n-1] != st {
+				t.keptForLong = append(t.keptForLong, st)
+			}
 		}
 	}
 }
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -82,6 +82,8 @@
 	waitingSince time.Time
 	warnedAt     time.Time
 	attempts     attempts
+	// keptRecordedAt is when it was last recorded that room is kept for the step.
+	keptRecordedAt time.Time
 	// consolidateAfter is when room may be sought again by moving tasks of other steps.
 	consolidateAfter time.Time
 	// permits holds the received permits by runner. requestPending says that a
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -96,7 +96,11 @@
 	// is reserved, as of the last tick.
 	reserved []*runner
 	kept     []*stepState
-	wideGang wideGang
+	// keptForLong holds the long-running steps with interrupted tasks for which some is, and
+	// keptRooms what was recorded of all.
+	keptForLong []*stepState
+	keptRooms   []*keptRoom
+	wideGang    wideGang
 	// memoryQuestions is how many times the current tick has asked whether a runner would
 	// bear a task for which memory is to be kept.
 	memoryQuestions int
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -56,6 +56,7 @@
 	t.planRoom(now)
 	t.moveFromLeaving(now)
 	t.consolidate(now)
+	t.watchKept(now)
 	t.placementDue = true
 }
 
