--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -56,9 +56,20 @@
 }
 
 // hasMemoryForBackground reports whether a runner may have one more background run of a step,
-// as far as the share of memory for such runs is concerned. The first one may exceed it.
+// as far as the share of memory for such runs is concerned. The first one may exceed it, and
+// the first beside others that are within it for which memory is kept.
 func (r *runner) hasMemoryForBackground(st *stepState) bool {
-	return r.background.runs == 0 || float64(r.background.memoryMB+st.spec.MemoryMB) <= backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
+	left := int64(backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)) - r.background.memoryMB
+	isKept := r.reserved != nil && r.reserved.tasks[st] > 0
+	return r.background.runs == 0 || st.spec.MemoryMB <= left || (isKept && left >= 0)
+}
+
+// bearsInBackground reports whether a runner would bear one more background run of a step if
+// it had the memory, other than what its background runs take beyond their share.
+func (t *Table) bearsInBackground(r *runner, st *stepState, now time.Time) bool {
+	t.memoryQuestions++
+	isOver := float64(r.background.memoryMB) > backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
+	return t.memoryQuestions <= maxMemoryQuestions && !isOver && t.spareObstacle(r, st, &r.background, backgroundPace, now) == eligible
 }
 
 // haveMemoryForBackground reports the same of all runners.
@@ -71,6 +82,24 @@
 	return true
 }
 
+// isUnpaced reports whether a background run may still have full speed: its runner has not
+// confirmed its pace yet.
+func (x *run) isUnpaced() bool {
+	return x.isSlow && x.runner.runs[runKey{x.id(), x.number}] == x && (x.confirmedPace == unknownPace || x.confirmedPace > backgroundPercent)
+}
+
+// awaitsPace reports whether a task of a step has to wait until a run that another step has
+// started in the background beside the services on a runner has its pace.
+//
+// Load: many late best-effort submissions. Each start has full speed for some time, and a
+// service that bears all of them in the background doesn't bear several such starts.
+func (t *Table) awaitsPace(r *runner, st *stepState) bool {
+	if r.serving == 0 || r.background.runs == 0 {
+		return false
+	}
+	return slices.ContainsFunc(t.unpaced, func(x *run) bool { return x.runner == r && x.st != st && x.isUnpaced() })
+}
+
 // scoreForBackground rates a runner for a task of a step that starts in the background. It
 // has full speed until its runner has its pace, so that runners without services come first,
 // and then those whose services would bear it best.
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -96,6 +96,14 @@
 	// is reserved, as of the last tick.
 	reserved []*runner
 	kept     []*stepState
+	// keptForLong holds the long-running steps with interrupted tasks for which some is, and
+	// keptRooms what was recorded of all.
+	keptForLong []*stepState
+	keptRooms   []*keptRoom
+	wideGang    wideGang
+	// memoryQuestions is how many times the current tick has asked whether a runner would
+	// bear a task for which memory is to be kept.
+	memoryQuestions int
 	// turn is the step of which one task is being started in its turn, or nil; background is
 	// the step if that task runs in the background. turnRuns is the number of occurrences that
 	// run since their turn, other than in the background, and lackedAt when work that was on
@@ -127,6 +135,8 @@
 	queuedStarts int
 	// queuedBackground is the part of them in the background.
 	queuedBackground int
+	// unpaced holds the background runs whose pace is not confirmed yet, and others.
+	unpaced []*run
 	// backgroundMovedAt is when a background run was last stopped to run elsewhere.
 	backgroundMovedAt time.Time
 	// starts is the number of starts that were decided.
