Keep the wait of a submission beside a late report of a lapsed run

A runner that was cut off lists the end of a run that its owner has long taken for lapsed. Its submission then counted as just run: its turn, and the room that is kept for it, were lost. Only ends of runs of which this owner didn't know count now, which are those of former owners.

The test failed before (idle for 0s after the report, want still 23.939s).

--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -311,11 +311,14 @@
 	if st == nil {
 		return
 	}
+	k := &st.tasks[e.Task.Index]
 	if !isKnown {
-		st.ranBefore, st.occ.ranAt = true, now
+		st.ranBefore = true
+		if !k.isTracked { // a run of a former owner
+			st.occ.ranAt = now
+		}
 	}
 	t.markBegun(st)
-	k := &st.tasks[e.Task.Index]
 	st.noteCheckpoint(k, e.Checkpoint)
 	k.nextRun = max(k.nextRun, e.Run+1)
 	// A runner that lists the end of a run was not lost under it.
