Keep the pause of long-running gangs of which only some members fit

Taking back the placement of such a gang counted as the end of a long-running run, so that two of them woke each other in each pass. TestLongRunningGangsThatDoNotFitPauseBetweenAttempts failed before: gangs were tried in 100 of 100 passes within 500ms, want at most 22.

--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -316,10 +316,10 @@
 // unplace removes a placed run from the table before its start is ordered. It records
 // no event and causes no placement pass.
 func (t *Table) unplace(x *run) {
-	rec, placementDue, endedAt := t.rec, t.placementDue, x.task().endedAt
+	rec, placementDue, endedAt, longEndedAt := t.rec, t.placementDue, x.task().endedAt, t.longEndedAt
 	t.rec = discard
 	t.end(x, x.startedAt, "")
-	t.rec, t.placementDue, x.task().endedAt = rec, placementDue, endedAt
+	t.rec, t.placementDue, x.task().endedAt, t.longEndedAt = rec, placementDue, endedAt, longEndedAt
 }
 
 // choose returns the best runner on which a task may start now, or nil.
