Start work at full speed while background starts await paces

A start in the background that waits for the pace of another one was taken for a sign that there is no room at full speed either. Best-effort work on time for which a runner had room was passed over as long as late submissions queued for such starts. TestStartsAtFullSpeedDoNotWaitForThePaceOfOthers failed before: not started in 40 passes over 6s.

--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -100,6 +100,12 @@
 	return slices.ContainsFunc(t.unpaced, func(x *run) bool { return x.runner == r && x.st != st && x.isUnpaced() })
 }
 
+// hasUnpaced reports whether a start of a step in the background awaits a pace on any runner,
+// whereas one at full speed doesn't.
+func (t *Table) hasUnpaced(st *stepState) bool {
+	return slices.ContainsFunc(t.unpaced, func(x *run) bool { return x.runner.serving > 0 && x.st != st && x.isUnpaced() })
+}
+
 // scoreForBackground rates a runner for a task of a step that starts in the background. It
 // has full speed until its runner has its pace, so that runners without services come first,
 // and then those whose services would bear it best.
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -280,7 +280,7 @@
 	}
 	full := t.shapeOf(st, k)
 	t.noRoom[full] = st.spec.Resources
-	if full.background && t.haveMemoryForBackground(st) {
+	if full.background && t.haveMemoryForBackground(st) && !t.hasUnpaced(st) {
 		full.background = false // less room is needed in the background
 		t.noRoom[full] = st.spec.Resources
 	}
