Take back room that is kept for late best-effort tasks and for large gangs

A review that had not seen them showed by tests of the table that slow background runs then hold memory from urgent work (20 s, with 3 to 4 of 8 cores free) and from interrupted long-running tasks (over 30 s, before 6 s), that a best-effort step hid one that reserves processors, that ticks took longer the more late work waited, and that other work stood still for large gangs, without a pause beside those of two services.

--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -56,20 +56,9 @@
 }
 
 // hasMemoryForBackground reports whether a runner may have one more background run of a step,
-// as far as the share of memory for such runs is concerned. The first one may exceed it, and
-// the first beside others that are within it for which memory is kept.
+// as far as the share of memory for such runs is concerned. The first one may exceed it.
 func (r *runner) hasMemoryForBackground(st *stepState) bool {
-	left := int64(backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)) - r.background.memoryMB
-	isKept := r.reserved != nil && r.reserved.tasks[st] > 0
-	return r.background.runs == 0 || st.spec.MemoryMB <= left || (isKept && left >= 0)
-}
-
-// bearsInBackground reports whether a runner would bear one more background run of a step if
-// it had the memory, other than what its background runs take beyond their share.
-func (t *Table) bearsInBackground(r *runner, st *stepState, now time.Time) bool {
-	t.memoryQuestions++
-	isOver := float64(r.background.memoryMB) > backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
-	return t.memoryQuestions <= maxMemoryQuestions && !isOver && t.spareObstacle(r, st, &r.background, backgroundPace, now) == eligible
+	return r.background.runs == 0 || float64(r.background.memoryMB+st.spec.MemoryMB) <= backgroundMemoryShare*float64(r.info.Capacity.MemoryMB)
 }
 
 // haveMemoryForBackground reports the same of all runners.
--- a/internal/version/dispatcher/gangkeeping_test.go
+++ b/internal/version/dispatcher/gangkeeping_test.go
@@ -53,35 +53,6 @@
 	})
 }
 
-// Guards against other work that stands still beside gangs of most of the room.
-func TestOtherWorkGoesOnBesideLargeGangs(t *testing.T) {
-	s := newStream(t, 4, stream{queue: "urgent", age: 3 * time.Second, memoryMB: 100, ends: 1})
-	for i := range 30 {
-		s.addAged(fmt.Sprint("gang", i), "urgent", waitBound, fullGang(4))
-	}
-	s.addAged("single", "urgent", waitBound, large(1))
-	small, gangs, isSingleStarted := 0, 0, false
-	for range 600 {
-		for _, o := range s.pass() {
-			switch step := s.table.subs[o.Task.Submission].sub.Steps[0]; {
-			case step.Gang:
-				gangs++
-			case o.Task.Submission == "single":
-				isSingleStarted = true
-			default:
-				small++
-			}
-		}
-	}
-	// A tenth of a second lets four one-core tasks end.
-	if small < 600*4/3 {
-		t.Errorf("%d small tasks have started in a minute, want at least a third of those that fit", small)
-	}
-	if gangs == 0 || !isSingleStarted {
-		t.Errorf("%d members of gangs have started and the single task: %v, want some and true", gangs, isSingleStarted)
-	}
-}
-
 // Guards against tasks that are passed over for good where more wait than room is kept for:
 // they start in the order in which they have become idle.
 func TestAllLateTasksOfManyCoresRun(t *testing.T) {
--- a/internal/version/dispatcher/memory_test.go
+++ b/internal/version/dispatcher/memory_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +17,7 @@
 }
 
 // Guards against late best-effort tasks of much memory that never run, as smaller ones take
-// what each run leaves. They need hardly any processors, for which room was kept alone.
+// what each run leaves.
 func TestLateBestEffortTaskOfMuchMemoryRuns(t *testing.T) {
 	gang := bestEffortOf(2, 40_000)
 	gang.Gang = true
@@ -43,94 +43,139 @@
 	}
 }
 
-// keptOn returns the runners on which room is reserved for a submission.
-func (h *harness) keptOn(id string) (runners []string) {
-	for _, r := range h.table.reserved {
-		for st := range r.reserved.tasks {
-			if st.s.sub.ID == id {
-				runners = append(runners, r.info.ID)
+// Guards against long-running tasks that lose their runner and find no memory, as slow
+// best-effort tasks have it on all other runners.
+func TestInterruptedTaskFindsMemoryBesideBackgroundRuns(t *testing.T) {
+	const runners = 4
+	for _, late := range []int{0, 2 * runners} {
+		t.Run(fmt.Sprint(late, " late best-effort submissions of much memory"), func(t *testing.T) {
+			h := newHarness(t, 0, runners)
+			infos := h.table.Runners()
+			for i := range infos {
+				infos[i].Capacity = submitter.Resources{MilliCores: 16_000, MemoryMB: 64_000}
 			}
-		}
-	}
-	return runners
-}
-
-func (h *harness) assertKeptOn(id string, want ...string) {
-	h.t.Helper()
-	if got := h.keptOn(id); !slices.Equal(got, want) {
-		h.t.Errorf("room is reserved for %s on %v, want %v", id, got, want)
-	}
-}
-
-// Guards against memory that is kept where it does not become free for long, or does not help.
-func TestMemoryIsKeptWhereItBecomesFree(t *testing.T) {
-	newLate := func(t *testing.T) *harness {
-		t.Helper()
-		h := newHarness(t, 0, 2)
-		h.pollAll(2)
-		for _, r := range h.table.runners {
-			r.used = submitter.Resources{MemoryMB: 40_000}
-		}
-		h.addAged("large", "night", waitBound, bestEffortOf(1, 40_000))
-		return h
+			h.table.SetRunners(infos, h.now)
+			h.pollAll(runners)
+			h.add("others", "urgent", lasting(runners-1, 9000)) // one on a runner
+			assertStarts(t, h.starts(), runners-1)
+			service := lasting(1, 5000)
+			service.MemoryMB = 20_000
+			h.add("service", "urgent", service)
+			orders := h.starts()
+			assertStarts(t, orders, 1)
+			on := orders[0].Runner
+			n := 0
+			pass := func() {
+				h.advance(100 * time.Millisecond)
+				h.work()
+				for _, info := range h.table.Runners() {
+					if !h.table.runners[info.ID].isRegistered {
+						continue
+					}
+					ended := false
+					for _, row := range h.reported[info.ID] {
+						if strings.HasPrefix(row.Task.Submission, "small") {
+							h.drop(Order{Runner: info.ID, Task: row.Task, Run: row.Run})
+							h.poll(info.ID, End{Task: row.Task, Run: row.Run, Kind: Done})
+							ended = true
+							break
+						}
+					}
+					if !ended {
+						h.poll(info.ID)
+					}
+				}
+				for range runners {
+					h.addAged(fmt.Sprintf("small%06d", n), "urgent", 3*time.Second, submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 300, MemoryMB: 6000}, Estimate: time.Second})
+					n++
+				}
+				h.starts()
+			}
+			for range 20 {
+				pass()
+			}
+			for i := range late {
+				step := bestEffortOf(1, 50_000)
+				step.MilliCores, step.Estimate = 16_000, 10*time.Second // 200 s in the background
+				h.addAged(fmt.Sprint("large", i), "night", waitBound, step)
+			}
+			for range 1200 { // two minutes
+				pass()
+			}
+			large := 0
+			for _, r := range h.table.runners {
+				large += r.background.runs
+			}
+			h.unregister(on)
+			lost := h.now
+			for h.now.Sub(lost) < waitBound {
+				pass()
+				if st := h.table.subs["service"].occs[0].steps[0]; st.waiting == 0 && h.table.runners[on] == nil {
+					t.Logf("runs again after %s, with %d background runs", h.now.Sub(lost), large)
+					return
+				}
+			}
+			t.Errorf("the long-running task has no run for %s after its runner was lost, with %d background runs", h.now.Sub(lost), large)
+		})
 	}
-	t.Run("rather than where background runs have it", func(t *testing.T) {
-		h := newLate(t)
-		h.table.runners["r0"].used.MemoryMB = 32_000
-		h.table.runners["r0"].background = bestEffortUse{memoryMB: 30_000, runs: 1}
-		h.table.Tick(h.now)
-		h.assertKeptOn("large", "r1")
-	})
-	t.Run("rather than where services bear no more", func(t *testing.T) {
-		h := newLate(t)
-		h.table.runners["r0"].used.MemoryMB = 32_000
-		h.table.runners["r0"].halted = true
-		h.table.Tick(h.now)
-		h.assertKeptOn("large", "r1")
-	})
-	t.Run("and nowhere if all services bear no more", func(t *testing.T) {
-		h := newLate(t)
-		h.table.runners["r0"].halted, h.table.runners["r1"].halted = true, true
-		h.table.Tick(h.now)
-		h.assertKeptOn("large")
-	})
-	t.Run("and beside background runs once", func(t *testing.T) {
-		h := newLate(t)
-		for _, r := range h.table.runners {
-			r.used = submitter.Resources{MemoryMB: 20_000}
-			r.background = bestEffortUse{memoryMB: 20_000, runs: 1}
-		}
-		h.table.Tick(h.now)
-		orders := h.starts()
-		assertStarts(t, orders, 1)
-		h.addAged("other", "night", waitBound, bestEffortOf(1, 1000))
-		h.table.runners["r1"].halted, h.table.runners["r0"].halted = true, true
-		h.table.runners[orders[0].Runner].halted = false
-		h.table.Tick(h.now)
-		h.assertKeptOn("other")
-	})
 }
 
-// Guards against memory that is kept from work which is on time: of 20 runners that of one.
-func TestBestEffortWorkOnTimeKeepsMostOfTheMemory(t *testing.T) {
-	const runners = 20
-	s := newStream(t, runners, stream{queue: "night", memoryMB: 6000, ends: 1, fills: true})
-	for i := range 10 {
-		s.addAged(fmt.Sprint("late", i), "night", waitBound, bestEffortOf(5, 64_000))
-	}
-	starts, onTime := 0, 0
-	for range 300 {
-		for _, o := range s.pass() {
-			starts++
-			if s.table.subs[o.Task.Submission].sub.AcceptedAt.After(epoch.Add(-waitBound)) {
-				onTime++
+// Guards against urgent work that waits, with most of the free processors unused, for the memory
+// of a slow run in the background.
+func TestUrgentWorkDoesNotWaitForMemoryOfBackgroundRuns(t *testing.T) {
+	const urgent, bound = 30, 5 * time.Second
+	for _, c := range []struct {
+		name    string
+		isLarge bool
+	}{{"alone", false}, {"beside a late task of much memory", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 0, 1)
+			h.pollAll(1)
+			h.add("service", "urgent", lasting(1, 4000))
+			assertStarts(t, h.starts(), 1)
+			slow := bestEffortOf(1, 20_000)
+			slow.MilliCores = 8000
+			h.addAged("slow", "night", waitBound, slow)
+			assertStarts(t, h.starts(), 1)
+			if x := h.anyRun("slow"); !x.isSlow {
+				t.Fatal("the best-effort task does not run in the background")
 			}
-		}
-		if n := len(s.table.reserved); n > 1 {
-			t.Fatalf("memory is reserved on %d runners, want at most one", n)
-		}
-	}
-	if onTime < starts*9/10 {
-		t.Errorf("%d of %d starts are of work that is on time, want at least nine tenths", onTime, starts)
+			if c.isLarge {
+				slow.MemoryMB = 60_000
+				h.addAged("large", "night", waitBound, slow)
+			}
+			var worst time.Duration
+			started := make(map[string]time.Time)
+			added := make(map[string]time.Time)
+			for n := range 600 { // a minute
+				h.advance(100 * time.Millisecond)
+				h.pollAll(1)
+				if n%20 == 0 {
+					id := fmt.Sprint("urgent", n/20)
+					h.add(id, "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: 1000, MemoryMB: 100}, Estimate: time.Second})
+					added[id] = h.now
+				}
+				for _, o := range h.starts() {
+					started[o.Task.Submission] = h.now
+				}
+				for _, row := range append([]RunStatus(nil), h.reported["r0"]...) {
+					if at, ok := started[row.Task.Submission]; ok && h.now.Sub(at) >= time.Second && added[row.Task.Submission] != (time.Time{}) {
+						h.drop(Order{Runner: "r0", Task: row.Task, Run: row.Run})
+						h.poll("r0", End{Task: row.Task, Run: row.Run, Kind: Done})
+					}
+				}
+			}
+			for id, at := range added {
+				until, ok := started[id]
+				if !ok {
+					until = h.now
+				}
+				worst = max(worst, until.Sub(at))
+			}
+			if worst > bound {
+				t.Errorf("urgent tasks of 1 core wait for up to %s, %d of %d have started within a minute, with %d milliCores free at its end; want at most %s",
+					worst, len(started), urgent, h.table.runners["r0"].free().MilliCores, bound)
+			}
+		})
 	}
 }
--- a/internal/version/dispatcher/review_shadow_test.go
+++ b/internal/version/dispatcher/mixedsteps_test.go
@@ -64,7 +64,7 @@
 					return
 				}
 			}
-			t.Errorf("the step of 12 cores has not started within %s; room is kept for the submission on %v", 2*waitBound, s.keptOn("mixed"))
+			t.Errorf("the step of 12 cores has not started within %s", 2*waitBound)
 		})
 	}
 }
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -77,12 +77,6 @@
 		}
 		beside, pace = &r.background, backgroundPace
 	}
-	return t.spareObstacle(r, st, beside, pace, now)
-}
-
-// spareObstacle returns whether the tasks that reserve processors on a runner leave enough for
-// a best-effort step's task at some pace beside others.
-func (t *Table) spareObstacle(r *runner, st *stepState, beside *bestEffortUse, pace float64, now time.Time) obstacle {
 	switch {
 	case r.halted:
 		return halted
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -114,9 +113,6 @@
 			continue
 		}
 		lacks := wanted.MilliCores + kept.MilliCores - r.free().MilliCores
-		if st.spec.Fills {
-			lacks = math.MinInt64 // it needs only memory
-		}
 		if best != nil && lacks > least {
 			continue
 		}
@@ -129,9 +125,6 @@
 		if wanted.Fits(r.free()) && !t.mayReserve(r, st, now) {
 			continue
 		}
-		if st.spec.Fills && !t.bearsInBackground(r, st, now) {
-			continue
-		}
 		best, least = r, lacks
 	}
 	return best
@@ -142,9 +135,6 @@
 func (r *runner) lacksBeside(room submitter.Resources) (milliCores int64) {
 	free, capacity := r.free(), r.info.Capacity
 	if lacked := room.MemoryMB - free.MemoryMB; lacked > 0 {
-		// Background runs take that much longer until they leave theirs.
-		const slowness = fullPace / backgroundPercent
-		lacked += slowness * max(0, room.MemoryMB-(r.roomForLong().MemoryMB-r.background.memoryMB))
 		milliCores = lacked * capacity.MilliCores / max(1, capacity.MemoryMB)
 	}
 	if lacked := room.GPUs - free.GPUs; lacked > 0 {
@@ -158,7 +148,7 @@
 // work, permits are requested while the room is kept.
 func (t *Table) mayReserve(r *runner, st *stepState, now time.Time) bool {
 	o := t.obstacle(r, st, &task{endedAt: now}, now)
-	return o == reserved || (st.spec.Fills && (o == memoryFull || o == unpaced)) || (o == eligible && (!st.spec.LongRunning || st.isPermitted(r, now)))
+	return o == reserved || (o == eligible && (!st.spec.LongRunning || st.isPermitted(r, now)))
 }
 
 // allows reports whether a step's label and limit per runner allow one more of its tasks
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -100,10 +100,6 @@
 	// keptRooms what was recorded of all.
 	keptForLong []*stepState
 	keptRooms   []*keptRoom
-	wideGang    wideGang
-	// memoryQuestions is how many times the current tick has asked whether a runner would
-	// bear a task for which memory is to be kept.
-	memoryQuestions int
 	// turn is the step of which one task is being started in its turn, or nil; background is
 	// the step if that task runs in the background. turnRuns is the number of occurrences that
 	// run since their turn, other than in the background, and lackedAt when work that was on
