Pass over tasks larger than any that found no room

A pass remembered, by shape, only the size that failed last: of sizes of which none is larger than the other, each failed again and again. While hundreds of best-effort steps wait, passes reached their limit of evaluations, so that what is most urgent was tried less often, and tasks did not start where there was room.

A pass now remembers all sizes of which none is larger than another.

--- a/internal/version/dispatcher/bench_test.go
+++ b/internal/version/dispatcher/bench_test.go
@@ -252,3 +252,28 @@
 		})
 	}
 }
+
+// Measures the decisions of an owner of 66 runners over a minute with more best-effort work
+// than fits, and how much of it ends in time.
+func BenchmarkReplay(b *testing.B) {
+	for _, rate := range []float64{12, 20, 30} {
+		b.Run(fmt.Sprintf("submissions=%.0f/s", rate), func(b *testing.B) {
+			var best, short float64
+			counts := make(map[string]int)
+			for seed := uint64(1); b.Loop(); seed++ {
+				r := newReplay(seed, 66)
+				r.run(time.Minute, rate, 4.5)
+				ofBest, ofShort := r.worth()
+				best, short = best+ofBest, short+ofShort
+				for name, n := range r.counts {
+					counts[name] += n
+				}
+			}
+			b.ReportMetric(best/float64(b.N), "best-effort")
+			b.ReportMetric(short/float64(b.N), "short")
+			for name, n := range counts {
+				b.ReportMetric(float64(n)/float64(b.N), name)
+			}
+		})
+	}
+}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -254,14 +254,13 @@
 	return shape{st.s.service(), st.spec.RequiredLabel, st.spec.Image, st.spec.Fills, t.isNew(st, k), t.inBackground(st)}
 }
 
-// hadNoRoom reports whether no runner in this placement pass had room for a task of
+// hadNoRoom reports whether no runner in this placement pass had room for some task of
 // the same shape that was no larger than the given one.
 //
 // Load: bursts in which hundreds of steps wait. Without this check, each of them
 // would try every runner.
 func (t *Table) hadNoRoom(st *stepState, k *task) bool {
-	least, ok := t.noRoom[t.shapeOf(st, k)]
-	return ok && least.Fits(st.spec.Resources)
+	return slices.ContainsFunc(t.noRoom[t.shapeOf(st, k)], func(size submitter.Resources) bool { return size.Fits(st.spec.Resources) })
 }
 
 // recordNoRoom records, for hadNoRoom, the size and shape of a task that avoids no runner
@@ -272,13 +271,18 @@
 		return
 	}
 	full := t.shapeOf(st, k)
-	t.noRoom[full] = st.spec.Resources
+	t.addNoRoom(full, st.spec.Resources)
 	if full.background && t.haveMemoryForBackground(st) {
 		full.background = false // less room is needed in the background
-		t.noRoom[full] = st.spec.Resources
+		t.addNoRoom(full, st.spec.Resources)
 	}
 }
 
+// addNoRoom records a size for which no runner has room, in place of all that are no smaller.
+func (t *Table) addNoRoom(of shape, size submitter.Resources) {
+	t.noRoom[of] = append(slices.DeleteFunc(t.noRoom[of], size.Fits), size)
+}
+
 // startGang starts all members of a gang together, or none. It reports whether there was
 // room for all of them, or a member has a run.
 func (t *Table) startGang(st *stepState, now time.Time) bool {
--- a/internal/version/dispatcher/rounds_test.go
+++ b/internal/version/dispatcher/rounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,3 +172,79 @@
 	}
 	t.Error("the small task has not started after ten passes")
 }
+
+// Load: hundreds of waiting submissions of which some lack processors and others memory.
+func TestLargerTasksArePassedOver(t *testing.T) {
+	h := newHarness(t, 0, 1)
+	h.pollAll(1)
+	steps := []struct {
+		name                 string
+		milliCores, memoryMB int64
+		passedOver, starts   int
+	}{
+		{"a lacks processors", 9000, 100, 0, 0},
+		{"b lacks memory", 1000, 70_000, 0, 0},
+		{"c fits", 1000, 100, 0, 1},
+		{"d is larger than a", 9001, 100, 1, 0},
+		{"e is larger than b", 1000, 80_000, 1, 0},
+		{"f is smaller than a and b", 8500, 65_000, 0, 0},
+		{"g fits", 7000, 60_000, 0, 1},
+	}
+	for _, step := range steps {
+		h.add(step.name, "urgent", submitter.Step{Count: 1, Resources: submitter.Resources{MilliCores: step.milliCores, MemoryMB: step.memoryMB}, Estimate: time.Second})
+	}
+	h.starts()
+	for _, step := range steps {
+		st := h.table.subs[step.name].occs[0].steps[0]
+		if got := st.attempts.passedOver; got != step.passedOver {
+			t.Errorf("%s: passed over %d times, want %d", step.name, got, step.passedOver)
+		}
+		if got := st.occ.runs; got != step.starts {
+			t.Errorf("%s: %d starts, want %d", step.name, got, step.starts)
+		}
+	}
+}
+
+// Guards against tasks that wait since others of their shape have found no room, although a
+// runner has room for them.
+func TestNoRunnerHasRoomForWhatIsPassedOver(t *testing.T) {
+	r := newReplay(1, 20)
+	passedOver := 0
+	for range 40 {
+		r.run(200*time.Millisecond, 12, 2)
+		r.table.placementDue = true
+		r.table.Schedule(r.now)
+		for _, s := range r.table.unfinished() {
+			for _, st := range s.occs[0].steps {
+				passedOver += r.assertNoRoom(t, st)
+			}
+		}
+	}
+	if passedOver < 100 {
+		t.Errorf("%d steps were passed over, want at least 100", passedOver)
+	}
+}
+
+// assertNoRoom checks that no runner has room for the tasks of a step that the last placement
+// pass would pass over, and returns whether it would pass over any, in the background or not.
+func (r *replay) assertNoRoom(t *testing.T, st *stepState) (passedOver int) {
+	t.Helper()
+	if st.waiting == 0 || !st.ready {
+		return 0
+	}
+	k := &st.tasks[slices.IndexFunc(st.tasks, func(k task) bool { return !k.done && len(k.runs) == 0 })]
+	for _, background := range []*stepState{nil, st} {
+		if background != nil && !st.spec.Fills {
+			continue
+		}
+		r.table.background = background
+		if r.table.hadNoRoom(st, k) {
+			passedOver++
+			if n := r.table.choose(st, k, r.now); n != nil {
+				t.Errorf("%s has room for a task of %s", n.info.ID, st.taskID(0))
+			}
+		}
+	}
+	r.table.background = nil
+	return passedOver
+}
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -88,9 +88,10 @@
 	active       []*submission
 	interference interferenceModel
 
-	// noRoom maps shapes to the resources of a task of the shape for which no runner
-	// had room in the current placement pass, or among the moves of the current tick.
-	noRoom map[shape]submitter.Resources
+	// noRoom maps shapes to the sizes of tasks of the shape for which no runner had room in
+	// the current placement pass, or among the moves of the current tick. None of them is
+	// larger than another one.
+	noRoom map[shape][]submitter.Resources
 
 	// reserved holds the runners with reserved room, and kept the late steps for which some
 	// is reserved, as of the last tick.
@@ -173,7 +174,7 @@
 		runners:          make(map[string]*runner),
 		subs:             make(map[string]*submission),
 		interference:     newInterferenceModel(),
-		noRoom:           make(map[shape]submitter.Resources),
+		noRoom:           make(map[shape][]submitter.Resources),
 		plans:            make(map[string]*roomPlan),
 		earlyCancels:     make(map[string]time.Time),
 		held:             make(map[*runner]suspect),
