Compute the room of services once a placement pass

Each attempt to place a best-effort task computed the room of each service on each runner anew, with the loads and pressures there, and once more to rate the runner. They change in a pass only with the runs on the runner. Each evaluation also copied the queue of the submission twice. The decisions are the same.

--- a/internal/version/dispatcher/background.go
+++ b/internal/version/dispatcher/background.go
@@ -75,7 +75,7 @@
 // has full speed until its runner has its pace, so that runners without services come first,
 // and then those whose services would bear it best.
 func (t *Table) scoreForBackground(r *runner, st *stepState, now time.Time) float64 {
-	return min(1, t.interference.headroom(r, &r.bestEffort, st, 1, now)) - backgroundRunCost*float64(r.background.runs)
+	return min(1, t.headroom(r, st, now)) - backgroundRunCost*float64(r.background.runs)
 }
 
 // isInBackground reports whether a task of a step runs in the background.
--- a/internal/version/dispatcher/interference.go
+++ b/internal/version/dispatcher/interference.go
@@ -161,29 +161,58 @@
 	return x.st.spec.TailTarget > 0 && x.hasStatus && x.phase == running && x.percent >= 100
 }
 
-// headroom returns the smallest share of its capacity that any service on a runner
-// would have left before its tail latency reaches its target, if one more task of a
-// best-effort step ran beside it and some of the best-effort runs there, at a pace, as a share
-// of full speed. It is negative if that task must not be added.
-func (m interferenceModel) headroom(r *runner, beside *bestEffortUse, added *stepState, pace float64, now time.Time) float64 {
-	if len(r.services) == 0 {
-		return math.Inf(1)
+// A serviceRoom is what a service on a runner leaves to best-effort tasks, as shares of its
+// capacity.
+type serviceRoom struct {
+	image string
+	// room is the share that best-effort tasks may take, and bestEffort and background are
+	// those that all that run there and those in the background take.
+	room, bestEffort, background float64
+}
+
+// rooms returns the rooms of the services on a runner. During a placement pass they change
+// only with the runs there.
+func (t *Table) rooms(r *runner, now time.Time) []serviceRoom {
+	if t.pass != 0 && r.roomsPass == t.pass {
+		return r.rooms
 	}
-	least := math.Inf(1)
+	m := t.interference
+	r.rooms, r.roomsPass = r.rooms[:0], t.pass
 	for image, st := range r.services {
 		room := m.utilisation(st, targetMillis(st)) - targetMargin - st.expectedLoad(now)
 		if measured, ok := r.room[image]; ok && now.Sub(r.roomAt) <= 2*measureSpan {
 			room = min(room, measured)
 		}
-		least = min(least, room-m.pressureWith(r, beside, image, added, pace))
+		r.rooms = append(r.rooms, serviceRoom{image, room, m.pressureOf(r, &r.bestEffort, image), m.pressureOf(r, &r.background, image)})
+	}
+	return r.rooms
+}
+
+// headroom returns the smallest share of its capacity that any service on a runner
+// would have left before its tail latency reaches its target, if one more task of a
+// best-effort step ran beside the best-effort runs there. It is negative if that task must
+// not be added.
+func (t *Table) headroom(r *runner, added *stepState, now time.Time) float64 {
+	least := math.Inf(1)
+	for _, s := range t.rooms(r, now) {
+		least = min(least, s.room-(s.bestEffort+t.pressureOfTask(r, s.image, added, 1)))
+	}
+	return least
+}
+
+// backgroundHeadroom returns the same for a task in the background beside such runs only.
+func (t *Table) backgroundHeadroom(r *runner, added *stepState, now time.Time) float64 {
+	least := math.Inf(1)
+	for _, s := range t.rooms(r, now) {
+		least = min(least, s.room-(s.background+t.pressureOfTask(r, s.image, added, backgroundPace)))
 	}
 	return least
 }
 
-// pressureWith returns the pressure on a serving image if one more task of a best-effort
-// step ran beside some of those on the runner at a pace.
-func (m interferenceModel) pressureWith(r *runner, beside *bestEffortUse, image string, added *stepState, pace float64) float64 {
-	return m.pressureOf(r, beside, image) + m.pressures.PerCore(image, added.spec.Image)*r.coresOf(pace*float64(added.spec.MilliCores))
+// pressureOfTask returns the pressure of one task of a best-effort step on a serving image at
+// a pace, as a share of full speed.
+func (t *Table) pressureOfTask(r *runner, image string, added *stepState, pace float64) float64 {
+	return t.interference.pressures.PerCore(image, added.spec.Image) * r.coresOf(pace*float64(added.spec.MilliCores))
 }
 
 // pressureOf returns the pressure of some best-effort runs on a runner on a serving image.
@@ -200,15 +229,15 @@
 // Load: best-effort images of which each disturbs some services and hardly any others.
 // Tasks go beside the services that they hardly disturb, so that the runners without
 // services are left for those that disturb all.
-func (m interferenceModel) match(r *runner, added *stepState, now time.Time) float64 {
+func (t *Table) match(r *runner, added *stepState, now time.Time) float64 {
 	const withoutServices = 0.7
 	if len(r.services) == 0 {
 		return withoutServices
 	}
-	headroom := m.headroom(r, &r.bestEffort, added, 1, now)
+	headroom := t.headroom(r, added, now)
 	largest := 0.0
 	for image := range r.services {
-		largest = max(largest, m.pressures.PerCore(image, added.spec.Image)*r.coresOf(float64(added.spec.MilliCores)))
+		largest = max(largest, t.pressureOfTask(r, image, added, 1))
 	}
 	return 1 - min(1, 2*largest/max(0.001, headroom+largest))
 }
@@ -217,6 +246,7 @@
 // image of their steps, when a run is added (sign 1) or removed (sign -1).
 func (r *runner) adjustUse(x *run, sign int64) {
 	st, image := x.st, x.st.spec.Image
+	r.roomsPass = 0
 	r.expectedUse += float64(sign) * expectedUse(st)
 	switch {
 	case x.isSlow:
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -66,19 +66,19 @@
 // bestEffortObstacle returns whether the other tasks on a runner leave enough for one more
 // task of a best-effort step, and what is missing if not.
 func (t *Table) bestEffortObstacle(r *runner, st *stepState, now time.Time) obstacle {
-	beside, pace := &r.bestEffort, 1.0
+	beside, pace, headroom := &r.bestEffort, 1.0, t.headroom
 	if t.inBackground(st) {
 		if !r.hasMemoryForBackground(st) {
 			return memoryFull
 		}
-		beside, pace = &r.background, backgroundPace
+		beside, pace, headroom = &r.background, backgroundPace, t.backgroundHeadroom
 	}
 	switch {
 	case r.halted:
 		return halted
 	case r.spare() < minBestEffortShare*(float64(beside.milliCores)+pace*float64(st.spec.MilliCores)):
 		return notSpare
-	case t.interference.headroom(r, beside, st, pace, now) < 0:
+	case headroom(r, st, now) < 0:
 		return disturbing
 	}
 	return eligible
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -61,6 +61,7 @@
 		return
 	}
 	t.beginPass()
+	defer t.endPass()
 	allRunsKnown := t.knowsAllRuns(now)
 	list := t.candidates(now)
 	t.holdRunners(list, allRunsKnown, now)
@@ -432,7 +433,7 @@
 	case t.inBackground(st):
 		score += t.scoreForBackground(r, st, now)
 	case st.spec.Fills:
-		score += (r.spare()-float64(r.bestEffort.milliCores))/capacity + t.interference.match(r, st, now)
+		score += (r.spare()-float64(r.bestEffort.milliCores))/capacity + t.match(r, st, now)
 	case st.spec.TailTarget > 0:
 		score += r.scoreService(st.spec.Image)
 	default:
--- a/internal/version/dispatcher/rounds.go
+++ b/internal/version/dispatcher/rounds.go
@@ -20,8 +20,13 @@
 func (t *Table) beginPass() {
 	t.placementDue, t.evaluations = false, 0
 	clear(t.noRoom)
+	t.passes++
+	t.pass = t.passes
 }
 
+// endPass ends a placement pass.
+func (t *Table) endPass() { t.pass = 0 }
+
 // putOffRest makes a pass due for the steps that the current one has not tried.
 func (t *Table) putOffRest(now time.Time) {
 	t.placementDue = true
--- a/internal/version/dispatcher/rounds_test.go
+++ b/internal/version/dispatcher/rounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -248,3 +249,51 @@
 	r.table.background = nil
 	return passedOver
 }
+
+// Guards against a placement pass that goes on with the room that services had before it has
+// started tasks beside them.
+func TestRoomOfServicesFollowsStartsInPass(t *testing.T) {
+	r := newReplay(1, 20)
+	started := 0
+	for range 20 {
+		r.run(200*time.Millisecond, 12, 2)
+		r.table.beginPass()
+		for _, s := range r.table.unfinished() {
+			for _, st := range s.occs[0].steps {
+				if !st.spec.Fills || !st.ready || st.waiting == 0 {
+					continue
+				}
+				r.assertRooms(t)
+				r.table.startWaiting(st, 1, true, r.now)
+				started += st.occ.runs
+			}
+		}
+		r.assertRooms(t)
+		r.table.endPass()
+	}
+	if started < 100 {
+		t.Errorf("%d runs, want at least 100", started)
+	}
+}
+
+// assertRooms checks that the placement pass knows the rooms of the services on all runners.
+func (r *replay) assertRooms(t *testing.T) {
+	t.Helper()
+	for _, n := range r.table.runners {
+		got := r.table.rooms(n, r.now)
+		byImage := make(map[string]serviceRoom)
+		for _, room := range got {
+			byImage[room.image] = room
+		}
+		pass := r.table.pass
+		r.table.pass, n.rooms = 0, nil
+		for _, want := range r.table.rooms(n, r.now) {
+			have, ok := byImage[want.image]
+			isSame := func(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+			if !ok || !isSame(have.room, want.room) || !isSame(have.bestEffort, want.bestEffort) || !isSame(have.background, want.background) {
+				t.Fatalf("%s: room %+v in the pass, want %+v", n.info.ID, have, want)
+			}
+		}
+		r.table.pass, n.rooms, n.roomsPass = pass, got, pass
+	}
+}
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -83,6 +83,10 @@
 	// take by the newest report, at roomAt, of the runner.
 	room   map[string]float64
 	roomAt time.Time
+	// rooms are those of the services here as of the placement pass roomsPass, or of no use
+	// if that is zero.
+	rooms     []serviceRoom
+	roomsPass int
 	// calmSince is the time since which all tail latencies have been calm, or zero.
 	calmSince time.Time
 	// bestEffortChangedAt is when a best-effort task last ended here, or was started in the
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -18,6 +18,11 @@
 	// queue is not known if neither the configuration nor the submission has it. Until
 	// it is, what runs is kept, and nothing is started or failed.
 	queue holder.Optional[submitter.Queue]
+	// servedBy and hasPermits are what placement asks most often of queue: its service, if
+	// isServed says that it is known, and whether an external service decides where its
+	// tasks run.
+	servedBy             string
+	isServed, hasPermits bool
 	// state is the current state. durableState becomes final only once that final
 	// state is durable.
 	state, durableState submitter.State
@@ -234,6 +239,7 @@
 func (t *Table) applyQueue(s *submission, now time.Time) {
 	s.queue = t.queueOf(s.sub)
 	queue, ok := s.queue.Get()
+	s.servedBy, s.isServed, s.hasPermits = queue.Service, ok, queue.NeedsPermits
 	if !ok || s.state.IsFinal() {
 		return
 	}
@@ -257,24 +263,15 @@
 
 // service returns the service whose runners take the tasks of a submission, or "" if
 // its queue is not known.
-func (s *submission) service() string {
-	queue, _ := s.queue.Get()
-	return queue.Service
-}
+func (s *submission) service() string { return s.servedBy }
 
 // isServedBy reports whether a submission's queue is known and its tasks run on the
 // runners of a service.
-func (s *submission) isServedBy(service string) bool {
-	queue, ok := s.queue.Get()
-	return ok && queue.Service == service
-}
+func (s *submission) isServedBy(service string) bool { return s.isServed && s.servedBy == service }
 
 // needsPermits reports whether an external service decides where the tasks of a
 // submission run.
-func (s *submission) needsPermits() bool {
-	queue, ok := s.queue.Get()
-	return ok && queue.NeedsPermits
-}
+func (s *submission) needsPermits() bool { return s.hasPermits }
 
 // unfinished removes ended submissions from the list of active ones and returns it.
 func (t *Table) unfinished() []*submission {
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -93,6 +93,9 @@
 	// larger than another one.
 	noRoom map[shape][]submitter.Resources
 
+	// passes is the number of placement passes, and pass the number of the current one, or zero.
+	passes, pass int
+
 	// reserved holds the runners with reserved room, and kept the late steps for which some
 	// is reserved, as of the last tick.
 	reserved []*runner
