Leave reserved room to tasks that move

A task with reserved room doesn't wait for the room of others on the runner; a long-running task that was stopped to move there still comes first.

--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
 const (
@@ -96,6 +98,17 @@
 	}
 }
 
+// keptForMoves returns the room on a runner that is kept for tasks of other steps which move
+// there.
+func (t *Table) keptForMoves(r *runner, st *stepState) (room submitter.Resources) {
+	for _, m := range t.moves {
+		if m.to == r && m.x.st != st && !m.hasMoved() {
+			room = room.Plus(m.x.st.spec.Reserved())
+		}
+	}
+	return room
+}
+
 // movable returns the long-running runs on draining runners that answer, oldest first.
 func (t *Table) movable(now time.Time) (runs []*run) {
 	for _, r := range t.runners {
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -237,8 +237,8 @@
 // unreserved returns the free room on a runner that is not reserved for tasks of other
 // steps. A long-running task that has never run leaves that for its own step, too, and none
 // leaves what is reserved for others than such tasks. A task with reserved room starts
-// whether or not that of others has become free: what is reserved on a runner fits there
-// together, and they take what is left once that has ended.
+// whether or not that of others has become free, unless these have been stopped to move
+// there: what is reserved on a runner fits there together, once other tasks have ended.
 func (t *Table) unreserved(r *runner, st *stepState, k *task) submitter.Resources {
 	kept := r.reserved
 	if kept == nil {
@@ -248,6 +248,7 @@
 	room := r.free()
 	switch {
 	case isHolder && st.spec.LongRunning:
+		room = room.Minus(t.keptForMoves(r, st))
 	case isHolder, st.spec.LongRunning:
 		room = room.Minus(kept.forLong)
 	default:
--- a/internal/version/dispatcher/reserving_test.go
+++ b/internal/version/dispatcher/reserving_test.go
@@ -188,3 +188,31 @@
 		t.Errorf("starts %v, want one of the interrupted task", starts)
 	}
 }
+
+// Guards against a task that was stopped in order to move, and whose room was taken meanwhile.
+func TestReservedRoomIsLeftToTasksThatMove(t *testing.T) {
+	h := newHarness(t, 0, 2)
+	h.pollAll(2)
+	for id, milliCores := range map[string]int64{"moved": 3000, "waits": 4000} {
+		h.add(id, "urgent", lasting(1, milliCores))
+		assertStarts(t, h.starts(), 1)
+	}
+	steps := make(map[string]*stepState)
+	for _, id := range []string{"moved", "waits"} {
+		steps[id] = h.table.subs[id].occs[0].steps[0]
+	}
+	to := h.table.runners["r0"]
+	if to == steps["moved"].tasks[0].runs[0].runner {
+		to = h.table.runners["r1"]
+	}
+	h.table.moves = append(h.table.moves, move{x: steps["moved"].tasks[0].runs[0], to: to, beganAt: h.now})
+	for _, st := range steps {
+		h.table.reserveOn(to, st)
+	}
+	for id, want := range map[string]int64{"moved": 8000, "waits": 5000} {
+		k := &task{endedAt: h.now}
+		if room := h.table.unreserved(to, steps[id], k); room.MilliCores != want {
+			t.Errorf("room for %s: %d, want %d", id, room.MilliCores, want)
+		}
+	}
+}
