Give up a part whose runners are out of reach

An owner that reaches the store kept its part for as long as it lived, whether or not any of its runners answered it: nothing of the part started although other daemons reached the runners, and submissions went to the part as before.

An owner that the store confirms and that at most a quarter of its runners have answered for 5 s resigns the part. Its daemon lets others go first in the elections of the next 30 s. The presence key is removed once the term has ended, so that the successor learns at once that it has.

Real owners in a bubble (TestPartMovesToADaemonThatReachesItsRunners): without the change the owner stays and the second daemon does not serve 15 s after the cut; with it the second daemon owns the part and starts what is submitted.

--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -29,6 +29,8 @@
 	lease atomic.Int64 // of the presence key
 	// isUnwritten is true while it isn't known that the presence key was written under lease.
 	isUnwritten atomic.Bool
+	// hasResigned says that this daemon gives the part up.
+	hasResigned atomic.Bool
 	// replacing serialises the writes of the presence key under a new lease.
 	replacing sync.Mutex
 	// confirmed is the latest time at which the record is known to have named this
@@ -63,6 +65,13 @@
 	t.end()
 }
 
+// Resign ends the term and records the reason. Another daemon takes over once this one has
+// stopped serving.
+func (t *Term) Resign(now time.Time, reason string) {
+	t.hasResigned.Store(true)
+	t.Depose(now, reason)
+}
+
 // ConfirmedAt returns the latest time at which the record is known to have named
 // this daemon, so that no other daemon owned the part.
 func (t *Term) ConfirmedAt() time.Time { return *t.confirmed.Load() }
@@ -118,9 +127,21 @@
 	t.e.opts.Serve(t.ctx, t)
 	t.end()
 	renewal.Wait()
+	if t.hasResigned.Load() {
+		t.revokePresence()
+	}
 	t.e.opts.Recorder.Record(time.Now(), EventTermEnded, fields)
 }
 
+// revokePresence revokes the lease of the presence key, which is not renewed any more.
+func (t *Term) revokePresence() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), callTimeout)
+	defer cancel()
+	if err := t.e.opts.Store.Revoke(ctx, t.lease.Load()); err != nil {
+		t.e.recordFailure("revoke the lease of the presence key", err)
+	}
+}
+
 // renew renews the lease of the presence key and confirms the owner record at regular
 // intervals, until the term ends.
 //
--- a/internal/process/scheduler/campaign.go
+++ b/internal/process/scheduler/campaign.go
@@ -24,7 +24,7 @@
 	if _, ok := d.s.config.Get(); !ok {
 		delay += unconfiguredDelay
 	}
-	return delay
+	return delay + d.departures.delay(part, time.Now())
 }
 
 // shortageDelay returns how long a daemon waits in an election in favour of those with
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -35,6 +35,7 @@
 	gateway    *gateway.Gateway
 	conductors []atomic.Pointer[conductor.Conductor] // by part; nil if not owned
 	endedTerms []atomic.Pointer[endedTerm]           // by part: this daemon's last ended term
+	departures departures
 }
 
 // An endedTerm is a term of this daemon that has ended.
@@ -156,8 +157,14 @@
 			term.RecordSettled()
 		}
 	})
+	watcher := newReachWatcher(d.s.opts.RunnerClient)
+	background.Go(func() {
+		if watcher.awaitLoss(ctx, term.ConfirmedAt) {
+			d.leave(term, time.Now())
+		}
+	})
 	opts := conductor.Options{
-		Limits: d.s.opts.Limits, Store: d.s.opts.Store, RunnerClient: d.s.opts.RunnerClient, Registry: d.s.opts.Registry,
+		Limits: d.s.opts.Limits, Store: d.s.opts.Store, RunnerClient: watcher, Registry: d.s.opts.Registry,
 		Adviser: d.s.opts.Adviser, Recorder: d.s.opts.Recorder, Metrics: d.s.metrics,
 		Part: owner.Part, Split: d.split, OwnerKey: elector.RecordKey(owner.Part),
 		Fence: owner.Fence, Generation: owner.Generation, FormerOwnerEnd: formerEnd,
@@ -188,6 +195,12 @@
 	}
 }
 
+// leave gives up a part whose runners this daemon does not reach.
+func (d *duties) leave(term *elector.Term, now time.Time) {
+	d.departures.note(term.Owner.Part, now)
+	term.Resign(now, "its runners are out of reach")
+}
+
 // formerOwnerEnd returns the latest time at which an earlier owner may still act, for a
 // daemon at the given address that succeeds former. Of that daemon's own earlier
 // processes none does. The owners before former act until earlierEnd at most.
--- a/internal/process/scheduler/succession_test.go
+++ b/internal/process/scheduler/succession_test.go
@@ -75,6 +75,7 @@
 	listeners map[string]*pipeListener // by host
 	cutOff    atomic.Value             // the host that no daemon reaches
 	pool      *pool                    // the runners; nil if there are none
+	routes    map[int]*route           // to the pool, by host
 	daemons   []*duties
 }
 
@@ -82,7 +83,7 @@
 func runDynasty(t *testing.T, test func(y *dynasty)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		y := &dynasty{t: t, store: memorystore.New(), listeners: make(map[string]*pipeListener)}
+		y := &dynasty{t: t, store: memorystore.New(), listeners: make(map[string]*pipeListener), routes: make(map[int]*route)}
 		y.cutOff.Store("")
 		for i := range 3 {
 			y.listeners["host"+strconv.Itoa(i)+":80"] = newPipeListener()
@@ -101,12 +102,24 @@
 
 // start starts a daemon on a host, and returns its record as the part's owner.
 func (y *dynasty) start(host int) elector.Owner {
+	y.t.Helper()
+	d := y.join(host)
+	time.Sleep(100 * time.Millisecond)
+	owner := d.elector.Current(0)
+	if want := d.s.opts.Instance; owner.Instance != want {
+		y.t.Fatalf("owner %+v, want %s", owner, want)
+	}
+	return owner
+}
+
+// join starts a daemon on a host.
+func (y *dynasty) join(host int) *duties {
 	y.t.Helper()
 	s := newDaemon(y.store, host, 1)
 	s.opts.PeerAddress += ":80"
 	s.opts.Registry = emptyRegistry{}
 	if y.pool != nil {
-		s.opts.Registry, s.opts.RunnerClient = y.pool, y.pool
+		s.opts.Registry, s.opts.RunnerClient = y.pool, y.route(host)
 		s.opts.Limits = poolLimits
 		s.config.Set(Configuration{Version: 1, Dispatch: dispatcher.NewConfiguration([]submitter.Queue{{Name: "q", Service: "s", MaxAttempts: 2}}, nil)})
 	}
@@ -124,12 +137,7 @@
 		_ = server.Close()
 	})
 	y.daemons = append(y.daemons, d)
-	time.Sleep(100 * time.Millisecond)
-	owner := d.elector.Current(0)
-	if owner.Instance != s.opts.Instance {
-		y.t.Fatalf("owner %+v, want %s", owner, s.opts.Instance)
-	}
-	return owner
+	return d
 }
 
 // resign makes the newest daemon give up its part.
