Give up parts that another daemon may have more processor time for

While the store turns most daemons away, one that reaches it takes several parts, or a small one takes a part, and kept them until it was restarted.

Such an owner resigns the part that it has won last after 5 s, and, if it wins the part again, after 10, 20, 40 and 80 s. It waits 100 ms longer in the next elections, as it notices first.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -394,18 +394,6 @@
 	return term, 0, err
 }
 
-// ownedCount returns the number of parts that this daemon owns.
-func (e *Elector) ownedCount() (n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for i := range e.parts {
-		if e.parts[i].term != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // claim replaces last, the current owner record: it writes a new owner record and the
 // presence key in one transaction, on the condition that neither key has changed since
 // last was read. It returns the new term.
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -288,3 +288,18 @@
 		return err
 	}
 }
+
+// Owned returns the records of the parts that this daemon owns.
+func (e *Elector) Owned() (owned []Owner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range e.parts {
+		if term := e.parts[i].term; term != nil {
+			owned = append(owned, term.Owner)
+		}
+	}
+	return owned
+}
+
+// ownedCount returns the number of parts that this daemon owns.
+func (e *Elector) ownedCount() int { return len(e.Owned()) }
--- a/internal/process/scheduler/campaign_test.go
+++ b/internal/process/scheduler/campaign_test.go
@@ -24,32 +24,49 @@
 	t      *testing.T
 	store  *memorystore.Store
 	agreed sync.WaitGroup
+	// leavesIfStrained says that owners give up parts as they do in serveOwner.
+	leavesIfStrained bool
 
 	mu       sync.Mutex
 	electors map[int]*elector.Elector // by daemon
 	owners   map[int]map[int]bool     // daemons that serve, by part
 }
 
+func emptyFleet(t *testing.T) *fleet {
+	t.Helper()
+	return &fleet{t: t, store: memorystore.New(), electors: make(map[int]*elector.Elector), owners: make(map[int]map[int]bool)}
+}
+
 // newFleet starts daemons with the given cores. The calls of each one last up to
 // callTime.
 func newFleet(t *testing.T, seed uint64, callTime time.Duration, cores []float64) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: memorystore.New(), electors: make(map[int]*elector.Elector), owners: make(map[int]map[int]bool)}
+	f := emptyFleet(t)
 	for i := range cores {
-		s := newDaemon(newSlowStore(f.store, seed*1000+uint64(i), callTime), i, cores[i])
-		f.agreed.Go(func() {
-			d := &duties{s: s, split: agree(t, s)}
-			e := d.newElector(func(ctx context.Context, term *elector.Term) { f.serve(ctx, i, term.Owner.Part) })
-			f.mu.Lock()
-			f.electors[i] = e
-			f.mu.Unlock()
-			e.Run(t.Context())
-		})
+		f.start(i, cores[i], newSlowStore(f.store, seed*1000+uint64(i), callTime))
 	}
 	f.agreed.Wait()
 	return f
 }
 
+// start starts a daemon.
+func (f *fleet) start(i int, cores float64, store *slowStore) {
+	s := newDaemon(store, i, cores)
+	f.agreed.Go(func() {
+		d := &duties{s: s, split: agree(f.t, s)}
+		d.elector = d.newElector(func(ctx context.Context, term *elector.Term) {
+			if f.leavesIfStrained {
+				f.agreed.Go(func() { d.leaveIfStrained(ctx, term) })
+			}
+			f.serve(ctx, i, term.Owner.Part)
+		})
+		f.mu.Lock()
+		f.electors[i] = d.elector
+		f.mu.Unlock()
+		d.elector.Run(f.t.Context())
+	})
+}
+
 // close stops all daemons.
 func (f *fleet) close() {
 	for _, e := range f.electors {
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -163,6 +163,7 @@
 			d.leave(term, time.Now())
 		}
 	})
+	background.Go(func() { d.leaveIfStrained(ctx, term) })
 	opts := conductor.Options{
 		Limits: d.s.opts.Limits, Store: d.s.opts.Store, RunnerClient: watcher, Registry: d.s.opts.Registry,
 		Adviser: d.s.opts.Adviser, Recorder: d.s.opts.Recorder, Metrics: d.s.metrics,
@@ -197,7 +198,7 @@
 
 // leave gives up a part whose runners this daemon does not reach.
 func (d *duties) leave(term *elector.Term, now time.Time) {
-	d.departures.note(term.Owner.Part, now)
+	d.departures.note(term.Owner.Part, departure{at: now, delay: unreachedDelay, strained: d.departures.strained(term.Owner.Part)})
 	term.Resign(now, "its runners are out of reach")
 }
 
--- a/internal/process/scheduler/reach.go
+++ b/internal/process/scheduler/reach.go
@@ -25,10 +25,9 @@
 	maxInReach = 0.25
 	// maxConfirmationAge is how old the last confirmation of the owner by the store may be.
 	maxConfirmationAge = 2 * time.Second
-	// leaveMemory is how long a daemon lets others go first in the election for a part that
-	// it has given up, by leaveDelay.
-	leaveMemory = 30 * time.Second
-	leaveDelay  = 3 * time.Second
+	// unreachedDelay is how long a daemon lets others go first in the election for a part that
+	// it has given up.
+	unreachedDelay = 3 * time.Second
 )
 
 // A reachWatcher is a client of runners that watches which of them answer polls. It is safe
@@ -111,30 +110,3 @@
 	}
 	return true
 }
-
-// departures are the parts that a daemon has given up. The zero value is ready to use. It is
-// safe for concurrent use.
-type departures struct {
-	mu sync.Mutex
-	at map[int]time.Time // by part
-}
-
-// note notes that a part is given up.
-func (d *departures) note(part int, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.at == nil {
-		d.at = make(map[int]time.Time)
-	}
-	d.at[part] = now
-}
-
-// delay returns how long the daemon waits in the election for a part for having given it up.
-func (d *departures) delay(part int, now time.Time) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if at, ok := d.at[part]; ok && now.Sub(at) < leaveMemory {
-		return leaveDelay
-	}
-	return 0
-}
