Hold room for the long-running task that has waited longest for its first run

A large long-running task that had never run waited while newer, smaller ones of its queue took each gap: nothing was reserved for it. After 10 s room is now held for one such task at a time: others like it don't start on the runners on which it will fit soonest. Interrupted tasks start there all the same, and short ones until the room is enough. It is held in turns, so that runners that nothing leaves don't stay empty.

--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -59,7 +59,7 @@
 	// them moves the end of a lease from then on.
 	EventQuorum recorder.Number = 6118
 	// EventRoomKept is recorded when room begins to be kept for tasks of a late step, or of a
-	// long-running one that were interrupted, and when it no longer is. It names up to three
+	// long-running one, and when it no longer is. It names up to three
 	// of the runners; a step is recorded at most each ten seconds.
 	EventRoomKept recorder.Number = 6119
 )
--- a/internal/version/dispatcher/keptrecord.go
+++ b/internal/version/dispatcher/keptrecord.go
@@ -28,8 +28,8 @@
 // watchKept records for which steps room is kept now, and for which it no longer is.
 func (t *Table) watchKept(now time.Time) {
 	t.keptRooms = slices.DeleteFunc(t.keptRooms, func(k *keptRoom) bool {
-		if k.st.reservedTasks > 0 {
-			k.tasks, k.runners = k.st.reservedTasks, t.reservedIDs(k.st)
+		if k.st.reservedTasks > 0 || k.st.isHeldFor {
+			k.tasks, k.runners = max(1, k.st.reservedTasks), t.reservedIDs(k.st)
 			return false
 		}
 		t.recordKept(k, false, now)
@@ -46,21 +46,22 @@
 		}
 		left--
 		st.keptRecordedAt = now
-		k := &keptRoom{st: st, since: now, tasks: st.reservedTasks, runners: t.reservedIDs(st)}
+		k := &keptRoom{st: st, since: now, tasks: max(1, st.reservedTasks), runners: t.reservedIDs(st)}
 		t.keptRooms = append(t.keptRooms, k)
 		t.recordKept(k, true, now)
 	}
 }
 
-// reservedIDs names some of the runners with room that is reserved for a step.
+// reservedIDs names some of the runners with room that is reserved or held for a step.
 func (t *Table) reservedIDs(st *stepState) string {
 	var ids []string
-	for _, r := range t.reserved {
-		if r.reserved.tasks[st] > 0 && len(ids) < maxKeptIDs {
+	for _, r := range t.runners {
+		if r.heldFor == st || (r.reserved != nil && r.reserved.tasks[st] > 0) {
 			ids = append(ids, r.info.ID)
 		}
 	}
-	return strings.Join(ids, " ")
+	slices.Sort(ids)
+	return strings.Join(ids[:min(len(ids), maxKeptIDs)], " ")
 }
 
 func (t *Table) recordKept(k *keptRoom, isKept bool, now time.Time) {
--- a/internal/version/dispatcher/keptrecord_test.go
+++ b/internal/version/dispatcher/keptrecord_test.go
@@ -53,6 +53,16 @@
 		s.pass()
 		assertKept(t, log, "true", "false")
 	})
+	t.Run("for a long-running task that has never run", func(t *testing.T) {
+		o := newTurnover(t, 4)
+		log := &eventLog{number: EventRoomKept}
+		o.table.rec = log
+		o.add("large", "urgent", lasting(1, 8000))
+		for range 150 {
+			o.pass()
+		}
+		assertKept(t, log, "true", "false")
+	})
 	t.Run("for interrupted long-running tasks", func(t *testing.T) {
 		h := newHarness(t, 0, 1)
 		log := &eventLog{number: EventRoomKept}
--- a/internal/version/dispatcher/owed.go
+++ b/internal/version/dispatcher/owed.go
@@ -64,6 +64,7 @@
 	for _, owed := range t.owedRoom(now) {
 		t.planFor(owed.st.s.service()).promise(owed)
 	}
+	t.holdRoom(now)
 }
 
 func (t *Table) planFor(service string) *roomPlan {
@@ -197,6 +198,9 @@
 	if !t.isNew(st, k) {
 		return false
 	}
+	if r.heldFor != nil && r.heldFor != st {
+		return true
+	}
 	p, ok := t.plans[r.info.Service]
 	if !ok {
 		return false
--- a/internal/version/dispatcher/reserving.go
+++ b/internal/version/dispatcher/reserving.go
@@ -34,6 +34,7 @@
 		r.reserved = nil
 	}
 	t.reserved = t.reserved[:0]
+	t.releaseHeld()
 	t.reserveForMoves(now)
 	t.reserveForLong(now)
 	t.reserveForLate(now)
@@ -174,7 +175,7 @@
 	}
 	wanted := st.spec.Reserved()
 	r.reserved.room = r.reserved.room.Plus(wanted)
-	if st.spec.LongRunning {
+	if st.spec.LongRunning && !st.isHeldFor {
 		r.reserved.forLong = r.reserved.forLong.Plus(wanted)
 	}
 	r.reserved.tasks[st]++
@@ -204,7 +205,7 @@
 func (t *Table) giveUp(r *runner, st *stepState) {
 	kept, wanted := r.reserved, st.spec.Reserved()
 	kept.room = kept.room.Minus(wanted)
-	if st.spec.LongRunning {
+	if st.spec.LongRunning && !st.isHeldFor {
 		kept.forLong = kept.forLong.Minus(wanted)
 	}
 	st.reservedTasks--
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -45,6 +45,7 @@
 	used        submitter.Resources
 	usedForLong submitter.Resources // the part of used that long-running tasks take
 	reserved    *reservation        // as of the last tick, or nil
+	heldFor     *stepState          // a long-running step to whose new tasks others leave the runner, or nil
 	promised    submitter.Resources // room for tasks that are owed it, as of the last tick
 	runs        map[runKey]*run
 	suspects    int         // suspected runs on probation here
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -75,6 +75,8 @@
 	runsByRunner map[string]int // number of runs by runner; nil without a limit per runner
 	// reservedTasks is the number of tasks for which room is reserved.
 	reservedTasks int
+	// isHeldFor says that room is held for a long-running task that has never run.
+	isHeldFor bool
 	// gangCheckpoint is the newest checkpoint of any member of a gang.
 	gangCheckpoint string
 	// blockedAt is when the step last found no runner with room.
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -100,10 +100,12 @@
 	// is reserved, as of the last tick.
 	reserved []*runner
 	kept     []*stepState
-	// keptForLong holds the long-running steps with interrupted tasks for which some is, and
+	// keptForLong holds the long-running steps for which some is kept, other than for moves, and
 	// keptRooms what was recorded of all.
 	keptForLong []*stepState
 	keptRooms   []*keptRoom
+	// heldRoom is the turn of the long-running step for which room was held last.
+	heldRoom roomTurn
 	// turn is the step of which one task is being started in its turn, or nil; background is
 	// the step if that task runs in the background. turnRuns is the number of occurrences that
 	// run since their turn, other than in the background, and lackedAt when work that was on
