--- a/internal/version/dispatcher/resizing_test.go
+++ b/internal/version/dispatcher/resizing_test.go
@@ -89,7 +89,7 @@
 
 // checkStart fails the play if a start goes to a runner that drains, as the owner knows, or
 // brings a runner over the capacity that the owner knows, or over what the runner has had
-// within resizeAllowance. Tasks take one core.
+// within resizeAllowance.
 func (c *chaos) checkStart(r *simRunner, o Order) {
 	if o.Kind != Start {
 		return
@@ -101,10 +101,20 @@
 	if known.isOvercommitted() {
 		c.t.Fatalf("%s: start of %s on %s with %+v of %+v in use", c.now.Sub(epoch), o.Task, o.Runner, known.used, known.info.Capacity)
 	}
-	if most := r.mostCores(c.now); o.Lifetime == r.lifetime && int64(len(r.running)) >= most {
-		c.t.Fatalf("%s: start of %s on %s, which runs %d and has had %d cores at most for %s",
-			c.now.Sub(epoch), o.Task, o.Runner, len(r.running), most, resizeAllowance)
+	wanted, used := c.milliCoresOf(o.Task), int64(0)
+	for key := range r.running {
+		used += c.milliCoresOf(key.task)
 	}
+	if most := r.mostCores(c.now); o.Lifetime == r.lifetime && wanted > 0 && used+wanted > 1000*most {
+		c.t.Fatalf("%s: start of %s on %s, where tasks take %d milliCores and which has had %d cores at most for %s",
+			c.now.Sub(epoch), o.Task, o.Runner, used, most, resizeAllowance)
+	}
+}
+
+// milliCoresOf returns the processors that a task reserves.
+func (c *chaos) milliCoresOf(id submitter.TaskID) int64 {
+	step := c.stepOf(id)
+	return step.Reserved().MilliCores
 }
 
 // Runners shrink and grow, tasks fail, orders are lost or late, runners are cut off or
