Count the lines of failed writes of the log

A write that failed or took only a part lost its lines without a trace, found by a review's reading. A later line now states them in linesDropped, as of lines that found the buffer full. TestLinesOfFailedWritesAreCounted failed before.

--- a/internal/process/recorder/linewriter.go
+++ b/internal/process/recorder/linewriter.go
@@ -172,8 +172,10 @@
 		if n == 0 { // a line longer than the limit
 			n = bytes.IndexByte(lines, '\n') + 1
 		}
-		// An error of the log itself can't be logged.
-		_, _ = w.out.Write(lines[:n])
+		// An error of the log itself can't be logged, but a later line states how much is missing.
+		if written, err := w.out.Write(lines[:n]); err != nil {
+			w.dropped.Add(int64(bytes.Count(lines[min(written, n):n], []byte{'\n'})))
+		}
 		lines = lines[n:]
 	}
 }
--- a/internal/process/recorder/linewriter_test.go
+++ b/internal/process/recorder/linewriter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"slices"
 	"strings"
 	"testing"
@@ -124,3 +125,33 @@
 		}
 	})
 }
+
+// A failingWriter fails the first write.
+type failingWriter struct{ pieceWriter }
+
+// Write implements io.Writer.
+func (w *failingWriter) Write(data []byte) (int, error) {
+	if len(w.pieces) == 0 {
+		w.pieces = append(w.pieces, "")
+		return 0, io.ErrShortWrite
+	}
+	return w.pieceWriter.Write(data)
+}
+
+// Guards against lines that are missing from the log without a count.
+func TestLinesOfFailedWritesAreCounted(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var out failingWriter
+		w := NewLineWriter(&out, "d1")
+		for range 3 {
+			w.Record(lineTime, 6117, nil)
+		}
+		time.Sleep(2 * flushInterval)
+		w.Record(lineTime, 6117, nil)
+		w.Close()
+		if log := strings.Join(out.pieces, ""); !strings.Contains(log, "linesDropped=3\n") {
+			t.Errorf("log %q, want three lines counted as dropped", log)
+		}
+	})
+}
