Read the loads of parts that get no submissions

A daemon learned the load of a part only from the answers to the submissions that it sent there, and ignored reports without capacity. A part that had few runners for 10 s was avoided long after it had all of them again, while the others had a queue; one without a runner, or whose owner was silent, got submissions that others could run.

The daemon that accepts a submission now asks the owner of the other candidate part in the background if what it knows is 2 s old, and takes parts without a usable runner or without an answer last. Nothing moves between parts: a submission is stored in one of them, as before.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -27,6 +27,7 @@
 	cancelPath     = "/owner/cancel"
 	statePath      = "/owner/state"
 	pendingPath    = "/owner/pending"
+	loadPath       = "/owner/load"
 	termPath       = "/owner/term"
 	acceptPath     = "/owner/accept"
 	revokePath     = "/owner/revoke"
@@ -50,6 +51,9 @@
 	ErrNotOwner = errors.New("daemon does not own the part")
 	// ErrNoEffect says that the call provably had no effect.
 	ErrNoEffect = errors.New("call had no effect")
+	// ErrUnsupported says that the daemon does not serve the call, since it is of an earlier
+	// version.
+	ErrUnsupported = errors.New("daemon does not serve the call")
 	// ErrConnectionRefused says that no process listens at the owner's address.
 	ErrConnectionRefused = errors.New("owner's address refuses connections")
 )
@@ -70,6 +74,8 @@
 	State(id string) (state submitter.State, known bool)
 	// Pending returns the number of a queue's submissions that have not begun.
 	Pending(queue string) int
+	// Load returns the load of the part.
+	Load() partitioner.Load
 }
 
 // A SubmissionStore stores submissions and cancellations for other daemons, whose
@@ -178,6 +184,12 @@
 	return response.Pending, err
 }
 
+// Load returns the load of the owner's part.
+func (c *Client) Load(ctx context.Context, to Target) (load partitioner.Load, err error) {
+	err = c.call(ctx, http.MethodGet, to, loadPath, "", nil, &load)
+	return load, err
+}
+
 // Term returns what a daemon reports about its process and its terms as the
 // owner of a part.
 func (c *Client) Term(ctx context.Context, to Target) (term TermStatus, err error) {
@@ -211,6 +223,8 @@
 		return errors.Join(ErrNotOwner, ErrNoEffect)
 	case http.StatusServiceUnavailable:
 		return ErrNoEffect
+	case http.StatusNotFound:
+		return errors.Join(ErrUnsupported, ErrNoEffect)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("unexpected status %s", resp.Status)
@@ -264,6 +278,7 @@
 	handle("GET "+pendingPath, func(o Owner, name string, w http.ResponseWriter, _ *http.Request) {
 		reply(w, pendingResponse{Pending: o.Pending(name)})
 	})
+	handle("GET "+loadPath, func(o Owner, _ string, w http.ResponseWriter, _ *http.Request) { reply(w, o.Load()) })
 	return mux
 }
 
--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -20,6 +21,10 @@
 
 func (o *owner) Submit(sub *submitter.Submission) partitioner.Load {
 	o.subs[sub.ID] = sub
+	return o.Load()
+}
+
+func (o *owner) Load() partitioner.Load {
 	return partitioner.Load{Capacity: 10, Reserved: int64(len(o.subs))}
 }
 
@@ -77,6 +82,9 @@
 	if n, err := client.Pending(ctx, to, "q"); err != nil || n != 1 {
 		t.Errorf("%d pending, error %v; want 1", n, err)
 	}
+	if load, err := client.Load(ctx, to); err != nil || load.Reserved != 1 {
+		t.Errorf("load %+v, error %v; want 1 reserved", load, err)
+	}
 	if term, err := client.Term(ctx, to); err != nil || term.Instance != "d1-x" || !term.Serves {
 		t.Errorf("term %+v, error %v; want the serving instance d1-x", term, err)
 	}
@@ -97,6 +105,18 @@
 	}
 }
 
+func TestDaemonOfAnEarlierVersion(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	client := NewClient((&net.Dialer{}).DialContext)
+	t.Cleanup(client.http.CloseIdleConnections)
+	to := Target{Address: strings.TrimPrefix(server.URL, "http://")}
+	if _, err := client.Load(context.Background(), to); !errors.Is(err, ErrUnsupported) {
+		t.Errorf("error %v, want ErrUnsupported", err)
+	}
+}
+
 func TestOutcomeOfFailedAccept(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -226,6 +226,11 @@
 	if c.opts.Split.Parts < 2 {
 		return load // there is no other part to choose
 	}
+	return c.Load()
+}
+
+// Load returns the part's load.
+func (c *Conductor) Load() partitioner.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Load()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -162,7 +162,7 @@
 		return &RejectedError{Reason: "store is unavailable", RetryAfter: outageRetryAfter}
 	}
 	candidates := g.opts.Split.CandidateParts(sub.ID)
-	part := g.balancer.Choose(candidates, partitioner.DemandOf(&sub))
+	part := g.choose(candidates, partitioner.DemandOf(&sub))
 	stamped := sub.WithOwner(g.opts.Elector.Current(part).Fence)
 	value, err := stamped.Encode()
 	if err != nil {
@@ -260,13 +260,11 @@
 // balancer with the load that the owner returns.
 func (g *Gateway) submitToOwner(ctx context.Context, part int, sub *submitter.Submission) error {
 	if local := g.opts.LocalOwner(part); local != nil {
-		g.balancer.UpdateLoad(part, local.Submit(sub))
+		g.balancer.UpdateLoad(part, local.Submit(sub), time.Now())
 		return nil
 	}
 	load, err := g.opts.Peers.Submit(ctx, g.target(part), sub)
-	if err == nil {
-		g.balancer.UpdateLoad(part, load)
-	}
+	g.noteLoad(part, load, err)
 	return err
 }
 
--- a/internal/version/partitioner/balancer_test.go
+++ b/internal/version/partitioner/balancer_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
@@ -21,8 +23,8 @@
 	t.Run("the less loaded partition", func(t *testing.T) {
 		t.Parallel()
 		b := NewBalancer()
-		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 5000})
-		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 4500})
+		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 5000}, time.Time{})
+		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 4500}, time.Time{})
 		for i, want := range []int{0, 2, 0} {
 			if part := b.Choose(parts, reserving); part != want {
 				t.Errorf("choice %d: partition %d, want %d", i, part, want)
@@ -32,8 +34,8 @@
 	t.Run("best-effort load counts for best-effort tasks only", func(t *testing.T) {
 		t.Parallel()
 		b := NewBalancer()
-		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 1000, Filling: 9000})
-		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 4000})
+		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 1000, Filling: 9000}, time.Time{})
+		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 4000}, time.Time{})
 		if part := b.Choose(parts, reserving); part != 2 {
 			t.Errorf("partition %d for a reserving task, want 2", part)
 		}
@@ -44,8 +46,8 @@
 	t.Run("long-running tasks are compared with long-running ones", func(t *testing.T) {
 		t.Parallel()
 		b := NewBalancer()
-		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 9000, LongRunning: 5000})
-		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 7000, LongRunning: 7000})
+		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 9000, LongRunning: 5000}, time.Time{})
+		b.UpdateLoad(0, Load{Capacity: 10_000, Reserved: 7000, LongRunning: 7000}, time.Time{})
 		if part := b.Choose(parts, Load{Reserved: 1000, LongRunning: 1000}); part != 2 {
 			t.Errorf("partition %d for a long-running task, want 2", part)
 		}
@@ -56,14 +58,82 @@
 	t.Run("the load of an owner without runners is ignored", func(t *testing.T) {
 		t.Parallel()
 		b := NewBalancer()
-		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 100})
-		b.UpdateLoad(0, Load{})
+		b.UpdateLoad(2, Load{Capacity: 10_000, Reserved: 100}, time.Time{})
+		b.UpdateLoad(0, Load{}, time.Time{})
 		if part := b.Choose(parts, reserving); part != 2 {
 			t.Errorf("partition %d, want 2", part)
 		}
 	})
 }
 
+func TestBalancerSkipsPartitionsThatAreOut(t *testing.T) {
+	t.Parallel()
+	parts := []int{2, 0}
+	demand := Load{Filling: 1000}
+	idle, busy := Load{Capacity: 10_000}, Load{Capacity: 10_000, Filling: 9000}
+	for name, takeOut := range map[string]func(b *Balancer){
+		"no runner":    func(b *Balancer) { b.UpdateLoad(2, Load{}, time.Time{}) },
+		"silent owner": func(b *Balancer) { b.MarkSilent(2) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := NewBalancer()
+			b.UpdateLoad(2, idle, time.Time{})
+			b.UpdateLoad(0, busy, time.Time{})
+			takeOut(b)
+			assertChoice(t, b, parts, demand, 0)
+			b.UpdateLoad(2, idle, time.Time{})
+			assertChoice(t, b, parts, demand, 2)
+		})
+	}
+	t.Run("silent owner of an unknown load", func(t *testing.T) {
+		t.Parallel()
+		b := NewBalancer()
+		b.MarkSilent(2)
+		assertChoice(t, b, parts, demand, 0)
+	})
+	t.Run("all are out", func(t *testing.T) {
+		t.Parallel()
+		b := NewBalancer()
+		b.MarkSilent(2)
+		b.MarkSilent(0)
+		assertChoice(t, b, parts, demand, 2)
+	})
+}
+
+func assertChoice(t *testing.T, b *Balancer, parts []int, demand Load, want int) {
+	t.Helper()
+	if part := b.Choose(parts, demand); part != want {
+		t.Errorf("partition %d, want %d", part, want)
+	}
+}
+
+func TestBalancerOutdated(t *testing.T) {
+	t.Parallel()
+	b := NewBalancer()
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		when string
+		at   time.Duration
+		want []int
+	}{
+		{"not known", 0, []int{0, 1}},
+		{"asked just now", maxLoadAge - 1, nil},
+		{"no answer", maxLoadAge, []int{0, 1}},
+	} {
+		assertOutdated(t, b, c.when, start.Add(c.at), c.want)
+	}
+	b.UpdateLoad(1, Load{Capacity: 1}, start.Add(maxLoadAge+time.Second))
+	assertOutdated(t, b, "one has answered", start.Add(2*maxLoadAge), []int{0})
+}
+
+func assertOutdated(t *testing.T, b *Balancer, when string, now time.Time, want []int) {
+	t.Helper()
+	if got := b.Outdated([]int{0, 1}, now); !slices.Equal(got, want) {
+		t.Errorf("%s: partitions %v are outdated, want %v", when, got, want)
+	}
+}
+
 // highestUtilisation submits long-running tasks to random daemons until four
 // fifths of all processors are taken, and returns the utilisation of the
 // fullest partition.
@@ -85,7 +155,7 @@
 	for part := range loads {
 		loads[part].Capacity = total * 10 / 8 / parts
 		for _, b := range balancers {
-			b.UpdateLoad(part, loads[part])
+			b.UpdateLoad(part, loads[part], time.Time{})
 		}
 	}
 	for _, demand := range demands {
@@ -95,7 +165,7 @@
 			part = daemon.Choose(candidates, demand)
 		}
 		loads[part] = loads[part].plus(demand)
-		daemon.UpdateLoad(part, loads[part])
+		daemon.UpdateLoad(part, loads[part], time.Time{})
 	}
 	highest := 0.0
 	for _, load := range loads {
