--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -148,6 +148,7 @@
 	6117: {Name: "dispatcher.runsKnown", Level: log.InfoLevel},
 	6118: {Name: "dispatcher.quorum", Level: log.InfoLevel},
 	6119: {Name: "dispatcher.roomKept", Level: log.InfoLevel},
+	6120: {Name: "dispatcher.endsMissing", Level: log.InfoLevel},
 	6200: {Name: "conductor.runnerSilent", Level: log.InfoLevel},
 	6201: {Name: "conductor.recordUnreadable", Level: log.InfoLevel},
 	6202: {Name: "conductor.storeFailed", Level: log.InfoLevel},
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -62,6 +62,10 @@
 	// long-running one, and when it no longer is. It names up to three
 	// of the runners; a step is recorded at most each ten seconds.
 	EventRoomKept recorder.Number = 6119
+	// EventEndsMissing is recorded when a report lacks ends that the runner's incarnation
+	// must have numbered and this owner has not acknowledged: from the number first to the
+	// number last.
+	EventEndsMissing recorder.Number = 6120
 )
 
 // record records an event about a submission. The pairs are alternating names and
@@ -82,13 +86,34 @@
 		"id": x.st.s.sub.ID, "task": x.id().String(), "run": strconv.FormatInt(x.number, 10),
 		"runner": x.runner.info.ID, "reason": reason, "percent": strconv.Itoa(x.percent),
 		"heardMs": age(now, x.runner.answeredAt), "ranMs": age(now, x.startedAt),
+		"incarnation": strconv.FormatInt(x.runner.info.Lifetime, 10), "carriedOver": strconv.FormatBool(x.isCarriedOver),
 	})
 }
 
 func (t *Table) recordRunner(now time.Time, number recorder.Number, r *runner, reason string) {
 	t.rec.Record(now, number, recorder.Fields{
 		"runner": r.info.ID, "reason": reason, "runs": strconv.Itoa(len(r.runs)),
-		"heardMs": age(now, r.answeredAt),
+		"heardMs": age(now, r.answeredAt), "incarnation": strconv.FormatInt(r.info.Lifetime, 10),
+		"leaseLeftMs": strconv.FormatInt(max(0, r.maxLeaseEnd-r.clock), 10),
+	})
+}
+
+// recordRestart records a new incarnation of a runner, and what the former one may still be
+// sent: calls with the highest end that was acknowledged to it, and with lease ends on its clock.
+func (t *Table) recordRestart(now time.Time, r *runner, lifetime int64, reason string) {
+	t.rec.Record(now, EventRunnerReborn, recorder.Fields{
+		"runner": r.info.ID, "reason": reason, "runs": strconv.Itoa(len(r.runs)), "heardMs": age(now, r.answeredAt),
+		"incarnation": strconv.FormatInt(lifetime, 10), "former": strconv.FormatInt(r.info.Lifetime, 10),
+		"formerClockMs": strconv.FormatInt(r.clock, 10), "formerLeaseEndMs": strconv.FormatInt(r.maxLeaseEnd, 10),
+		"formerAcked": strconv.FormatInt(r.acked, 10),
+	})
+}
+
+// recordMissingEnds records a gap in the numbers of the ends that a runner has reported.
+func (t *Table) recordMissingEnds(now time.Time, r *runner, next int64) {
+	t.rec.Record(now, EventEndsMissing, recorder.Fields{
+		"runner": r.info.ID, "incarnation": strconv.FormatInt(r.info.Lifetime, 10),
+		"first": strconv.FormatInt(r.lastEnd+1, 10), "last": strconv.FormatInt(next-1, 10),
 	})
 }
 
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if rep.Lifetime > r.info.Lifetime {
-		t.resetRunner(r, rep.Lifetime, now)
+		t.resetRunner(r, rep.Lifetime, "answer to a poll", now)
 	}
 	t.observeClock(r, rep.Clock, now)
 	t.reportCapacity(r, rep.Capacity, sentAt, now)
@@ -111,6 +111,9 @@
 	}
 	for _, e := range rep.Ended {
 		if e.N > r.lastEnd {
+			if e.N > r.lastEnd+1 && (r.lastEnd > 0 || !r.restartedAt.IsZero()) {
+				t.recordMissingEnds(now, r, e.N)
+			}
 			r.lastEnd = e.N
 			t.processEnd(r, e, now)
 		}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -64,7 +64,7 @@
 		if outcome == OtherLifetime {
 			t.release(x) // the incarnation that was lost never had it
 		}
-		t.resetRunner(r, lifetime, now) // this also stops the run, whose start was not confirmed
+		t.resetRunner(r, lifetime, "answer to a start", now) // this also stops the run, whose start was not confirmed
 		return
 	}
 	if outcome == Unanswered && x.isListed {
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -137,7 +137,7 @@
 			t.runners[info.ID] = r
 		}
 		if info.Lifetime > r.info.Lifetime {
-			t.resetRunner(r, info.Lifetime, now)
+			t.resetRunner(r, info.Lifetime, "registry entry", now)
 		}
 		lifetime := max(r.info.Lifetime, info.Lifetime)
 		if r.info.Draining != info.Draining && info.Draining {
@@ -216,10 +216,11 @@
 	return infos
 }
 
-// resetRunner handles a new incarnation of a runner under the same ID.
-func (t *Table) resetRunner(r *runner, lifetime int64, now time.Time) {
+// resetRunner handles a new incarnation of a runner under the same ID, of which the owner has
+// learnt from a source.
+func (t *Table) resetRunner(r *runner, lifetime int64, source string, now time.Time) {
 	defer t.blame(r.loss(), now)
-	t.recordRunner(now, EventRunnerReborn, r, "runner process was restarted")
+	t.recordRestart(now, r, lifetime, source)
 	r.wasReleased = false
 	r.info.Lifetime, r.restartedAt = lifetime, now
 	for _, x := range r.runsByAge() {
