--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -19,6 +19,7 @@
 	chaosStep       = 50 * time.Millisecond
 	chaosAnswerTime = 300 * time.Millisecond // of the slowest answer
 	chaosPoll       = 500 * time.Millisecond
+	chaosCallDelay  = 12 * time.Second // the longest for which a call is on its way, by the platform's documents
 	chaosFaultsEnd  = 15 * time.Second
 	chaosSettleTime = 8 * time.Second // longer than leases, suspensions and pauses take together
 	// chaosTakeoverTime is how long after a takeover a task may run on a runner that is
@@ -58,6 +59,13 @@
 	lifetime, clock int64
 }
 
+// A delayedPoll is a poll that a runner carries out late and does not answer.
+type delayedPoll struct {
+	at, dropAt time.Time
+	runner     string
+	poll       hold
+}
+
 // A lateReport is a report that reaches the owner later.
 type lateReport struct {
 	at     time.Time
@@ -79,6 +87,7 @@
 	delayed []delayedOrder
 	results []result
 	reports []lateReport
+	polls   []delayedPoll
 	faulty  bool
 	// refusesOthers says that runners refuse orders for another incarnation. Without it,
 	// an order names only the runner, and any incarnation carries it out.
@@ -213,11 +222,7 @@
 		if r.isCut && !c.now.Before(r.cutTill) {
 			r.isCut = false
 		}
-		if r.leaseEnd > 0 && r.clock(c.now) > r.leaseEnd {
-			for _, key := range sortedKeys(r.running) {
-				r.end(key, Lapsed)
-			}
-		}
+		r.lapse(c.now)
 	}
 	c.carryOutDelayed()
 	if c.isResizeDue() {
@@ -267,7 +272,7 @@
 		if c.now.After(d.dropAt) {
 			return true
 		}
-		if c.now.Before(d.at) || r.isDown || r.isCut {
+		if c.now.Before(d.at) || r.isDown {
 			return false
 		}
 		if !r.missed(d, c.fence) {
@@ -275,6 +280,33 @@
 		}
 		return true
 	})
+	c.polls = slices.DeleteFunc(c.polls, func(d delayedPoll) bool {
+		r := c.runners[d.runner]
+		if c.now.Before(d.at) || (r.isDown && c.now.Before(d.dropAt)) {
+			return false
+		}
+		if !r.isDown {
+			r.hold(d.poll, c.now)
+		}
+		return true
+	})
+}
+
+// delayPoll keeps a poll back from a runner, or loses it. It reports false if the poll arrives
+// at once.
+func (c *chaos) delayPoll(r *simRunner, poll hold) bool {
+	if !c.faulty {
+		return false
+	}
+	switch rapid.IntRange(0, 20).Draw(c.t, "pollLost") {
+	case 1:
+		return true
+	case 2:
+		late := c.now.Add(time.Duration(rapid.IntRange(100, int(chaosCallDelay/time.Millisecond)).Draw(c.t, "latePoll")) * time.Millisecond)
+		c.polls = append(c.polls, delayedPoll{late, c.now.Add(chaosCallDelay), r.id, poll})
+		return true
+	}
+	return false
 }
 
 func (c *chaos) poll() {
@@ -283,20 +315,14 @@
 			continue
 		}
 		r.polledAt = c.now
-		until := c.table.LeaseUntil(r.id, c.now)
-		if r.isDown || r.isCut {
+		poll := newHold(c.table, r.id, c.now)
+		if r.isDown || r.isCut || c.delayPoll(r, poll) {
 			c.table.PollFailed(r.id, c.now)
 			continue
 		}
-		r.fence = max(r.fence, c.fence)
-		if until > 0 {
-			r.leaseEnd = max(r.leaseEnd, min(until, r.clock(c.now)+testLimits.MaxLease.Milliseconds()))
-		}
-		acked := c.table.Acknowledgeable(r.id, c.now)
-		r.ended = slices.DeleteFunc(r.ended, func(e End) bool { return e.N <= acked })
-		rep := Report{Lifetime: r.lifetime, Clock: r.clock(c.now), Ended: slices.Clone(r.ended)}
-		for _, key := range sortedKeys(r.running) {
-			rep.Running = append(rep.Running, RunStatus{Task: key.task, Run: key.run, Percent: 100})
+		rep, ok := r.hold(poll, c.now)
+		if !ok {
+			c.t.Fatalf("%s: %s refuses a poll of the owner", c.now.Sub(epoch), r.id)
 		}
 		if c.statesCapacity {
 			rep.Capacity = holder.Known(r.capacity())
@@ -358,8 +384,8 @@
 		case r.isCut, lost == 1:
 			c.results = append(c.results, timeout)
 		case lost == 2:
-			late := c.now.Add(time.Duration(rapid.IntRange(100, 6000).Draw(c.t, "late")) * time.Millisecond)
-			c.delayed = append(c.delayed, delayedOrder{late, c.now.Add(maxOrderDelay), o, c.fence})
+			late := c.now.Add(time.Duration(rapid.IntRange(100, int(chaosCallDelay/time.Millisecond)).Draw(c.t, "late")) * time.Millisecond)
+			c.delayed = append(c.delayed, delayedOrder{late, c.now.Add(chaosCallDelay), o, c.fence})
 			c.results = append(c.results, timeout)
 		case lost == 3:
 			c.carryOut(r, o, c.fence)
--- a/internal/version/dispatcher/ghost_test.go
+++ b/internal/version/dispatcher/ghost_test.go
@@ -46,22 +46,16 @@
 // pollAs polls the runners as a former owner. It reports whether none has refused that.
 func (d *departures) pollAs(g *ghost) bool {
 	for _, r := range d.sorted() {
-		until := g.table.LeaseUntil(r.id, d.now)
+		poll := newHold(g.table, r.id, d.now)
+		poll.acked = 0 // it stores no progress
 		if !r.isCut || r.isDown {
 			g.table.PollFailed(r.id, d.now)
 			continue
 		}
-		if r.fence > g.fence {
+		rep, ok := r.hold(poll, d.now)
+		if !ok {
 			return false
 		}
-		r.fence = g.fence
-		if until > 0 {
-			r.leaseEnd = max(r.leaseEnd, min(until, r.clock(d.now)+testLimits.MaxLease.Milliseconds()))
-		}
-		rep := Report{Lifetime: r.lifetime, Clock: r.clock(d.now), Ended: slices.Clone(r.ended)}
-		for _, key := range sortedKeys(r.running) {
-			rep.Running = append(rep.Running, RunStatus{Task: key.task, Run: key.run, Percent: 100})
-		}
 		g.table.Report(r.id, rep, d.now, d.now)
 	}
 	return true
--- a/internal/version/dispatcher/simrunner_test.go
+++ b/internal/version/dispatcher/simrunner_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
@@ -55,6 +56,44 @@
 	r.ended = append(r.ended, End{N: r.lastEnd, Task: key.task, Run: key.run, Kind: kind})
 }
 
+// A hold is a poll on its way to a runner.
+type hold struct {
+	fence, leaseEnd, acked int64
+}
+
+// newHold returns the poll that the owner of a table sends to a runner now.
+func newHold(t *Table, id string, now time.Time) hold {
+	return hold{fence: t.fence, leaseEnd: t.LeaseUntil(id, now), acked: t.Acknowledgeable(id, now)}
+}
+
+// hold carries out a poll and returns the report. It reports false if the runner has seen a
+// higher fencing token.
+func (r *simRunner) hold(p hold, now time.Time) (rep Report, ok bool) {
+	if p.fence < r.fence {
+		return rep, false
+	}
+	r.fence = p.fence
+	if p.leaseEnd > 0 {
+		r.leaseEnd = max(r.leaseEnd, min(p.leaseEnd, r.clock(now)+testLimits.MaxLease.Milliseconds()))
+	}
+	r.ended = slices.DeleteFunc(r.ended, func(e End) bool { return e.N <= p.acked })
+	rep = Report{Lifetime: r.lifetime, Clock: r.clock(now), Ended: slices.Clone(r.ended)}
+	for _, key := range sortedKeys(r.running) {
+		rep.Running = append(rep.Running, RunStatus{Task: key.task, Run: key.run, Percent: 100})
+	}
+	return rep, true
+}
+
+// lapse ends what runs if the lease has ended.
+func (r *simRunner) lapse(now time.Time) {
+	if r.leaseEnd == 0 || r.clock(now) <= r.leaseEnd {
+		return
+	}
+	for _, key := range sortedKeys(r.running) {
+		r.end(key, Lapsed)
+	}
+}
+
 // missed reports whether a late order never arrives, since the process that it was meant
 // for has ended, and no owner could keep the next process from carrying it out: the former
 // process has confirmed a stop that overtook it, or the owner that sent it has a successor,
