--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -19,8 +19,8 @@
 // A Poll renews the leases of a runner's runs and asks the runner for its lists of
 // running and ended runs.
 type Poll struct {
-	// Fence is the owner's fencing token.
-	Fence int64
+	// Token is the fencing token of the runner's current incarnation.
+	Token int64
 	// LeaseEnd is the new end of the leases on the runner's clock, in milliseconds;
 	// zero leaves the leases unchanged.
 	LeaseEnd int64
@@ -36,8 +36,8 @@
 	// Poll sends a poll to a runner and returns its lists. It returns ErrFenced if
 	// the runner has seen a higher fencing token.
 	Poll(ctx context.Context, to dispatcher.RunnerInfo, poll Poll) (dispatcher.Report, error)
-	// Send sends an order to a runner and returns its result.
-	Send(ctx context.Context, address string, order dispatcher.Order, fence int64) OrderResult
+	// Send sends an order to a runner, under the order's fencing token, and returns its result.
+	Send(ctx context.Context, address string, order dispatcher.Order) OrderResult
 }
 
 // Adviser grants permits to run tasks on runners. An implementation is safe for
@@ -76,7 +76,7 @@
 	Part  int
 	Split partitioner.Split
 	// OwnerKey is the store key of the owner record. Its revision is Fence, the
-	// owner's fencing token.
+	// first of the owner's fencing tokens.
 	OwnerKey string
 	Fence    int64
 	// Generation is the number of owners that the part had before.
@@ -89,6 +89,9 @@
 	// ConfirmedAt returns the latest time at which this daemon is known to have
 	// been the owner.
 	ConfirmedAt func() time.Time
+	// HeldAt returns the latest known revision of the store at which the owner record named
+	// this daemon. The owner's fencing tokens may be as high.
+	HeldAt func() int64
 	// MayAct reports whether this daemon may still act as the owner. It is asked right
 	// before each call to a runner.
 	MayAct func() bool
@@ -262,8 +265,10 @@
 	return c.table.Status(time.Now())
 }
 
-// authorize tells the table how long ago the store has named this owner.
+// authorize tells the table how long ago, and at which revision, the store has named this
+// owner.
 func (c *Conductor) authorize(t *dispatcher.Table, now time.Time) {
+	t.AllowTokens(c.opts.HeldAt())
 	unconfirmed, suspended := c.opts.Unconfirmed()
 	t.Authorize(unconfirmed, suspended, now)
 }
@@ -274,6 +279,9 @@
 	c.mu.Lock()
 	now := time.Now()
 	change(c.table, now)
+	for _, id := range c.table.Restarted() {
+		c.interruptPoll(id)
+	}
 	orders := c.table.Orders()
 	requests := c.table.PermitRequests()
 	dirty, placementDue := c.table.IsDirty(), c.table.IsPlacementDue(now)
--- a/internal/process/conductor/events.go
+++ b/internal/process/conductor/events.go
@@ -16,4 +16,7 @@
 	// EventOrderDelayed is recorded when an order has waited in the daemon for long
 	// before it was sent.
 	EventOrderDelayed recorder.Number = 6204
+	// EventFormerCallRefused is recorded when a restarted runner has refused a call that was
+	// meant for its former incarnation.
+	EventFormerCallRefused recorder.Number = 6205
 )
--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -82,7 +82,10 @@
 	c.noteWait(order, began.Sub(queued.decidedAt), began)
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
-	result := c.opts.RunnerClient.Send(ctx, address, order, c.opts.Fence)
+	result := c.opts.RunnerClient.Send(ctx, address, order)
+	if result.Outcome == dispatcher.Fenced && c.isSuperseded(order.Runner, order.Token) {
+		result.Outcome = dispatcher.OtherLifetime
+	}
 	outcome := result.Outcome
 	if c.ctx.Err() != nil {
 		return
@@ -113,7 +116,7 @@
 	outcome := result.Outcome
 	c.apply(func(t *dispatcher.Table, now time.Time) {
 		if result.Clock > 0 {
-			t.ObserveClock(order.Runner, result.Lifetime, result.Clock, now)
+			t.ObserveClock(order, result.Lifetime, result.Clock, now)
 		}
 		switch order.Kind {
 		case dispatcher.Start:
@@ -152,8 +155,32 @@
 	})
 }
 
+// isSuperseded reports whether a runner has refused a call because this owner has sent it a
+// newer fencing token, and records an event if so. The call was meant for a former incarnation.
+func (c *Conductor) isSuperseded(runner string, token int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.table.IsSuperseded(runner, token) {
+		return false
+	}
+	c.opts.Recorder.Record(time.Now(), EventFormerCallRefused, map[string]string{"runner": runner, "token": strconv.FormatInt(token, 10)})
+	return true
+}
+
 // A poller is a running poll loop of one runner.
-type poller struct{ cancel context.CancelFunc }
+type poller struct {
+	cancel context.CancelFunc
+	// interrupt ends the poll that is under way, if any. It is used under the conductor's mu.
+	interrupt context.CancelFunc
+}
+
+// interruptPoll ends the poll of a runner that is under way, as it was meant for a former
+// incarnation. The next one follows at once. c.mu must be held.
+func (c *Conductor) interruptPoll(id string) {
+	if p := c.pollers[id]; p != nil && p.interrupt != nil {
+		p.interrupt()
+	}
+}
 
 // startPoller starts the poll loop of a runner. c.mu must be held.
 func (c *Conductor) startPoller(id string) {
@@ -180,19 +207,21 @@
 		if !ok {
 			return
 		}
-		if !c.opts.MayAct() {
+		if !c.opts.MayAct() || poll.Token == 0 {
 			pauser.Sleep(ctx, authorityRetryDelay)
 			continue
 		}
 		sentAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, poll.Wait+pollTimeout)
-		report, err := c.opts.RunnerClient.Poll(callCtx, to, poll)
-		cancel()
+		report, err := c.poll(ctx, to, poll)
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, context.Canceled) {
+			continue
+		}
 		c.opts.Metrics.observePoll(err, time.Since(sentAt)-poll.Wait)
 		switch {
+		case errors.Is(err, ErrFenced) && c.isSuperseded(id, poll.Token):
 		case errors.Is(err, ErrFenced):
 			c.opts.OnDeposed("runner " + id + " has seen a higher fencing token")
 			return
@@ -208,8 +237,26 @@
 	}
 }
 
+// poll sends a poll, which interruptPoll ends early.
+func (c *Conductor) poll(ctx context.Context, to dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
+	ctx, cancel := context.WithTimeout(ctx, poll.Wait+pollTimeout)
+	defer cancel()
+	c.mu.Lock()
+	if p := c.pollers[to.ID]; p != nil {
+		p.interrupt = cancel
+	}
+	isCurrent := !c.table.IsSuperseded(to.ID, poll.Token)
+	c.mu.Unlock()
+	if !isCurrent {
+		return report, context.Canceled
+	}
+	report, err = c.opts.RunnerClient.Poll(ctx, to, poll)
+	report.Token = poll.Token
+	return report, err
+}
+
 // nextPoll returns the next poll of a runner; ok is false if the table no longer
-// has the runner.
+// has the runner. The poll has no token if the runner can't be called yet.
 func (c *Conductor) nextPoll(id string) (to dispatcher.RunnerInfo, poll Poll, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -217,9 +264,12 @@
 	if !ok {
 		return to, poll, false
 	}
-	poll = Poll{Fence: c.opts.Fence, Wait: pollWait}
+	poll = Poll{Wait: pollWait}
 	now := time.Now()
 	c.authorize(c.table, now)
+	if poll.Token, ok = c.table.Token(id); !ok {
+		return to, poll, true
+	}
 	poll.LeaseEnd = c.table.LeaseUntil(id, now)
 	poll.Acked = c.table.Acknowledgeable(id, now)
 	switch {
--- a/internal/process/conductor/placement_test.go
+++ b/internal/process/conductor/placement_test.go
@@ -31,7 +31,7 @@
 			table.ConfirmOwnership(now)
 			c.authorize(table, now)
 			table.LeaseUntil("r", now)
-			table.Report("r", dispatcher.Report{Lifetime: 1, Clock: client.clock(), Running: running}, now, now)
+			table.Report("r", dispatcher.Report{Token: 1, Lifetime: 1, Clock: client.clock(), Running: running}, now, now)
 		})
 	}
 	c.apply(func(table *dispatcher.Table, now time.Time) {
--- a/internal/process/conductor/rig_test.go
+++ b/internal/process/conductor/rig_test.go
@@ -97,7 +97,7 @@
 	return dispatcher.Report{Lifetime: 1, Clock: c.clock()}, ctx.Err()
 }
 
-func (c *heldClient) Send(_ context.Context, _ string, order dispatcher.Order, _ int64) OrderResult {
+func (c *heldClient) Send(_ context.Context, _ string, order dispatcher.Order) OrderResult {
 	c.mu.Lock()
 	c.sent = append(c.sent, order)
 	c.mu.Unlock()
@@ -144,7 +144,7 @@
 		Store:  &emptyStore{}, RunnerClient: client, Recorder: recorder.Discard{}, Metrics: NewMetrics(counter.New()),
 		Registry: client.registry,
 		Split:    partitioner.Split{Parts: 1}, Fence: 1,
-		ConfirmedAt: time.Now, Unconfirmed: func() (unconfirmed, suspended time.Duration) { return 0, 0 },
+		ConfirmedAt: time.Now, HeldAt: func() int64 { return 1000 }, Unconfirmed: func() (unconfirmed, suspended time.Duration) { return 0, 0 },
 		MayAct: func() bool { return !client.isPaused.Load() }, OnDeposed: func(reason string) { t.Errorf("deposed: %s", reason) },
 	}
 }
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -36,6 +36,8 @@
 	// confirmed is the latest time at which the record is known to have named this
 	// daemon.
 	confirmed atomic.Pointer[time.Time]
+	// heldAt is the latest known revision of the store at which the record named this daemon.
+	heldAt atomic.Int64
 	// checked is the last confirmation by claim or renew.
 	checked atomic.Pointer[confirmation]
 }
@@ -51,6 +53,7 @@
 	t := &Term{Owner: owner, Former: former, EarlierEnd: former.earlierEnd(), e: e}
 	t.ctx, t.end = context.WithCancel(ctx)
 	t.lease.Store(lease)
+	t.heldAt.Store(owner.Fence)
 	return t
 }
 
@@ -76,6 +79,20 @@
 // this daemon, so that no other daemon owned the part.
 func (t *Term) ConfirmedAt() time.Time { return *t.confirmed.Load() }
 
+// HeldAt returns the latest known revision of the store at which the record named this daemon.
+// The fencing tokens of all successors are higher.
+func (t *Term) HeldAt() int64 { return t.heldAt.Load() }
+
+// noteHeld notes a revision of the store at which the record named this daemon.
+func (t *Term) noteHeld(revision int64) {
+	for {
+		last := t.heldAt.Load()
+		if revision <= last || t.heldAt.CompareAndSwap(last, revision) {
+			return
+		}
+	}
+}
+
 // MayAct reports whether the owner may still act: the term has not ended, and the record
 // was confirmed recently enough, also counting the time for which the host was suspended.
 // A successor relies on it.
@@ -187,13 +204,18 @@
 func (t *Term) checkRecord() error {
 	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
-	item, err := t.e.opts.Store.Get(ctx, RecordKey(t.Owner.Part))
+	record := RecordKey(t.Owner.Part)
+	items, revision, err := t.e.opts.Store.List(ctx, record)
 	if err != nil {
 		return err
 	}
-	if item.Revision != t.Owner.Fence {
+	if len(items) == 0 {
+		return transactor.ErrNotFound
+	}
+	if items[0].Revision != t.Owner.Fence {
 		return errReplaced
 	}
+	t.noteHeld(revision)
 	return nil
 }
 
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -170,7 +170,7 @@
 		Part: owner.Part, Split: d.split, OwnerKey: elector.RecordKey(owner.Part),
 		Fence: owner.Fence, Generation: owner.Generation, FormerOwnerEnd: formerEnd,
 		EarlierOwnersEnd: term.EarlierEnd,
-		ConfirmedAt:      term.ConfirmedAt, MayAct: term.MayAct, Unconfirmed: term.Unconfirmed,
+		ConfirmedAt:      term.ConfirmedAt, HeldAt: term.HeldAt, MayAct: term.MayAct, Unconfirmed: term.Unconfirmed,
 		OnDeposed: func(reason string) { term.Depose(time.Now(), reason) },
 	}
 	own := endedTerm{fence: owner.Fence}
--- a/internal/process/scheduler/pool_test.go
+++ b/internal/process/scheduler/pool_test.go
@@ -123,7 +123,7 @@
 }
 
 // Send implements conductor.RunnerClient.
-func (p *pool) Send(ctx context.Context, address string, order dispatcher.Order, _ int64) conductor.OrderResult {
+func (p *pool) Send(ctx context.Context, address string, order dispatcher.Order) conductor.OrderResult {
 	if p.isGone(address) {
 		<-ctx.Done()
 		return conductor.OrderResult{Outcome: dispatcher.NotSent}
--- a/internal/process/scheduler/reach_test.go
+++ b/internal/process/scheduler/reach_test.go
@@ -53,12 +53,12 @@
 }
 
 // Send implements conductor.RunnerClient.
-func (r *route) Send(ctx context.Context, address string, order dispatcher.Order, fence int64) conductor.OrderResult {
+func (r *route) Send(ctx context.Context, address string, order dispatcher.Order) conductor.OrderResult {
 	if r.isCut(address) {
 		<-ctx.Done()
 		return conductor.OrderResult{Outcome: dispatcher.NotSent}
 	}
-	return r.pool.Send(ctx, address, order, fence)
+	return r.pool.Send(ctx, address, order)
 }
 
 // poolIDs returns the names of the runners of a pool.
--- a/internal/version/dispatcher/authority_test.go
+++ b/internal/version/dispatcher/authority_test.go
@@ -247,7 +247,7 @@
 		if left := h.table.LeaseUntil(id, h.now) - clock; left > 0 {
 			lapse = later(lapse, h.now.Add(scaleDrift(time.Duration(left)*time.Millisecond)))
 		}
-		h.table.Report(id, Report{Lifetime: 1, Clock: clock}, h.now, h.now)
+		h.table.Report(id, Report{Token: h.table.fence, Lifetime: 1, Clock: clock}, h.now, h.now)
 		if h.table.runners[id].answeredAt.IsZero() {
 			h.t.Fatalf("%s has not answered its former owner", id)
 		}
--- a/internal/version/dispatcher/capacity.go
+++ b/internal/version/dispatcher/capacity.go
@@ -27,7 +27,7 @@
 // registerCapacity applies the capacity in a runner's registry entry, which is delivered
 // again while it stays the same.
 func (t *Table) registerCapacity(r *runner, info RunnerInfo, now time.Time) {
-	if info.Lifetime != 0 && info.Lifetime < r.info.Lifetime {
+	if r.isFormer(info.Lifetime) {
 		return // the entry of a former incarnation
 	}
 	stated := info.Capacity
--- a/internal/version/dispatcher/capacity_test.go
+++ b/internal/version/dispatcher/capacity_test.go
@@ -31,7 +31,7 @@
 	sent := h.now.Add(-ago)
 	h.now = h.now.Add(time.Millisecond)
 	h.table.Report("r0", Report{
-		Lifetime: 1, Clock: h.now.Sub(epoch).Milliseconds() + 1000, Running: h.reported["r0"], Capacity: holder.Known(capacity),
+		Token: testFence, Lifetime: 1, Clock: h.now.Sub(epoch).Milliseconds() + 1000, Running: h.reported["r0"], Capacity: holder.Known(capacity),
 	}, sent, h.now)
 }
 
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -31,7 +31,7 @@
 	// task may run there, as far as the owner knows: an order from before the restart may
 	// be on its way, and starts it for the longest lease. The owner hears of the restart
 	// up to two seconds later.
-	chaosCarryOverTime = chaosSettleTime + maxOrderDelay + 2*time.Second
+	chaosCarryOverTime = chaosSettleTime + chaosCallDelay + 2*time.Second
 	// chaosIsolationTime is how much longer a task that may have crashed runners may wait:
 	// until another such task has been seen running for long enough on the runner that it
 	// is to start on, which takes up to one poll and one tick more.
@@ -43,7 +43,7 @@
 // A delayedOrder is an order that a runner carries out late and does not answer.
 type delayedOrder struct {
 	at     time.Time
-	dropAt time.Time // when it is lost if the runner can't be reached before
+	sentAt time.Time
 	order  Order
 	fence  int64
 }
@@ -77,18 +77,20 @@
 
 // A chaos is a play of one owner after the other in virtual time with random faults.
 type chaos struct {
-	t       *rapid.T
-	table   *Table
-	fence   int64
-	now     time.Time
-	runners map[string]*simRunner
-	subs    []*submitter.Submission
-	waiting []delayedOrder // decided and not sent yet; at is when they are sent
-	delayed []delayedOrder
-	results []result
-	reports []lateReport
-	polls   []delayedPoll
-	faulty  bool
+	t     *rapid.T
+	table *Table
+	fence int64
+	// revision is that of the store, which changes with each step.
+	revision int64
+	now      time.Time
+	runners  map[string]*simRunner
+	subs     []*submitter.Submission
+	waiting  []delayedOrder // decided and not sent yet; at is when they are sent
+	delayed  []delayedOrder
+	results  []result
+	reports  []lateReport
+	polls    []delayedPoll
+	faulty   bool
 	// refusesOthers says that runners refuse orders for another incarnation. Without it,
 	// an order names only the runner, and any incarnation carries it out.
 	refusesOthers bool
@@ -110,7 +112,7 @@
 
 func newChaos(t *rapid.T, runners int) *chaos {
 	c := &chaos{
-		t: t, now: epoch, runners: make(map[string]*simRunner), faulty: true, saved: make(map[string]*submitter.Progress), streaks: newStreaks(),
+		t: t, revision: testFence, now: epoch, runners: make(map[string]*simRunner), faulty: true, saved: make(map[string]*submitter.Progress), streaks: newStreaks(),
 		refusesOthers: rapid.Bool().Draw(t, "refusesOthers"), namesLifetime: rapid.Bool().Draw(t, "namesLifetime"),
 	}
 	for i := range runners {
@@ -130,7 +132,8 @@
 
 // takeOver replaces the table by that of a new owner.
 func (c *chaos) takeOver(generation int64) {
-	c.fence = testFence + generation
+	c.revision++
+	c.fence = c.revision
 	former := c.table
 	if c.departures != nil && former != nil {
 		c.departures.takeOver(generation)
@@ -232,6 +235,8 @@
 	c.deliver()
 	c.table.ConfirmOwnership(c.now)
 	c.table.Authorize(0, 0, c.now)
+	c.revision++
+	c.table.AllowTokens(c.revision)
 	if int(c.now.Sub(epoch)/chaosStep)%4 == 0 {
 		c.table.Tick(c.now)
 	}
@@ -252,14 +257,14 @@
 }
 
 // carryOut passes an order to a runner and returns its answer.
-func (c *chaos) carryOut(r *simRunner, o Order, fence int64) result {
+func (c *chaos) carryOut(r *simRunner, o Order) result {
 	res := result{at: c.now, order: o, outcome: OtherLifetime, fence: c.fence, lifetime: r.lifetime, clock: r.clock(c.now)}
 	if c.refusesOthers && o.Lifetime != r.lifetime {
 		return res
 	}
 	key := runKey{o.Task, o.Run}
 	wasRunning := r.running[key]
-	res.outcome = r.carryOut(o, fence, c.now)
+	res.outcome = r.carryOut(o, c.now)
 	if c.onStart != nil && !wasRunning && r.running[key] && !c.onStart(r, key) {
 		res.outcome = Unanswered
 	}
@@ -269,14 +274,14 @@
 func (c *chaos) carryOutDelayed() {
 	c.delayed = slices.DeleteFunc(c.delayed, func(d delayedOrder) bool {
 		r := c.runners[d.order.Runner]
-		if c.now.After(d.dropAt) {
+		if c.now.After(d.sentAt.Add(chaosCallDelay)) {
 			return true
 		}
 		if c.now.Before(d.at) || r.isDown {
 			return false
 		}
-		if !r.missed(d, c.fence) {
-			c.carryOut(r, d.order, d.fence)
+		if !r.missed(d, c.table, c.fence, c.now) {
+			c.carryOut(r, d.order)
 		}
 		return true
 	})
@@ -315,14 +320,17 @@
 			continue
 		}
 		r.polledAt = c.now
-		poll := newHold(c.table, r.id, c.now)
+		poll, hasToken := newHold(c.table, r.id, c.now)
+		if !hasToken {
+			continue
+		}
 		if r.isDown || r.isCut || c.delayPoll(r, poll) {
 			c.table.PollFailed(r.id, c.now)
 			continue
 		}
 		rep, ok := r.hold(poll, c.now)
 		if !ok {
-			c.t.Fatalf("%s: %s refuses a poll of the owner", c.now.Sub(epoch), r.id)
+			c.t.Fatalf("%s: %s has seen token %d and refuses a poll of the owner with %d", c.now.Sub(epoch), r.id, r.fence, poll.token)
 		}
 		if c.statesCapacity {
 			rep.Capacity = holder.Known(r.capacity())
@@ -385,13 +393,13 @@
 			c.results = append(c.results, timeout)
 		case lost == 2:
 			late := c.now.Add(time.Duration(rapid.IntRange(100, int(chaosCallDelay/time.Millisecond)).Draw(c.t, "late")) * time.Millisecond)
-			c.delayed = append(c.delayed, delayedOrder{late, c.now.Add(chaosCallDelay), o, c.fence})
+			c.delayed = append(c.delayed, delayedOrder{late, c.now, o, c.fence})
 			c.results = append(c.results, timeout)
 		case lost == 3:
-			c.carryOut(r, o, c.fence)
+			c.carryOut(r, o)
 			c.results = append(c.results, timeout)
 		default:
-			res := c.carryOut(r, o, c.fence)
+			res := c.carryOut(r, o)
 			if res.outcome == Unanswered {
 				c.results = append(c.results, timeout)
 				continue
@@ -418,7 +426,7 @@
 			lifetime = 0
 		}
 		if res.clock > 0 {
-			c.table.ObserveClock(res.order.Runner, lifetime, res.clock, c.now)
+			c.table.ObserveClock(res.order, lifetime, res.clock, c.now)
 		}
 		switch res.order.Kind {
 		case Start:
--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -19,17 +19,19 @@
 	x := t.find(o)
 	switch {
 	case x == nil:
-		return o, o.isUnknown
+		token, ok := t.Token(o.Runner)
+		return o, ok && o.isUnknown && o.Token == token
 	case o.Kind == Stop && x.isQueued:
 		t.withdraw(x, now, "to be stopped")
 		return o, false
 	case o.Kind == Stop:
 		x.isStopQueued, x.stopOrderedAt = false, now
-		o.Lifetime = x.runner.info.Lifetime
-		return o, true
+		return t.withToken(o, x.runner)
 	case o.Kind == Pace:
 		o.Percent = x.pace
-		return o, true
+		confirmed, ok = t.withToken(o, x.runner)
+		x.isPaceOrdered = ok
+		return confirmed, ok
 	}
 	if reason := t.withdrawal(x, now); reason != "" {
 		t.withdraw(x, now, reason)
@@ -41,6 +43,14 @@
 	return o, true
 }
 
+// withToken returns an order for the current incarnation of a runner. It returns false if there
+// is no token for that yet.
+func (t *Table) withToken(o Order, r *runner) (confirmed Order, ok bool) {
+	o.Lifetime, o.Token = r.info.Lifetime, r.token
+	_, ok = t.Token(o.Runner)
+	return o, ok
+}
+
 // withdraw ends a run whose start is not sent. The other members of its gang are withdrawn
 // or stopped, as they would wait for it in vain.
 func (t *Table) withdraw(x *run, now time.Time, reason string) {
--- a/internal/version/dispatcher/consolidating.go
+++ b/internal/version/dispatcher/consolidating.go
@@ -113,6 +113,6 @@
 // mayBeDisplaced reports whether a run may be moved for the sake of another task.
 func (x *run) mayBeDisplaced(now time.Time) bool {
 	spec := x.st.spec
-	return spec.LongRunning && !spec.Gang && spec.MaxUnavailable == nil && x.phase == running && x.isListed &&
+	return spec.LongRunning && !spec.Gang && spec.MaxUnavailable == nil && x.phase == running && x.hasStatus &&
 		!x.st.s.state.IsFinal() && now.Sub(x.startedAt) >= settledAfter
 }
--- a/internal/version/dispatcher/departures_test.go
+++ b/internal/version/dispatcher/departures_test.go
@@ -117,7 +117,8 @@
 	if rapid.IntRange(0, 9).Draw(d.t, "unreadable") == 1 {
 		d.isUnreadable = true
 	}
-	d.fence = testFence + generation
+	d.revision++
+	d.fence = d.revision
 	d.table = New(testLimits, d.fence, generation, recorder.Discard{}, d.now)
 	d.table.Configure(NewConfiguration(testQueues, nil), d.now)
 	switch {
@@ -136,7 +137,7 @@
 	switch rapid.IntRange(0, 2).Draw(d.t, "handover") {
 	case 0:
 		d.settledAt = d.now.Add(chaosUnconfirmed)
-		d.cutOff(&ghost{former, d.fence - 1, d.now.Add(chaosUnconfirmed)})
+		d.cutOff(&ghost{former, d.now.Add(chaosUnconfirmed)})
 	case 1:
 		d.table.MarkSettled(nil, d.now)
 	case 2:
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -66,6 +66,10 @@
 	// must have numbered and this owner has not acknowledged: from the number first to the
 	// number last.
 	EventEndsMissing recorder.Number = 6120
+	// EventRestartAccepted is recorded when a new incarnation of a runner has answered a poll
+	// with its fencing token, so that it refuses calls for the former ones. The report counts
+	// what those may have left there.
+	EventRestartAccepted recorder.Number = 6121
 )
 
 // record records an event about a submission. The pairs are alternating names and
@@ -87,6 +91,7 @@
 		"runner": x.runner.info.ID, "reason": reason, "percent": strconv.Itoa(x.percent),
 		"heardMs": age(now, x.runner.answeredAt), "ranMs": age(now, x.startedAt),
 		"incarnation": strconv.FormatInt(x.runner.info.Lifetime, 10), "carriedOver": strconv.FormatBool(x.isCarriedOver),
+		"token": strconv.FormatInt(x.runner.token, 10),
 	})
 }
 
@@ -105,7 +110,15 @@
 		"runner": r.info.ID, "reason": reason, "runs": strconv.Itoa(len(r.runs)), "heardMs": age(now, r.answeredAt),
 		"incarnation": strconv.FormatInt(lifetime, 10), "former": strconv.FormatInt(r.info.Lifetime, 10),
 		"formerClockMs": strconv.FormatInt(r.clock, 10), "formerLeaseEndMs": strconv.FormatInt(r.maxLeaseEnd, 10),
-		"formerAcked": strconv.FormatInt(r.acked, 10),
+		"formerAcked": strconv.FormatInt(r.acked, 10), "formerToken": strconv.FormatInt(r.token, 10),
+	})
+}
+
+// recordAcceptance records the first report of a new incarnation of a runner.
+func (t *Table) recordAcceptance(now time.Time, r *runner, rep Report) {
+	t.rec.Record(now, EventRestartAccepted, recorder.Fields{
+		"runner": r.info.ID, "incarnation": strconv.FormatInt(r.info.Lifetime, 10), "token": strconv.FormatInt(r.token, 10),
+		"waitedMs": age(now, r.restartedAt), "running": strconv.Itoa(len(rep.Running)), "ended": strconv.Itoa(len(rep.Ended)),
 	})
 }
 
--- a/internal/version/dispatcher/formercalls_test.go
+++ b/internal/version/dispatcher/formercalls_test.go
@@ -29,7 +29,7 @@
 	f.advance(time.Hour)
 	f.pollSims("r0", "r1")
 	for id, r := range f.runners {
-		late := newHold(f.table, id, f.now)
+		late, _ := newHold(f.table, id, f.now)
 		late.acked = int64(ends)
 		f.late[id] = late
 		r.reset(f.now)
@@ -45,7 +45,8 @@
 func (f *formerCalls) pollSims(ids ...string) {
 	for _, id := range ids {
 		sent := f.now
-		rep, ok := f.runners[id].hold(newHold(f.table, id, f.now), f.now)
+		poll, _ := newHold(f.table, id, f.now)
+		rep, ok := f.runners[id].hold(poll, f.now)
 		if !ok {
 			f.t.Fatalf("%s refuses a poll of the owner", id)
 		}
@@ -65,7 +66,7 @@
 		}
 		r, outcome := f.runners[o.Runner], Unanswered
 		if r.id != f.silent {
-			outcome = r.carryOut(o, f.table.fence, f.now)
+			outcome = r.carryOut(o, f.now)
 		}
 		switch o.Kind {
 		case Start:
@@ -149,7 +150,7 @@
 	if !ok {
 		t.Fatal("the start is not sent")
 	}
-	lateFence, r, other := f.table.fence, f.runners[late.Runner], "r0"
+	r, other := f.runners[late.Runner], "r0"
 	if r.id == other {
 		other = "r1"
 	}
@@ -159,7 +160,7 @@
 	f.lifetimes[r.id] = r.lifetime
 	f.register(r.id)
 	f.pass(longestDelay-200*time.Millisecond, other)
-	if outcome := r.carryOut(late, lateFence, f.now); outcome != Succeeded {
+	if outcome := r.carryOut(late, f.now); outcome != Succeeded {
 		t.Fatalf("the start is %s, want carried", outcome)
 	}
 	f.pass(10*time.Second, other)
--- a/internal/version/dispatcher/ghost_test.go
+++ b/internal/version/dispatcher/ghost_test.go
@@ -11,7 +11,6 @@
 // with some runners, and acts on.
 type ghost struct {
 	table *Table
-	fence int64
 	until time.Time
 }
 
@@ -46,9 +45,9 @@
 // pollAs polls the runners as a former owner. It reports whether none has refused that.
 func (d *departures) pollAs(g *ghost) bool {
 	for _, r := range d.sorted() {
-		poll := newHold(g.table, r.id, d.now)
+		poll, hasToken := newHold(g.table, r.id, d.now)
 		poll.acked = 0 // it stores no progress
-		if !r.isCut || r.isDown {
+		if !r.isCut || r.isDown || !hasToken {
 			g.table.PollFailed(r.id, d.now)
 			continue
 		}
@@ -72,12 +71,12 @@
 		r := d.runners[o.Runner]
 		outcome, lifetime := Unanswered, int64(0)
 		if r.isCut && !r.isDown {
-			res := d.carryOut(r, o, g.fence)
+			res := d.carryOut(r, o)
 			if res.outcome == Fenced {
 				return false
 			}
 			outcome, lifetime = res.outcome, res.lifetime
-			g.table.ObserveClock(o.Runner, lifetime, res.clock, d.now)
+			g.table.ObserveClock(o, lifetime, res.clock, d.now)
 		}
 		switch o.Kind {
 		case Start:
--- a/internal/version/dispatcher/lapses_test.go
+++ b/internal/version/dispatcher/lapses_test.go
@@ -28,10 +28,9 @@
 		h := newHarness(t, 0, 1)
 		h.advance(longest) // those of former owners have lapsed
 		h.poll("r0")
-		h.add("a", "urgent", oneCore(1))
-		assertStarts(t, h.starts(), 1)
+		h.startUnanswered()
 		h.restart("r0")
-		if got := h.table.Lapses(h.now)["r0"].Sub(h.now); got < maxOrderDelay {
+		if got := h.table.Lapses(h.now)["r0"].Sub(h.now); got < maxCallDelay {
 			t.Errorf("lapse after %s, want after those of orders on their way", got)
 		}
 	})
--- a/internal/version/dispatcher/lifetime_test.go
+++ b/internal/version/dispatcher/lifetime_test.go
@@ -35,7 +35,7 @@
 	h.pollAll(2)
 	before := h.clock("r0")
 	h.restart("r0")
-	h.table.ObserveClock("r0", 0, before, h.now)
+	h.table.ObserveClock(Order{Runner: "r0", Token: testFence}, 0, before, h.now)
 	h.pollAll(2)
 	h.add("a", "urgent", oneCore(10))
 	assertStarts(t, h.starts(), 10)
@@ -113,7 +113,7 @@
 	})
 	t.Run("is over once its lease must have lapsed", func(t *testing.T) {
 		h, _, other := newRestarted(t)
-		for range 24 {
+		for lapsed := h.now.Add(maxCallDelay + testLimits.MaxLease); h.now.Before(lapsed); {
 			h.poll(other)
 			h.advance(500 * time.Millisecond)
 			assertStarts(t, h.starts(), 0)
--- a/internal/version/dispatcher/moving.go
+++ b/internal/version/dispatcher/moving.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		for _, x := range r.runs {
-			if spec := x.st.spec; spec.LongRunning && !spec.Gang && x.phase == running && x.isListed && !x.st.s.state.IsFinal() {
+			if spec := x.st.spec; spec.LongRunning && !spec.Gang && x.phase == running && x.hasStatus && !x.st.s.state.IsFinal() {
 				runs = append(runs, x)
 			}
 		}
--- a/internal/version/dispatcher/pacing.go
+++ b/internal/version/dispatcher/pacing.go
@@ -214,10 +214,9 @@
 	}
 	x.isPaceOrdered = true
 	t.recordRun(now, EventPaced, x, "pace "+strconv.Itoa(pace))
-	t.orders = append(t.orders, Order{
-		Kind: Pace, Runner: x.runner.info.ID, Lifetime: x.runner.info.Lifetime,
-		Task: x.id(), Run: x.number, Percent: pace,
-	})
+	o := newOrder(Pace, x.runner, runKey{x.id(), x.number})
+	o.Percent = pace
+	t.orders = append(t.orders, o)
 }
 
 // ApplyPace applies the outcome of a pace order. If the order was not answered, or
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -519,8 +519,7 @@
 	t.recordRun(now, EventStarted, x, x.placement())
 	t.recordResumed(x, now)
 	t.enqueue(x)
-	t.orders = append(t.orders, Order{
-		Kind: Start, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: x.id(), Run: x.number,
-		Spec: x.st.s.sub.Spec, Checkpoint: x.st.checkpoint(x.task()), Until: until, Ticket: x.st.permits[r.info.ID].ticket,
-	})
+	o := newOrder(Start, r, runKey{x.id(), x.number})
+	o.Spec, o.Checkpoint, o.Until, o.Ticket = x.st.s.sub.Spec, x.st.checkpoint(x.task()), until, x.st.permits[r.info.ID].ticket
+	t.orders = append(t.orders, o)
 }
--- a/internal/version/dispatcher/place_test.go
+++ b/internal/version/dispatcher/place_test.go
@@ -357,7 +357,7 @@
 			h.table.Schedule(h.now)
 		}
 		h.table.LeaseUntil("r0", sent)
-		h.table.Report("r0", Report{Lifetime: 1, Clock: h.now.Sub(epoch).Milliseconds() + 1000}, sent, h.now)
+		h.table.Report("r0", Report{Token: testFence, Lifetime: 1, Clock: h.now.Sub(epoch).Milliseconds() + 1000}, sent, h.now)
 	}
 	t.Error("the task was never started again")
 }
--- a/internal/version/dispatcher/replay_test.go
+++ b/internal/version/dispatcher/replay_test.go
@@ -212,7 +212,7 @@
 		}
 	}
 	r.table.LeaseUntil(n.id, r.now)
-	r.table.Report(n.id, Report{Lifetime: 1, Clock: r.clock(n.id), Running: rows, Ended: n.ends}, r.now, r.now)
+	r.table.Report(n.id, Report{Token: r.table.fence, Lifetime: 1, Clock: r.clock(n.id), Running: rows, Ended: n.ends}, r.now, r.now)
 	n.ends = nil
 }
 
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -48,6 +48,7 @@
 
 // A Report is a runner's answer to a poll.
 type Report struct {
+	Token    int64 // fencing token of the poll
 	Lifetime int64 // incarnation of the runner, or zero if unknown
 	Clock    int64 // ms on the runner's clock
 	Running  []RunStatus
@@ -64,14 +65,16 @@
 // ObserveClock records an answer of a runner to an order. The argument clock is the
 // reading of the runner's clock in that answer, in milliseconds, and lifetime is the
 // incarnation that answered, or zero if unknown. The reading of an unknown incarnation is
-// not used: the answer may be a late one of a former incarnation, whose clock was ahead.
-func (t *Table) ObserveClock(id string, lifetime, clock int64, now time.Time) {
-	r, ok := t.runners[id]
+// not used: the answer may be a late one of a former incarnation, whose clock was ahead. Nor
+// is that of an incarnation that has not seen its token: calls for a former one may renew its
+// leases after the answer.
+func (t *Table) ObserveClock(o Order, lifetime, clock int64, now time.Time) {
+	r, ok := t.runners[o.Runner]
 	switch {
 	case !ok:
 	case lifetime == 0:
 		r.silentSince = time.Time{}
-	case lifetime == r.info.Lifetime:
+	case lifetime == r.info.Lifetime && o.Token == r.token:
 		t.observeClock(r, clock, now)
 	}
 }
@@ -89,21 +92,27 @@
 	r.silentSince = time.Time{}
 }
 
-// Report applies a runner's report, which was requested at sentAt under the owner's
-// fencing token.
+// Report applies a runner's report, which was requested at sentAt. A report that was requested
+// under another token than the current one was meant for a former incarnation. One of an
+// incarnation that is new to the owner only shows the restart: calls for a former one may
+// change what it lists.
 func (t *Table) Report(id string, rep Report, sentAt, now time.Time) {
 	r, ok := t.runners[id]
-	if !ok || (rep.Lifetime != 0 && rep.Lifetime < r.info.Lifetime) {
+	if !ok || rep.Token != r.token {
 		return
 	}
-	if rep.Lifetime > r.info.Lifetime {
+	if rep.Lifetime != 0 && rep.Lifetime != r.info.Lifetime {
 		t.resetRunner(r, rep.Lifetime, "answer to a poll", now)
+		return
 	}
 	t.observeClock(r, rep.Clock, now)
 	t.reportCapacity(r, rep.Capacity, sentAt, now)
 	if !r.acceptedToken {
 		r.acceptedToken, r.tokenAcceptedAt = true, now
 		t.placementDue = true
+		if !r.restartedAt.IsZero() {
+			t.recordAcceptance(now, r, rep)
+		}
 	}
 	if rep.Lifetime != 0 {
 		r.acceptedAt = later(r.acceptedAt, sentAt)
@@ -149,7 +158,7 @@
 	if x.phase == starting {
 		x.phase, x.confirmedAt = running, now
 	}
-	x.isListed, x.isCarriedOver = true, false
+	x.isLocated, x.isCarriedOver = true, false
 	x.st.s.markStarted()
 	t.markBegun(x.st)
 	if row.Percent != x.percent || !x.hasStatus {
@@ -188,7 +197,7 @@
 	x := t.place(st, key.task.Index, r, key.run, now)
 	t.background = nil
 	t.claim(r, st)
-	x.phase, x.confirmedAt, x.isListed = running, now, true
+	x.phase, x.confirmedAt, x.isLocated = running, now, true
 	st.ranBefore = true
 	s.markStarted()
 	t.recordRun(now, EventAdopted, x, "listed by the runner")
@@ -219,7 +228,9 @@
 // stopUnknown orders the stop of a run that is not in the table.
 func (t *Table) stopUnknown(r *runner, key runKey, now time.Time) {
 	r.unknownStoppedAt = now
-	t.orders = append(t.orders, Order{Kind: Stop, Runner: r.info.ID, Lifetime: r.info.Lifetime, Task: key.task, Run: key.run, isUnknown: true})
+	o := newOrder(Stop, r, key)
+	o.isUnknown = true
+	t.orders = append(t.orders, o)
 }
 
 // step returns the state of a task's step, after setting up all occurrences up to
@@ -451,5 +462,5 @@
 }
 
 func stopOrder(x *run) Order {
-	return Order{Kind: Stop, Runner: x.runner.info.ID, Lifetime: x.runner.info.Lifetime, Task: x.id(), Run: x.number}
+	return newOrder(Stop, x.runner, runKey{x.id(), x.number})
 }
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -60,18 +60,23 @@
 		return
 	}
 	t.dequeue(x)
-	if r := x.runner; lifetime > r.info.Lifetime {
+	if r := x.runner; lifetime != 0 && lifetime != r.info.Lifetime && o.Token == r.token {
 		if outcome == OtherLifetime {
 			t.release(x) // the incarnation that was lost never had it
 		}
 		t.resetRunner(r, lifetime, "answer to a start", now) // this also stops the run, whose start was not confirmed
 		return
 	}
-	if outcome == Unanswered && x.isListed {
+	if outcome == Unanswered && x.isLocated {
 		return // the runner has listed the run meanwhile
 	}
+	if outcome == Succeeded && x.isCarriedOver && lifetime != 0 && lifetime == x.runner.formerLifetime {
+		t.end(x, now, "runner was restarted")
+		return
+	}
 	if outcome == Succeeded {
 		x.confirmedAt = now
+		x.isLocated = x.isLocated || (lifetime != 0 && lifetime == x.runner.info.Lifetime)
 		x.st.s.markStarted()
 		t.markBegun(x.st)
 		if x.phase == starting {
--- a/internal/version/dispatcher/rig_test.go
+++ b/internal/version/dispatcher/rig_test.go
@@ -60,6 +60,7 @@
 		lifetimes: make(map[string]int64), bornAt: make(map[string]time.Time),
 	}
 	h.table = New(testLimits, testFence, generation, recorder.Discard{}, h.now)
+	h.table.AllowTokens(testFence + 1000)
 	h.configure(nil, testQueues...)
 	h.setRunners(runners)
 	return h
@@ -104,9 +105,10 @@
 		ends[i].N = h.ends[runner]
 	}
 	h.table.LeaseUntil(runner, h.now)
+	token, _ := h.table.Token(runner)
 	sent := h.now
 	h.now = h.now.Add(time.Millisecond)
-	h.table.Report(runner, Report{Lifetime: h.lifetime(runner), Clock: h.clock(runner), Running: h.reported[runner], Ended: ends}, sent, h.now)
+	h.table.Report(runner, Report{Token: token, Lifetime: h.lifetime(runner), Clock: h.clock(runner), Running: h.reported[runner], Ended: ends}, sent, h.now)
 }
 
 // stall lets the runs make no progress for so long that copies are started, while every
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -52,6 +52,11 @@
 	isolatedFor *submission // the submission of the suspected runs, or nil
 	lostAt      time.Time   // when all that ran here was last known to be lost
 
+	// token is the fencing token of the calls to the current incarnation.
+	token int64
+	// formerLifetime is the incarnation before the current one that this owner has known, or
+	// zero. A host's time may jump back, so that it need not be the lower one.
+	formerLifetime int64
 	// restartedAt is when this owner last learnt that the process was restarted, or zero.
 	restartedAt time.Time
 	answeredAt  time.Time    // when the newest answer arrived
@@ -132,19 +137,17 @@
 		seen[info.ID] = true
 		r, ok := t.runners[info.ID]
 		if !ok {
-			r = newRunner(info)
+			r = t.addRunner(info)
 			r.wasReleased = t.isRosterKnown
-			t.runners[info.ID] = r
 		}
-		if info.Lifetime > r.info.Lifetime {
+		if info.Lifetime > r.info.Lifetime && !r.isFormer(info.Lifetime) {
 			t.resetRunner(r, info.Lifetime, "registry entry", now)
 		}
-		lifetime := max(r.info.Lifetime, info.Lifetime)
 		if r.info.Draining != info.Draining && info.Draining {
 			t.recordRunner(now, EventRunnerDraining, r, "registry entry says draining")
 		}
 		t.registerCapacity(r, info, now)
-		capacity := r.info.Capacity
+		lifetime, capacity := r.info.Lifetime, r.info.Capacity
 		r.info = info
 		r.info.Lifetime, r.info.Capacity = lifetime, capacity
 		r.isRegistered = true
@@ -168,7 +171,7 @@
 	t.RosterStored(infos)
 	for _, info := range infos {
 		if _, ok := t.runners[info.ID]; !ok {
-			t.runners[info.ID] = newRunner(info)
+			t.addRunner(info)
 		}
 	}
 }
@@ -216,19 +219,26 @@
 	return infos
 }
 
+// isFormer reports whether an incarnation, or zero if unknown, is a former one of the runner.
+func (r *runner) isFormer(lifetime int64) bool {
+	return lifetime != 0 && lifetime != r.info.Lifetime && (lifetime < r.info.Lifetime || lifetime == r.formerLifetime)
+}
+
 // resetRunner handles a new incarnation of a runner under the same ID, of which the owner has
 // learnt from a source.
 func (t *Table) resetRunner(r *runner, lifetime int64, source string, now time.Time) {
 	defer t.blame(r.loss(), now)
 	t.recordRestart(now, r, lifetime, source)
 	r.wasReleased = false
-	r.info.Lifetime, r.restartedAt = lifetime, now
+	r.formerLifetime, r.info.Lifetime, r.restartedAt = r.info.Lifetime, lifetime, now
+	r.token++
+	t.restarted = append(t.restarted, r.info.ID)
 	for _, x := range r.runsByAge() {
-		if x.isListed {
+		if x.isLocated {
 			t.end(x, now, "runner was restarted")
 			continue
 		}
-		// The new incarnation may have answered the start, or may still carry it out.
+		// The new incarnation may have begun the run, or may do so until it has seen its token.
 		x.isCarriedOver = true
 		if x.phase != running {
 			x.phase, x.isStopQueued = running, false
@@ -274,33 +284,36 @@
 	return r.answeredAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
 }
 
-// maxOrderDelay is the longest time for which an order may be on its way once it has
-// counted as unanswered.
-const maxOrderDelay = 6 * time.Second
+const (
+	// maxCallDelay is the longest time for which a call may be on its way.
+	maxCallDelay = 12 * time.Second
+	// secondRestartWait is how long a task waits for an unanswered start, although its
+	// restarted runner refuses that: the runner may be restarted once more.
+	secondRestartWait = 6 * time.Second
+)
 
-// begunBy returns the time by which a run has begun, if it ever does, whose start was
-// ordered before the runner's restart.
-func (x *run) begunBy() time.Time {
+// mayBegin reports whether the start of a run that was ordered before a restart may still be
+// carried out, if the runner is restarted once more.
+func (x *run) mayBegin(now time.Time) bool {
 	switch {
+	case !x.isCarriedOver:
+		return false
 	case !x.unansweredAt.IsZero():
-		return x.unansweredAt.Add(maxOrderDelay)
+		return now.Before(x.unansweredAt.Add(secondRestartWait))
 	case x.confirmedAt.IsZero():
-		return x.runner.restartedAt.Add(maxOrderDelay)
+		return now.Before(x.runner.restartedAt.Add(secondRestartWait))
 	default:
-		return x.confirmedAt
+		return false
 	}
 }
 
-// mayBegin reports whether a runner may still carry out the start of a run that was
-// ordered before a restart. It may have been restarted once more since it has confirmed a
-// stop.
-func (x *run) mayBegin(now time.Time) bool { return x.isCarriedOver && now.Before(x.begunBy()) }
-
 // carriedOverUntil returns the time by which a run whose start was ordered before the
-// runner's restart has lapsed, if the runner never answers. The runner's clock is another
-// since, so the lease end in the order does not bound it.
+// runner's restart has lapsed, if the new incarnation never answers. The runner's clock is
+// another since, so that any call for a former incarnation, also one of a former owner, grants
+// the longest lease.
 func (t *Table) carriedOverUntil(x *run) time.Time {
-	return t.longestLeaseFrom(later(x.runner.restartedAt, x.begunBy()))
+	sentBy := later(later(x.runner.restartedAt, x.unansweredAt), t.formerOwnerEnd)
+	return t.longestLeaseFrom(sentBy.Add(maxCallDelay))
 }
 
 // later returns the later of two times.
--- a/internal/version/dispatcher/shrinking_test.go
+++ b/internal/version/dispatcher/shrinking_test.go
@@ -241,19 +241,27 @@
 	h := newHarness(t, 0, 1)
 	h.pollAll(1)
 	h.add("a", "urgent", oneCore(8))
-	h.table.Report("r0", Report{Lifetime: 2, Clock: 1}, h.now, h.now.Add(time.Millisecond))
+	h.reportRestart()
 	h.registerCapacity(testCapacity, 1)
 	assertStarts(t, h.starts(), 0)
 	h.registerCapacity(withCores(4), 2)
 	h.advance(2 * blockedPause)
-	h.table.Report("r0", Report{Lifetime: 2, Clock: 200}, h.now, h.now.Add(time.Millisecond))
+	h.table.Report("r0", Report{Token: testFence + 1, Lifetime: 2, Clock: 200}, h.now, h.now.Add(time.Millisecond))
 	assertStarts(t, h.starts(), 4)
 }
 
+// reportRestart answers two polls of runner r0 that was restarted: one that was meant for its
+// former incarnation, and one with the token of the new one.
+func (h *harness) reportRestart() {
+	for i := range int64(2) {
+		h.table.Report("r0", Report{Token: testFence + i, Lifetime: 2, Clock: 1 + i}, h.now, h.now.Add(time.Millisecond))
+	}
+}
+
 func TestEntryWithoutAnIncarnationCounts(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, 0, 1)
-	h.table.Report("r0", Report{Lifetime: 2, Clock: 1}, h.now, h.now.Add(time.Millisecond))
+	h.reportRestart()
 	h.registerCapacity(withCores(4), 0)
 	h.add("a", "urgent", oneCore(8))
 	assertStarts(t, h.starts(), 4)
--- a/internal/version/dispatcher/simrunner_test.go
+++ b/internal/version/dispatcher/simrunner_test.go
@@ -58,26 +58,28 @@
 
 // A hold is a poll on its way to a runner.
 type hold struct {
-	fence, leaseEnd, acked int64
+	token, leaseEnd, acked int64
 }
 
-// newHold returns the poll that the owner of a table sends to a runner now.
-func newHold(t *Table, id string, now time.Time) hold {
-	return hold{fence: t.fence, leaseEnd: t.LeaseUntil(id, now), acked: t.Acknowledgeable(id, now)}
+// newHold returns the poll that the owner of a table sends to a runner now. It returns false if
+// the owner has no token for the runner.
+func newHold(t *Table, id string, now time.Time) (p hold, ok bool) {
+	token, ok := t.Token(id)
+	return hold{token: token, leaseEnd: t.LeaseUntil(id, now), acked: t.Acknowledgeable(id, now)}, ok
 }
 
 // hold carries out a poll and returns the report. It reports false if the runner has seen a
 // higher fencing token.
 func (r *simRunner) hold(p hold, now time.Time) (rep Report, ok bool) {
-	if p.fence < r.fence {
+	if p.token < r.fence {
 		return rep, false
 	}
-	r.fence = p.fence
+	r.fence = p.token
 	if p.leaseEnd > 0 {
 		r.leaseEnd = max(r.leaseEnd, min(p.leaseEnd, r.clock(now)+testLimits.MaxLease.Milliseconds()))
 	}
 	r.ended = slices.DeleteFunc(r.ended, func(e End) bool { return e.N <= p.acked })
-	rep = Report{Lifetime: r.lifetime, Clock: r.clock(now), Ended: slices.Clone(r.ended)}
+	rep = Report{Token: p.token, Lifetime: r.lifetime, Clock: r.clock(now), Ended: slices.Clone(r.ended)}
 	for _, key := range sortedKeys(r.running) {
 		rep.Running = append(rep.Running, RunStatus{Task: key.task, Run: key.run, Percent: 100})
 	}
@@ -95,21 +97,27 @@
 }
 
 // missed reports whether a late order never arrives, since the process that it was meant
-// for has ended, and no owner could keep the next process from carrying it out: the former
-// process has confirmed a stop that overtook it, or the owner that sent it has a successor,
-// which has not heard of it.
-func (r *simRunner) missed(d delayedOrder, fence int64) bool {
-	overtaken := r.stoppedBy[runKey{d.order.Task, d.order.Run}] == d.order.Lifetime
+// for has ended, and no owner could keep the next process, which the present one has not called
+// with its token yet, from carrying it out: the process that it was meant for has confirmed a
+// stop that overtook it, or a later one has and the owner has waited for another restart, or the
+// owner that sent it has a successor, which has not heard of it.
+func (r *simRunner) missed(d delayedOrder, t *Table, fence int64, now time.Time) bool {
+	known := t.runners[r.id]
+	if known != nil && known.info.Lifetime == r.lifetime && known.token <= r.fence {
+		return false
+	}
+	stoppedBy := r.stoppedBy[runKey{d.order.Task, d.order.Run}]
+	overtaken := stoppedBy == d.order.Lifetime || (stoppedBy > 0 && now.Sub(d.sentAt) > secondRestartWait)
 	return d.order.Lifetime != r.lifetime && (overtaken || d.fence < fence)
 }
 
 // carryOut carries out an order and returns its outcome.
-func (r *simRunner) carryOut(o Order, fence int64, now time.Time) Outcome {
+func (r *simRunner) carryOut(o Order, now time.Time) Outcome {
 	key := runKey{o.Task, o.Run}
-	if fence < r.fence {
+	if o.Token < r.fence {
 		return Fenced
 	}
-	r.fence = fence
+	r.fence = o.Token
 	switch o.Kind {
 	case Start:
 		r.leaseEnd = max(r.leaseEnd, min(o.Until, r.clock(now)+testLimits.MaxLease.Milliseconds()))
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -177,9 +177,9 @@
 	stopOrderedAt time.Time
 	isStopQueued  bool // the stop is decided and not sent yet
 	stoppedAt     time.Time
-	// isListed says that a report of the runner's current incarnation has listed the
-	// run. Answers to orders may come from an incarnation that is not known yet.
-	isListed bool
+	// isLocated says that the runner's current incarnation is known to have begun the run: it
+	// has answered the start, or has listed the run.
+	isLocated bool
 	// isCarriedOver says that the runner was restarted after the start was ordered, and
 	// that no report of the new process has listed the run.
 	isCarriedOver bool
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -44,8 +44,13 @@
 
 // A Table is the state of one owner. It is not safe for concurrent use.
 type Table struct {
-	limits     Limits
-	fence      int64
+	limits Limits
+	fence  int64
+	// maxToken is the highest fencing token that this owner may use, firstToken that of
+	// runners that it does not know yet. restarted holds the runners with a new token.
+	maxToken, firstToken int64
+	restarted            []string
+
 	generation int64
 	ownedSince time.Time
 	// formerOwnerEnd is the time up to which a former owner may have renewed
@@ -176,6 +181,8 @@
 	return &Table{
 		limits:           limits,
 		fence:            fence,
+		maxToken:         fence,
+		firstToken:       fence,
 		generation:       generation,
 		ownedSince:       now,
 		formerOwnerEnd:   now,
@@ -265,6 +272,7 @@
 	Kind       Kind
 	Runner     string
 	Lifetime   int64 // incarnation of the runner that the order is for
+	Token      int64 // fencing token of that incarnation
 	Task       submitter.TaskID
 	Run        int64
 	Spec       string // spec of the submission
@@ -284,3 +292,8 @@
 	t.orders = nil
 	return orders
 }
+
+// newOrder returns an order about a run, for the runner's current incarnation.
+func newOrder(kind Kind, r *runner, key runKey) Order {
+	return Order{Kind: kind, Runner: r.info.ID, Lifetime: r.info.Lifetime, Token: r.token, Task: key.task, Run: key.run}
+}
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -35,9 +35,9 @@
 func (t *Table) Tick(now time.Time) {
 	t.lapseAll(now)
 	var watched []*run
-	for id, r := range t.runners {
+	for _, r := range t.runners {
 		if !r.isRegistered && len(r.runs) == 0 && t.hasLapsed(r, now) {
-			delete(t.runners, id)
+			t.dropRunner(r)
 			continue
 		}
 		for _, x := range r.runs {
