--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -106,6 +106,9 @@
 		return
 	}
 	t.observeClock(r, rep.Clock, now)
+	if rep.Lifetime != 0 {
+		t.clearLapsed(r)
+	}
 	t.reportCapacity(r, rep.Capacity, sentAt, now)
 	if !r.acceptedToken {
 		r.acceptedToken, r.tokenAcceptedAt = true, now
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -51,6 +51,7 @@
 	suspects    int         // suspected runs on probation here
 	isolatedFor *submission // the submission of the suspected runs, or nil
 	lostAt      time.Time   // when all that ran here was last known to be lost
+	lapsed      []*run      // suspected runs that have lapsed here since the current incarnation last answered
 
 	// token is the fencing token of the calls to the current incarnation.
 	token int64
@@ -255,6 +256,7 @@
 	r.suspendedUntil, r.pausedUntil = time.Time{}, time.Time{}
 	r.halted = false
 	r.worstTail = unknownTailRatio
+	r.lapsed = nil
 }
 
 // runsByAge returns the runs on a runner, oldest first.
--- a/internal/version/dispatcher/suspect.go
+++ b/internal/version/dispatcher/suspect.go
@@ -234,6 +234,17 @@
 	t.markDirty(st.s)
 }
 
+// clearLapsed clears the runs that have lapsed on a runner of suspicion: its incarnation answers,
+// so that none of them has crashed it.
+func (t *Table) clearLapsed(r *runner) {
+	for _, x := range r.lapsed {
+		if !x.st.s.state.IsFinal() {
+			t.clearCrashes(x.st, x.index, func(c submitter.Crash) bool { return c.Run == x.number })
+		}
+	}
+	r.lapsed = nil
+}
+
 // restoreCrashes applies the saved crashes of a task.
 func (st *stepState) restoreCrashes(index int, crashes []submitter.Crash, now time.Time) {
 	if len(crashes) == 0 {
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -81,7 +81,9 @@
 		return
 	}
 	t.recordRunner(now, EventRunnerLapsed, r, "no lease renewal was answered")
-	defer t.blame(r.loss(), now)
+	l := r.loss()
+	r.lapsed = append(r.lapsed, l.suspects...)
+	defer t.blame(l, now)
 	for _, x := range lapsed {
 		t.end(x, now, "lease lapsed")
 	}
