--- a/internal/process/conductor/orders.go
+++ b/internal/process/conductor/orders.go
@@ -83,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 	defer cancel()
 	result := c.opts.RunnerClient.Send(ctx, address, order)
-	if result.Outcome == dispatcher.Fenced && c.isSuperseded(order.Runner, order.Token) {
+	if result.Outcome == dispatcher.Fenced && c.noteSuperseded(order.Runner, order.Token) {
 		result.Outcome = dispatcher.OtherLifetime
 	}
 	outcome := result.Outcome
@@ -155,9 +155,9 @@
 	})
 }
 
-// isSuperseded reports whether a runner has refused a call because this owner has sent it a
+// noteSuperseded reports whether a runner has refused a call because this owner has sent it a
 // newer fencing token, and records an event if so. The call was meant for a former incarnation.
-func (c *Conductor) isSuperseded(runner string, token int64) bool {
+func (c *Conductor) noteSuperseded(runner string, token int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.table.IsSuperseded(runner, token) {
@@ -189,21 +189,16 @@
 	c.pollers[id] = p
 	c.background.Go(func() {
 		defer cancel()
-		c.pollRunner(ctx, id)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if c.pollers[id] == p {
-			delete(c.pollers, id) // the table has dropped the runner, which may come back
-		}
+		c.pollRunner(ctx, p, id)
 	})
 }
 
 // pollRunner polls one runner repeatedly: it renews the runner's leases and passes
 // its reports to the table.
-func (c *Conductor) pollRunner(ctx context.Context, id string) {
+func (c *Conductor) pollRunner(ctx context.Context, p *poller, id string) {
 	for ctx.Err() == nil {
 		saved := c.savedSignal()
-		to, poll, ok := c.nextPoll(id)
+		to, poll, ok := c.nextPoll(p, id)
 		if !ok {
 			return
 		}
@@ -212,7 +207,7 @@
 			continue
 		}
 		sentAt := time.Now()
-		report, err := c.poll(ctx, to, poll)
+		report, err := c.poll(ctx, p, to, poll)
 		if ctx.Err() != nil {
 			return
 		}
@@ -221,7 +216,7 @@
 		}
 		c.opts.Metrics.observePoll(err, time.Since(sentAt)-poll.Wait)
 		switch {
-		case errors.Is(err, ErrFenced) && c.isSuperseded(id, poll.Token):
+		case errors.Is(err, ErrFenced) && c.noteSuperseded(id, poll.Token):
 		case errors.Is(err, ErrFenced):
 			c.opts.OnDeposed("runner " + id + " has seen a higher fencing token")
 			return
@@ -229,8 +224,12 @@
 			c.notePollFailure(id, err)
 			pauser.Sleep(ctx, pollRetryDelay)
 		default:
-			c.apply(func(t *dispatcher.Table, now time.Time) { t.Report(id, report, sentAt, now) })
-			if len(report.Ended) > 0 {
+			isCurrent := false
+			c.apply(func(t *dispatcher.Table, now time.Time) {
+				t.Report(id, report, sentAt, now)
+				isCurrent = !t.IsSuperseded(id, report.Token)
+			})
+			if isCurrent && len(report.Ended) > 0 {
 				c.awaitSave(ctx, saved)
 			}
 		}
@@ -238,13 +237,11 @@
 }
 
 // poll sends a poll, which interruptPoll ends early.
-func (c *Conductor) poll(ctx context.Context, to dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
+func (c *Conductor) poll(ctx context.Context, p *poller, to dispatcher.RunnerInfo, poll Poll) (report dispatcher.Report, err error) {
 	ctx, cancel := context.WithTimeout(ctx, poll.Wait+pollTimeout)
 	defer cancel()
 	c.mu.Lock()
-	if p := c.pollers[to.ID]; p != nil {
-		p.interrupt = cancel
-	}
+	p.interrupt = cancel
 	isCurrent := !c.table.IsSuperseded(to.ID, poll.Token)
 	c.mu.Unlock()
 	if !isCurrent {
@@ -257,11 +254,14 @@
 
 // nextPoll returns the next poll of a runner; ok is false if the table no longer
 // has the runner. The poll has no token if the runner can't be called yet.
-func (c *Conductor) nextPoll(id string) (to dispatcher.RunnerInfo, poll Poll, ok bool) {
+func (c *Conductor) nextPoll(p *poller, id string) (to dispatcher.RunnerInfo, poll Poll, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	to, ok = c.table.Runner(id)
 	if !ok {
+		if c.pollers[id] == p {
+			delete(c.pollers, id) // the runner may come back
+		}
 		return to, poll, false
 	}
 	poll = Poll{Wait: pollWait}
@@ -273,7 +273,7 @@
 	poll.LeaseEnd = c.table.LeaseUntil(id, now)
 	poll.Acked = c.table.Acknowledgeable(id, now)
 	switch {
-	case poll.LeaseEnd == 0:
+	case poll.LeaseEnd == 0, c.table.IsSilent(id):
 		poll.Wait = 0
 	case c.table.NeedsFrequentPolls(id), c.table.IsUnconfirmed(now):
 		poll.Wait = contendedWait
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return err
 	}
-	if len(items) == 0 {
+	if len(items) == 0 || items[0].Key != record {
 		return transactor.ErrNotFound
 	}
 	if items[0].Revision != t.Owner.Fence {
--- a/internal/process/scheduler/reach.go
+++ b/internal/process/scheduler/reach.go
@@ -51,7 +51,7 @@
 func (w *reachWatcher) Poll(ctx context.Context, to dispatcher.RunnerInfo, poll conductor.Poll) (dispatcher.Report, error) {
 	sentAt := time.Now()
 	report, err := w.RunnerClient.Poll(ctx, to, poll)
-	if !errors.Is(ctx.Err(), context.Canceled) { // else the runner is not polled any more
+	if !errors.Is(ctx.Err(), context.Canceled) { // else the poll was not needed any more
 		w.note(to.ID, err == nil || errors.Is(err, conductor.ErrFenced), sentAt, time.Now())
 	}
 	return report, err
--- a/internal/version/dispatcher/chaos_test.go
+++ b/internal/version/dispatcher/chaos_test.go
@@ -19,7 +19,7 @@
 	chaosStep       = 50 * time.Millisecond
 	chaosAnswerTime = 300 * time.Millisecond // of the slowest answer
 	chaosPoll       = 500 * time.Millisecond
-	chaosCallDelay  = 12 * time.Second // the longest for which a call is on its way, by the platform's documents
+	chaosCallDelay  = 12 * time.Second // the longest for which a call is on its way
 	chaosFaultsEnd  = 15 * time.Second
 	chaosSettleTime = 8 * time.Second // longer than leases, suspensions and pauses take together
 	// chaosTakeoverTime is how long after a takeover a task may run on a runner that is
--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -40,7 +40,7 @@
 	t.dequeue(x)
 	o.Until = t.LeaseUntil(o.Runner, now)
 	o.Ticket = x.st.permits[o.Runner].ticket
-	return o, true
+	return t.withToken(o, x.runner)
 }
 
 // withToken returns an order for the current incarnation of a runner. It returns false if there
--- a/internal/version/dispatcher/formercalls_test.go
+++ b/internal/version/dispatcher/formercalls_test.go
@@ -140,7 +140,7 @@
 // Guards against a task that runs twice: a start for the former incarnation of a runner, whose
 // deadline had passed there, was carried out by the next one, which did not answer.
 func TestStartForAFormerIncarnation(t *testing.T) {
-	const longestDelay = 12 * time.Second // of a call, by the platform's documents
+	const longestDelay = 12 * time.Second // of a call
 	f := newFormerCalls(t, 0)
 	f.advance(time.Hour)
 	f.pollSims("r0", "r1")
@@ -165,3 +165,148 @@
 	}
 	f.pass(10*time.Second, other)
 }
+
+// sendStart confirms the one start of the table, and returns it with its runner and the other one.
+func (f *formerCalls) sendStart() (start Order, on *simRunner, other string) {
+	f.t.Helper()
+	f.table.placementDue = true
+	f.table.Schedule(f.now)
+	orders := f.table.Orders()
+	assertStarts(f.t, orders, 1)
+	start, ok := f.table.Confirm(orders[0], f.now)
+	if !ok {
+		f.t.Fatal("the start is not sent")
+	}
+	if other = "r0"; start.Runner == other {
+		other = "r1"
+	}
+	return start, f.runners[start.Runner], other
+}
+
+// restartSim restarts a runner, of which the owner does not learn.
+func (f *formerCalls) restartSim(r *simRunner) {
+	r.reset(f.now)
+	f.lifetimes[r.id] = r.lifetime
+}
+
+// Guards against a wait for a start that can't begin any more: the next incarnation refused it, and
+// its task still waited for the longest time of a call.
+func TestStartThatANextIncarnationHasRefusedIsOver(t *testing.T) {
+	f := newFormerCalls(t, 0)
+	f.add("a", "urgent", lasting(1, 1000))
+	start, r, _ := f.sendStart()
+	f.restartSim(r)
+	f.register(r.id)
+	f.pollSims(r.id)
+	if outcome := r.carryOut(start, f.now); outcome != Fenced || !f.table.IsSuperseded(r.id, start.Token) {
+		t.Fatalf("the start is %s, want fenced by this owner", outcome)
+	}
+	f.table.ApplyStart(start, OtherLifetime, r.lifetime, f.now)
+	f.advance(time.Second)
+	f.pollSims("r0", "r1")
+	assertStarts(t, f.begin(), 1)
+}
+
+// Guards against a task that runs twice: a start of a former owner was carried out by a restarted
+// runner that its successor did not reach.
+func TestSuccessorWaitsForLateStartsAtARestartedRunner(t *testing.T) {
+	for _, reported := range []bool{true, false} {
+		t.Run(fmt.Sprintf("lapses reported %t", reported), func(t *testing.T) {
+			f := newFormerCalls(t, 0)
+			f.advance(time.Hour)
+			f.pollSims("r0", "r1")
+			f.add("a", "urgent", lasting(1, 1000))
+			late, r, other := f.sendStart()
+			f.table.ApplyStart(late, Unanswered, 0, f.now)
+			former, infos := f.table, f.table.Roster(nil, f.now)
+			f.table = New(testLimits, testFence+500, 1, former.rec, f.now)
+			f.table.AllowTokens(testFence + 1000)
+			f.configure(nil, testQueues...)
+			f.table.ExpectRunners(infos)
+			f.table.MarkSettled(former.Settled(f.now), f.now)
+			if reported {
+				f.table.ExpectLapses(former.Lapses(f.now))
+			}
+			f.silent = r.id
+			f.restartSim(r)
+			f.table.SetRunners(infos, f.now)
+			f.register(r.id)
+			f.add("a", "urgent", lasting(1, 1000))
+			f.pass(maxCallDelay-time.Second, other)
+			if outcome := r.carryOut(late, f.now); outcome != Succeeded {
+				t.Fatalf("the start is %s, want carried", outcome)
+			}
+			f.pass(2*testLimits.MaxLease, other)
+			if len(f.runners[other].running) != 1 {
+				t.Error("the task does not run after its lease has ended")
+			}
+		})
+	}
+}
+
+// Guards against an end that the owner drops unseen: the polls of a runner repeated an
+// acknowledgement, so that the first one after a restart carried it to the next incarnation.
+func TestAcknowledgementIsNotRepeated(t *testing.T) {
+	newAcked := func(t *testing.T) (f *formerCalls, r *simRunner) {
+		t.Helper()
+		f = newFormerCalls(t, 0)
+		on, _, start := f.startTask(oneCore(1))
+		r = f.runners[on]
+		f.pollSims(on)
+		r.end(runKey{start.Task, start.Run}, Done)
+		f.pollSims(on)
+		f.table.Saved(f.table.Unsaved(10))
+		return f, r
+	}
+	assertAcked := func(t *testing.T, f *formerCalls, r *simRunner, want int64) {
+		t.Helper()
+		if acked := f.table.Acknowledgeable(r.id, f.now); acked != want {
+			t.Errorf("acknowledged up to %d, want %d", acked, want)
+		}
+	}
+	t.Run("while a later end is not durable", func(t *testing.T) {
+		f, r := newAcked(t)
+		assertAcked(t, f, r, 1)
+		f.pollSims(r.id)
+		r.running[runKey{submitter.TaskID{Submission: "unknown"}, 1}] = true
+		r.end(runKey{submitter.TaskID{Submission: "unknown"}, 1}, Done)
+		f.pollSims(r.id)
+		assertAcked(t, f, r, 0)
+	})
+	t.Run("to a runner that is silent", func(t *testing.T) {
+		f, r := newAcked(t)
+		f.table.PollFailed(r.id, f.now)
+		assertAcked(t, f, r, 0)
+		f.pollSims(r.id)
+		assertAcked(t, f, r, 1)
+	})
+}
+
+// Guards against a restart that never was: a host's time had jumped back, and the registry still
+// showed an incarnation before the former one.
+func TestEntryOfAnEarlierIncarnationIsNoRestart(t *testing.T) {
+	f := newFormerCalls(t, 0)
+	r := f.runners["r0"]
+	for _, lifetime := range []int64{1000, 900, 950} {
+		f.restartSim(r)
+		r.lifetime = lifetime
+		f.pollSims("r0", "r1")
+		f.pollSims("r0", "r1")
+	}
+	f.lifetimes["r0"] = 1000
+	f.register("r0")
+	if info, _ := f.table.Runner("r0"); info.Lifetime != 950 {
+		t.Errorf("incarnation %d, want 950", info.Lifetime)
+	}
+}
+
+// Guards against a wait for the store: a new owner could not call a runner that was restarted
+// before it was elected.
+func TestRunnerThatWasNeverCalledNeedsNoOtherToken(t *testing.T) {
+	h := newHarness(t, 1, 1)
+	h.table.maxToken = testFence
+	h.restart("r0")
+	if token, ok := h.table.Token("r0"); token != testFence || !ok {
+		t.Errorf("token %d (known: %t), want %d", token, ok, testFence)
+	}
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -123,14 +123,19 @@
 	}
 	for _, e := range rep.Ended {
 		if e.N > r.lastEnd {
-			if e.N > r.lastEnd+1 && (r.lastEnd > 0 || !r.restartedAt.IsZero()) {
+			if e.N > r.lastEnd+1 && (r.lastEnd > 0 || r.isNew) {
 				t.recordMissingEnds(now, r, e.N)
 			}
 			r.lastEnd = e.N
 			t.processEnd(r, e, now)
 		}
 	}
-	r.isAckReceived = len(rep.Ended) == 0 && r.acked == r.lastEnd
+	switch {
+	case len(rep.Ended) > 0:
+		r.received = rep.Ended[0].N - 1
+	case r.acked == r.lastEnd:
+		r.received = r.lastEnd
+	}
 	listed := make(map[runKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		key := runKey{row.Task, row.Run}
--- a/internal/version/dispatcher/restarts_test.go
+++ b/internal/version/dispatcher/restarts_test.go
@@ -37,6 +37,7 @@
 	r := c.t
 	lost := c.runners["r5"]       // is lost for good some time
 	var carriedOver time.Duration // when starts that the lost runner may have carried out have lapsed
+	takeover := time.Duration(rapid.IntRange(0, int(2*chaosTakeover/time.Millisecond)).Draw(r, "takeover")) * time.Millisecond
 	lossAt := time.Duration(rapid.IntRange(0, int(chaosFaultsEnd/time.Millisecond)).Draw(r, "loss")) * time.Millisecond
 	for i := range 4 {
 		step := oneCore(4)
@@ -48,11 +49,11 @@
 		c.subs = append(c.subs, sub)
 		c.table.Add(sub, nil, c.now)
 	}
-	takeover := time.Duration(rapid.IntRange(0, int(2*chaosTakeover/time.Millisecond)).Draw(r, "takeover")) * time.Millisecond
 	for generation := int64(1); c.now.Sub(epoch) < chaosFaultsEnd; c.step() {
 		if !lost.isLost && c.now.Sub(epoch) > lossAt {
 			if lost.restarts > 0 {
-				carriedOver = lost.bornAt.Sub(epoch) + chaosCarryOverTime
+				// A new owner that has not heard of the incarnation waits for starts of the former one.
+				carriedOver = max(lost.bornAt.Sub(epoch)+chaosCarryOverTime, takeover+takeoverTime+chaosCallDelay)
 			}
 			lost.isLost, lost.isDown, lost.downTill = true, true, c.now.Add(time.Hour)
 			lost.reset(c.now)
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -70,7 +70,7 @@
 	if outcome == Unanswered && x.isLocated {
 		return // the runner has listed the run meanwhile
 	}
-	if outcome == Succeeded && x.isCarriedOver && lifetime != 0 && lifetime == x.runner.formerLifetime {
+	if outcome == Succeeded && x.isCarriedOver && slices.Contains(x.runner.formerLifetimes, lifetime) {
 		t.end(x, now, "runner was restarted")
 		return
 	}
@@ -97,7 +97,9 @@
 		t.suspend(x.runner, now)
 		t.stop(x, now, "start was not answered")
 	case NotSent, Unhealthy, NoRoom, TooLate, OtherLifetime, Invalid, NotPermitted:
-		if x.phase == starting {
+		if x.isCarriedOver {
+			t.end(x, now, "start: "+outcome.String())
+		} else if x.phase == starting {
 			delete(x.st.permits, o.Runner)
 			switch outcome {
 			case TooLate:
@@ -126,7 +128,7 @@
 		return
 	}
 	x.isStopQueued = false
-	if o.Lifetime != x.runner.info.Lifetime {
+	if o.Token != x.runner.token {
 		return
 	}
 	switch outcome {
@@ -280,24 +282,26 @@
 // Acknowledgeable returns the number of the last end that can be acknowledged to a
 // runner: the changes that this end and all earlier ones have caused are durable. An
 // end whose submission stays unknown for unknownRunGrace is acknowledged too. It returns
-// zero once the runner has received that: a new incarnation, which numbers its ends anew,
-// would drop those that the owner has not seen.
+// zero once the runner has received that, and while it is silent: a new incarnation, which
+// numbers its ends anew, would drop those that the owner has not seen.
 func (t *Table) Acknowledgeable(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
-	if !ok {
+	if !ok || !r.silentSince.IsZero() {
 		return 0
 	}
+	settled := r.lastEnd
 	for len(r.pending) > 0 {
 		if p := r.pending[0]; !p.isSettled(now) {
-			return p.n - 1
+			settled = p.n - 1
+			break
 		}
 		r.pending = r.pending[1:]
 	}
-	if r.isAckReceived {
+	if settled <= r.received {
 		return 0
 	}
-	r.acked = r.lastEnd
-	return r.lastEnd
+	r.acked = settled
+	return settled
 }
 
 // isSettled reports whether a successor need not hear of an end: what it has changed is
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -53,11 +53,16 @@
 	lostAt      time.Time   // when all that ran here was last known to be lost
 	lapsed      []*run      // suspected runs that have lapsed here since the current incarnation last answered
 
-	// token is the fencing token of the calls to the current incarnation.
-	token int64
-	// formerLifetime is the incarnation before the current one that this owner has known, or
-	// zero. A host's time may jump back, so that it need not be the lower one.
-	formerLifetime int64
+	// token is the fencing token of the calls to the current incarnation, if isTokenUsed since
+	// a call may have been sent with it.
+	token       int64
+	isTokenUsed bool
+	// formerLifetimes holds the incarnation before the current one, and earlier ones that are
+	// higher: a host's time may jump back.
+	formerLifetimes []int64
+	// isNew says that the former incarnation had accepted the owner's token, so that this owner
+	// sees all ends of the current one.
+	isNew bool
 	// restartedAt is when this owner last learnt that the process was restarted, or zero.
 	restartedAt time.Time
 	answeredAt  time.Time    // when the newest answer arrived
@@ -65,10 +70,9 @@
 	maxLeaseEnd int64        // the latest lease end that was sent, ms on the runner's clock
 	lastEnd     int64        // number of the newest end that was processed
 	pending     []pendingEnd // processed ends that were not acknowledged yet, oldest first
-	// acked is the highest end that was acknowledged; isAckReceived says that the newest
-	// report lists none, so that the runner has dropped all ends up to it.
-	acked         int64
-	isAckReceived bool
+	// acked is the highest end that was acknowledged, and received the highest one that the
+	// runner has dropped.
+	acked, received int64
 
 	failedSubmissions map[string]bool      // submissions that failed here since the last success
 	suspendedUntil    time.Time            // when the runner may get new work again after failures of tasks
@@ -222,7 +226,18 @@
 
 // isFormer reports whether an incarnation, or zero if unknown, is a former one of the runner.
 func (r *runner) isFormer(lifetime int64) bool {
-	return lifetime != 0 && lifetime != r.info.Lifetime && (lifetime < r.info.Lifetime || lifetime == r.formerLifetime)
+	return lifetime != 0 && lifetime != r.info.Lifetime && (lifetime < r.info.Lifetime || slices.Contains(r.formerLifetimes, lifetime))
+}
+
+// renew sets the incarnation, and gives it a token of its own.
+func (r *runner) renew(lifetime int64) {
+	r.formerLifetimes = slices.DeleteFunc(r.formerLifetimes, func(former int64) bool { return former <= lifetime })
+	r.formerLifetimes = append(r.formerLifetimes, r.info.Lifetime)
+	r.info.Lifetime = lifetime
+	if r.isTokenUsed {
+		r.token++
+		r.isTokenUsed = false
+	}
 }
 
 // resetRunner handles a new incarnation of a runner under the same ID, of which the owner has
@@ -231,8 +246,8 @@
 	defer t.blame(r.loss(), now)
 	t.recordRestart(now, r, lifetime, source)
 	r.wasReleased = false
-	r.formerLifetime, r.info.Lifetime, r.restartedAt = r.info.Lifetime, lifetime, now
-	r.token++
+	r.renew(lifetime)
+	r.restartedAt, r.isNew = now, r.acceptedToken
 	t.restarted = append(t.restarted, r.info.ID)
 	for _, x := range r.runsByAge() {
 		if x.isLocated {
@@ -249,7 +264,7 @@
 	r.acceptedToken, r.acceptedAt = false, time.Time{}
 	r.capacity = capacityStatements{}
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
-	r.lastEnd, r.pending, r.acked, r.isAckReceived = 0, nil, 0, false
+	r.lastEnd, r.pending, r.acked, r.received = 0, nil, 0, 0
 	clear(r.unknownRuns)
 	r.unknownStoppedAt = time.Time{}
 	clear(r.failedSubmissions)
@@ -279,8 +294,13 @@
 // lapsedBy returns the time by which every lease on a runner has lapsed if it is
 // not renewed, including those of orders that arrive late.
 func (t *Table) lapsedBy(r *runner) time.Time {
-	if r.answeredAt.IsZero() {
+	switch {
+	case !r.answeredAt.IsZero():
+	case r.restartedAt.IsZero():
 		return t.formerLapse(r.info.ID)
+	default:
+		// It may carry out a start of a former owner.
+		return later(t.formerLapse(r.info.ID), t.longestLeaseFrom(t.formerOwnerEnd.Add(maxCallDelay)))
 	}
 	left := time.Duration(max(0, r.maxLeaseEnd-r.clock)) * time.Millisecond
 	return r.answeredAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
--- a/internal/version/dispatcher/shrinking_test.go
+++ b/internal/version/dispatcher/shrinking_test.go
@@ -253,8 +253,9 @@
 // reportRestart answers two polls of runner r0 that was restarted: one that was meant for its
 // former incarnation, and one with the token of the new one.
 func (h *harness) reportRestart() {
-	for i := range int64(2) {
-		h.table.Report("r0", Report{Token: testFence + i, Lifetime: 2, Clock: 1 + i}, h.now, h.now.Add(time.Millisecond))
+	for clock := range int64(2) {
+		token, _ := h.table.Token("r0")
+		h.table.Report("r0", Report{Token: token, Lifetime: 2, Clock: 1 + clock}, h.now, h.now.Add(time.Millisecond))
 	}
 }
 
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -194,6 +194,12 @@
 // processor time.
 func (t *Table) isLarge() bool { return len(t.runners) > manyRunners }
 
+// IsSilent reports whether a runner has not answered its last poll.
+func (t *Table) IsSilent(id string) bool {
+	r, ok := t.runners[id]
+	return ok && !r.silentSince.IsZero()
+}
+
 // IsIdle reports whether nothing runs on a runner.
 func (t *Table) IsIdle(id string) bool {
 	r, ok := t.runners[id]
