--- a/internal/process/slotter/slot.go
+++ b/internal/process/slotter/slot.go
@@ -114,11 +114,17 @@
 // noteFailure stores an observation of a failure. If the request's context has ended,
 // the failure says nothing about the runner, and Cancelled is stored instead.
 func (sl *Slot) noteFailure(ctx context.Context, observed picker.Observation) {
-	if ctx.Err() == nil {
-		sl.observed = observed
-		return
+	if hasEnded(ctx) {
+		observed = picker.Cancelled
 	}
-	sl.observed = picker.Cancelled
+	sl.observed = observed
+}
+
+// hasEnded reports whether a context has ended or is past its deadline. A dial keeps the
+// deadline by a timer of its own, which may fire before that of the context.
+func hasEnded(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || (ok && !time.Now().Before(deadline))
 }
 
 // noteExchangeError stores the observation that follows from a failed exchange. If the
--- a/internal/process/slotter/slots_test.go
+++ b/internal/process/slotter/slots_test.go
@@ -297,6 +297,41 @@
 	f.assertFree(t, fixtureSlots)
 }
 
+// A lateContext is past its deadline, and has not ended yet: its timer is late.
+type lateContext struct {
+	context.Context
+
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (deadline time.Time, ok bool) { return c.deadline, true }
+
+// Guards against a runner that is ejected since a request's time has run out while a
+// connection was opened.
+func TestFailedDialEjectsUnlessTimeHasRunOut(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ctx  context.Context
+		want int
+	}{
+		{"with time left", t.Context(), 0},
+		{"after the deadline", lateContext{t.Context(), time.Now()}, fixtureSlots},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, quick)
+			closed := httptest.NewServer(http.NotFoundHandler())
+			closed.Close()
+			f.slots.opts.Dial = func(ctx context.Context, _ string) (*exchanger.Conn, error) {
+				return exchanger.Dial(ctx, closed.Listener.Addr().String())
+			}
+			if err := f.use(c.ctx, f.mustAcquire(t)); err == nil || exchanger.IsSent(err) {
+				t.Errorf("error = %v, want one before anything was sent", err)
+			}
+			f.assertFree(t, c.want)
+		})
+	}
+}
+
 // Guards against slots that are lost when queued requests are cancelled.
 func TestSlotsServeWaitingRequests(t *testing.T) {
 	f := newFixture(t, func(http.ResponseWriter, *http.Request) { time.Sleep(2 * time.Millisecond) })
