--- a/internal/process/scheduler/pool_test.go
+++ b/internal/process/scheduler/pool_test.go
@@ -32,11 +32,18 @@
 	running map[string][]dispatcher.RunStatus
 	// isFenced says that the next poll is refused for its fencing token.
 	isFenced bool
+	// lifetimes are the present incarnations, and tokens the highest fencing tokens that they
+	// have seen. refused counts the calls with a lower one.
+	lifetimes, tokens map[string]int64
+	refused           int
 }
 
 // newPool returns a pool of runners with room for one task each.
 func newPool(ids ...string) *pool {
-	p := &pool{began: time.Now(), gone: make(map[string]bool), running: make(map[string][]dispatcher.RunStatus)}
+	p := &pool{
+		began: time.Now(), gone: make(map[string]bool), running: make(map[string][]dispatcher.RunStatus),
+		lifetimes: make(map[string]int64), tokens: make(map[string]int64),
+	}
 	for _, id := range ids {
 		p.join(id)
 	}
@@ -47,6 +54,7 @@
 func (p *pool) join(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lifetimes[id] = 1
 	p.listed = append(p.listed, dispatcher.RunnerInfo{
 		ID: id, Service: "s", Address: id, DataCentre: "z", Lifetime: 1, Capacity: submitter.Resources{MilliCores: 1000, MemoryMB: 1000},
 	})
@@ -70,6 +78,38 @@
 	p.listed = slices.DeleteFunc(p.listed, func(r dispatcher.RunnerInfo) bool { return r.ID == id })
 }
 
+// restart starts the next incarnation of a runner, which runs nothing.
+func (p *pool) restart(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lifetimes[id]++
+	delete(p.running, id)
+	delete(p.tokens, id)
+	for i := range p.listed {
+		if p.listed[i].ID == id {
+			p.listed[i].Lifetime = p.lifetimes[id]
+		}
+	}
+}
+
+// accept reports whether a runner has seen no higher fencing token. p.mu must be held.
+func (p *pool) accept(id string, token int64) bool {
+	if token < p.tokens[id] {
+		p.refused++
+		return false
+	}
+	p.tokens[id] = token
+	return true
+}
+
+// seen returns the highest fencing token that a runner's incarnation has seen, and how many
+// calls all runners have refused.
+func (p *pool) seen(id string) (token int64, refused int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tokens[id], p.refused
+}
+
 // fence refuses the next poll for its fencing token, which ends its owner's term.
 func (p *pool) fence() {
 	p.mu.Lock()
@@ -109,17 +149,23 @@
 		<-ctx.Done()
 		return report, ctx.Err()
 	}
-	pauser.Sleep(ctx, max(poll.Wait, 10*time.Millisecond))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.gone[to.ID] {
+	if !p.accept(to.ID, poll.Token) {
+		return report, conductor.ErrFenced
+	}
+	lifetime := p.lifetimes[to.ID]
+	p.mu.Unlock()
+	pauser.Sleep(ctx, max(poll.Wait, 10*time.Millisecond))
+	p.mu.Lock()
+	if p.gone[to.ID] || p.lifetimes[to.ID] != lifetime {
 		return report, io.EOF
 	}
 	if p.isFenced {
 		p.isFenced = false
 		return report, conductor.ErrFenced
 	}
-	return dispatcher.Report{Lifetime: 1, Clock: p.clock(), Running: slices.Clone(p.running[to.ID])}, ctx.Err()
+	return dispatcher.Report{Lifetime: lifetime, Clock: p.clock(), Running: slices.Clone(p.running[to.ID])}, ctx.Err()
 }
 
 // Send implements conductor.RunnerClient.
@@ -130,6 +176,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.accept(address, order.Token) {
+		return conductor.OrderResult{Outcome: dispatcher.Fenced}
+	}
 	isRun := func(s dispatcher.RunStatus) bool { return s.Task == order.Task && s.Run == order.Run }
 	switch order.Kind {
 	case dispatcher.Start:
@@ -138,7 +187,7 @@
 		p.running[address] = slices.DeleteFunc(p.running[address], isRun)
 	case dispatcher.Pace:
 	}
-	return conductor.OrderResult{Outcome: dispatcher.Succeeded, Clock: p.clock(), Lifetime: 1}
+	return conductor.OrderResult{Outcome: dispatcher.Succeeded, Clock: p.clock(), Lifetime: p.lifetimes[address]}
 }
 
 func (p *pool) isGone(id string) bool {
