--- a/internal/process/conductor/incarnation_test.go
+++ b/internal/process/conductor/incarnation_test.go
@@ -221,14 +221,14 @@
 func TestPollForAFormerIncarnationIsNotSent(t *testing.T) {
 	t.Parallel()
 	runReborn(t, 1000, func(t *testing.T, r *rebornRunner) {
-		to, poll, ok := r.c.nextPoll("r")
+		to, poll, ok := r.c.nextPoll(&poller{}, "r")
 		if !ok || poll.Token != 1 {
 			t.Fatalf("next poll %+v, want one with token 1", poll)
 		}
 		r.restart()
 		r.list()
 		before, _ := r.sent()
-		if _, err := r.c.poll(t.Context(), to, poll); !errors.Is(err, context.Canceled) {
+		if _, err := r.c.poll(t.Context(), &poller{}, to, poll); !errors.Is(err, context.Canceled) {
 			t.Errorf("error %v, want %v", err, context.Canceled)
 		}
 		if after, _ := r.sent(); len(after) > len(before) {
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -150,6 +150,7 @@
 	6119: {Name: "dispatcher.roomKept", Level: log.InfoLevel},
 	6120: {Name: "dispatcher.endsMissing", Level: log.InfoLevel},
 	6121: {Name: "dispatcher.restartAccepted", Level: log.InfoLevel},
+	6122: {Name: "dispatcher.runnerDoubted", Level: log.InfoLevel},
 	6200: {Name: "conductor.runnerSilent", Level: log.InfoLevel},
 	6201: {Name: "conductor.recordUnreadable", Level: log.InfoLevel},
 	6202: {Name: "conductor.storeFailed", Level: log.InfoLevel},
--- a/internal/version/dispatcher/confirm.go
+++ b/internal/version/dispatcher/confirm.go
@@ -26,10 +26,10 @@
 		return o, false
 	case o.Kind == Stop:
 		x.isStopQueued, x.stopOrderedAt = false, now
-		return t.withToken(o, x.runner)
+		return t.withToken(o, x.runner, now)
 	case o.Kind == Pace:
 		o.Percent = x.pace
-		confirmed, ok = t.withToken(o, x.runner)
+		confirmed, ok = t.withToken(o, x.runner, now)
 		x.isPaceOrdered = ok
 		return confirmed, ok
 	}
@@ -40,13 +40,13 @@
 	t.dequeue(x)
 	o.Until = t.LeaseUntil(o.Runner, now)
 	o.Ticket = x.st.permits[o.Runner].ticket
-	return t.withToken(o, x.runner)
+	return t.withToken(o, x.runner, now)
 }
 
 // withToken returns an order for the current incarnation of a runner. It returns false if there
 // is no token for that yet.
-func (t *Table) withToken(o Order, r *runner) (confirmed Order, ok bool) {
-	o.Lifetime, o.Token = r.info.Lifetime, r.token
+func (t *Table) withToken(o Order, r *runner, now time.Time) (confirmed Order, ok bool) {
+	o.Lifetime, o.Token, o.clock = r.info.Lifetime, r.token, r.leastClock(now)
 	_, ok = t.Token(o.Runner)
 	return o, ok
 }
--- a/internal/version/dispatcher/events.go
+++ b/internal/version/dispatcher/events.go
@@ -70,6 +70,9 @@
 	// with its fencing token, so that it refuses calls for the former ones. The report counts
 	// what those may have left there.
 	EventRestartAccepted recorder.Number = 6121
+	// EventRunnerDoubted is recorded when the answer to an order shows a clock that is behind
+	// that of the runner's known incarnation, so that the runner has probably been restarted.
+	EventRunnerDoubted recorder.Number = 6122
 )
 
 // record records an event about a submission. The pairs are alternating names and
--- a/internal/version/dispatcher/formercalls_test.go
+++ b/internal/version/dispatcher/formercalls_test.go
@@ -310,3 +310,75 @@
 		t.Errorf("token %d (known: %t), want %d", token, ok, testFence)
 	}
 }
+
+// Guards against a task that runs twice: answers to orders name no incarnation, so that a start which
+// the next one had answered counted for the former one, and lapsed on its clock.
+func TestAnswerToAnOrderShowsARestart(t *testing.T) {
+	newAnswered := func(t *testing.T, isRestarted bool) (f *formerCalls, r *simRunner, other string) {
+		t.Helper()
+		f = newFormerCalls(t, 0)
+		f.advance(time.Minute)
+		f.pollSims("r0", "r1")
+		f.add("a", "urgent", lasting(1, 1000))
+		start, r, other := f.sendStart()
+		if isRestarted {
+			f.restartSim(r)
+			f.now = f.now.Add(time.Second)
+		}
+		f.table.ObserveClock(start, 0, r.clock(f.now), f.now)
+		if outcome := r.carryOut(start, f.now); outcome != Succeeded {
+			t.Fatalf("the start is %s, want carried", outcome)
+		}
+		f.table.ApplyStart(start, Succeeded, 0, f.now)
+		return f, r, other
+	}
+	t.Run("of a runner that falls silent", func(t *testing.T) {
+		f, r, other := newAnswered(t, true)
+		if until := f.table.LeaseUntil(r.id, f.now); until != 0 {
+			t.Errorf("a lease end of %d is sent, want none", until)
+		}
+		r.hold(f.late[r.id], f.now) // renews its lease
+		f.silent = r.id
+		f.pass(10*time.Second, other)
+	})
+	t.Run("and the run goes on there", func(t *testing.T) {
+		f, r, _ := newAnswered(t, true)
+		f.pass(10*time.Second, "r0", "r1")
+		if len(r.running) != 1 {
+			t.Error("the run has ended")
+		}
+	})
+	t.Run("only if the clock is behind", func(t *testing.T) {
+		f, r, _ := newAnswered(t, false)
+		if f.table.runners[r.id].isDoubted {
+			t.Error("the incarnation is in doubt, want it not to be")
+		}
+	})
+}
+
+// Guards against a task that runs twice: its run had lapsed on the clock of the former incarnation
+// of a runner, and the next one, of which the owner had learnt since, had begun it.
+func TestLapsedStartMayHaveBegunOnANextIncarnation(t *testing.T) {
+	f := newFormerCalls(t, 0)
+	f.add("a", "urgent", lasting(1, 1000))
+	late, r, other := f.sendStart()
+	f.table.ApplyStart(late, Unanswered, 0, f.now)
+	f.silent = r.id
+	f.table.runners[other].info.Capacity = submitter.Resources{}
+	f.pass(8*time.Second, other)
+	if n := len(f.table.runners[r.id].runs); n != 0 {
+		t.Fatalf("%d runs are known on the silent runner, want it to have lapsed", n)
+	}
+	f.restartSim(r)
+	r.running[runKey{late.Task, late.Run}] = true // begun late
+	r.leaseEnd = r.clock(f.now) + testLimits.MaxLease.Milliseconds()
+	f.register(r.id)
+	f.table.runners[other].info.Capacity = testCapacity
+	f.pass(2*time.Second, other)
+	f.silent = ""
+	f.pass(time.Second, "r0", "r1")
+	f.pass(10*time.Second, "r0", "r1")
+	if len(f.runners[other].running)+len(r.running) != 1 {
+		t.Error("the task does not run")
+	}
+}
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -65,7 +65,8 @@
 // ObserveClock records an answer of a runner to an order. The argument clock is the
 // reading of the runner's clock in that answer, in milliseconds, and lifetime is the
 // incarnation that answered, or zero if unknown. The reading of an unknown incarnation is
-// not used: the answer may be a late one of a former incarnation, whose clock was ahead. Nor
+// not used: the answer may be a late one of a former incarnation, whose clock was ahead. It
+// shows a restart if the clock of the known one was further when the order was sent. Nor
 // is that of an incarnation that has not seen its token: calls for a former one may renew its
 // leases after the answer.
 func (t *Table) ObserveClock(o Order, lifetime, clock int64, now time.Time) {
@@ -74,6 +75,9 @@
 	case !ok:
 	case lifetime == 0:
 		r.silentSince = time.Time{}
+		if clock < o.clock && o.Token == r.token {
+			t.doubt(r, now)
+		}
 	case lifetime == r.info.Lifetime && o.Token == r.token:
 		t.observeClock(r, clock, now)
 	}
@@ -101,13 +105,20 @@
 	if !ok || rep.Token != r.token {
 		return
 	}
-	if rep.Lifetime != 0 && rep.Lifetime != r.info.Lifetime {
+	switch {
+	case rep.Lifetime == 0 || rep.Lifetime == r.info.Lifetime:
+	case r.isDoubted:
+		t.resetRunner(r, rep.Lifetime, "answer to a poll", now) // it has seen its token
+	default:
+		t.renewToken(r)
 		t.resetRunner(r, rep.Lifetime, "answer to a poll", now)
 		return
 	}
+	r.isDoubted = false
 	t.observeClock(r, rep.Clock, now)
 	if rep.Lifetime != 0 {
 		t.clearLapsed(r)
+		r.adrift = nil
 	}
 	t.reportCapacity(r, rep.Capacity, sentAt, now)
 	if !r.acceptedToken {
@@ -198,6 +209,7 @@
 		}
 	}
 	k := &st.tasks[key.task.Index]
+	t.withdrawUnsent(k, now)
 	unwanted := s.state.IsFinal() || k.done || (len(k.runs) > 0 && !st.spec.Speculative)
 	if t.isIdleAndLate(st, now) {
 		t.background = st // the former owner may have started it so
@@ -218,6 +230,16 @@
 	return x
 }
 
+// withdrawUnsent withdraws the starts of a task that were not sent, as it is found running. Those
+// of a gang are left, as its members start together.
+func (t *Table) withdrawUnsent(k *task, now time.Time) {
+	for _, x := range slices.Clone(k.runs) {
+		if x.isQueued && !x.st.spec.Gang && !x.st.spec.Speculative {
+			t.withdraw(x, now, "listed elsewhere")
+		}
+	}
+}
+
 // detachedStep returns a new state, in which all tasks are done, for a step of an
 // ended submission. It stands for the step's own state, which may have been dropped,
 // in runs that still take up room on a runner.
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -64,6 +64,7 @@
 		if outcome == OtherLifetime {
 			t.release(x) // the incarnation that was lost never had it
 		}
+		t.renewToken(r)
 		t.resetRunner(r, lifetime, "answer to a start", now) // this also stops the run, whose start was not confirmed
 		return
 	}
@@ -286,7 +287,7 @@
 // numbers its ends anew, would drop those that the owner has not seen.
 func (t *Table) Acknowledgeable(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
-	if !ok || !r.silentSince.IsZero() {
+	if !ok || !r.silentSince.IsZero() || r.isDoubted {
 		return 0
 	}
 	settled := r.lastEnd
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -52,6 +52,7 @@
 	isolatedFor *submission // the submission of the suspected runs, or nil
 	lostAt      time.Time   // when all that ran here was last known to be lost
 	lapsed      []*run      // suspected runs that have lapsed here since the current incarnation last answered
+	adrift      []*run      // runs that have lapsed since then and that it is not known to have begun
 
 	// token is the fencing token of the calls to the current incarnation, if isTokenUsed since
 	// a call may have been sent with it.
@@ -60,6 +61,9 @@
 	// formerLifetimes holds the incarnation before the current one, and earlier ones that are
 	// higher: a host's time may jump back.
 	formerLifetimes []int64
+	// isDoubted says that an answer showed a clock that does not fit the incarnation, which no
+	// poll has answered since.
+	isDoubted bool
 	// isNew says that the former incarnation had accepted the owner's token, so that this owner
 	// sees all ends of the current one.
 	isNew bool
@@ -146,6 +150,7 @@
 			r.wasReleased = t.isRosterKnown
 		}
 		if info.Lifetime > r.info.Lifetime && !r.isFormer(info.Lifetime) {
+			t.renewToken(r)
 			t.resetRunner(r, info.Lifetime, "registry entry", now)
 		}
 		if r.info.Draining != info.Draining && info.Draining {
@@ -229,26 +234,21 @@
 	return lifetime != 0 && lifetime != r.info.Lifetime && (lifetime < r.info.Lifetime || slices.Contains(r.formerLifetimes, lifetime))
 }
 
-// renew sets the incarnation, and gives it a token of its own.
+// renew sets the incarnation.
 func (r *runner) renew(lifetime int64) {
 	r.formerLifetimes = slices.DeleteFunc(r.formerLifetimes, func(former int64) bool { return former <= lifetime })
 	r.formerLifetimes = append(r.formerLifetimes, r.info.Lifetime)
 	r.info.Lifetime = lifetime
-	if r.isTokenUsed {
-		r.token++
-		r.isTokenUsed = false
-	}
 }
 
 // resetRunner handles a new incarnation of a runner under the same ID, of which the owner has
-// learnt from a source.
+// learnt from a source. The runner has a token that no call for a former one carries.
 func (t *Table) resetRunner(r *runner, lifetime int64, source string, now time.Time) {
 	defer t.blame(r.loss(), now)
 	t.recordRestart(now, r, lifetime, source)
 	r.wasReleased = false
 	r.renew(lifetime)
-	r.restartedAt, r.isNew = now, r.acceptedToken
-	t.restarted = append(t.restarted, r.info.ID)
+	r.restartedAt, r.isNew = now, r.acceptedToken || r.isDoubted
 	for _, x := range r.runsByAge() {
 		if x.isLocated {
 			t.end(x, now, "runner was restarted")
@@ -271,7 +271,8 @@
 	r.suspendedUntil, r.pausedUntil = time.Time{}, time.Time{}
 	r.halted = false
 	r.worstTail = unknownTailRatio
-	r.lapsed = nil
+	r.lapsed, r.isDoubted = nil, false
+	t.recover(r, now)
 }
 
 // runsByAge returns the runs on a runner, oldest first.
@@ -429,7 +430,7 @@
 // have left.
 func (t *Table) LeaseUntil(id string, now time.Time) int64 {
 	r, ok := t.runners[id]
-	if !ok || r.answeredAt.IsZero() {
+	if !ok || r.answeredAt.IsZero() || r.isDoubted {
 		return 0
 	}
 	silentFor := min(now.Sub(r.answeredAt), renewWhileSilent)
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -282,6 +282,8 @@
 	Until int64
 	// isUnknown says that the run to stop is not in the table.
 	isUnknown bool
+	// clock is the least reading, in ms, of the clock of that incarnation in an answer, or zero.
+	clock int64
 	// Percent is the pace that a paced task gets, in percent of its full speed.
 	Percent int
 }
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -36,7 +36,7 @@
 	t.lapseAll(now)
 	var watched []*run
 	for _, r := range t.runners {
-		if !r.isRegistered && len(r.runs) == 0 && t.hasLapsed(r, now) {
+		if !r.isRegistered && len(r.runs) == 0 && t.hasLapsed(r, now) && !r.isAwaitedAgain(now) {
 			t.dropRunner(r)
 			continue
 		}
@@ -86,6 +86,9 @@
 	defer t.blame(l, now)
 	for _, x := range lapsed {
 		t.end(x, now, "lease lapsed")
+		if !x.isLocated {
+			r.adrift = append(r.adrift, x)
+		}
 	}
 }
 
