--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -29,6 +29,9 @@
 // A runner is the owner's state of one runner.
 type runner struct {
 	info RunnerInfo
+	// entry is the newest registry entry. It may be of an incarnation that the owner does not
+	// know yet, if the host's time has jumped back.
+	entry RunnerInfo
 	// isRegistered is false once the registry has dropped the runner's entry.
 	isRegistered bool
 	// wasReleased says that former owners have left nothing on the runner and started
@@ -158,7 +161,7 @@
 		}
 		t.registerCapacity(r, info, now)
 		lifetime, capacity := r.info.Lifetime, r.info.Capacity
-		r.info = info
+		r.info, r.entry = info, info
 		r.info.Lifetime, r.info.Capacity = lifetime, capacity
 		r.isRegistered = true
 	}
@@ -263,6 +266,9 @@
 	}
 	r.acceptedToken, r.acceptedAt = false, time.Time{}
 	r.capacity = capacityStatements{}
+	if r.isRegistered && r.entry.Lifetime == lifetime {
+		t.registerCapacity(r, r.entry, now)
+	}
 	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
 	r.lastEnd, r.pending, r.acked, r.received = 0, nil, 0, 0
 	clear(r.unknownRuns)
@@ -333,10 +339,13 @@
 // carriedOverUntil returns the time by which a run whose start was ordered before the
 // runner's restart has lapsed, if the new incarnation never answers. The runner's clock is
 // another since, so that any call for a former incarnation, also one of a former owner, grants
-// the longest lease.
+// the longest lease, until the runner has seen its token.
 func (t *Table) carriedOverUntil(x *run) time.Time {
-	sentBy := later(later(x.runner.restartedAt, x.unansweredAt), t.formerOwnerEnd)
-	return t.longestLeaseFrom(sentBy.Add(maxCallDelay))
+	sentBy := later(x.runner.restartedAt, x.unansweredAt)
+	if x.runner.acceptedToken {
+		return t.longestLeaseFrom(sentBy.Add(secondRestartWait))
+	}
+	return t.longestLeaseFrom(later(sentBy, t.formerOwnerEnd).Add(maxCallDelay))
 }
 
 // later returns the later of two times.
--- a/internal/version/dispatcher/simrunner_test.go
+++ b/internal/version/dispatcher/simrunner_test.go
@@ -106,6 +106,9 @@
 	if known != nil && known.info.Lifetime == r.lifetime && known.token <= r.fence {
 		return false
 	}
+	if d.order.Kind != Start {
+		return false
+	}
 	stoppedBy := r.stoppedBy[runKey{d.order.Task, d.order.Run}]
 	overtaken := stoppedBy == d.order.Lifetime || (stoppedBy > 0 && now.Sub(d.sentAt) > secondRestartWait)
 	return d.order.Lifetime != r.lifetime && (overtaken || d.fence < fence)
--- a/internal/version/dispatcher/token_test.go
+++ b/internal/version/dispatcher/token_test.go
@@ -21,6 +21,7 @@
 // answer passes an answer of an incarnation to a poll with the token that is some above the
 // first one.
 func (h tokens) answer(above, lifetime int64) {
+	h.table.Token("r0") // of the poll
 	h.table.Report("r0", Report{Token: testFence + above, Lifetime: lifetime, Clock: h.clock("r0")}, h.now, h.now.Add(time.Millisecond))
 }
 
