--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -37,7 +37,7 @@
 	// daemon.
 	confirmed atomic.Pointer[time.Time]
 	// heldAt is the latest known revision of the store at which the record named this daemon.
-	heldAt atomic.Int64
+	heldAt atomic.Pointer[int64]
 	// checked is the last confirmation by claim or renew.
 	checked atomic.Pointer[confirmation]
 }
@@ -53,7 +53,7 @@
 	t := &Term{Owner: owner, Former: former, EarlierEnd: former.earlierEnd(), e: e}
 	t.ctx, t.end = context.WithCancel(ctx)
 	t.lease.Store(lease)
-	t.heldAt.Store(owner.Fence)
+	t.noteHeld(owner.Fence)
 	return t
 }
 
@@ -81,16 +81,11 @@
 
 // HeldAt returns the latest known revision of the store at which the record named this daemon.
 // The fencing tokens of all successors are higher.
-func (t *Term) HeldAt() int64 { return t.heldAt.Load() }
+func (t *Term) HeldAt() int64 { return *t.heldAt.Load() }
 
 // noteHeld notes a revision of the store at which the record named this daemon.
 func (t *Term) noteHeld(revision int64) {
-	for {
-		last := t.heldAt.Load()
-		if revision <= last || t.heldAt.CompareAndSwap(last, revision) {
-			return
-		}
-	}
+	advance(&t.heldAt, revision, func(last int64) bool { return revision > last })
 }
 
 // MayAct reports whether the owner may still act: the term has not ended, and the record
--- a/internal/version/dispatcher/runner.go
+++ b/internal/version/dispatcher/runner.go
@@ -232,55 +232,6 @@
 	return infos
 }
 
-// isFormer reports whether an incarnation, or zero if unknown, is a former one of the runner.
-func (r *runner) isFormer(lifetime int64) bool {
-	return lifetime != 0 && lifetime != r.info.Lifetime && (lifetime < r.info.Lifetime || slices.Contains(r.formerLifetimes, lifetime))
-}
-
-// renew sets the incarnation.
-func (r *runner) renew(lifetime int64) {
-	r.formerLifetimes = slices.DeleteFunc(r.formerLifetimes, func(former int64) bool { return former <= lifetime })
-	r.formerLifetimes = append(r.formerLifetimes, r.info.Lifetime)
-	r.info.Lifetime = lifetime
-}
-
-// resetRunner handles a new incarnation of a runner under the same ID, of which the owner has
-// learnt from a source. The runner has a token that no call for a former one carries.
-func (t *Table) resetRunner(r *runner, lifetime int64, source string, now time.Time) {
-	defer t.blame(r.loss(), now)
-	t.recordRestart(now, r, lifetime, source)
-	r.wasReleased = false
-	r.renew(lifetime)
-	r.restartedAt, r.isKnownFromStart = now, r.acceptedToken || r.isDoubted
-	for _, x := range r.runsByAge() {
-		if x.isLocated {
-			t.end(x, now, "runner was restarted")
-			continue
-		}
-		// The new incarnation may have begun the run, or may do so until it has seen its token.
-		x.isCarriedOver = true
-		if x.phase != running {
-			x.phase, x.isStopQueued = running, false
-			t.stop(x, now, "unanswered start on a restarted runner")
-		}
-	}
-	r.acceptedToken, r.acceptedAt = false, time.Time{}
-	r.capacity = capacityStatements{}
-	if r.isRegistered && r.entry.Lifetime == lifetime {
-		t.registerCapacity(r, r.entry, now)
-	}
-	r.answeredAt, r.clock, r.maxLeaseEnd = time.Time{}, 0, 0
-	r.lastEnd, r.pending, r.acked, r.received = 0, nil, 0, 0
-	clear(r.unknownRuns)
-	r.unknownStoppedAt = time.Time{}
-	clear(r.failedSubmissions)
-	r.suspendedUntil, r.pausedUntil = time.Time{}, time.Time{}
-	r.halted = false
-	r.worstTail = unknownTailRatio
-	r.lapsed, r.isDoubted = nil, false
-	t.reclaim(r, now)
-}
-
 // runsByAge returns the runs on a runner, oldest first.
 func (r *runner) runsByAge() []*run {
 	runs := make([]*run, 0, len(r.runs))
@@ -313,41 +264,6 @@
 	return r.answeredAt.Add(scaleDrift(min(left, 2*t.limits.MaxLease))).Add(lapseMargin)
 }
 
-const (
-	// maxCallDelay is the longest time for which a call may be on its way.
-	maxCallDelay = 12 * time.Second
-	// secondRestartWait is how long a task waits for an unanswered start, although its
-	// restarted runner refuses that: the runner may be restarted once more.
-	secondRestartWait = 6 * time.Second
-)
-
-// mayBegin reports whether the start of a run that was ordered before a restart may still be
-// carried out, if the runner is restarted once more.
-func (x *run) mayBegin(now time.Time) bool {
-	switch {
-	case !x.isCarriedOver:
-		return false
-	case !x.unansweredAt.IsZero():
-		return now.Before(x.unansweredAt.Add(secondRestartWait))
-	case x.confirmedAt.IsZero():
-		return now.Before(x.runner.restartedAt.Add(secondRestartWait))
-	default:
-		return false
-	}
-}
-
-// carriedOverUntil returns the time by which a run whose start was ordered before the
-// runner's restart has lapsed, if the new incarnation never answers. The runner's clock is
-// another since, so that any call for a former incarnation, also one of a former owner, grants
-// the longest lease, until the runner has seen its token.
-func (t *Table) carriedOverUntil(x *run) time.Time {
-	sentBy := later(x.runner.restartedAt, x.unansweredAt)
-	if x.runner.acceptedToken {
-		return t.longestLeaseFrom(sentBy.Add(secondRestartWait))
-	}
-	return t.longestLeaseFrom(later(sentBy, t.formerOwnerEnd).Add(maxCallDelay))
-}
-
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/version/dispatcher/token.go
+++ b/internal/version/dispatcher/token.go
@@ -1,10 +1,5 @@
 package dispatcher
 
-import (
-	"slices"
-	"time"
-)
-
 // A restarted runner has seen no fencing token, so that it would carry out calls that were
 // meant for its former incarnation. Its clock and the numbers of its ends start anew, too.
 // Each incarnation that this owner learns of therefore gets a token of its own, higher than
@@ -56,57 +51,6 @@
 	}
 }
 
-// leastClock returns the least reading of the clock of a runner's incarnation from now on, in
-// ms, or zero if it is not known.
-func (r *runner) leastClock(now time.Time) int64 {
-	if r.answeredAt.IsZero() {
-		return 0
-	}
-	passed := time.Duration(float64(now.Sub(r.answeredAt)) * (1 - clockDrift))
-	return r.clock + passed.Milliseconds() - clockMargin
-}
-
-// clockMargin allows for readings of a runner's clock that are rounded, in ms.
-const clockMargin = 5
-
-// doubt handles an answer that does not fit the known incarnation of a runner. The next poll has
-// a new token and shows which one is there. What is not known to run on the known one may have
-// begun on the other.
-func (t *Table) doubt(r *runner, now time.Time) {
-	t.recordRunner(now, EventRunnerDoubted, r, "clock is behind that of the known incarnation")
-	t.renewToken(r)
-	r.isDoubted, r.acceptedToken, r.restartedAt = true, false, now
-	for _, x := range r.runs {
-		x.isCarriedOver = !x.isLocated
-	}
-}
-
-// hasRunsAdrift reports whether runs that have lapsed on a runner may still begin on a next
-// incarnation.
-func (r *runner) hasRunsAdrift(now time.Time) bool {
-	return slices.ContainsFunc(r.adrift, func(x *run) bool { return now.Sub(x.startedAt) < maxCallDelay })
-}
-
-// reclaim adds runs to the table again that have lapsed on the clock of the former incarnation of
-// a runner: the new one may have begun them, or may still do so. It leaves out those whose tasks
-// have started elsewhere.
-func (t *Table) reclaim(r *runner, now time.Time) {
-	adrift := r.adrift
-	r.adrift = nil
-	for _, x := range adrift {
-		if k := x.task(); k.done || len(k.runs) > 0 || x.st.s.state.IsFinal() || now.Sub(x.startedAt) >= maxCallDelay+t.limits.MaxLease {
-			continue
-		}
-		again := t.place(x.st, x.index, r, x.number, now)
-		again.startedAt, again.confirmedAt, again.unansweredAt = x.startedAt, x.confirmedAt, x.unansweredAt
-		again.phase, again.isCarriedOver = running, true
-		t.recordRun(now, EventAdopted, again, "may have begun on the new incarnation")
-		if x.confirmedAt.IsZero() {
-			t.stop(again, now, "unanswered start on a restarted runner")
-		}
-	}
-}
-
 // addRunner adds a runner to the table.
 func (t *Table) addRunner(info RunnerInfo) *runner {
 	r := newRunner(info)
