--- a/review/9/main.go
+++ b/review/9/main.go
@@ -13,10 +13,10 @@
 
 const (
 	prefix, service = "/cast/", "casting"
-	runners         = 12
+	runners         = 16
 	// submissions are handed in, one each interval, from lead after the loss has begun.
-	submissions = 40
-	interval    = 80 * time.Millisecond
+	submissions = 60
+	interval    = 65 * time.Millisecond
 	lead        = 300 * time.Millisecond
 	// length is how long a task takes.
 	length = 20 * time.Second
--- a/review/rig2/lossy.go
+++ b/review/rig2/lossy.go
@@ -23,8 +23,13 @@
 	mu    sync.Mutex
 	share float64
 	until time.Time
+	// fates says of the next writes whether they are lost.
+	fates []bool
 }
 
+// block is the number of writes in a row of which the share is lost, in random order.
+const block = 20
+
 // NewLossyStore returns a LossyStore that loses nothing yet.
 func NewLossyStore(record *Record) *LossyStore { return &LossyStore{record: record} }
 
@@ -38,7 +43,18 @@
 func (l *LossyStore) isLost(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.until) && rand.Float64() < l.share
+	if !now.Before(l.until) {
+		return false
+	}
+	if len(l.fates) == 0 {
+		l.fates = make([]bool, block)
+		for _, i := range rand.Perm(block)[:int(l.share*block)] {
+			l.fates[i] = true
+		}
+	}
+	isLost := l.fates[0]
+	l.fates = l.fates[1:]
+	return isLost
 }
 
 // Handler returns a handler that passes on what is not lost.
