--- /dev/null
+++ b/review/rig3/calls.go
@@ -0,0 +1,209 @@
+package rig3
+
+import (
+	"net/http"
+	"time"
+)
+
+// serve returns the handler of a kind of call that changes what runs. A call that reaches a
+// runner as it crashes is not carried out.
+func (n *Runner) serve(carryOut func(o order) (reason string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		o, ok := n.read(w, req)
+		if !ok {
+			return
+		}
+		n.mu.Lock()
+		if n.server == nil {
+			n.mu.Unlock()
+			panic(http.ErrAbortHandler) // closes the connection
+		}
+		reason := n.admit(o)
+		if reason == "" {
+			reason = carryOut(o)
+		}
+		body := n.response(reason)
+		n.mu.Unlock()
+		respond(w, body)
+	}
+}
+
+// admit applies the fencing token and the lease of a call, or returns the reason for refusing
+// it. The caller holds the lock.
+func (n *Runner) admit(o order) (reason string) {
+	if o.FencingToken < n.fence {
+		return "fence"
+	}
+	n.fence = o.FencingToken
+	end := n.startedAt.Add(time.Duration(o.DeadlineMs) * time.Millisecond)
+	if longest := time.Now().Add(maxHold); end.After(longest) {
+		end = longest
+	}
+	if o.DeadlineMs > 0 && end.After(n.leaseEnd) {
+		n.leaseEnd = end
+		life := n.life
+		time.AfterFunc(time.Until(end), func() { n.lapse(life) })
+	}
+	return ""
+}
+
+// lapse ends all that runs if the lease of a life of the runner has run out.
+func (n *Runner) lapse(life int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life != life || time.Now().Before(n.leaseEnd) {
+		return
+	}
+	n.lapsedAt = time.Now()
+	for _, j := range n.running {
+		n.finish(j, "lapsed")
+	}
+}
+
+// start carries out a start. The caller holds the lock.
+func (n *Runner) start(o order) (reason string) {
+	key := runKey{o.Task, o.Run}
+	if _, ok := n.running[key]; ok {
+		return ""
+	}
+	switch {
+	case o.Run <= n.maxEnded[o.Task]:
+		return "old"
+	case o.DeadlineMs <= n.clock():
+		return "late"
+	}
+	work := n.opts.Work(o.Task, o.Run)
+	j := &job{work: work, run: n.rig.Ledger.start(Run{
+		Runner: n.opts.ID, Life: n.life, Task: o.Task, Number: o.Run, Token: o.FencingToken, Started: time.Now(),
+	})}
+	n.running[key] = j
+	j.timer = time.AfterFunc(work.Length, func() { n.workDone(j) })
+	return ""
+}
+
+// workDone ends a run whose work is done.
+func (n *Runner) workDone(j *job) {
+	if !j.work.Crashes {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.finish(j, "done")
+		return
+	}
+	n.mu.Lock()
+	isRunning := n.running[j.key()] == j
+	n.mu.Unlock()
+	if !isRunning {
+		return
+	}
+	n.Crash()
+	time.AfterFunc(n.opts.CrashTime, func() {
+		if n.ctx.Err() != nil {
+			return
+		}
+		if err := n.Boot(); err != nil {
+			n.rig.Record.Note("runner %s: %v", n.opts.ID, err)
+		}
+	})
+}
+
+// finish ends a run, unless it has ended. The caller holds the lock.
+func (n *Runner) finish(j *job, how string) {
+	if n.running[j.key()] != j {
+		return
+	}
+	j.timer.Stop()
+	delete(n.running, j.key())
+	n.maxEnded[j.run.Task] = max(n.maxEnded[j.run.Task], j.run.Number)
+	n.endCount++
+	n.ended = append(n.ended, endRow{n.endCount, j.run})
+	n.rig.Ledger.end(j.run, how)
+	n.announce()
+}
+
+// stop carries out a stop. The caller holds the lock.
+func (n *Runner) stop(o order) (reason string) {
+	n.maxEnded[o.Task] = max(n.maxEnded[o.Task], o.Run)
+	if j, ok := n.running[runKey{o.Task, o.Run}]; ok {
+		time.AfterFunc(stopTime, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.finish(j, "stopped")
+		})
+	}
+	return ""
+}
+
+// hold serves the poll of an owner.
+func (n *Runner) hold(w http.ResponseWriter, req *http.Request) {
+	o, ok := n.read(w, req)
+	if !ok {
+		return
+	}
+	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
+	n.mu.Lock()
+	life := n.life
+	reason := ""
+	if n.server != nil {
+		reason = n.admit(o)
+	}
+	for reason == "" && n.server != nil && n.life == life {
+		n.acknowledge(o)
+		if len(n.ended) > 0 || !time.Now().Before(deadline) {
+			break
+		}
+		changed := n.changed
+		n.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Until(deadline)):
+		case <-req.Context().Done():
+		}
+		n.mu.Lock()
+		if req.Context().Err() != nil {
+			break
+		}
+	}
+	if n.server == nil || n.life != life {
+		n.mu.Unlock()
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	body := n.response(reason)
+	if reason == "" {
+		running := [][]any{}
+		for _, j := range n.running {
+			whole := j.work.Length
+			if j.work.Startup > 0 {
+				whole = j.work.Startup
+			}
+			percent := int(min(100, 100*time.Since(j.run.Started)/max(1, whole)))
+			running = append(running, []any{j.run.Task, j.run.Number, "", percent, 0})
+		}
+		ended := [][]any{}
+		for _, e := range n.ended[:min(len(n.ended), maxEnds)] {
+			ended = append(ended, []any{e.n, e.run.Task, e.run.Number, e.run.How, ""})
+		}
+		body["Running"], body["Ended"] = running, ended
+	}
+	n.mu.Unlock()
+	respond(w, body)
+}
+
+// acknowledge forgets the ends that a poll acknowledges. They are taken note of, unless the lease
+// has lapsed since. The caller holds the lock.
+func (n *Runner) acknowledge(o order) {
+	for len(n.ended) > 0 && n.ended[0].n <= o.Acked {
+		if run := n.ended[0].run; n.lapsedAt.Before(run.Ended) {
+			n.rig.Ledger.note(run)
+		}
+		n.ended = n.ended[1:]
+	}
+}
+
+// response returns the body of a response, without lists. The caller holds the lock.
+func (n *Runner) response(reason string) map[string]any {
+	body := map[string]any{"ClockMs": n.clock(), "born": n.startedAt.UnixMilli()}
+	if reason != "" {
+		body["Reason"] = reason
+	}
+	return body
+}
