--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -42,12 +42,13 @@
 	Trouble bool
 	Daemons []*Daemon
 
-	directory  string
-	network    int // second number of all addresses
-	runners    []*Runner
-	servers    []*http.Server
-	background sync.WaitGroup
-	storeAt    string
+	directory   string
+	reservation net.Listener
+	network     int // second number of all addresses
+	runners     []*Runner
+	servers     []*http.Server
+	background  sync.WaitGroup
+	storeAt     string
 }
 
 // A Play plays a case and returns the descriptions of the cases in which the rule was broken.
@@ -114,24 +115,25 @@
 	if r.directory, err = os.MkdirTemp("", "rig3-"); err != nil {
 		return err
 	}
-	if r.network, err = freeNetwork(); err != nil {
+	if r.reservation, r.network, err = reserveNetwork(); err != nil {
 		return err
 	}
 	r.storeAt, err = r.Serve(r.Address(0, 1), r.Store)
 	return err
 }
 
-// freeNetwork returns a number for the addresses of this play that nothing else uses.
-func freeNetwork() (network int, err error) {
+// reserveNetwork returns a number for the addresses of this play that no other play uses until the
+// reservation is closed.
+func reserveNetwork() (reservation net.Listener, network int, err error) {
 	const networks = 250
 	for i := range networks {
 		network = 2 + (os.Getpid()+i)%networks
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", network, frontPort))
+		reservation, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", network, frontPort))
 		if err == nil {
-			return network, listener.Close()
+			return reservation, network, nil
 		}
 	}
-	return 0, errors.New("no free loopback addresses")
+	return nil, 0, fmt.Errorf("reserve loopback addresses: %w", err)
 }
 
 // Address returns a loopback IP address.
@@ -192,6 +194,9 @@
 		_ = server.Close() // the listener is closed even after an error
 	}
 	r.background.Wait()
+	if r.reservation != nil {
+		_ = r.reservation.Close() // nothing uses it
+	}
 	if r.directory != "" {
 		_ = os.RemoveAll(r.directory) // a temporary folder
 	}
