review: case 14, progress that the store does not take stalls a part (Acks)

Shows a part of which nothing is stored any more: the progress of a scheduled submission, one step of which has lost its only runner, grows beyond ValueBytes, and conductor.saveBatch repeats transactions that hold it. Ends are listed by the runners again and again, and no other submission is shown as complete.

The stand-in of the store refuses values above ValueBytes, and the record of a play may hold only the numbers of some runs.

--- a/review/rig3/ledger.go
+++ b/review/rig3/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,6 +27,40 @@
 
 	mu   sync.Mutex
 	runs []*Run
+	// counted is the start of the names of the tasks whose runs are not recorded one by one, and
+	// started and ended are the numbers of these runs.
+	counted        string
+	started, ended int
+}
+
+// Count makes the record hold only the numbers of the runs of tasks whose names have a prefix, once
+// a second until the function that it returns is called.
+func (l *Ledger) Count(prefix string) (stop func()) {
+	l.mu.Lock()
+	l.counted = prefix
+	l.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+			l.mu.Lock()
+			l.record.Note("runners: %d runs of tasks of %s have started, %d have ended", l.started, prefix, l.ended)
+			l.mu.Unlock()
+		}
+	}()
+	return func() { close(done) }
+}
+
+// isCounted reports whether the runs of a task are not recorded one by one. The caller holds the
+// lock.
+func (l *Ledger) isCounted(task string) bool {
+	return l.counted != "" && strings.HasPrefix(task, l.counted)
 }
 
 // NewLedger returns an empty ledger.
@@ -35,14 +70,22 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = append(l.runs, &run)
+	if l.isCounted(run.Task) {
+		l.started++
+		return &run
+	}
 	l.record.Note("runner %s (life %d): starts %s run %d, token %d", run.Runner, run.Life, run.Task, run.Number, run.Token)
-	return l.runs[len(l.runs)-1]
+	return &run
 }
 
 func (l *Ledger) end(run *Run, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	run.Ended, run.How = time.Now(), how
+	if l.isCounted(run.Task) {
+		l.ended++
+		return
+	}
 	l.record.Note("runner %s (life %d): %s run %d ends: %s", run.Runner, run.Life, run.Task, run.Number, how)
 }
 
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -15,6 +16,9 @@
 // commitPath is the path of the store's transactions.
 const commitPath = "/kumquatstack/kv-txn"
 
+// valueBytes is the largest size of a value (ValueBytes).
+const valueBytes = 1 << 20
+
 // LateWrites is how answers of the store are lost: a share of the transactions is carried out
 // late and not answered.
 type LateWrites struct {
@@ -60,21 +64,47 @@
 		s.Store.ServeHTTP(w, r)
 		return
 	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if key, size := tooLarge(body); size > 0 {
+		s.record.Note("store: refuses a transaction, the value of %s has %d bytes", key, size)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	delay, isLost := s.delay()
 	if !isLost {
 		s.Store.ServeHTTP(w, r)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
 	what := keysOf(body)
 	s.record.Note("store: call %s gets no answer and is carried out %.1f s later", what, delay.Seconds())
 	time.AfterFunc(delay, func() { s.carryOut(body, what) })
 	<-r.Context().Done()
 }
 
+// tooLarge returns the key and the size of a value in a transaction that is larger than the store
+// takes, or zero.
+func tooLarge(body []byte) (key string, size int) {
+	var transaction struct {
+		Writes []struct {
+			Key   string
+			Value []byte
+		}
+	}
+	if json.Unmarshal(body, &transaction) != nil {
+		return "", 0 // the store refuses it
+	}
+	for _, write := range transaction.Writes {
+		if len(write.Value) > valueBytes {
+			return write.Key, len(write.Value)
+		}
+	}
+	return "", 0
+}
+
 // carryOut carries out a transaction whose caller has given up.
 func (s *Store) carryOut(body []byte, what string) {
 	request, err := http.NewRequest(http.MethodPost, commitPath, bytes.NewReader(body))
