review: case 15, the run numbers of a gang fall behind (GANG)

Shows a gang that works no more after a change of owners: its members are refused as old by the runners that ran it, and the one that is accepted ends alone, every three seconds. dispatcher.startGang raises the number of the next run with each attempt that finds no room (unplace does not take it back), beyond the 1000 numbers of the owner's generation, so that the next owner begins below it.

The stand-ins know gangs, and the record may hold only the numbers of calls for some submissions.

--- a/review/rig3/calls.go
+++ b/review/rig3/calls.go
@@ -77,6 +77,12 @@
 		Runner: n.opts.ID, Life: n.life, Task: o.Task, Number: o.Run, Token: o.FencingToken, Started: time.Now(),
 	})}
 	n.running[key] = j
+	if n.opts.Gang != nil {
+		if step, size := n.opts.Gang(o.Task); size > 0 {
+			n.startMember(j, step, size)
+			return ""
+		}
+	}
 	j.timer = time.AfterFunc(work.Length, func() { n.workDone(j) })
 	return ""
 }
@@ -117,6 +123,9 @@
 	n.endCount++
 	n.ended = append(n.ended, endRow{n.endCount, j.run})
 	n.rig.Ledger.end(j.run, how)
+	if j.gang != nil && how != "done" {
+		n.rig.gangs.leave(j)
+	}
 	n.announce()
 }
 
--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -35,7 +35,9 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("X-Kumquatstack-Deadline-Ms", fmt.Sprint(clientPatience.Milliseconds()))
 	status, response = exchange(request)
-	r.Record.Note("client: %s %s at %s: %d %s", method, rest, d.Name, status, response)
+	if !r.Ledger.countCall(rest, status) {
+		r.Record.Note("client: %s %s at %s: %d %s", method, rest, d.Name, status, response)
+	}
 	return status, response
 }
 
--- a/review/rig3/ledger.go
+++ b/review/rig3/ledger.go
@@ -27,17 +27,18 @@
 
 	mu   sync.Mutex
 	runs []*Run
-	// counted is the start of the names of the tasks whose runs are not recorded one by one, and
-	// started and ended are the numbers of these runs.
+	// counted is the start of the names of the tasks whose runs, and the calls for which, are not
+	// recorded one by one; started, ended, and calls are the numbers of these, calls by status.
 	counted        string
 	started, ended int
+	calls          map[int]int
 }
 
-// Count makes the record hold only the numbers of the runs of tasks whose names have a prefix, once
-// a second until the function that it returns is called.
+// Count makes the record hold only the numbers of the runs of tasks whose names have a prefix, and of
+// the calls for them, once a second until the function that it returns is called.
 func (l *Ledger) Count(prefix string) (stop func()) {
 	l.mu.Lock()
-	l.counted = prefix
+	l.counted, l.calls = prefix, make(map[int]int)
 	l.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
@@ -50,13 +51,24 @@
 			case <-ticker.C:
 			}
 			l.mu.Lock()
-			l.record.Note("runners: %d runs of tasks of %s have started, %d have ended", l.started, prefix, l.ended)
+			l.record.Note("%s*: calls by status %v; %d runs have started, %d have ended", prefix, l.calls, l.started, l.ended)
 			l.mu.Unlock()
 		}
 	}()
 	return func() { close(done) }
 }
 
+// countCall reports whether a call for a submission is not recorded by itself, and counts it then.
+func (l *Ledger) countCall(id string, status int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isCounted(id) {
+		return false
+	}
+	l.calls[status]++
+	return true
+}
+
 // isCounted reports whether the runs of a task are not recorded one by one. The caller holds the
 // lock.
 func (l *Ledger) isCounted(task string) bool {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -1,6 +1,7 @@
 package rig3
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -48,6 +49,7 @@
 	runners     []*Runner
 	servers     []*http.Server
 	background  sync.WaitGroup
+	gangs       gangs
 	storeAt     string
 }
 
@@ -182,6 +184,24 @@
 	return decodeParts(body)
 }
 
+// Owner returns the daemon that the record of the first part's owner names.
+func (r *Rig) Owner() (*Daemon, error) {
+	status, body, err := get("http://" + r.storeAt + "/kumquatstack/kv-key?Key=kumquat/owner/0/record")
+	if err != nil || status != http.StatusOK {
+		return nil, fmt.Errorf("read the owner record: status %d, %w", status, err)
+	}
+	var item struct{ Value []byte }
+	if err = json.Unmarshal([]byte(body), &item); err != nil {
+		return nil, err
+	}
+	for _, d := range r.Daemons {
+		if strings.Contains(string(item.Value), `"`+d.ip+":") {
+			return d, nil
+		}
+	}
+	return nil, fmt.Errorf("the owner record names no daemon: %s", item.Value)
+}
+
 // close ends all that the play has started.
 func (r *Rig) close() {
 	for _, d := range r.Daemons {
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -36,6 +36,9 @@
 	Work                 func(task string, run int64) Job
 	// Register returns the address under which the runner is registered, given its own.
 	Register func(address string) (registered string, err error)
+	// Gang names the gang of a task and gives its size, which is zero for other tasks; nil means
+	// that there are no gangs.
+	Gang func(task string) (step string, size int)
 	// CrashTime is how long the runner is down after a crash by a job.
 	CrashTime time.Duration
 }
@@ -81,6 +84,7 @@
 	run   *Run
 	work  Job
 	timer *time.Timer
+	gang  *gang // nil unless the task is a member of one
 }
 
 func (j *job) key() runKey { return runKey{j.run.Task, j.run.Number} }
@@ -164,6 +168,9 @@
 	for _, j := range n.running {
 		j.timer.Stop()
 		n.rig.Ledger.end(j.run, "lost")
+		if j.gang != nil {
+			n.rig.gangs.leave(j)
+		}
 	}
 	n.running = nil
 	n.announce()
