Let a record that the store refuses cost its own submission only

Cause: a transaction that the store refused was taken for one that it did not answer, and repeated with the same records, up to 15 submissions together, without end. The first end that is not durable keeps all later ones of its runner from being acknowledged, and runners list 500 at a time.

transactor.RefusedError tells calls that the store never takes (400, 403, 413) from others. Submissions that can't be kept are rejected at once.

--- a/internal/connection/transactor/store.go
+++ b/internal/connection/transactor/store.go
@@ -20,6 +20,16 @@
 	ErrUnknown = errors.New("outcome of the store call is unknown")
 )
 
+// A RefusedError says that the store refuses a call as it is, for example as a value is too
+// large. The call had no effect, and the same call is refused each time.
+type RefusedError struct{ Reason string }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "store refuses the call: " + e.Reason }
+
+// Unwrap returns ErrUnavailable, as the call provably had no effect.
+func (e *RefusedError) Unwrap() error { return ErrUnavailable }
+
 // A ConflictError says that a condition of a transaction did not hold, so that
 // nothing was written.
 type ConflictError struct {
--- a/internal/process/conductor/events.go
+++ b/internal/process/conductor/events.go
@@ -19,4 +19,7 @@
 	// EventFormerCallRefused is recorded when a restarted runner has refused a call that was
 	// meant for its former incarnation.
 	EventFormerCallRefused recorder.Number = 6205
+	// EventRecordRefused is recorded when the store refuses the progress of a submission for
+	// good, so that the submission fails. Level: warn.
+	EventRecordRefused recorder.Number = 6206
 )
--- a/internal/process/conductor/metrics.go
+++ b/internal/process/conductor/metrics.go
@@ -15,6 +15,8 @@
 	Looks counter.Name = "looks"
 	// LooksFailed counts the polls of runners that failed.
 	LooksFailed counter.Name = "looksFailed"
+	// RecordsRefused counts the submissions that failed as the store refuses their progress.
+	RecordsRefused counter.Name = "recordsRefused"
 )
 
 // Metrics counts and times calls to runners.
@@ -22,6 +24,7 @@
 	byOutcome   *expvar.Map
 	polls       *expvar.Int
 	pollsFailed *expvar.Int
+	refused     *expvar.Int
 	orderTimes  *counter.Histogram
 	orderWaits  *counter.Histogram
 	pollTimes   *counter.Histogram
@@ -32,6 +35,7 @@
 	m := &Metrics{
 		byOutcome: new(expvar.Map).Init(),
 		polls:     set.Counter(Looks), pollsFailed: set.Counter(LooksFailed),
+		refused: set.Counter(RecordsRefused),
 	}
 	set.Publish(OrdersByOutcome, m.byOutcome)
 	m.orderTimes = set.Histogram(OrderTimes)
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -14,14 +14,8 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// Times of calls to the store.
+// Times of reading records.
 const (
-	// saveDelay lets changes accumulate so that one transaction writes them.
-	saveDelay = 70 * time.Millisecond
-	// saveTimeout is the timeout of one transaction.
-	saveTimeout = 1500 * time.Millisecond
-	// saveRetryDelay is the pause after a failed transaction.
-	saveRetryDelay = 150 * time.Millisecond
 	// loadTimeout is the timeout for reading all records.
 	loadTimeout = 4 * time.Second
 	// watchWait is how long a watch of the submissions waits for a change.
@@ -31,11 +25,6 @@
 	watchInterval = time.Second
 )
 
-// recordsPerSave is the number of progress records in one transaction: each takes a
-// condition and a write, and one entry remains for the condition on the owner
-// record.
-const recordsPerSave = (transactor.MaxEntries - 1) / 2
-
 // load reads all submissions of the part with their progress, and the former owner's
 // roster and memory. It returns the revision from which to watch the submissions.
 func (c *Conductor) load(ctx context.Context) (revision int64, err error) {
@@ -152,99 +141,6 @@
 	}
 }
 
-// save writes changed progress to the store whenever there is some.
-func (c *Conductor) save() {
-	for {
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-c.unsaved:
-		}
-		for pauser.Sleep(c.ctx, saveDelay) {
-			if more := c.saveBatch(); !more {
-				break
-			}
-		}
-	}
-}
-
-// saveBatch writes one transaction and reports whether there may be more to write.
-func (c *Conductor) saveBatch() (more bool) {
-	c.mu.Lock()
-	records := c.table.Unsaved(recordsPerSave)
-	c.mu.Unlock()
-	if len(records) == 0 {
-		return false
-	}
-	err := c.write(records)
-	failed := err != nil
-	c.apply(func(t *dispatcher.Table, _ time.Time) {
-		if failed {
-			t.SaveFailed(records)
-		} else {
-			t.Saved(records)
-		}
-	})
-	if failed {
-		c.noteStoreFailure("save progress", err)
-		pauser.Sleep(c.ctx, saveRetryDelay)
-		return true
-	}
-	c.signalSaved()
-	return true
-}
-
-// write stores progress records. The conditions of the transaction reject the write
-// of a deposed owner, and a delayed write that would overwrite a newer one.
-func (c *Conductor) write(records []dispatcher.Record) (err error) {
-	txn := transactor.Transaction{Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}}}
-	for _, rec := range records {
-		value, err := rec.Progress.Encode()
-		if err != nil {
-			return err
-		}
-		key := c.keys.Progress(rec.ID)
-		txn.Conditions = append(txn.Conditions, transactor.Condition{Key: key, Revision: c.revs[rec.ID]})
-		txn.Writes = append(txn.Writes, transactor.Write{Key: key, Value: value})
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
-	defer cancel()
-	revision, err := c.opts.Store.Commit(ctx, txn)
-	var conflict *transactor.ConflictError
-	if errors.As(err, &conflict) {
-		if conflict.Find(c.opts.OwnerKey).Revision != c.opts.Fence {
-			c.opts.OnDeposed("the owner record names another owner")
-			return err
-		}
-		for _, rec := range records {
-			c.revs[rec.ID] = conflict.Find(c.keys.Progress(rec.ID)).Revision
-		}
-		return err
-	}
-	if err != nil {
-		return err
-	}
-	for _, rec := range records {
-		c.revs[rec.ID] = revision
-	}
-	return nil
-}
-
-// savedSignal returns a channel that is closed after the next save.
-func (c *Conductor) savedSignal() <-chan struct{} {
-	c.savedMu.Lock()
-	defer c.savedMu.Unlock()
-	return c.saved
-}
-
-// signalSaved closes the channel that savedSignal has returned.
-func (c *Conductor) signalSaved() {
-	c.savedMu.Lock()
-	defer c.savedMu.Unlock()
-	close(c.saved)
-	c.saved = make(chan struct{})
-}
-
 // Limits of deleting records.
 const (
 	// cleanupInterval is the pause between deletions.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -76,6 +77,9 @@
 	LocalOwner func(part int) relayer.Owner
 	// IsStoreLost reports whether recent calls to the store were not answered.
 	IsStoreLost func() bool
+	// MaxValueBytes is the size of the largest value that the store takes, or zero if that is
+	// not known.
+	MaxValueBytes int
 }
 
 // A Gateway serves the requests of clients. It is safe for concurrent use.
@@ -168,6 +172,9 @@
 	if err != nil {
 		return &RejectedError{Reason: err.Error()}
 	}
+	if size, limit := max(len(value), sub.OccurrenceBytes()), g.opts.MaxValueBytes; limit > 0 && size > limit {
+		return &RejectedError{Reason: fmt.Sprintf("submission or its progress may take %d bytes, the store takes %d", size, limit)}
+	}
 	txn := transactor.Transaction{Writes: []transactor.Write{{Key: conductor.KeysOf(part).Submission(sub.ID), Value: value}}}
 	for _, candidate := range candidates {
 		txn.Conditions = append(txn.Conditions, transactor.Condition{Key: conductor.KeysOf(candidate).Submission(sub.ID)})
@@ -215,6 +222,10 @@
 		if err == nil || errors.As(err, &conflict) {
 			return err
 		}
+		var refused *transactor.RefusedError
+		if errors.As(err, &refused) {
+			return &RejectedError{Reason: err.Error()}
+		}
 		if !errors.Is(err, transactor.ErrUnavailable) {
 			unknown, limit = true, unknownOutcomeAttempts
 		}
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -157,6 +157,7 @@
 	6203: {Name: "conductor.adviceFailed", Level: log.InfoLevel},
 	6204: {Name: "conductor.orderDelayed", Level: log.InfoLevel},
 	6205: {Name: "conductor.formerCallRefused", Level: log.InfoLevel},
+	6206: {Name: "conductor.recordRefused", Level: log.WarnLevel},
 	6300: {Name: "gateway.accepted", Level: log.InfoLevel},
 	6301: {Name: "gateway.rejected", Level: log.InfoLevel},
 	6302: {Name: "gateway.outcomeUnknown", Level: log.InfoLevel},
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -54,6 +54,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		Store: s.opts.Store, Elector: d.elector, Peers: s.client, Recorder: s.opts.Recorder,
 		Split: split, LocalOwner: d.localOwner, IsStoreLost: s.opts.Declarations.IsStoreLost,
+		MaxValueBytes: s.opts.MaxValueBytes,
 	})
 	d.elector.Run(ctx)
 	return d
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -54,6 +54,9 @@
 	// PeerAddress is the address at which this daemon serves other daemons.
 	PeerAddress string
 	Limits      dispatcher.Limits
+	// MaxValueBytes is the size of the largest value that the store takes, or zero if that is
+	// not known.
+	MaxValueBytes int
 	// Cores is the number of processor cores, or the fraction of one, that this
 	// daemon may use; zero if not known.
 	Cores float64
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -232,6 +232,19 @@
 	}
 }
 
+// FailRefused fails a submission whose progress the store does not take. That is durable already.
+func (t *Table) FailRefused(id string, now time.Time) {
+	s, ok := t.subs[id]
+	if !ok || s.cancelled {
+		return
+	}
+	if !s.state.IsFinal() {
+		t.finish(s, submitter.Failed, now)
+	}
+	s.state, s.durableState, s.savedVersion = submitter.Failed, submitter.Failed, s.version
+	s.occs = nil
+}
+
 // progress returns the progress of a submission in the form that is made durable.
 func (s *submission) progress() *submitter.Progress {
 	p := &submitter.Progress{}
