Hand submissions to parts that can serve them

Cause: the choice of a part compares loads of whole parts, which know neither services nor labels, and nothing moves what was accepted. 6107 of the part counts all its runners of the service as excluded.

Change: an owner's answer to a submission names the needs that none of its runners meets, and daemons put such submissions in the other candidate part for 2 s. An owner hands a whole submission to another part once each of its runs has provably ended, if no runner here may run it, or if a long-running task has found no room for 3 s and the other part has it. One transaction, conditional on the owner's record, the submission, its progress and the absence of a cancellation, writes it there, and the number of that part under its key at home, which gateways follow. Nothing of it starts from before the transaction until the outcome is known, and its runs are numbered above all earlier ones. 6207 records each attempt.

Why it works: a second start in another part has the conditions of one in the same part, and only one part's owner can read the submission.

The memory store of tests carries out deletions, which it ignored. The stand-in client of the conductor's tests reports its lasting run as ready.

--- a/internal/connection/relayer/relayer.go
+++ b/internal/connection/relayer/relayer.go
@@ -31,6 +31,7 @@
 	termPath       = "/owner/term"
 	acceptPath     = "/owner/accept"
 	revokePath     = "/owner/revoke"
+	offerPath      = "/owner/offer"
 )
 
 // Bounds of the protocol.
@@ -67,7 +68,7 @@
 // An Owner serves calls about the submissions of its part.
 type Owner interface {
 	// Submit queues an accepted submission and returns the load that includes it.
-	Submit(sub *submitter.Submission) partitioner.Load
+	Submit(sub *submitter.Submission) partitioner.Receipt
 	// Cancel cancels a submission whose cancellation is stored.
 	Cancel(id string)
 	// State returns the state of a submission and whether the owner knows it.
@@ -76,6 +77,8 @@
 	Pending(queue string) int
 	// Load returns the load of the part.
 	Load() partitioner.Load
+	// Offer returns what the part offers for some needs.
+	Offer(needs []partitioner.Need) partitioner.Offer
 }
 
 // A SubmissionStore stores submissions and cancellations for other daemons, whose
@@ -138,14 +141,24 @@
 	}}}
 }
 
-// Submit sends an accepted submission to the owner and returns the owner's load.
-func (c *Client) Submit(ctx context.Context, to Target, sub *submitter.Submission) (load partitioner.Load, err error) {
+// Submit sends an accepted submission to the owner and returns the owner's answer.
+func (c *Client) Submit(ctx context.Context, to Target, sub *submitter.Submission) (receipt partitioner.Receipt, err error) {
 	body, err := sub.Encode()
 	if err != nil {
-		return load, err
+		return receipt, err
 	}
-	err = c.call(ctx, http.MethodPost, to, submissionPath, "", body, &load)
-	return load, err
+	err = c.call(ctx, http.MethodPost, to, submissionPath, "", body, &receipt)
+	return receipt, err
+}
+
+// Offer returns what the owner's part offers for some needs.
+func (c *Client) Offer(ctx context.Context, to Target, needs []partitioner.Need) (offer partitioner.Offer, err error) {
+	body, err := json.Marshal(needs)
+	if err != nil {
+		return offer, err
+	}
+	err = c.call(ctx, http.MethodPost, to, offerPath, "", body, &offer)
+	return offer, err
 }
 
 // Accept makes the owner store a submission.
@@ -278,6 +291,7 @@
 	handle("GET "+pendingPath, func(o Owner, name string, w http.ResponseWriter, _ *http.Request) {
 		reply(w, pendingResponse{Pending: o.Pending(name)})
 	})
+	handle("POST "+offerPath, serveOffer)
 	handle("GET "+loadPath, func(o Owner, _ string, w http.ResponseWriter, _ *http.Request) { reply(w, o.Load()) })
 	return mux
 }
@@ -298,6 +312,15 @@
 	}
 }
 
+func serveOffer(o Owner, _ string, w http.ResponseWriter, r *http.Request) {
+	var needs []partitioner.Need
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&needs); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, o.Offer(needs))
+}
+
 func serveAccept(store SubmissionStore, w http.ResponseWriter, r *http.Request) {
 	sub := readSubmission(w, r)
 	if sub == nil {
--- a/internal/connection/relayer/relayer_test.go
+++ b/internal/connection/relayer/relayer_test.go
@@ -19,9 +19,13 @@
 	subs map[string]*submitter.Submission
 }
 
-func (o *owner) Submit(sub *submitter.Submission) partitioner.Load {
+func (o *owner) Submit(sub *submitter.Submission) partitioner.Receipt {
 	o.subs[sub.ID] = sub
-	return o.Load()
+	return partitioner.Receipt{Load: o.Load(), Unable: []partitioner.Need{{Service: sub.Queue}}}
+}
+
+func (o *owner) Offer(needs []partitioner.Need) partitioner.Offer {
+	return partitioner.Offer{IsAble: len(needs) == 1, HasRoom: needs[0].Tasks < 3}
 }
 
 func (o *owner) Load() partitioner.Load {
@@ -70,8 +74,11 @@
 	t.Parallel()
 	client, address := serve(t, nil)
 	ctx, to := context.Background(), Target{Address: address, Part: 1}
-	if load, err := client.Submit(ctx, to, submission("a")); err != nil || load.Reserved != 1 {
-		t.Fatalf("Submit returned load %+v, error %v; want 1 reserved", load, err)
+	if load, err := client.Submit(ctx, to, submission("a")); err != nil || load.Reserved != 1 || len(load.Unable) != 1 {
+		t.Fatalf("Submit returned %+v, error %v; want 1 reserved and a need", load, err)
+	}
+	if offer, err := client.Offer(ctx, to, []partitioner.Need{{Service: "s", Tasks: 4}}); err != nil || !offer.IsAble || offer.HasRoom {
+		t.Errorf("Offer returned %+v, error %v; want one without room", offer, err)
 	}
 	if state, known, err := client.State(ctx, to, "a"); err != nil || !known || state != submitter.Queued {
 		t.Errorf("State of a queued submission: %q, known %v, error %v", state, known, err)
--- a/internal/process/conductor/conductor.go
+++ b/internal/process/conductor/conductor.go
@@ -98,6 +98,9 @@
 	// Unconfirmed returns for how long the store has not named this daemon as the owner,
 	// suspension of the host included, and for how long the host was suspended meanwhile.
 	Unconfirmed func() (unconfirmed, suspended time.Duration)
+	// AskOffer asks the owner of another part what it offers for some needs. It is nil if there
+	// is no other part.
+	AskOffer func(ctx context.Context, part int, needs []partitioner.Need) (partitioner.Offer, error)
 	// OnDeposed is called when there is evidence of another owner.
 	OnDeposed func(reason string)
 }
@@ -111,6 +114,8 @@
 	// roster needs no lock: load uses it before the registry's callbacks start,
 	// and the callbacks are sequential.
 	roster roster
+	// pledges needs no lock: only relocate uses it.
+	pledges []pledge
 
 	mu      sync.Mutex
 	table   *dispatcher.Table
@@ -149,6 +154,9 @@
 	c.background.Go(c.save)
 	c.background.Go(c.saveMemory)
 	c.background.Go(c.deleteExpired)
+	if c.opts.AskOffer != nil {
+		c.background.Go(c.relocate)
+	}
 	c.background.Go(c.place)
 	c.background.Go(c.tick)
 	c.background.Go(func() { c.opts.Registry.Follow(c.ctx, c.ownsRunner, c.setRunners) })
@@ -223,13 +231,25 @@
 }
 
 // Submit adds an accepted submission and returns the part's load including the
-// submission. If there is only one part, the returned load is zero.
-func (c *Conductor) Submit(sub *submitter.Submission) (load partitioner.Load) {
-	c.apply(func(t *dispatcher.Table, now time.Time) { t.Add(sub, nil, now) })
+// submission. If there is only one part, the receipt is empty.
+func (c *Conductor) Submit(sub *submitter.Submission) (receipt partitioner.Receipt) {
 	if c.opts.Split.Parts < 2 {
-		return load // there is no other part to choose
+		c.apply(func(t *dispatcher.Table, now time.Time) { t.Add(sub, nil, now) })
+		return receipt // there is no other part to choose
 	}
-	return c.Load()
+	c.apply(func(t *dispatcher.Table, now time.Time) {
+		t.AddReported(sub, now)
+		receipt.Unable = t.Unable(sub)
+		receipt.Load = t.Load()
+	})
+	return receipt
+}
+
+// Offer returns what the part offers for some needs.
+func (c *Conductor) Offer(needs []partitioner.Need) partitioner.Offer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Serves(needs)
 }
 
 // Load returns the part's load.
--- a/internal/process/conductor/events.go
+++ b/internal/process/conductor/events.go
@@ -22,4 +22,7 @@
 	// EventRecordRefused is recorded when the store refuses the progress of a submission for
 	// good, so that the submission fails. Level: warn.
 	EventRecordRefused recorder.Number = 6206
+	// EventMoved is recorded when a submission that can't go on in this part was handed to
+	// another one, or could not be.
+	EventMoved recorder.Number = 6207
 )
--- a/internal/process/conductor/keys.go
+++ b/internal/process/conductor/keys.go
@@ -2,9 +2,9 @@
 
 import "strconv"
 
-// Keys holds the store keys of one part. The key of a submission or cancellation is
-// written once, by the daemon that accepts the submission or cancellation; the
-// part's owner writes all others.
+// Keys holds the store keys of one part. The daemon that accepts a submission or a
+// cancellation writes its key. The part's owner writes all others, and replaces the key of a
+// submission that it hands to another part.
 type Keys struct {
 	submissions, progress, memory, roster string // the first two are prefixes
 }
--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -72,6 +72,9 @@
 		if strings.HasSuffix(item.Key, cancelSuffix) {
 			continue
 		}
+		if _, isForward, _ := submitter.DecodeForward(item.Value); isForward {
+			continue
+		}
 		sub, err := submitter.Decode(item.Value)
 		if err != nil {
 			c.noteUnreadable(item.Key, err)
@@ -148,8 +151,8 @@
 	cleanupInterval = 5 * time.Second
 	cleanupPause    = 250 * time.Millisecond
 	// maxDeletedSubmissions is the number of submissions that one transaction
-	// deletes, with three keys for each.
-	maxDeletedSubmissions = (transactor.MaxEntries - 1) / 3
+	// deletes, with up to four keys for each.
+	maxDeletedSubmissions = (transactor.MaxEntries - 1) / 4
 )
 
 // deleteExpired deletes the records of submissions that ended long ago, so that a
@@ -160,6 +163,12 @@
 		pause = cleanupInterval
 		c.mu.Lock()
 		ids := c.table.Expired(maxDeletedSubmissions, time.Now())
+		homes := make(map[string]int)
+		for _, id := range ids {
+			if home, hasMoved := c.table.Home(id); hasMoved && home != c.opts.Part {
+				homes[id] = home
+			}
+		}
 		c.mu.Unlock()
 		if len(ids) == 0 {
 			continue
@@ -167,6 +176,9 @@
 		txn := transactor.Transaction{Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}}}
 		for _, id := range ids {
 			txn.Deletes = append(txn.Deletes, c.keys.Submission(id), c.keys.Cancellation(id), c.keys.Progress(id))
+			if home, ok := homes[id]; ok {
+				txn.Deletes = append(txn.Deletes, KeysOf(home).Submission(id))
+			}
 		}
 		ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
 		_, err := c.opts.Store.Commit(ctx, txn)
--- a/internal/process/conductor/saving_test.go
+++ b/internal/process/conductor/saving_test.go
@@ -49,7 +49,7 @@
 	for _, order := range orders[c.seen:] {
 		switch {
 		case order.Kind == dispatcher.Start && order.Task == c.lasting:
-			c.running = append(c.running, dispatcher.RunStatus{Task: order.Task, Run: order.Run})
+			c.running = append(c.running, dispatcher.RunStatus{Task: order.Task, Run: order.Run, Percent: 100})
 		case order.Kind == dispatcher.Start:
 			c.end(order, dispatcher.Done)
 		case order.Kind == dispatcher.Stop && order.Task == c.lasting:
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -166,7 +166,7 @@
 		return &RejectedError{Reason: "store is unavailable", RetryAfter: outageRetryAfter}
 	}
 	candidates := g.opts.Split.CandidateParts(sub.ID)
-	part := g.choose(candidates, partitioner.DemandOf(&sub))
+	part := g.choose(candidates, &sub)
 	stamped := sub.WithOwner(g.opts.Elector.Current(part).Fence)
 	value, err := stamped.Encode()
 	if err != nil {
@@ -185,7 +185,7 @@
 	if errors.As(err, &conflict) {
 		// An earlier request has stored the submission, and the daemon that served it may
 		// have failed to report the submission to the owner.
-		part, accepted, err = storedSubmission(sub.ID, candidates, conflict)
+		part, accepted, err = g.storedSubmission(ctx, sub.ID, candidates, conflict)
 	}
 	if err != nil {
 		return err
@@ -197,11 +197,14 @@
 
 // storedSubmission returns the submission that an earlier request has stored, and
 // its part.
-func storedSubmission(id string, candidates []int, conflict *transactor.ConflictError) (part int, sub *submitter.Submission, err error) {
+func (g *Gateway) storedSubmission(ctx context.Context, id string, candidates []int, conflict *transactor.ConflictError) (part int, sub *submitter.Submission, err error) {
 	for _, candidate := range candidates {
 		if item := conflict.Find(conductor.KeysOf(candidate).Submission(id)); item.Revision > 0 {
+			if part, item, err = g.follow(ctx, id, candidate, item); err != nil {
+				return 0, nil, errors.Join(ErrUnknownOutcome, err)
+			}
 			sub, err = submitter.Decode(item.Value)
-			return candidate, sub, err
+			return part, sub, err
 		}
 	}
 	// The store reports that a key exists, but not which one.
@@ -271,11 +274,14 @@
 // balancer with the load that the owner returns.
 func (g *Gateway) submitToOwner(ctx context.Context, part int, sub *submitter.Submission) error {
 	if local := g.opts.LocalOwner(part); local != nil {
-		g.balancer.UpdateLoad(part, local.Submit(sub), time.Now())
+		receipt := local.Submit(sub)
+		g.balancer.UpdateLoad(part, receipt.Load, time.Now())
+		g.balancer.NoteUnable(part, receipt.Unable, time.Now())
 		return nil
 	}
-	load, err := g.opts.Peers.Submit(ctx, g.target(part), sub)
-	g.noteLoad(part, load, err)
+	receipt, err := g.opts.Peers.Submit(ctx, g.target(part), sub)
+	g.noteLoad(part, receipt.Load, err)
+	g.balancer.NoteUnable(part, receipt.Unable, time.Now())
 	return err
 }
 
@@ -302,21 +308,26 @@
 // Revoke implements relayer.SubmissionStore: it stores a cancellation through this daemon's
 // own connection to the store, and reports it to the owner.
 func (g *Gateway) Revoke(ctx context.Context, id string) (known bool, err error) {
-	part, item, err := g.find(ctx, id)
-	if errors.Is(err, transactor.ErrNotFound) {
-		return false, nil
-	}
-	if err != nil {
-		return false, err
-	}
-	key := conductor.KeysOf(part).Cancellation(id)
-	err = g.commit(ctx, transactor.Transaction{
-		Conditions: []transactor.Condition{{Key: item.Key, Revision: item.Revision}, {Key: key}},
-		Writes:     []transactor.Write{{Key: key, Value: []byte("{}")}},
-	})
-	var conflict *transactor.ConflictError
-	if err != nil && !errors.As(err, &conflict) {
-		return true, err
+	var part int
+	for attempt := 0; ; attempt++ {
+		var item transactor.Item
+		part, item, err = g.find(ctx, id)
+		if errors.Is(err, transactor.ErrNotFound) {
+			return attempt > 0, nil // it may have been deleted meanwhile
+		}
+		if err != nil {
+			return false, err
+		}
+		isLost, err := g.storeCancellation(ctx, part, item, id)
+		if err != nil {
+			return true, err
+		}
+		if !isLost {
+			break
+		}
+		if attempt+1 == maxMoves {
+			return true, ErrUnknownOutcome
+		}
 	}
 	g.report(func(ctx context.Context) error {
 		if local := g.opts.LocalOwner(part); local != nil {
@@ -328,6 +339,21 @@
 	return true, nil
 }
 
+// storeCancellation stores the cancellation of a submission that was found in a part. isLost says
+// that the submission is no longer there.
+func (g *Gateway) storeCancellation(ctx context.Context, part int, found transactor.Item, id string) (isLost bool, err error) {
+	key := conductor.KeysOf(part).Cancellation(id)
+	err = g.commit(ctx, transactor.Transaction{
+		Conditions: []transactor.Condition{{Key: found.Key, Revision: found.Revision}, {Key: key}},
+		Writes:     []transactor.Write{{Key: key, Value: []byte("{}")}},
+	})
+	var conflict *transactor.ConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Find(key).Revision == 0, nil
+	}
+	return false, err
+}
+
 // recordSubmit records the event of a submission's outcome.
 func (g *Gateway) recordSubmit(sub *submitter.Submission, began time.Time, err error) {
 	fields := recorder.Fields{
--- a/internal/process/gateway/homes.go
+++ b/internal/process/gateway/homes.go
@@ -9,7 +9,7 @@
 // partCacheSize limits each of the two maps of a partCache.
 const partCacheSize = 4096
 
-// A partCache remembers which of its two candidate parts a submission is in, so that
+// A partCache remembers which part a submission is in, so that
 // a request usually goes to one owner instead of two. It is safe for concurrent use.
 type partCache struct {
 	split partitioner.Split
@@ -38,7 +38,7 @@
 }
 
 // candidates returns the parts that a submission may be in, the most likely one
-// first.
+// first. If it is in none of them, the part in which it was accepted names another one.
 func (c *partCache) candidates(id string) []int {
 	all := c.split.CandidateParts(id)
 	if len(all) < 2 {
@@ -50,8 +50,12 @@
 	if !known {
 		part, known = c.older[id]
 	}
-	if known && part != all[0] {
+	switch {
+	case !known, part == all[0]:
+	case part == all[1]:
 		all[0], all[1] = all[1], all[0]
+	default:
+		all = append([]int{part}, all...) // it was handed to another part
 	}
 	return all
 }
--- a/internal/process/gateway/homes_test.go
+++ b/internal/process/gateway/homes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
@@ -23,6 +24,18 @@
 			t.Errorf("parts %v, want the remembered one first", got)
 		}
 	})
+	t.Run("part that isn't a candidate comes first, with both", func(t *testing.T) {
+		candidates := split.CandidateParts("b")
+		other := 0
+		for slices.Contains(candidates, other) {
+			other++
+		}
+		moved := newPartCache(split)
+		moved.add("b", other)
+		if got := moved.candidates("b"); !slices.Equal(got, append([]int{other}, candidates...)) {
+			t.Errorf("parts %v, want %d, then %v", got, other, candidates)
+		}
+	})
 	t.Run("part is still remembered from the older map", func(t *testing.T) {
 		for i := range partCacheSize {
 			cache.add(fmt.Sprint(i), 0)
--- a/internal/process/gateway/loads.go
+++ b/internal/process/gateway/loads.go
@@ -7,12 +7,14 @@
 
 	"github.com/kumquatstack/kumquatstack/internal/connection/relayer"
 	"github.com/kumquatstack/kumquatstack/internal/version/partitioner"
+	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
-// choose returns the part for a submission with a demand. The owners of those of its other
-// candidate parts whose loads are outdated are asked in the background.
-func (g *Gateway) choose(candidates []int, demand partitioner.Load) (chosen int) {
-	chosen = g.balancer.Choose(candidates, demand)
+// choose returns the part for a submission. The owners of those of its other candidate parts
+// whose loads are outdated are asked in the background.
+func (g *Gateway) choose(candidates []int, sub *submitter.Submission) (chosen int) {
+	able := g.balancer.Able(candidates, needsOf(sub), time.Now())
+	chosen = g.balancer.Choose(able, partitioner.DemandOf(sub))
 	others := make([]int, 0, len(candidates))
 	for _, part := range candidates {
 		if part != chosen {
@@ -29,6 +31,14 @@
 	return chosen
 }
 
+// needsOf returns what a submission needs by the terms of its queue.
+func needsOf(sub *submitter.Submission) []partitioner.Need {
+	if sub.Terms == nil {
+		return nil
+	}
+	return partitioner.NeedsOf(sub, sub.Terms.Service)
+}
+
 // readLoad asks the owner of a part for its load.
 func (g *Gateway) readLoad(ctx context.Context, part int) {
 	if local := g.opts.LocalOwner(part); local != nil {
--- a/internal/process/gateway/sharing_test.go
+++ b/internal/process/gateway/sharing_test.go
@@ -33,11 +33,13 @@
 	queued   float64 // milliCore-seconds
 }
 
-func (p *modelPart) Submit(sub *submitter.Submission) partitioner.Load {
+func (p *modelPart) Submit(sub *submitter.Submission) partitioner.Receipt {
 	p.queued += float64(partitioner.DemandOf(sub).Filling)
-	return p.Load()
+	return partitioner.Receipt{Load: p.Load()}
 }
 
+func (p *modelPart) Offer([]partitioner.Need) partitioner.Offer { return partitioner.Offer{} }
+
 func (p *modelPart) Load() partitioner.Load {
 	return partitioner.Load{Capacity: p.capacity, Filling: int64(p.queued)}
 }
--- a/internal/process/gateway/states.go
+++ b/internal/process/gateway/states.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"golang.org/x/sync/errgroup"
 
@@ -18,6 +19,9 @@
 	defer cancel()
 	for _, part = range g.parts.candidates(id) {
 		item, err = g.opts.Store.Get(ctx, conductor.KeysOf(part).Submission(id))
+		if err == nil {
+			part, item, err = g.follow(ctx, id, part, item)
+		}
 		if !errors.Is(err, transactor.ErrNotFound) {
 			return part, item, err
 		}
@@ -25,16 +29,45 @@
 	return 0, item, err
 }
 
+// maxMoves is the number of moves of a submission, while it is looked for, that are followed.
+const maxMoves = 3
+
+// follow returns the part that a submission is in, and its item, given what is stored under its
+// key in another part.
+func (g *Gateway) follow(ctx context.Context, id string, home int, item transactor.Item) (part int, found transactor.Item, err error) {
+	part = home
+	for range maxMoves {
+		to, isForward, err := submitter.DecodeForward(item.Value)
+		if err != nil || !isForward {
+			return part, item, err
+		}
+		found, err = g.opts.Store.Get(ctx, conductor.KeysOf(to).Submission(id))
+		if err == nil {
+			g.parts.add(id, to)
+			return to, found, nil
+		}
+		if !errors.Is(err, transactor.ErrNotFound) {
+			return to, found, err
+		}
+		// It was handed on since, or deleted.
+		if item, err = g.opts.Store.Get(ctx, conductor.KeysOf(home).Submission(id)); err != nil {
+			return home, item, err
+		}
+	}
+	return part, found, transactor.ErrUnknown
+}
+
 // State returns a submission's state from the owner of its part. If no owner answers
 // or knows the submission, it returns the state in the store.
 func (g *Gateway) State(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	for _, part := range g.parts.candidates(id) {
+	candidates := g.parts.candidates(id)
+	for _, part := range candidates {
 		if state, known = g.ownerState(ctx, part, id); known {
 			g.parts.add(id, part)
 			return state, true, nil
 		}
 	}
-	return g.storedState(ctx, id)
+	return g.storedState(ctx, id, candidates)
 }
 
 // ownerState asks the owner of one part for a submission's state. known is false if the
@@ -56,15 +89,21 @@
 	return state, known
 }
 
-// storedState derives a submission's state from its records in the store.
-func (g *Gateway) storedState(ctx context.Context, id string) (state submitter.State, known bool, err error) {
-	part, _, err := g.find(ctx, id)
+// storedState derives a submission's state from its records in the store, after the owners of
+// some parts were asked.
+func (g *Gateway) storedState(ctx context.Context, id string, asked []int) (state submitter.State, known bool, err error) {
+	part, item, err := g.find(ctx, id)
 	if errors.Is(err, transactor.ErrNotFound) {
 		return "", false, nil
 	}
 	if err != nil {
 		return "", false, err
 	}
+	if !slices.Contains(asked, part) {
+		if state, known = g.ownerState(ctx, part, id); known {
+			return state, true, nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	keys := conductor.KeysOf(part)
@@ -75,14 +114,14 @@
 	if !errors.Is(err, transactor.ErrNotFound) {
 		return "", false, err
 	}
-	item, err := g.opts.Store.Get(ctx, keys.Progress(id))
+	saved, err := g.opts.Store.Get(ctx, keys.Progress(id))
 	if errors.Is(err, transactor.ErrNotFound) {
-		return submitter.Queued, true, nil
+		return stateWithoutProgress(item), true, nil
 	}
 	if err != nil {
 		return "", false, err
 	}
-	progress, err := submitter.DecodeProgress(item.Value)
+	progress, err := submitter.DecodeProgress(saved.Value)
 	if err != nil {
 		return "", false, err
 	}
@@ -92,6 +131,15 @@
 	return submitter.Running, true, nil
 }
 
+// stateWithoutProgress returns the state of a submission of which the owner has saved nothing.
+func stateWithoutProgress(item transactor.Item) submitter.State {
+	sub, err := submitter.Decode(item.Value)
+	if err == nil && sub.Move != nil && sub.Move.Progress.HasAny() {
+		return submitter.Running
+	}
+	return submitter.Queued
+}
+
 // Pending returns the number of a queue's submissions in all parts that have not
 // started.
 func (g *Gateway) Pending(ctx context.Context, queue string) (n int, err error) {
--- a/internal/process/recorder/entries.go
+++ b/internal/process/recorder/entries.go
@@ -158,6 +158,7 @@
 	6204: {Name: "conductor.orderDelayed", Level: log.InfoLevel},
 	6205: {Name: "conductor.formerCallRefused", Level: log.InfoLevel},
 	6206: {Name: "conductor.recordRefused", Level: log.WarnLevel},
+	6207: {Name: "conductor.moved", Level: log.InfoLevel},
 	6300: {Name: "gateway.accepted", Level: log.InfoLevel},
 	6301: {Name: "gateway.rejected", Level: log.InfoLevel},
 	6302: {Name: "gateway.outcomeUnknown", Level: log.InfoLevel},
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -174,6 +174,9 @@
 		ConfirmedAt:      term.ConfirmedAt, HeldAt: term.HeldAt, MayAct: term.MayAct, Unconfirmed: term.Unconfirmed,
 		OnDeposed: func(reason string) { term.Depose(time.Now(), reason) },
 	}
+	if d.split.Parts > 1 {
+		opts.AskOffer = d.askOffer
+	}
 	own := endedTerm{fence: owner.Fence}
 	defer func() { d.endedTerms[owner.Part].Store(&own) }()
 	for ctx.Err() == nil {
@@ -197,6 +200,16 @@
 	}
 }
 
+// askOffer asks the owner of a part what the part offers for some needs.
+func (d *duties) askOffer(ctx context.Context, part int, needs []partitioner.Need) (partitioner.Offer, error) {
+	if c := d.conductors[part].Load(); c != nil {
+		return c.Offer(needs), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return d.s.client.Offer(ctx, relayer.Target{Address: d.elector.Current(part).Address, Part: part}, needs)
+}
+
 // leave gives up a part whose runners this daemon does not reach.
 func (d *duties) leave(term *elector.Term, now time.Time) {
 	d.departures.note(term.Owner.Part, departure{at: now, delay: unreachedDelay, strained: d.departures.strained(term.Owner.Part)})
--- a/internal/standin/memorystore/store.go
+++ b/internal/standin/memorystore/store.go
@@ -12,7 +12,7 @@
 )
 
 // A Store is a transactor.Store in memory. Its leases never expire; they end only by
-// Revoke. Its transactions ignore Deletes. It is safe for concurrent use.
+// Revoke. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
@@ -106,6 +106,11 @@
 		s.items[write.Key], s.leases[write.Key] = item, write.Lease
 		s.history = append(s.history, transactor.Event{Item: item})
 	}
+	for _, key := range txn.Deletes {
+		if _, ok := s.items[key]; ok {
+			s.remove(key)
+		}
+	}
 	return s.revision, nil
 }
 
--- a/internal/version/dispatcher/occurrence_test.go
+++ b/internal/version/dispatcher/occurrence_test.go
@@ -149,7 +149,7 @@
 			}
 			h.poll("r0", End{Task: id, Run: 1, Kind: kind})
 		}
-		data, err := s.progress().Encode()
+		data, err := s.progress(false).Encode()
 		if err != nil {
 			r.Fatal(err)
 		}
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -112,6 +112,9 @@
 	var list []candidate
 	t.owedTurns = 0
 	for _, s := range t.unfinished() {
+		if s.isMoving {
+			continue
+		}
 		if s.opened < s.sub.Occurrences() {
 			t.openDue(s, now)
 		}
@@ -300,7 +303,7 @@
 	var number int64
 	var placed []*run
 	for i := range st.tasks {
-		number = max(number, t.nextRun(&st.tasks[i]))
+		number = max(number, t.nextRun(st, i))
 	}
 	for _, i := range st.suspectsFirst(now) {
 		r := t.choose(st, &st.tasks[i], now)
@@ -471,13 +474,13 @@
 
 // start places one task of a step on a runner and orders its start.
 func (t *Table) start(st *stepState, index int, r *runner, now time.Time) {
-	t.orderStart(t.place(st, index, r, t.nextRun(&st.tasks[index]), now), now)
+	t.orderStart(t.place(st, index, r, t.nextRun(st, index), now), now)
 }
 
 // nextRun returns a number for the next run of a task. It is higher than that of any
-// run that this owner or a former one may have started.
-func (t *Table) nextRun(k *task) int64 {
-	return max(k.nextRun, t.generation*runsPerGeneration+1)
+// run that this owner, a former one, or the owner of a former part may have started.
+func (t *Table) nextRun(st *stepState, index int) int64 {
+	return max(st.tasks[index].nextRun, st.s.sub.FirstRun()+t.generation*runsPerGeneration+1)
 }
 
 // place adds a run of a task on a runner to the table, without ordering its start.
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -193,6 +193,10 @@
 // unknownRunGrace.
 func (t *Table) adopt(r *runner, key runKey, now time.Time) *run {
 	s, ok := t.subs[key.task.Submission]
+	if _, hasMoved := t.moved[key.task.Submission]; hasMoved || (ok && s.isMoving) {
+		t.stopUnknown(r, key, now)
+		return nil
+	}
 	if !ok {
 		if first, ok := r.unknownRuns[key]; !ok {
 			r.unknownRuns[key] = now
--- a/internal/version/dispatcher/restoring.go
+++ b/internal/version/dispatcher/restoring.go
@@ -73,6 +73,7 @@
 	for k := range st.tasks {
 		st.tasks[k].failures = submitter.NewFailures(p.Failures[k], p.OlderFailures[k])
 		st.restoreCrashes(k, p.Crashes[k], now)
+		st.noteCheckpoint(&st.tasks[k], p.Checkpoints[k])
 		if p.Done.Has(k) {
 			t.markDone(st, k)
 		}
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -200,7 +200,7 @@
 	records := make([]Record, 0, n)
 	for _, s := range t.dirty[:n] {
 		s.isDirty = false
-		records = append(records, Record{ID: s.sub.ID, Progress: s.progress(), Version: s.version})
+		records = append(records, Record{ID: s.sub.ID, Progress: s.progress(false), Version: s.version})
 	}
 	t.dirty = append(t.dirty[:0], t.dirty[n:]...)
 	return records
@@ -245,8 +245,9 @@
 	s.occs = nil
 }
 
-// progress returns the progress of a submission in the form that is made durable.
-func (s *submission) progress() *submitter.Progress {
+// progress returns the progress of a submission in the form that is made durable, with the newest
+// checkpoints or without.
+func (s *submission) progress(withCheckpoints bool) *submitter.Progress {
 	p := &submitter.Progress{}
 	if s.state.IsFinal() {
 		p.State = s.state
@@ -256,7 +257,7 @@
 	rows := make([]submitter.OccurrenceProgress, len(s.occs))
 	for i, occ := range s.occs {
 		var any bool
-		if rows[i], any = occ.progress(); any {
+		if rows[i], any = occ.progress(withCheckpoints); any {
 			p.Next = max(p.Next, occ.index+1)
 		}
 	}
@@ -269,7 +270,7 @@
 }
 
 // progress returns the progress of an occurrence that is not done, and whether it has any.
-func (o *occurrence) progress() (p submitter.OccurrenceProgress, any bool) {
+func (o *occurrence) progress(withCheckpoints bool) (p submitter.OccurrenceProgress, any bool) {
 	p.Occurrence = o.index
 	for step := range o.steps[0].s.sub.Steps {
 		if o.isDone(step) {
@@ -278,7 +279,7 @@
 		}
 	}
 	for _, st := range o.steps {
-		if row, hasRow := st.progress(); hasRow {
+		if row, hasRow := st.progress(withCheckpoints); hasRow {
 			p.Steps = append(p.Steps, row)
 			any = true
 		}
@@ -290,7 +291,7 @@
 }
 
 // progress returns the progress of a step that is not done, and whether it has any.
-func (st *stepState) progress() (p submitter.StepProgress, any bool) {
+func (st *stepState) progress(withCheckpoints bool) (p submitter.StepProgress, any bool) {
 	if st.remaining == 0 {
 		return p, false
 	}
@@ -310,6 +311,10 @@
 		if older := k.failures.Older(); older > 0 {
 			putTask(&p.OlderFailures, i, older)
 		}
+		if checkpoint := st.checkpoint(k); withCheckpoints && checkpoint != "" {
+			putTask(&p.Checkpoints, i, checkpoint)
+			any = true
+		}
 		if len(k.crashes) > 0 {
 			putTask(&p.Crashes, i, slices.Clone(k.crashes))
 			any = true
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -43,6 +43,10 @@
 	// durable version.
 	version, savedVersion int64
 	isDirty               bool // Table.dirty contains the submission
+	// isMoving says that the submission is being handed to another part, and nothing of it
+	// starts here. That may be tried again from moveAfter on.
+	isMoving  bool
+	moveAfter time.Time
 }
 
 // A stepState is the state of one step in one occurrence.
@@ -205,9 +209,12 @@
 // submission that is already in the table is left as it is, and one that was first
 // passed to a successor of this owner is ignored.
 func (t *Table) Add(sub *submitter.Submission, progress *submitter.Progress, now time.Time) {
-	if _, ok := t.subs[sub.ID]; ok || sub.Owner > t.fence {
+	if _, ok := t.subs[sub.ID]; ok || sub.Owner > t.fence || t.hasLeft(sub) {
 		return
 	}
+	if progress == nil && sub.Move != nil {
+		progress = sub.Move.Progress
+	}
 	s := &submission{sub: sub, state: submitter.Queued, durableState: submitter.Queued, remaining: sub.Occurrences(), addedAt: now}
 	t.subs[sub.ID] = s
 	if progress != nil {
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -165,6 +165,8 @@
 	longEndedAt time.Time
 	// earlyCancels holds when submissions were cancelled that are not in the table yet.
 	earlyCancels map[string]time.Time
+	// moved holds the submissions that were handed to other parts recently.
+	moved map[string]departure
 	// finished holds the submissions that have ended, oldest first.
 	finished []finishedSubmission
 }
@@ -197,6 +199,7 @@
 		noRoom:           make(map[shape][]submitter.Resources),
 		plans:            make(map[string]*roomPlan),
 		earlyCancels:     make(map[string]time.Time),
+		moved:            make(map[string]departure),
 		held:             make(map[*runner]suspect),
 	}
 }
--- a/internal/version/dispatcher/tick.go
+++ b/internal/version/dispatcher/tick.go
@@ -51,6 +51,7 @@
 		t.watchRun(x, now)
 	}
 	maps.DeleteFunc(t.earlyCancels, func(_ string, at time.Time) bool { return now.Sub(at) > earlyCancelRetention })
+	maps.DeleteFunc(t.moved, func(_ string, d departure) bool { return now.Sub(d.at) > movedRetention })
 	t.watchWaiting(now)
 	t.watchAwaited(now)
 	t.planRoom(now)
--- a/internal/version/partitioner/balancer.go
+++ b/internal/version/partitioner/balancer.go
@@ -88,10 +88,14 @@
 type Balancer struct {
 	mu    sync.Mutex
 	loads map[int]reportedLoad // by partition
+	// inabilities holds by partition what it could not run.
+	inabilities map[int][]inability
 }
 
 // NewBalancer returns a balancer without any reported loads.
-func NewBalancer() *Balancer { return &Balancer{loads: make(map[int]reportedLoad)} }
+func NewBalancer() *Balancer {
+	return &Balancer{loads: make(map[int]reportedLoad), inabilities: make(map[int][]inability)}
+}
 
 // UpdateLoad stores the load that the owner of a partition reports. An owner that has no
 // usable runner, or does not know any yet, reports no capacity.
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -91,6 +91,9 @@
 	// Crashes maps the index of a task to the losses of runners that it may have
 	// caused, oldest first.
 	Crashes map[int][]Crash `json:"crashes,omitempty"`
+	// Checkpoints maps the index of a task to its newest checkpoint, in the progress of a
+	// submission that is handed to another part.
+	Checkpoints map[int]string `json:"checkpoints,omitempty"`
 }
 
 // A Crash is the loss of a runner soon after the start of a run there.
@@ -146,6 +149,9 @@
 	return n
 }
 
+// HasAny reports whether there is any progress.
+func (p *Progress) HasAny() bool { return p != nil && (p.Next > 0 || len(p.Steps) > 0) }
+
 // Encode returns the form in which the progress is stored.
 func (p *Progress) Encode() ([]byte, error) { return json.Marshal(p) }
 
--- a/internal/version/submitter/submission.go
+++ b/internal/version/submitter/submission.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -56,6 +57,23 @@
 	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMB, o.MemoryMB), min(r.GPUs, o.GPUs)}
 }
 
+// Max returns the larger of each amount of r and o.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCores, o.MilliCores), max(r.MemoryMB, o.MemoryMB), max(r.GPUs, o.GPUs)}
+}
+
+// CountIn returns how many times r fits into a free amount. What needs nothing fits any number
+// of times.
+func (r Resources) CountIn(free Resources) int {
+	count := math.MaxInt
+	for _, amounts := range [][2]int64{{r.MilliCores, free.MilliCores}, {r.MemoryMB, free.MemoryMB}, {r.GPUs, free.GPUs}} {
+		if amounts[0] > 0 {
+			count = min(count, max(0, int(amounts[1]/amounts[0])))
+		}
+	}
+	return count
+}
+
 // A Step is a number of identical tasks that become ready together.
 type Step struct {
 	Count int `json:"count"`
@@ -134,6 +152,8 @@
 	// counts once the queue is no longer configured. It is nil in submissions that were
 	// stored without it.
 	Terms *Queue `json:"terms,omitempty"`
+	// Move is nil unless the submission was handed to another part.
+	Move *Move `json:"move,omitempty"`
 }
 
 // WithOwner returns a copy of the submission with the fencing token of the owner
