Check the conditions of a move between parts

The test of a start without an answer, whose submission stays until no incarnation of the runner can begin it any more, was missing.

--- a/internal/version/dispatcher/relocating_test.go
+++ b/internal/version/dispatcher/relocating_test.go
@@ -142,6 +142,30 @@
 	})
 }
 
+// Guards against a task that runs in two parts: the next incarnation of a runner that is silent may
+// still begin what has lapsed there.
+func TestSubmissionStaysWhileARunMayStillBegin(t *testing.T) {
+	t.Parallel()
+	f := newFormerCalls(t, 0)
+	f.add("a", "urgent", lasting(1, 1000))
+	late, r, other := f.sendStart()
+	f.table.ApplyStart(late, Unanswered, 0, f.now)
+	f.silent = r.id
+	f.table.runners[other].info.Capacity = submitter.Resources{}
+	sentAt := f.now
+	for f.now.Sub(sentAt) < maxCallDelay+testLimits.MaxLease-time.Second {
+		f.pass(time.Second, other)
+		f.saveAll()
+		f.assertStranded("", false)
+		if _, ok := f.table.BeginMove("a", 1, f.now); ok {
+			t.Fatalf("submission may leave %s after a start without an answer", f.now.Sub(sentAt))
+		}
+	}
+	f.pass(2*time.Second, other)
+	f.saveAll()
+	f.assertStranded("a", false)
+}
+
 // Guards against a task that runs in two parts, and against runs in the next part that runners
 // refuse as older ones.
 func TestMoveOfASubmission(t *testing.T) {
