Keep hand-ins from outliving their cancellation

Cause: Revoke kept nothing of a cancellation of what it didn't find, and Accept required only that the submission isn't stored.

Change: a DELETE of what is not stored writes kumquat/revoked/ID, under the condition that no candidate part has the submission, and each hand-in requires that there is no such mark. Either transaction conflicts if the other came first: then the cancellation is stored as usual, or the hand-in is rejected, which the mark makes true. No call is made for a transaction that is older than 15 s, suspension of the host included, for which the reading of the boot clock moves to internal/clocker.

--- a/internal/process/elector/elector.go
+++ b/internal/process/elector/elector.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/clocker"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -400,7 +401,7 @@
 func (e *Elector) claim(ctx context.Context, last Owner) (term *Term, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	startBoot, claimedAt := bootTime(), time.Now()
+	startBoot, claimedAt := clocker.SinceBoot(), time.Now()
 	owner := Owner{Instance: e.opts.Instance, Address: e.opts.Address, Generation: last.Generation, Part: last.Part}
 	if last.Fence > 0 {
 		owner.Generation++
--- a/internal/process/elector/term.go
+++ b/internal/process/elector/term.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/clocker"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/pauser"
 	"github.com/kumquatstack/kumquatstack/internal/process/recorder"
@@ -43,7 +44,7 @@
 }
 
 // A confirmation is when the owner record named this daemon: by the steady clock, and by
-// bootTime, which includes suspension of the host.
+// clocker.SinceBoot, which includes suspension of the host.
 type confirmation struct {
 	at   time.Time
 	boot time.Duration
@@ -94,13 +95,13 @@
 func (t *Term) MayAct() bool { return t.ctx.Err() == nil && t.unconfirmedFor() <= MaxUnconfirmed }
 
 // unconfirmedFor returns the time since the last confirmation by claim or renew.
-func (t *Term) unconfirmedFor() time.Duration { return bootTime() - t.checked.Load().boot }
+func (t *Term) unconfirmedFor() time.Duration { return clocker.SinceBoot() - t.checked.Load().boot }
 
 // Unconfirmed returns the time since the last confirmation by claim or renew, and for how
 // much of it the host was suspended.
 func (t *Term) Unconfirmed() (unconfirmed, suspended time.Duration) {
 	last := t.checked.Load()
-	unconfirmed = bootTime() - last.boot
+	unconfirmed = clocker.SinceBoot() - last.boot
 	return unconfirmed, max(0, unconfirmed-time.Since(last.at))
 }
 
@@ -171,7 +172,7 @@
 // term if the owner record names another owner, or could not be confirmed for
 // MaxUnconfirmed.
 func (t *Term) renewOnce() {
-	startBoot := bootTime()
+	startBoot := clocker.SinceBoot()
 	start := confirmation{at: time.Now(), boot: startBoot}
 	err := t.keepPresence()
 	if err == nil {
--- a/internal/process/elector/term_test.go
+++ b/internal/process/elector/term_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/clocker"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/standin/memorystore"
 )
@@ -26,7 +27,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			term := newTerm(context.Background(), &Elector{}, Owner{}, Owner{}, 0)
-			term.checked.Store(&confirmation{at: time.Now(), boot: bootTime() - c.unconfirmedFor})
+			term.checked.Store(&confirmation{at: time.Now(), boot: clocker.SinceBoot() - c.unconfirmedFor})
 			if got := term.MayAct(); got != c.want {
 				t.Errorf("may act: %t, want %t", got, c.want)
 			}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/kumquatstack/kumquatstack/internal/clocker"
 	"github.com/kumquatstack/kumquatstack/internal/connection/relayer"
 	"github.com/kumquatstack/kumquatstack/internal/connection/transactor"
 	"github.com/kumquatstack/kumquatstack/internal/launcher"
@@ -48,6 +49,9 @@
 	// unknownOutcomeAttempts limits the calls for one transaction if the outcome of a
 	// call is unknown; a repeated call finds out what the outcome was.
 	unknownOutcomeAttempts = 2
+	// maxRequestAge is the age, suspension of the host included, from which on no call is made
+	// for a transaction.
+	maxRequestAge = 15 * time.Second
 	// storeRetryDelay is the pause between calls for one transaction.
 	storeRetryDelay = 120 * time.Millisecond
 	// ownerTimeout is the timeout of one call to the owner.
@@ -87,6 +91,7 @@
 	opts     Options
 	balancer *partitioner.Balancer
 	parts    *partCache
+	marks    *markLeaser
 	ctx      context.Context
 	cancel   context.CancelFunc
 	reports  launcher.Group // calls in progress that report to owners
@@ -99,7 +104,7 @@
 
 // New returns a gateway; Close stops it.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, balancer: partitioner.NewBalancer(), parts: newPartCache(opts.Split)}
+	g := &Gateway{opts: opts, balancer: partitioner.NewBalancer(), parts: newPartCache(opts.Split), marks: newMarkLeaser()}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	return g
 }
@@ -175,11 +180,10 @@
 	if size, limit := max(len(value), sub.OccurrenceBytes()), g.opts.MaxValueBytes; limit > 0 && size > limit {
 		return &RejectedError{Reason: fmt.Sprintf("submission or its progress may take %d bytes, the store takes %d", size, limit)}
 	}
-	txn := transactor.Transaction{Writes: []transactor.Write{{Key: conductor.KeysOf(part).Submission(sub.ID), Value: value}}}
-	for _, candidate := range candidates {
-		txn.Conditions = append(txn.Conditions, transactor.Condition{Key: conductor.KeysOf(candidate).Submission(sub.ID)})
-	}
-	err = g.commit(ctx, txn)
+	err = g.commit(ctx, transactor.Transaction{
+		Conditions: append(g.absence(sub.ID), transactor.Condition{Key: markKey(sub.ID)}),
+		Writes:     []transactor.Write{{Key: conductor.KeysOf(part).Submission(sub.ID), Value: value}},
+	})
 	var conflict *transactor.ConflictError
 	accepted := &stamped
 	if errors.As(err, &conflict) {
@@ -195,8 +199,16 @@
 	return nil
 }
 
+// absence returns the conditions that a submission is not stored.
+func (g *Gateway) absence(id string) (conditions []transactor.Condition) {
+	for _, candidate := range g.opts.Split.CandidateParts(id) {
+		conditions = append(conditions, transactor.Condition{Key: conductor.KeysOf(candidate).Submission(id)})
+	}
+	return conditions
+}
+
 // storedSubmission returns the submission that an earlier request has stored, and
-// its part.
+// its part. If it was cancelled before it was stored, the error is a *RejectedError.
 func (g *Gateway) storedSubmission(ctx context.Context, id string, candidates []int, conflict *transactor.ConflictError) (part int, sub *submitter.Submission, err error) {
 	for _, candidate := range candidates {
 		if item := conflict.Find(conductor.KeysOf(candidate).Submission(id)); item.Revision > 0 {
@@ -207,22 +219,33 @@
 			return part, sub, err
 		}
 	}
+	if conflict.Find(markKey(id)).Revision > 0 {
+		return 0, nil, &RejectedError{Reason: "submission was cancelled before"}
+	}
 	// The store reports that a key exists, but not which one.
 	return 0, nil, errors.Join(ErrUnknownOutcome, conflict)
 }
 
 // commit runs a transaction and repeats it, up to a limit, until its outcome is known.
-// It returns a *transactor.ConflictError, a *RejectedError, or an error that wraps
-// ErrUnknownOutcome.
+// It returns a *transactor.ConflictError, a *RejectedError, transactor.ErrNotFound if the lease of
+// a write has ended, or an error that wraps ErrUnknownOutcome.
 func (g *Gateway) commit(ctx context.Context, txn transactor.Transaction) error {
+	return g.commitBefore(ctx, txn, clocker.SinceBoot()+maxRequestAge)
+}
+
+// commitBefore is like commit, and makes no call from a time since the start of the host on.
+func (g *Gateway) commitBefore(ctx context.Context, txn transactor.Transaction, end time.Duration) error {
 	unknown := false
 	limit := storeAttempts
 	for attempt := 0; ; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := g.opts.Store.Commit(callCtx, txn)
-		cancel()
+		err := transactor.ErrUnavailable
+		if clocker.SinceBoot() < end {
+			callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+			_, err = g.opts.Store.Commit(callCtx, txn)
+			cancel()
+		}
 		var conflict *transactor.ConflictError
-		if err == nil || errors.As(err, &conflict) {
+		if err == nil || errors.As(err, &conflict) || errors.Is(err, transactor.ErrNotFound) {
 			return err
 		}
 		var refused *transactor.RefusedError
@@ -306,14 +329,17 @@
 }
 
 // Revoke implements relayer.SubmissionStore: it stores a cancellation through this daemon's
-// own connection to the store, and reports it to the owner.
+// own connection to the store, and reports it to the owner. If there is no such submission, none
+// that is still under way is accepted later.
 func (g *Gateway) Revoke(ctx context.Context, id string) (known bool, err error) {
-	var part int
-	for attempt := 0; ; attempt++ {
-		var item transactor.Item
-		part, item, err = g.find(ctx, id)
+	for range maxMoves {
+		part, item, err := g.find(ctx, id)
 		if errors.Is(err, transactor.ErrNotFound) {
-			return attempt > 0, nil // it may have been deleted meanwhile
+			isStored, err := g.mark(ctx, id)
+			if err != nil || !isStored {
+				return false, err
+			}
+			continue
 		}
 		if err != nil {
 			return false, err
@@ -323,12 +349,15 @@
 			return true, err
 		}
 		if !isLost {
-			break
-		}
-		if attempt+1 == maxMoves {
-			return true, ErrUnknownOutcome
+			g.reportCancellation(part, id)
+			return true, nil
 		}
 	}
+	return true, ErrUnknownOutcome
+}
+
+// reportCancellation reports a stored cancellation to the owner of the submission's part.
+func (g *Gateway) reportCancellation(part int, id string) {
 	g.report(func(ctx context.Context) error {
 		if local := g.opts.LocalOwner(part); local != nil {
 			local.Cancel(id)
@@ -336,7 +365,6 @@
 		}
 		return g.opts.Peers.Cancel(ctx, g.target(part), id)
 	})
-	return true, nil
 }
 
 // storeCancellation stores the cancellation of a submission that was found in a part. isLost says
