Ignore progress that is written after a move

A write of progress without an answer is repeated, and the first call may be carried out once the submission has moved and its progress is deleted. If the submission came back to the part, its next owner would take that for the newest progress, and run what is done again.

Progress names the number of moves before it, and what has fewer than the submission counts for nothing.

Before: dispatcher.TestMoveOfASubmission "start of step 0, which is done", submitter.TestCurrentProgressOfAMovedSubmission.

--- a/internal/process/conductor/saving.go
+++ b/internal/process/conductor/saving.go
@@ -118,7 +118,7 @@
 	if rec.Progress.State.IsFinal() {
 		return false
 	}
-	failed := &submitter.Progress{State: submitter.Failed}
+	failed := &submitter.Progress{State: submitter.Failed, Moves: rec.Progress.Moves}
 	value, err := failed.Encode()
 	if err != nil {
 		return false
--- a/internal/process/gateway/states.go
+++ b/internal/process/gateway/states.go
@@ -115,29 +115,34 @@
 		return "", false, err
 	}
 	saved, err := g.opts.Store.Get(ctx, keys.Progress(id))
-	if errors.Is(err, transactor.ErrNotFound) {
-		return stateWithoutProgress(item), true, nil
-	}
-	if err != nil {
-		return "", false, err
-	}
-	progress, err := submitter.DecodeProgress(saved.Value)
-	if err != nil {
+	if err != nil && !errors.Is(err, transactor.ErrNotFound) {
 		return "", false, err
 	}
-	if progress.State.IsFinal() {
-		return progress.State, true, nil
-	}
-	return submitter.Running, true, nil
+	state, err = stateOf(item, saved)
+	return state, err == nil, err
 }
 
-// stateWithoutProgress returns the state of a submission of which the owner has saved nothing.
-func stateWithoutProgress(item transactor.Item) submitter.State {
+// stateOf returns the state of a submission by its item and that of its progress, which has no
+// value if the owner has saved nothing.
+func stateOf(item, saved transactor.Item) (state submitter.State, err error) {
 	sub, err := submitter.Decode(item.Value)
-	if err == nil && sub.Move != nil && sub.Move.Progress.HasAny() {
-		return submitter.Running
+	if err != nil {
+		return "", err
+	}
+	var stored *submitter.Progress
+	if len(saved.Value) > 0 {
+		if stored, err = submitter.DecodeProgress(saved.Value); err != nil {
+			return "", err
+		}
+	}
+	switch progress := sub.Current(stored); {
+	case progress == nil, progress != stored && !progress.HasAny():
+		return submitter.Queued, nil
+	case progress.State.IsFinal():
+		return progress.State, nil
+	default:
+		return submitter.Running, nil
 	}
-	return submitter.Queued
 }
 
 // Pending returns the number of a queue's submissions in all parts that have not
--- a/internal/version/dispatcher/relocating_test.go
+++ b/internal/version/dispatcher/relocating_test.go
@@ -272,6 +272,22 @@
 		}
 		assertStarts(t, h.starts(), 1)
 	})
+	t.Run("progress that was written late is ignored", func(t *testing.T) {
+		t.Parallel()
+		_, moved := strand(t)
+		next := newHarness(t, 0, 1)
+		next.pollAll(1)
+		next.table.Add(&moved, &submitter.Progress{}, next.now)
+		orders := next.starts()
+		assertStarts(t, orders, 1)
+		if o := orders[0]; o.Task.Step != 1 {
+			t.Errorf("start of step %d, which is done", o.Task.Step)
+		}
+		next.endAll(1)
+		if records := next.table.Unsaved(1); len(records) != 1 || records[0].Progress.Moves != 1 {
+			t.Errorf("records %+v, want one after a move", records)
+		}
+	})
 	t.Run("cancelled one stays", func(t *testing.T) {
 		t.Parallel()
 		h := newHarness(t, 0, 1)
--- a/internal/version/dispatcher/result.go
+++ b/internal/version/dispatcher/result.go
@@ -248,7 +248,7 @@
 // progress returns the progress of a submission in the form that is made durable, with the newest
 // checkpoints or without.
 func (s *submission) progress(withCheckpoints bool) *submitter.Progress {
-	p := &submitter.Progress{}
+	p := &submitter.Progress{Moves: s.sub.Moves()}
 	if s.state.IsFinal() {
 		p.State = s.state
 		return p
--- a/internal/version/dispatcher/submission.go
+++ b/internal/version/dispatcher/submission.go
@@ -212,9 +212,7 @@
 	if _, ok := t.subs[sub.ID]; ok || sub.Owner > t.fence || t.hasLeft(sub) {
 		return
 	}
-	if progress == nil && sub.Move != nil {
-		progress = sub.Move.Progress
-	}
+	progress = sub.Current(progress)
 	s := &submission{sub: sub, state: submitter.Queued, durableState: submitter.Queued, remaining: sub.Occurrences(), addedAt: now}
 	t.subs[sub.ID] = s
 	if progress != nil {
--- a/internal/version/submitter/move.go
+++ b/internal/version/submitter/move.go
@@ -36,6 +36,16 @@
 	return s.Move.Count
 }
 
+// Current returns the newest progress of the submission, given what is stored as its progress in
+// the part, or nil. A write from before a move may be carried out after it, where the submission
+// comes back later.
+func (s *Submission) Current(stored *Progress) *Progress {
+	if s.Move != nil && (stored == nil || stored.Moves < s.Move.Count) {
+		return s.Move.Progress
+	}
+	return stored
+}
+
 // FirstRun returns the number above which the runs of the tasks are numbered.
 func (s *Submission) FirstRun() int64 {
 	if s.Move == nil {
--- a/internal/version/submitter/move_test.go
+++ b/internal/version/submitter/move_test.go
@@ -56,3 +56,23 @@
 		t.Errorf("submission has changed: %+v", sub)
 	}
 }
+
+func TestCurrentProgressOfAMovedSubmission(t *testing.T) {
+	t.Parallel()
+	sub, taken, late, newer := Submission{ID: "a"}, &Progress{Next: 3}, &Progress{Next: 2, Moves: 1}, &Progress{Next: 4, Moves: 2}
+	moved := sub.WithMove(Move{Count: 2, Progress: taken})
+	for name, c := range map[string]struct {
+		sub          Submission
+		stored, want *Progress
+	}{
+		"never moved":             {sub, late, late},
+		"never moved, nothing":    {sub, nil, nil},
+		"nothing since the move":  {moved, nil, taken},
+		"written before the move": {moved, late, taken},
+		"written after the move":  {moved, newer, newer},
+	} {
+		if got := c.sub.Current(c.stored); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -47,6 +47,8 @@
 type Progress struct {
 	// State is empty until a final state is reached.
 	State State `json:"state,omitempty"`
+	// Moves is how often the submission had been handed to another part by then.
+	Moves int `json:"moves,omitempty"`
 	// Next is the number of the first occurrence from which on there is no progress. Those
 	// before it that Open does not list are done. Zero in records of the former form, which
 	// have Steps instead.
