Use a run number only for a start that is ordered

Three of its runners refused each start as old, and the member on the fourth one ended alone every 3 s.

Cause: placing a member of a gang took the number of its run, also if the gang was taken back as another member had no room. At 20 attempts a second it passed the 1000 numbers of its owner's generation, so the next owner numbered its runs below what the runners had seen end.

Change: the number is used when the start is ordered. Each owner has a million numbers for a task instead of 1000, as starts that are refused use numbers, too.

Before: dispatcher.TestGangThatWaitsUsesNoRunNumbers "first start of a.0.0.0 has run number 2274, want 1".

--- a/internal/version/dispatcher/gang_test.go
+++ b/internal/version/dispatcher/gang_test.go
@@ -101,3 +101,31 @@
 		t.Errorf("gangs were tried in %d of %d passes within %s, want at most %d", tries, span/between, span, most)
 	}
 }
+
+// Guards against a gang that works no more after a change of owner: while it waited for room, each
+// attempt to place it took a run number, so that it ran under a higher one than those of the next
+// owner, whose starts its runners refused. (review/11)
+func TestGangThatWaitsUsesNoRunNumbers(t *testing.T) {
+	t.Parallel()
+	const members = 3
+	step := oneCore(members)
+	step.Gang, step.MaxPerRunner = true, 1
+	h := newHarness(t, 0, members-1)
+	h.pollAll(members - 1)
+	h.add("a", "urgent", step)
+	for until := h.now.Add(time.Minute); h.now.Before(until); h.advance(50 * time.Millisecond) {
+		h.pollAll(members - 1)
+		assertStarts(t, h.starts(), 0)
+	}
+	h.setRunners(members)
+	h.pollAll(members)
+	h.advance(time.Second)
+	h.pollAll(members)
+	orders := h.starts()
+	assertStarts(t, orders, members)
+	for _, o := range orders {
+		if o.Run != 1 {
+			t.Errorf("first start of %s has run number %d, want 1", o.Task, o.Run)
+		}
+	}
+}
--- a/internal/version/dispatcher/incarnation.go
+++ b/internal/version/dispatcher/incarnation.go
@@ -104,6 +104,7 @@
 			continue
 		}
 		again := t.place(x.st, x.index, r, x.number, now)
+		again.useNumber()
 		again.startedAt, again.confirmedAt, again.unansweredAt = x.startedAt, x.confirmedAt, x.unansweredAt
 		again.phase, again.isCarriedOver = running, true
 		t.recordRun(now, EventAdopted, again, "may have begun on the new incarnation")
--- a/internal/version/dispatcher/place.go
+++ b/internal/version/dispatcher/place.go
@@ -322,7 +322,7 @@
 }
 
 // unplace removes a placed run from the table before its start is ordered. It records
-// no event and causes no placement pass.
+// no event, causes no placement pass and leaves the number of the run unused.
 func (t *Table) unplace(x *run) {
 	rec, placementDue, endedAt, longEndedAt := t.rec, t.placementDue, x.task().endedAt, t.longEndedAt
 	t.rec = discard
@@ -501,7 +501,6 @@
 	st.occ.runs++
 	t.noteTurn(x)
 	k.isTracked = true
-	k.nextRun = max(k.nextRun, number+1)
 	r.runs[runKey{x.id(), number}] = x
 	r.used = r.used.Plus(st.spec.Reserved())
 	if st.spec.LongRunning {
@@ -514,9 +513,13 @@
 	return x
 }
 
+// useNumber keeps the number of a run from being used again.
+func (x *run) useNumber() { x.task().nextRun = max(x.task().nextRun, x.number+1) }
+
 // orderStart orders the start of a placed run.
 func (t *Table) orderStart(x *run, now time.Time) {
 	r := x.runner
+	x.useNumber()
 	t.claim(r, x.st)
 	until := t.LeaseUntil(r.info.ID, now)
 	t.recordRun(now, EventStarted, x, x.placement())
--- a/internal/version/dispatcher/report.go
+++ b/internal/version/dispatcher/report.go
@@ -220,6 +220,7 @@
 	}
 	x := t.place(st, key.task.Index, r, key.run, now)
 	t.background = nil
+	x.useNumber()
 	t.claim(r, st)
 	x.phase, x.confirmedAt, x.isLocated = running, now, true
 	st.ranBefore = true
--- a/internal/version/dispatcher/table.go
+++ b/internal/version/dispatcher/table.go
@@ -39,8 +39,9 @@
 
 // runsPerGeneration separates the run numbers of successive owners: the owner of
 // generation g, which had g owners before it, numbers the runs of each task from
-// g*runsPerGeneration+1.
-const runsPerGeneration = 1000
+// g*runsPerGeneration+1. It is more than the starts of a task that one owner orders: those of
+// half a day, at the rate of placement passes.
+const runsPerGeneration = 1_000_000
 
 // A Table is the state of one owner. It is not safe for concurrent use.
 type Table struct {
