Reuse what decides where a task may run, and settle a move in one place

- mayRun and mayServe were the same check; the former calls the latter.
- Resources.CountIn was fitting once more, and is gone.
- The answer to each submission computed the room on all runners to learn whether one may run it; it stops at the first that may.
- What lets a submission leave stood in Stranded and in BeginMove; isDirty follows from the saved version.
- EndMove had two cases under a flag; the other one is GiveUpMove.
- findPart mixed what is remembered with the calls to other owners.
- Accept computed the candidate parts twice.
- askOffer and submitToOwner repeat localOwner and noteLoad no more.
- Tests share the loss of an answered start and the polled harness.

--- a/internal/process/conductor/records.go
+++ b/internal/process/conductor/records.go
@@ -163,23 +163,18 @@
 		pause = cleanupInterval
 		c.mu.Lock()
 		ids := c.table.Expired(maxDeletedSubmissions, time.Now())
-		homes := make(map[string]int)
+		var keys []string
 		for _, id := range ids {
+			keys = append(keys, c.keys.Submission(id), c.keys.Cancellation(id), c.keys.Progress(id))
 			if home, hasMoved := c.table.Home(id); hasMoved && home != c.opts.Part {
-				homes[id] = home
+				keys = append(keys, KeysOf(home).Submission(id))
 			}
 		}
 		c.mu.Unlock()
 		if len(ids) == 0 {
 			continue
 		}
-		txn := transactor.Transaction{Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}}}
-		for _, id := range ids {
-			txn.Deletes = append(txn.Deletes, c.keys.Submission(id), c.keys.Cancellation(id), c.keys.Progress(id))
-			if home, ok := homes[id]; ok {
-				txn.Deletes = append(txn.Deletes, KeysOf(home).Submission(id))
-			}
-		}
+		txn := transactor.Transaction{Conditions: []transactor.Condition{{Key: c.opts.OwnerKey, Revision: c.opts.Fence}}, Deletes: keys}
 		ctx, cancel := context.WithTimeout(c.ctx, saveTimeout)
 		_, err := c.opts.Store.Commit(ctx, txn)
 		cancel()
--- a/internal/process/conductor/relocating.go
+++ b/internal/process/conductor/relocating.go
@@ -72,7 +72,7 @@
 		return false // the outcome of the move may not be known
 	}
 	if err != nil {
-		c.apply(func(t *dispatcher.Table, _ time.Time) { t.EndMove(stranded.ID, false, now.Add(moveRetryAfter), now) })
+		c.apply(func(t *dispatcher.Table, _ time.Time) { t.GiveUpMove(stranded.ID, now.Add(moveRetryAfter)) })
 	}
 	fields := recorder.Fields{
 		"id": stranded.ID, "part": strconv.Itoa(part), "impossible": strconv.FormatBool(stranded.IsImpossible),
@@ -85,36 +85,41 @@
 	return true
 }
 
-// errNoPart says that no other part serves a submission.
+// errNoPart says that no other part serves a submission, noPart that it was looked for.
 var errNoPart = errors.New("no other part serves it now")
 
+const noPart = -1
+
 // findPart returns a part with room for a submission, or if it can't run here, another one that
 // may run it. Parts that may hold it without being asked for come first.
 func (c *Conductor) findPart(stranded dispatcher.Stranded, offers map[string]int) (part int, err error) {
 	key := fmt.Sprint(stranded.Needs)
-	if part, ok := offers[key]; ok && (stranded.IsImpossible || part < 0) {
-		if part < 0 {
-			return part, errNoPart
-		}
-		return part, nil
+	part, isKnown := offers[key]
+	if !isKnown || (part != noPart && !stranded.IsImpossible) {
+		part = c.askParts(stranded)
+		offers[key] = part
+	}
+	if part == noPart {
+		return part, errNoPart
 	}
-	found := -1
+	return part, nil
+}
+
+// askParts asks the owners of the other parts in turn, and returns the part for a submission or
+// noPart.
+func (c *Conductor) askParts(stranded dispatcher.Stranded) (found int) {
+	found = noPart
 	for _, part := range c.otherParts(stranded.ID) {
 		offer, err := c.opts.AskOffer(c.ctx, part, c.withPledges(part, stranded.Needs))
 		switch {
 		case err != nil || !offer.IsAble:
 		case offer.HasRoom:
-			offers[key] = part
-			return part, nil
-		case found < 0 && stranded.IsImpossible:
+			return part
+		case found == noPart && stranded.IsImpossible:
 			found = part
 		}
 	}
-	offers[key] = found
-	if found < 0 {
-		return found, errNoPart
-	}
-	return found, nil
+	return found
 }
 
 // withPledges returns needs together with those of the submissions that were handed to a part just
@@ -166,10 +171,10 @@
 		var refused *transactor.RefusedError
 		switch {
 		case err == nil, errors.As(err, &conflict) && c.isMoved(conflict, id, part):
-			c.apply(func(t *dispatcher.Table, now time.Time) { t.EndMove(id, true, now, now) })
-			c.mu.Lock()
-			delete(c.revs, id)
-			c.mu.Unlock()
+			c.apply(func(t *dispatcher.Table, now time.Time) {
+				t.EndMove(id, now)
+				delete(c.revs, id)
+			})
 			return nil
 		case conflict != nil, errors.As(err, &refused):
 			return err // and so does an earlier call, whose conditions are the same
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -181,7 +181,7 @@
 		return &RejectedError{Reason: fmt.Sprintf("submission or its progress may take %d bytes, the store takes %d", size, limit)}
 	}
 	err = g.commit(ctx, transactor.Transaction{
-		Conditions: append(g.absence(sub.ID), transactor.Condition{Key: markKey(sub.ID)}),
+		Conditions: append(absence(sub.ID, candidates), transactor.Condition{Key: markKey(sub.ID)}),
 		Writes:     []transactor.Write{{Key: conductor.KeysOf(part).Submission(sub.ID), Value: value}},
 	})
 	var conflict *transactor.ConflictError
@@ -199,9 +199,9 @@
 	return nil
 }
 
-// absence returns the conditions that a submission is not stored.
-func (g *Gateway) absence(id string) (conditions []transactor.Condition) {
-	for _, candidate := range g.opts.Split.CandidateParts(id) {
+// absence returns the conditions that a submission is not stored in its candidate parts.
+func absence(id string, candidates []int) (conditions []transactor.Condition) {
+	for _, candidate := range candidates {
 		conditions = append(conditions, transactor.Condition{Key: conductor.KeysOf(candidate).Submission(id)})
 	}
 	return conditions
@@ -296,13 +296,13 @@
 // submitToOwner reports a stored submission to the owner of its part, and updates the
 // balancer with the load that the owner returns.
 func (g *Gateway) submitToOwner(ctx context.Context, part int, sub *submitter.Submission) error {
+	var receipt partitioner.Receipt
+	var err error
 	if local := g.opts.LocalOwner(part); local != nil {
-		receipt := local.Submit(sub)
-		g.balancer.UpdateLoad(part, receipt.Load, time.Now())
-		g.balancer.NoteUnable(part, receipt.Unable, time.Now())
-		return nil
+		receipt = local.Submit(sub)
+	} else {
+		receipt, err = g.opts.Peers.Submit(ctx, g.target(part), sub)
 	}
-	receipt, err := g.opts.Peers.Submit(ctx, g.target(part), sub)
 	g.noteLoad(part, receipt.Load, err)
 	g.balancer.NoteUnable(part, receipt.Unable, time.Now())
 	return err
--- a/internal/process/gateway/marks.go
+++ b/internal/process/gateway/marks.go
@@ -59,16 +59,17 @@
 	granted, err, _ := m.grants.Do("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
-		next := markLease{grantedAt: clocker.SinceBoot()}
-		if next.id, err = store.Grant(ctx, markLeaseDuration); err != nil {
-			return next, err
+		grantedAt := clocker.SinceBoot()
+		id, err := store.Grant(ctx, markLeaseDuration)
+		if err != nil {
+			return id, err
 		}
 		m.mu.Lock()
-		m.current = next
+		m.current = markLease{id, grantedAt}
 		m.mu.Unlock()
-		return next, nil
+		return id, nil
 	})
-	return granted.(markLease).id, err
+	return granted.(int64), err
 }
 
 // drop gives up a lease that has ended.
@@ -98,7 +99,7 @@
 			return false, &RejectedError{Reason: "no lease for the mark of a cancellation: " + err.Error(), RetryAfter: outageRetryAfter}
 		}
 		err = g.commit(ctx, transactor.Transaction{
-			Conditions: g.absence(id),
+			Conditions: absence(id, g.opts.Split.CandidateParts(id)),
 			Writes:     []transactor.Write{{Key: markKey(id), Value: []byte("{}"), Lease: lease}},
 		})
 		var conflict *transactor.ConflictError
--- a/internal/process/gateway/states.go
+++ b/internal/process/gateway/states.go
@@ -136,7 +136,7 @@
 		}
 	}
 	switch progress := sub.Current(stored); {
-	case progress == nil, progress != stored && !progress.HasAny():
+	case progress == nil, progress != stored && progress.Next == 0:
 		return submitter.Queued, nil
 	case progress.State.IsFinal():
 		return progress.State, nil
--- a/internal/process/scheduler/duties.go
+++ b/internal/process/scheduler/duties.go
@@ -202,8 +202,8 @@
 
 // askOffer asks the owner of a part what the part offers for some needs.
 func (d *duties) askOffer(ctx context.Context, part int, needs []partitioner.Need) (partitioner.Offer, error) {
-	if c := d.conductors[part].Load(); c != nil {
-		return c.Offer(needs), nil
+	if local := d.localOwner(part); local != nil {
+		return local.Offer(needs), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/version/dispatcher/formercalls_test.go
+++ b/internal/version/dispatcher/formercalls_test.go
@@ -356,15 +356,23 @@
 	})
 }
 
-// Guards against a task that runs twice: its run had lapsed on the clock of the former incarnation
-// of a runner, and the next one, of which the owner had learnt since, had begun it.
-func TestLapsedStartMayHaveBegunOnANextIncarnation(t *testing.T) {
-	f := newFormerCalls(t, 0)
+// leaveStartUnanswered starts a long-running task on a runner that has been silent since, and leaves
+// no room for it on the other one.
+func (f *formerCalls) leaveStartUnanswered() (late Order, r *simRunner, other string) {
+	f.t.Helper()
 	f.add("a", "urgent", lasting(1, 1000))
-	late, r, other := f.sendStart()
+	late, r, other = f.sendStart()
 	f.table.ApplyStart(late, Unanswered, 0, f.now)
 	f.silent = r.id
 	f.table.runners[other].info.Capacity = submitter.Resources{}
+	return late, r, other
+}
+
+// Guards against a task that runs twice: its run had lapsed on the clock of the former incarnation
+// of a runner, and the next one, of which the owner had learnt since, had begun it.
+func TestLapsedStartMayHaveBegunOnANextIncarnation(t *testing.T) {
+	f := newFormerCalls(t, 0)
+	late, r, other := f.leaveStartUnanswered()
 	f.pass(8*time.Second, other)
 	if n := len(f.table.runners[r.id].runs); n != 0 {
 		t.Fatalf("%d runs are known on the silent runner, want it to have lapsed", n)
--- a/internal/version/dispatcher/obstacle.go
+++ b/internal/version/dispatcher/obstacle.go
@@ -108,5 +108,5 @@
 
 // mayRun reports whether a runner may get a task of a step once it has room.
 func (t *Table) mayRun(r *runner, st *stepState) bool {
-	return st.s.isServedBy(r.info.Service) && r.hasEntry() && t.isUsable(r) && st.hasLabel(r) && st.spec.Reserved().Fits(r.info.Capacity)
+	return st.s.isServed && t.mayServe(r, st.need())
 }
--- a/internal/version/dispatcher/relocating.go
+++ b/internal/version/dispatcher/relocating.go
@@ -50,34 +50,40 @@
 func (t *Table) Serves(needs []partitioner.Need) partitioner.Offer {
 	offer := partitioner.Offer{IsAble: true, HasRoom: true}
 	for _, need := range needs {
-		isAble, room := false, 0
-		for _, r := range t.runners {
-			if !t.mayServe(r, need) {
-				continue
-			}
-			isAble = true
-			if room < need.Tasks {
-				room += min(need.Tasks, need.CountIn(r.free().Min(r.unpromised())))
-			}
-		}
-		offer.IsAble = offer.IsAble && isAble
-		offer.HasRoom = offer.HasRoom && room >= need.Tasks
+		offer.IsAble = offer.IsAble && t.isAble(need)
+		offer.HasRoom = offer.HasRoom && t.hasRoom(need)
 	}
 	return offer
 }
 
+// isAble reports whether a runner may get tasks with a need once it has room.
+func (t *Table) isAble(need partitioner.Need) bool {
+	for _, r := range t.runners {
+		if t.mayServe(r, need) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether there is room for all tasks with a need now.
+func (t *Table) hasRoom(need partitioner.Need) bool {
+	room := 0
+	for _, r := range t.runners {
+		if room < need.Tasks && t.mayServe(r, need) {
+			room += fitting(need.Resources, r.free().Min(r.unpromised()))
+		}
+	}
+	return room >= need.Tasks
+}
+
 // Unable returns the needs of a submission that no runner of the part meets.
-func (t *Table) Unable(sub *submitter.Submission) (unable []partitioner.Need) {
+func (t *Table) Unable(sub *submitter.Submission) []partitioner.Need {
 	queue, ok := t.queueOf(sub).Get()
 	if !ok {
 		return nil
 	}
-	for _, need := range partitioner.NeedsOf(sub, queue.Service) {
-		if !t.Serves([]partitioner.Need{need}).IsAble {
-			unable = append(unable, need)
-		}
-	}
-	return unable
+	return slices.DeleteFunc(partitioner.NeedsOf(sub, queue.Service), t.isAble)
 }
 
 // mayServe reports whether a runner may get tasks with a need once it has room.
@@ -118,7 +124,7 @@
 	impossible := make(map[partitioner.Need]bool)
 	since := now
 	for _, s := range t.unfinished() {
-		if s.isMoving || s.isDirty || s.savedVersion < s.version || now.Before(s.moveAfter) {
+		if !s.mayLeave() || now.Before(s.moveAfter) {
 			continue
 		}
 		st, isImpossible := t.strandedStep(s, impossible, now)
@@ -138,9 +144,6 @@
 		return nil, false
 	}
 	for _, occ := range s.occs {
-		if occ.runs > 0 {
-			return nil, false
-		}
 		for _, o := range occ.steps {
 			if o.waitingSince.IsZero() || now.Sub(o.waitingSince) < relocateAfter || isImpossible {
 				continue
@@ -149,7 +152,7 @@
 			need.Tasks = 0
 			isUnmet, isKnown := impossible[need]
 			if !isKnown {
-				isUnmet = !t.Serves([]partitioner.Need{need}).IsAble
+				isUnmet = !t.isAble(need)
 				impossible[need] = isUnmet
 			}
 			switch {
@@ -163,6 +166,11 @@
 	return st, isImpossible
 }
 
+// mayLeave reports whether a submission has no run in the table, and its progress is durable.
+func (s *submission) mayLeave() bool {
+	return !s.isMoving && s.savedVersion >= s.version && !slices.ContainsFunc(s.occs, func(o *occurrence) bool { return o.runs > 0 })
+}
+
 // mayStillRun reports whether a run of a submission may go on or begin although it has none in
 // the table.
 func (t *Table) mayStillRun(s *submission, now time.Time) bool {
@@ -191,10 +199,10 @@
 }
 
 // BeginMove returns a submission as it is handed from this part to another one, and starts
-// nothing of it until EndMove. It reports whether the submission may still leave.
+// nothing of it until EndMove or GiveUpMove. It reports whether the submission may still leave.
 func (t *Table) BeginMove(id string, part int, now time.Time) (moved submitter.Submission, ok bool) {
 	s, ok := t.subs[id]
-	if !ok || s.state.IsFinal() || s.isMoving || s.isDirty || s.savedVersion < s.version || t.mayStillRun(s, now) {
+	if !ok || s.state.IsFinal() || !s.mayLeave() || t.mayStillRun(s, now) {
 		return moved, false
 	}
 	move := submitter.Move{Home: part, Count: s.sub.Moves() + 1, Progress: s.progress(true)}
@@ -202,9 +210,6 @@
 		move.Home = s.sub.Move.Home
 	}
 	for _, occ := range s.occs {
-		if occ.runs > 0 {
-			return moved, false
-		}
 		for _, st := range occ.steps {
 			for i := range st.tasks {
 				move.FirstRun = max(move.FirstRun, t.nextRun(st, i))
@@ -215,18 +220,21 @@
 	return s.sub.WithMove(move), true
 }
 
-// EndMove drops a submission that was handed to another part. If it was not, it goes on here,
-// and is not handed on before a time.
-func (t *Table) EndMove(id string, hasMoved bool, notBefore, now time.Time) {
+// GiveUpMove lets a submission go on in this part that could not be handed to another one. It may
+// be handed on from a time on.
+func (t *Table) GiveUpMove(id string, notBefore time.Time) {
+	if s, ok := t.subs[id]; ok {
+		s.isMoving, s.moveAfter = false, notBefore
+		t.placementDue = true
+	}
+}
+
+// EndMove drops a submission that was handed to another part.
+func (t *Table) EndMove(id string, now time.Time) {
 	s, ok := t.subs[id]
 	if !ok {
 		return
 	}
-	s.isMoving, s.moveAfter = false, notBefore
-	if !hasMoved {
-		t.placementDue = true
-		return
-	}
 	t.moved[id] = departure{now, s.sub.Moves() + 1}
 	// What may still be listed of it here is not wanted any more.
 	s.state, s.durableState, s.savedVersion = submitter.Cancelled, submitter.Cancelled, s.version
--- a/internal/version/dispatcher/relocating_test.go
+++ b/internal/version/dispatcher/relocating_test.go
@@ -9,6 +9,14 @@
 	"github.com/kumquatstack/kumquatstack/internal/version/submitter"
 )
 
+// newPolled returns a harness with some runners that have answered.
+func newPolled(t *testing.T, runners int) *harness {
+	t.Helper()
+	h := newHarness(t, 0, runners)
+	h.pollAll(runners)
+	return h
+}
+
 // unserved returns a step that needs a label which no runner of a harness has.
 func unserved(count int) submitter.Step {
 	step := oneCore(count)
@@ -55,8 +63,7 @@
 	t.Parallel()
 	t.Run("no runner has the label", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 2)
-		h.pollAll(2)
+		h := newPolled(t, 2)
 		h.add("a", "urgent", unserved(2))
 		h.wait(2, relocateAfter/2)
 		h.assertStranded("", false)
@@ -65,8 +72,7 @@
 	})
 	t.Run("no runner of the service is left", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 1)
-		h.pollAll(1)
+		h := newPolled(t, 1)
 		h.configure(nil, submitter.Queue{Name: "urgent", Service: "other", MaxAttempts: 2})
 		h.add("a", "urgent", oneCore(1))
 		h.wait(1, 2*relocateAfter)
@@ -74,16 +80,14 @@
 	})
 	t.Run("short task waits for room", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 1)
-		h.pollAll(1)
+		h := newPolled(t, 1)
 		h.add("a", "urgent", oneCore(20))
 		h.wait(1, 2*crampedAfter)
 		h.assertStranded("", false)
 	})
 	t.Run("long-running task waits for room", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 1)
-		h.pollAll(1)
+		h := newPolled(t, 1)
 		large := oneCore(1)
 		large.LongRunning, large.MilliCores = true, 6000
 		h.add("a", "urgent", large)
@@ -96,8 +100,7 @@
 	})
 	t.Run("another step still runs", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 1)
-		h.pollAll(1)
+		h := newPolled(t, 1)
 		h.table.Add(&submitter.Submission{
 			ID: "a", Queue: "urgent", AcceptedAt: h.now,
 			Schedule: &submitter.Schedule{Count: 2, Start: h.now, Interval: 100 * time.Millisecond},
@@ -120,8 +123,7 @@
 	})
 	t.Run("progress is not saved", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 1)
-		h.pollAll(1)
+		h := newPolled(t, 1)
 		h.table.Add(&submitter.Submission{ID: "a", Queue: "urgent", AcceptedAt: h.now, Steps: []submitter.Step{oneCore(1), after(unserved(1))}}, nil, h.now)
 		h.starts()
 		h.endAll(1)
@@ -147,11 +149,7 @@
 func TestSubmissionStaysWhileARunMayStillBegin(t *testing.T) {
 	t.Parallel()
 	f := newFormerCalls(t, 0)
-	f.add("a", "urgent", lasting(1, 1000))
-	late, r, other := f.sendStart()
-	f.table.ApplyStart(late, Unanswered, 0, f.now)
-	f.silent = r.id
-	f.table.runners[other].info.Capacity = submitter.Resources{}
+	_, _, other := f.leaveStartUnanswered()
 	sentAt := f.now
 	for f.now.Sub(sentAt) < maxCallDelay+testLimits.MaxLease-time.Second {
 		f.pass(time.Second, other)
@@ -173,8 +171,7 @@
 	const secondRun = 1
 	strand := func(t *testing.T) (h *harness, moved submitter.Submission) {
 		t.Helper()
-		h = newHarness(t, 0, 1)
-		h.pollAll(1)
+		h = newPolled(t, 1)
 		h.table.Add(&submitter.Submission{ID: "a", Queue: "urgent", AcceptedAt: h.now, Steps: []submitter.Step{oneCore(1), after(oneCore(1))}}, nil, h.now)
 		assertStarts(t, h.starts(), 1)
 		h.endAll(1)
@@ -194,18 +191,17 @@
 		if rows := h.reported["r0"]; len(rows) > 0 {
 			t.Fatalf("started while it is handed on: %+v", rows)
 		}
-		h.table.EndMove("a", false, h.now.Add(time.Second), h.now)
+		h.table.GiveUpMove("a", h.now.Add(time.Second))
 		assertStarts(t, h.starts(), 1)
 	})
 	t.Run("it is tried again after a pause", func(t *testing.T) {
 		t.Parallel()
-		h := newHarness(t, 0, 1)
-		h.pollAll(1)
+		h := newPolled(t, 1)
 		h.add("a", "urgent", unserved(1))
 		h.wait(1, 2*relocateAfter)
 		h.beginMove("a")
 		h.assertStranded("", false)
-		h.table.EndMove("a", false, h.now.Add(time.Second), h.now)
+		h.table.GiveUpMove("a", h.now.Add(time.Second))
 		h.assertStranded("", false)
 		h.wait(1, time.Second)
 		h.assertStranded("a", true)
@@ -214,7 +210,7 @@
 		t.Parallel()
 		h, _ := strand(t)
 		sub := h.table.subs["a"].sub.WithOwner(testFence)
-		h.table.EndMove("a", true, h.now, h.now)
+		h.table.EndMove("a", h.now)
 		h.table.AddReported(&sub, h.now)
 		h.table.Add(&sub, nil, h.now)
 		if _, known := h.table.State("a"); known {
@@ -242,9 +238,8 @@
 	t.Run("the next part goes on with higher runs", func(t *testing.T) {
 		t.Parallel()
 		h, moved := strand(t)
-		h.table.EndMove("a", true, h.now, h.now)
-		next := newHarness(t, 0, 1)
-		next.pollAll(1)
+		h.table.EndMove("a", h.now)
+		next := newPolled(t, 1)
 		next.table.Add(&moved, nil, next.now)
 		orders := next.starts()
 		assertStarts(t, orders, 1)
@@ -259,7 +254,7 @@
 	t.Run("it may come back", func(t *testing.T) {
 		t.Parallel()
 		h, moved := strand(t)
-		h.table.EndMove("a", true, h.now, h.now)
+		h.table.EndMove("a", h.now)
 		next := newHarness(t, 0, 1)
 		next.table.Add(&moved, nil, next.now)
 		back := next.beginMove("a")
@@ -275,8 +270,7 @@
 	t.Run("progress that was written late is ignored", func(t *testing.T) {
 		t.Parallel()
 		_, moved := strand(t)
-		next := newHarness(t, 0, 1)
-		next.pollAll(1)
+		next := newPolled(t, 1)
 		next.table.Add(&moved, &submitter.Progress{}, next.now)
 		orders := next.starts()
 		assertStarts(t, orders, 1)
@@ -301,8 +295,7 @@
 
 func TestOfferOfAPart(t *testing.T) {
 	t.Parallel()
-	h := newHarness(t, 0, 2)
-	h.pollAll(2)
+	h := newPolled(t, 2)
 	need := func(label string, milliCores int64, tasks int) []partitioner.Need {
 		return []partitioner.Need{{Service: "s", Label: label, Resources: submitter.Resources{MilliCores: milliCores}, Tasks: tasks}}
 	}
--- a/internal/version/submitter/move.go
+++ b/internal/version/submitter/move.go
@@ -14,8 +14,8 @@
 	Home int `json:"home"`
 	// Count is the number of moves so far.
 	Count int `json:"count"`
-	// FirstRun is the number from which on the runs of its tasks are numbered, above those of
-	// all runs before.
+	// FirstRun is the number above which the runs of its tasks are numbered. No run before has a
+	// higher one.
 	FirstRun int64 `json:"firstRun"`
 	// Progress is the progress at the time of the last move.
 	Progress *Progress `json:"progress,omitempty"`
--- a/internal/version/submitter/progress.go
+++ b/internal/version/submitter/progress.go
@@ -151,9 +151,6 @@
 	return n
 }
 
-// HasAny reports whether there is any progress.
-func (p *Progress) HasAny() bool { return p != nil && (p.Next > 0 || len(p.Steps) > 0) }
-
 // Encode returns the form in which the progress is stored.
 func (p *Progress) Encode() ([]byte, error) { return json.Marshal(p) }
 
--- a/internal/version/submitter/submission.go
+++ b/internal/version/submitter/submission.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -62,18 +61,6 @@
 	return Resources{max(r.MilliCores, o.MilliCores), max(r.MemoryMB, o.MemoryMB), max(r.GPUs, o.GPUs)}
 }
 
-// CountIn returns how many times r fits into a free amount. What needs nothing fits any number
-// of times.
-func (r Resources) CountIn(free Resources) int {
-	count := math.MaxInt
-	for _, amounts := range [][2]int64{{r.MilliCores, free.MilliCores}, {r.MemoryMB, free.MemoryMB}, {r.GPUs, free.GPUs}} {
-		if amounts[0] > 0 {
-			count = min(count, max(0, int(amounts[1]/amounts[0])))
-		}
-	}
-	return count
-}
-
 // A Step is a number of identical tasks that become ready together.
 type Step struct {
 	Count int `json:"count"`
